--- /dev/null
+++ b/src/framework/httptypes.h
@@ -0,0 +1,65 @@
+#ifndef CELERYBEAM_FRAMEWORK_HTTPTYPES_H
+#define CELERYBEAM_FRAMEWORK_HTTPTYPES_H
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "framework/error.h"
+
+namespace celerybeam {
+
+/// One HTTP header field. Names are kept in lower case.
+struct HeaderField {
+  std::string Name;
+  std::string Value;
+};
+
+using HeaderFields = std::vector<HeaderField>;
+
+/// The value of the first field with the name (lower case), or an empty view.
+std::string_view findHeader(const HeaderFields &Fields, std::string_view Name);
+
+/// How often a field with the name (lower case) occurs.
+std::size_t countHeaders(const HeaderFields &Fields, std::string_view Name);
+
+/// All of a request but its body.
+struct RequestHead {
+  std::string Method;
+  /// Path without the query, decoded as the library gives it.
+  std::string Path;
+  /// Query without the question mark; empty when there is none.
+  std::string Query;
+  HeaderFields Headers;
+};
+
+/// All of a response but its body.
+struct ResponseHead {
+  int Status = 0;
+  HeaderFields Headers;
+};
+
+/// Whether a receiver of data takes more at once.
+enum class Flow {
+  Continue,
+  /// The data was taken; send no more until told to resume.
+  Pause,
+};
+
+/// Where an answer goes, in this order: Head once, Chunk any number of times,
+/// End once. Called from any thread, one call at a time. Calls after the
+/// receiver has gone are ignored.
+struct ResponseHooks {
+  std::function<void(ResponseHead)> Head;
+  std::function<Flow(std::string)> Chunk;
+  /// With an error the answer is cut off after its head: the receiver closes
+  /// the connection without the normal end, so that the cut is noticed.
+  std::function<void(Result<void>)> End;
+};
+
+} // namespace celerybeam
+
+#endif
--- /dev/null
+++ b/src/framework/internal/digest.cpp
@@ -0,0 +1,62 @@
+#include "framework/digest.h"
+
+#include <array>
+#include <cstddef>
+
+#include <gnutls/crypto.h>
+#include <gnutls/gnutls.h>
+
+namespace celerybeam {
+
+namespace {
+
+constexpr std::size_t Sha256Bytes = 32;
+
+std::string toHex(const std::array<unsigned char, Sha256Bytes> &Bytes) {
+  static constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Text;
+  Text.reserve(2 * Bytes.size());
+  for (unsigned char Byte : Bytes) {
+    Text.push_back(Digits[Byte >> 4U]);
+    Text.push_back(Digits[Byte & 0xFU]);
+  }
+  return Text;
+}
+
+} // namespace
+
+std::string sha256Hex(std::string_view Data) {
+  std::array<unsigned char, Sha256Bytes> Bytes{};
+  gnutls_hash_fast(GNUTLS_DIG_SHA256, Data.data(), Data.size(), Bytes.data());
+  return toHex(Bytes);
+}
+
+std::string hmacSha256Hex(std::string_view Secret, std::string_view Data) {
+  std::array<unsigned char, Sha256Bytes> Bytes{};
+  gnutls_hmac_fast(GNUTLS_MAC_SHA256, Secret.data(), Secret.size(), Data.data(),
+                   Data.size(), Bytes.data());
+  return toHex(Bytes);
+}
+
+bool equalConstantTime(std::string_view Left, std::string_view Right) {
+  if (Left.size() != Right.size())
+    return false;
+  return gnutls_memcmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+std::uint64_t stableHash(std::string_view Data, std::uint64_t Seed) {
+  // FNV-1a with a final mix, since FNV's high bits are weak on short input.
+  std::uint64_t Hash = 0xCBF29CE484222325ULL ^ Seed;
+  for (char C : Data) {
+    Hash ^= static_cast<unsigned char>(C);
+    Hash *= 0x100000001B3ULL;
+  }
+  Hash ^= Hash >> 33U;
+  Hash *= 0xFF51AFD7ED558CCDULL;
+  Hash ^= Hash >> 33U;
+  Hash *= 0xC4CEB9FE1A85EC53ULL;
+  Hash ^= Hash >> 33U;
+  return Hash;
+}
+
+} // namespace celerybeam
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,43 @@
+#ifndef CELERYBEAM_ROUTING_ROUTER_H
+#define CELERYBEAM_ROUTING_ROUTER_H
+
+#include <memory>
+#include <vector>
+
+#include "blackboard/blackboard.h"
+#include "framework/error.h"
+#include "framework/runtime.h"
+#include "routing/routingtypes.h"
+
+namespace celerybeam {
+
+/// Chooses the endpoint, or the region, that serves a request.
+///
+/// Reads: tables, endpoints, peers (pool loads of other regions).
+/// Writes: nothing on the blackboard; keeps the send-away state of its own.
+/// Wakes: on each request. Thread-safe.
+class Router {
+public:
+  Router(Blackboard &Board, Runtime R);
+  ~Router();
+
+  /// Chooses for one attempt. Errors: UnknownRoute, NoEndpoint (none in the
+  /// pool can serve), NoCapacityInTime (none by the deadline; RetryAfter
+  /// set).
+  Result<RouteChoice> choose(const RouteQuery &Query);
+
+  /// Every candidate of the pool with its score or exclusion; changes
+  /// nothing.
+  std::vector<CandidateView> explain(const RouteQuery &Query) const;
+
+  /// Accounts for bytes that went over the link to another region.
+  void sentAway(const RegionId &Region, std::uint64_t Bytes);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace celerybeam
+
+#endif
