Add the request controller, forwarding between regions and the core's wiring

Cause: the decision modules need one pure place that takes a request from its head to the end of its answer. Change: head checks (residence before the body), exchanges on strands with resume, hedges and stall checks, forwarding with credit and numbered chunks, bookings' path, EntryHost wiring.

--- a/src/framework/error.h
+++ b/src/framework/error.h
@@ -68,6 +68,8 @@
   std::string Message;
   /// When a caller may try again; unset when trying again cannot help.
   std::optional<std::chrono::milliseconds> RetryAfter = std::nullopt;
+  /// For calls that may not be repeated: "not-run" or "unknown"; else empty.
+  std::string Outcome = {};
 };
 
 template <typename T> using Result = tl::expected<T, Error>;
--- a/src/framework/httptypes.h
+++ b/src/framework/httptypes.h
@@ -49,14 +49,15 @@
   Pause,
 };
 
-/// Where an answer goes, in this order: Head once, Chunk any number of times,
-/// End once. Called from any thread, one call at a time. Calls after the
-/// receiver has gone are ignored.
+/// Where an answer goes, in this order: Head at most once, Chunk any number
+/// of times, End once. Called from any thread, one call at a time. Calls
+/// after the receiver has gone are ignored.
 struct ResponseHooks {
   std::function<void(ResponseHead)> Head;
   std::function<Flow(std::string)> Chunk;
-  /// With an error the answer is cut off after its head: the receiver closes
-  /// the connection without the normal end, so that the cut is noticed.
+  /// An error before any head is the answer: the receiver writes it in its
+  /// own form. An error after the head cuts the answer off: the receiver
+  /// closes the connection without the normal end, so that the cut is noticed.
   std::function<void(Result<void>)> End;
 };
 
--- a/src/framework/internal/error.cpp
+++ b/src/framework/internal/error.cpp
@@ -89,7 +89,7 @@
 tl::unexpected<Error>
 makeError(ErrorKind Kind, std::string Message,
           std::optional<std::chrono::milliseconds> RetryAfter) {
-  return tl::unexpected<Error>(Error{Kind, std::move(Message), RetryAfter});
+  return tl::unexpected<Error>(Error{Kind, std::move(Message), RetryAfter, {}});
 }
 
 } // namespace celerybeam
--- /dev/null
+++ b/src/requests/internal/headchecker.h
@@ -0,0 +1,40 @@
+#ifndef CELERYBEAM_REQUESTS_INTERNAL_HEADCHECKER_H
+#define CELERYBEAM_REQUESTS_INTERNAL_HEADCHECKER_H
+
+#include "requests/requesttypes.h"
+
+namespace celerybeam::detail {
+
+/// Decides on a request by its head: caller, route, residence, key, deadline.
+class HeadChecker {
+public:
+  explicit HeadChecker(const RequestServices &Services);
+
+  /// See RequestController::acceptHead.
+  Result<AcceptedHead> check(const RequestHead &Head) const;
+
+  /// Whether the data of the route's requests may be handled in this region.
+  /// \param CallerRegion  the Celerybeam-Region header; may be empty. Fails
+  /// with WrongRegion or, for a missing header, BadRequest.
+  Result<void> checkResidence(const RouteRow &Route,
+                              std::string_view CallerRegion) const;
+
+private:
+  Result<void> checkReady() const;
+  Result<void> findTarget(const Tables &T, AcceptedHead &Accepted) const;
+  Result<void> checkNamedRoute(const Tables &T,
+                               const AcceptedHead &Accepted) const;
+  Result<void> checkUnnamedRoute(const Tables &T,
+                                 const AcceptedHead &Accepted) const;
+  Result<void> readKey(const Tables &T, AcceptedHead &Accepted) const;
+  Result<void> readDeadline(AcceptedHead &Accepted) const;
+  static Result<void> readClass(AcceptedHead &Accepted);
+  tl::unexpected<Error> wrongRegion(const RouteRow &Route,
+                                    const RegionId &Home) const;
+
+  const RequestServices &Services_;
+};
+
+} // namespace celerybeam::detail
+
+#endif
--- /dev/null
+++ b/src/requests/internal/promptreader.cpp
@@ -0,0 +1,130 @@
+#include "requests/internal/promptreader.h"
+
+#include <algorithm>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "framework/digest.h"
+
+namespace celerybeam::detail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t BytesPerToken = 4;
+constexpr std::size_t PrefixBlockBytes = 512;
+constexpr std::size_t MaxPrefixBlocks = 32;
+constexpr std::uint32_t DefaultMaxTokens = 256;
+constexpr std::uint32_t LargestMaxTokens = 1'000'000;
+constexpr std::uint32_t LongAnswerTokens = 512;
+constexpr std::uint32_t LongPromptTokens = 2048;
+
+tl::unexpected<Error> badField(const std::string &Field,
+                               const std::string &Remedy) {
+  return makeError(ErrorKind::BadRequest,
+                   "the body's \"" + Field + "\" " + Remedy);
+}
+
+void appendContent(const Json &Content, std::string &Text) {
+  if (Content.is_string()) {
+    Text += Content.get_ref<const std::string &>();
+    return;
+  }
+  if (!Content.is_array())
+    return;
+  for (const Json &Part : Content)
+    if (Part.is_object() && Part.contains("text") && Part["text"].is_string())
+      Text += Part["text"].get_ref<const std::string &>();
+}
+
+Result<std::string> readChatText(const Json &Body) {
+  auto Messages = Body.find("messages");
+  if (Messages == Body.end() || !Messages->is_array() || Messages->empty())
+    return badField("messages", "must be a list of at least one message");
+  std::string Text;
+  for (const Json &Message : *Messages) {
+    if (!Message.is_object() || !Message.contains("role") ||
+        !Message["role"].is_string())
+      return badField("messages", "needs a string \"role\" in each message");
+    Text += Message["role"].get_ref<const std::string &>();
+    Text += '\n';
+    if (auto Content = Message.find("content"); Content != Message.end())
+      appendContent(*Content, Text);
+    Text += '\n';
+  }
+  return Text;
+}
+
+Result<std::string> readCompletionText(const Json &Body) {
+  auto Given = Body.find("prompt");
+  if (Given == Body.end() || !Given->is_string())
+    return badField("prompt", "must be a string");
+  return Given->get<std::string>();
+}
+
+Result<std::uint32_t> readMaxTokens(const Json &Body) {
+  for (const char *Field : {"max_completion_tokens", "max_tokens"}) {
+    auto Given = Body.find(Field);
+    if (Given == Body.end() || Given->is_null())
+      continue;
+    if (!Given->is_number_unsigned() || Given->get<std::uint64_t>() == 0 ||
+        Given->get<std::uint64_t>() > LargestMaxTokens)
+      return badField(Field, "must be a whole number from 1 to 1000000");
+    return Given->get<std::uint32_t>();
+  }
+  return DefaultMaxTokens;
+}
+
+PrefixBlocks hashPrefix(const ModelName &Model, std::string_view Text) {
+  PrefixBlocks Blocks;
+  std::uint64_t Hash = stableHash(Model.str());
+  while (Text.size() >= PrefixBlockBytes && Blocks.size() < MaxPrefixBlocks) {
+    Hash = stableHash(Text.substr(0, PrefixBlockBytes), Hash);
+    Blocks.push_back(Hash);
+    Text.remove_prefix(PrefixBlockBytes);
+  }
+  return Blocks;
+}
+
+} // namespace
+
+Result<Prompt> readPrompt(RequestKind Kind, std::string_view Body) {
+  Json Parsed = Json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  if (Parsed.is_discarded() || !Parsed.is_object())
+    return makeError(ErrorKind::BadRequest,
+                     "the body is not a JSON object; check its syntax and "
+                     "that it was sent whole");
+  auto Model = Parsed.find("model");
+  if (Model == Parsed.end() || !Model->is_string())
+    return badField("model", "must be a string; see GET /v1/models");
+  auto Stream = Parsed.find("stream");
+  bool HasStream = Stream != Parsed.end() && !Stream->is_null();
+  if (HasStream && !Stream->is_boolean())
+    return badField("stream", "must be true or false");
+  Result<std::uint32_t> MaxTokens = readMaxTokens(Parsed);
+  if (!MaxTokens)
+    return tl::unexpected(MaxTokens.error());
+  Result<std::string> Text = Kind == RequestKind::Chat
+                                 ? readChatText(Parsed)
+                                 : readCompletionText(Parsed);
+  if (!Text)
+    return tl::unexpected(Text.error());
+
+  Prompt P;
+  P.Model = ModelName(Model->get<std::string>());
+  P.Stream = HasStream && Stream->get<bool>();
+  P.MaxTokens = *MaxTokens;
+  P.PromptTokens = static_cast<std::uint32_t>(Text->size() / BytesPerToken + 1);
+  P.Prefix = hashPrefix(P.Model, *Text);
+  return P;
+}
+
+RequestClass estimateClass(const Prompt &P) {
+  bool Long =
+      P.MaxTokens > LongAnswerTokens || P.PromptTokens > LongPromptTokens;
+  return Long ? RequestClass::Long : RequestClass::Short;
+}
+
+} // namespace celerybeam::detail
--- a/src/requests/requesttypes.h
+++ b/src/requests/requesttypes.h
@@ -12,7 +12,9 @@
 #include "framework/uuid7.h"
 #include "membership/endpointmonitor.h"
 #include "messages/peerhooks.h"
+#include "recovery/hedgepolicy.h"
 #include "recovery/poisonregistry.h"
+#include "recovery/progresswatch.h"
 #include "recovery/retrybudget.h"
 #include "routing/router.h"
 
@@ -71,11 +73,15 @@
   AdmissionController *Admission = nullptr;
   RetryBudget *Retries = nullptr;
   PoisonRegistry *Poison = nullptr;
+  ProgressWatch *Progress = nullptr;
+  HedgePolicy *Hedges = nullptr;
   EndpointMonitor *Monitor = nullptr;
   BookingController *Bookings = nullptr;
   EndpointHooks Calls;
   PeerHooks Peers;
   Authenticator Authenticate;
+  /// Where callers reach the entry hosts of a region, best first.
+  std::function<std::vector<Address>(const RegionId &)> EntriesOf;
   RequestEvents Events;
 };
 
