--- a/tests/support/fakestore.cpp
+++ b/tests/support/fakestore.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Duration LateArrival = std::chrono::seconds(2);
-constexpr std::size_t MaxValueBytes = 1024 * 1024;
+constexpr std::size_t MaxValueBytes = 1U << 20U;
 
 Error storeError(ErrorKind Kind) {
   return {Kind, "the fake store was told to fail; look at the test's faults"};
@@ -70,17 +70,18 @@
   constexpr ErrorKind Unreachable = ErrorKind::StoreUnreachable;
   constexpr ErrorKind Unknown = ErrorKind::StoreOutcomeUnknown;
   StoreHooks Hooks;
-  Hooks.Get = [=, this](StoreKey Key, Completion<StoreValue> Done) {
+  Hooks.Get = [=, this](const StoreKey &Key, Completion<StoreValue> Done) {
     ++Reads_;
     call<StoreValue>(
         Host, Unreachable, [=, this] { return get(Key); }, std::move(Done));
   };
-  Hooks.Put = [=, this](StorePut Put, Completion<StoreVersion> Done) {
+  Hooks.Put = [=, this](const StorePut &Put, Completion<StoreVersion> Done) {
     ++Writes_;
     call<StoreVersion>(
         Host, Unknown, [=, this] { return put(Put); }, std::move(Done));
   };
-  Hooks.Watch = [=, this](StoreWatch Watch, Completion<StoreValue> Done) {
+  Hooks.Watch = [=, this](const StoreWatch &Watch,
+                          Completion<StoreValue> Done) {
     ++Reads_;
     watch(Host, Watch, std::move(Done));
   };
@@ -93,12 +94,12 @@
     };
     call<StoreLease>(Host, Unknown, Grant, std::move(Done));
   };
-  Hooks.RenewLease = [=, this](LeaseId Id, Completion<StoreLease> Done) {
+  Hooks.RenewLease = [=, this](const LeaseId &Id, Completion<StoreLease> Done) {
     ++Writes_;
     call<StoreLease>(
         Host, Unknown, [=, this] { return renew(Id); }, std::move(Done));
   };
-  Hooks.ReleaseLease = [=, this](LeaseId Id, Completion<void> Done) {
+  Hooks.ReleaseLease = [=, this](const LeaseId &Id, Completion<void> Done) {
     ++Writes_;
     auto Release = [=, this]() -> Result<void> {
       Leases_.erase(Id);
