--- a/src/requests/internal/exchange.h
+++ b/src/requests/internal/exchange.h
@@ -12,8 +12,8 @@
 
 #include "framework/strand.h"
 #include "requests/internal/forwardclient.h"
-#include "requests/internal/promptreader.h"
 #include "requests/internal/replycollector.h"
+#include "requests/prompt.h"
 #include "requests/requesttypes.h"
 
 namespace celerybeam::detail {
--- a/src/requests/internal/promptreader.cpp
+++ b/src/requests/internal/prompt.cpp
@@ -1,4 +1,4 @@
-#include "requests/internal/promptreader.h"
+#include "requests/prompt.h"
 
 #include <algorithm>
 #include <string>
@@ -7,7 +7,7 @@
 
 #include "framework/digest.h"
 
-namespace celerybeam::detail {
+namespace celerybeam {
 
 namespace {
 
@@ -127,4 +127,4 @@
   return Long ? RequestClass::Long : RequestClass::Short;
 }
 
-} // namespace celerybeam::detail
+} // namespace celerybeam
--- a/src/requests/internal/requestcontroller.cpp
+++ b/src/requests/internal/requestcontroller.cpp
@@ -13,7 +13,7 @@
 #include "requests/internal/forwardclient.h"
 #include "requests/internal/forwardserver.h"
 #include "requests/internal/headchecker.h"
-#include "requests/internal/promptreader.h"
+#include "requests/prompt.h"
 
 namespace celerybeam {
 
@@ -21,7 +21,6 @@
 
 using detail::Exchange;
 using detail::ExchangeStart;
-using detail::Prompt;
 
 bool isInference(RequestKind Kind) {
   return Kind == RequestKind::Chat || Kind == RequestKind::Completion;
@@ -128,7 +127,7 @@
                        "route \"" + Accepted.Route.str() +
                            "\" has just been removed; ask the operators");
     }
-    Result<Prompt> Asked = detail::readPrompt(Accepted.Kind, *Start.Body);
+    Result<Prompt> Asked = readPrompt(Accepted.Kind, *Start.Body);
     if (!Asked)
       return tl::unexpected(Asked.error());
     Start.Asked = std::move(*Asked);
--- a/src/requests/internal/promptreader.h
+++ b/src/requests/prompt.h
@@ -1,5 +1,5 @@
-#ifndef CELERYBEAM_REQUESTS_INTERNAL_PROMPTREADER_H
-#define CELERYBEAM_REQUESTS_INTERNAL_PROMPTREADER_H
+#ifndef CELERYBEAM_REQUESTS_PROMPT_H
+#define CELERYBEAM_REQUESTS_PROMPT_H
 
 #include <cstdint>
 #include <string_view>
@@ -9,7 +9,7 @@
 #include "framework/error.h"
 #include "requests/requesttypes.h"
 
-namespace celerybeam::detail {
+namespace celerybeam {
 
 /// What routing and admission need to know of a prompt.
 struct Prompt {
@@ -24,9 +24,14 @@
 /// BadRequest; the message names the field.
 Result<Prompt> readPrompt(RequestKind Kind, std::string_view Body);
 
+/// A prompt of plain text, as in the question of an operator where it would
+/// go.
+Prompt promptOfText(const ModelName &Model, std::string_view Text,
+                    std::uint32_t MaxTokens);
+
 /// The class of a request that does not state it.
 RequestClass estimateClass(const Prompt &P);
 
-} // namespace celerybeam::detail
+} // namespace celerybeam
 
 #endif
--- /dev/null
+++ b/src/requests/tests/forwardtest.cpp
@@ -0,0 +1,149 @@
+#include <deque>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "requests/internal/forwardclient.h"
+#include "requests/internal/forwardserver.h"
+
+using namespace celerybeam;
+using detail::ForwardClient;
+using detail::ForwardRunner;
+using detail::ForwardServer;
+
+namespace {
+
+// A client and a server whose messages wait in a queue until delivered.
+struct Fixture {
+  PeerHooks from(const std::string &Name) {
+    return {[this, Name](const HostId &, messages::Envelope Message) {
+      Message.set_from(Name);
+      Wire.push_back(std::move(Message));
+    }};
+  }
+
+  void deliver(const messages::Envelope &Message) {
+    Client.handle(Message);
+    Server.handle(Message);
+  }
+
+  void deliverAll() {
+    while (!Wire.empty()) {
+      messages::Envelope Message = Wire.front();
+      Wire.pop_front();
+      deliver(Message);
+    }
+  }
+
+  void start(std::uint32_t Hops) {
+    messages::ForwardRequest Request;
+    Request.set_request_id("r");
+    Request.set_attempt(1);
+    Request.set_hops(Hops);
+    CallObserver Observer;
+    Observer.OnHead = [this](const ResponseHead &Head) {
+      Status = Head.Status;
+    };
+    Observer.OnData = [this](const std::string &Data) {
+      Body += Data;
+      return OnDataAnswer;
+    };
+    Observer.OnEnd = [this](const Result<void> &Outcome) {
+      Ends.push_back(Outcome);
+    };
+    Client.start(HostId("server"), Request, Observer);
+  }
+
+  std::deque<messages::Envelope> Wire;
+  ResponseHooks Answer;
+  unsigned Started = 0;
+  unsigned Readies = 0;
+  Flow OnDataAnswer = Flow::Continue;
+  int Status = 0;
+  std::string Body;
+  std::vector<Result<void>> Ends;
+  ForwardClient Client{from("client")};
+  ForwardServer Server{
+      from("server"),
+      Runtime(),
+      {[this](const messages::ForwardRequest &, ResponseHooks Hooks) {
+         ++Started;
+         Answer = std::move(Hooks);
+       },
+       [this](const AttemptId &) { ++Readies; }, [](const AttemptId &) {}}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ForwardTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(answerArrivesWholeAndInOrder) {
+  start(1);
+  deliverAll();
+  Answer.Head({200, {}});
+  Answer.Chunk("one ");
+  Answer.Chunk("two");
+  Answer.End({});
+  deliverAll();
+  BOOST_TEST(Status == 200);
+  BOOST_TEST(Body == "one two");
+  BOOST_REQUIRE_EQUAL(Ends.size(), 1U);
+  BOOST_TEST(Ends[0].has_value());
+}
+
+BOOST_AUTO_TEST_CASE(repeatedFramesChangeNothing) {
+  start(1);
+  messages::Envelope Request = Wire.front();
+  deliverAll();
+  deliver(Request);
+  BOOST_TEST(Started == 1U);
+  Answer.Head({200, {}});
+  Answer.Chunk("one");
+  messages::Envelope Chunk = Wire.back();
+  deliverAll();
+  deliver(Chunk);
+  Answer.End({});
+  deliverAll();
+  BOOST_TEST(Body == "one");
+  BOOST_TEST(Ends[0].has_value());
+}
+
+BOOST_AUTO_TEST_CASE(lostFrameIsNoticed) {
+  start(1);
+  deliverAll();
+  Answer.Head({200, {}});
+  Answer.Chunk("one");
+  Wire.pop_back();
+  Answer.Chunk("two");
+  deliverAll();
+  BOOST_REQUIRE_EQUAL(Ends.size(), 1U);
+  BOOST_TEST((Ends[0].error().Kind == ErrorKind::ConnectionLost));
+  BOOST_TEST(Body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(secondHopIsRefused) {
+  start(2);
+  deliverAll();
+  BOOST_TEST(Started == 0U);
+  BOOST_REQUIRE_EQUAL(Ends.size(), 1U);
+  BOOST_TEST((Ends[0].error().Kind == ErrorKind::LoopRefused));
+}
+
+BOOST_AUTO_TEST_CASE(slowCallerHoldsTheServerBack) {
+  start(1);
+  deliverAll();
+  Answer.Head({200, {}});
+  OnDataAnswer = Flow::Pause;
+  unsigned Sent = 0;
+  while (Answer.Chunk("x") == Flow::Continue)
+    ++Sent;
+  deliverAll();
+  BOOST_TEST(Sent + 1 == detail::ForwardWindowChunks);
+  BOOST_TEST(Readies == 0U);
+  Client.resume({RequestId("r"), 1});
+  deliverAll();
+  BOOST_TEST(Readies == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
