--- /dev/null
+++ b/src/httpclient/httpfetch.h
@@ -0,0 +1,26 @@
+#ifndef CELERYBEAM_HTTPCLIENT_HTTPFETCH_H
+#define CELERYBEAM_HTTPCLIENT_HTTPFETCH_H
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+#include "httpclient/httpclient.h"
+
+namespace celerybeam {
+
+/// A whole answer, of any status.
+struct HttpAnswer {
+  ResponseHead Head;
+  std::string Body;
+};
+
+/// Makes a call and collects its whole answer. A body above the limit in
+/// bytes ends the call with BodyTooLarge; other errors are those of
+/// HttpClient. The completion runs once, on a thread of the client.
+void fetchHttp(HttpClient &Client, HttpCall Call, std::size_t BodyLimit,
+               std::function<void(Result<HttpAnswer>)> Done);
+
+} // namespace celerybeam
+
+#endif
--- /dev/null
+++ b/src/httpclient/internal/httpfetch.cpp
@@ -0,0 +1,43 @@
+#include "httpclient/httpfetch.h"
+
+#include <utility>
+
+namespace celerybeam {
+
+namespace {
+
+/// The answer as far as it has arrived. Hooks of one call run one at a time.
+struct Collected {
+  HttpAnswer Answer;
+  bool TooLarge = false;
+};
+
+} // namespace
+
+void fetchHttp(HttpClient &Client, HttpCall Call, std::size_t BodyLimit,
+               std::function<void(Result<HttpAnswer>)> Done) {
+  auto State = std::make_shared<Collected>();
+  ResponseHooks Hooks;
+  Hooks.Head = [State](ResponseHead Head) {
+    State->Answer.Head = std::move(Head);
+  };
+  Hooks.Chunk = [State, BodyLimit](std::string Data) {
+    std::string &Body = State->Answer.Body;
+    State->TooLarge |= Data.size() > BodyLimit - Body.size();
+    if (!State->TooLarge)
+      Body += Data;
+    return Flow::Continue;
+  };
+  Hooks.End = [State, Done = std::move(Done)](Result<void> End) {
+    if (!End)
+      return Done(tl::unexpected(End.error()));
+    if (State->TooLarge)
+      return Done(makeError(ErrorKind::BodyTooLarge,
+                            "the answer is larger than expected; check which "
+                            "service listens at the address"));
+    Done(std::move(State->Answer));
+  };
+  Client.start(std::move(Call), std::move(Hooks));
+}
+
+} // namespace celerybeam
--- /dev/null
+++ b/src/httpclient/internal/transfer.cpp
@@ -0,0 +1,296 @@
+#include "httpclient/internal/transfer.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstring>
+#include <string_view>
+#include <utility>
+
+namespace celerybeam {
+
+namespace {
+
+/// Seconds of silence before TCP asks whether the peer is there, and between
+/// the questions.
+constexpr long KeepAliveIdleSeconds = 15;
+constexpr long KeepAliveIntervalSeconds = 5;
+
+/// Fields that frame a message or concern one connection (RFC 9110, 7.6.1).
+constexpr std::array<std::string_view, 9> ConnectionFields = {
+    "connection", "content-length", "expect",
+    "host",       "keep-alive",     "proxy-connection",
+    "te",         "trailer",        "transfer-encoding"};
+
+constexpr std::array<std::string_view, 3> ResponseConnectionFields = {
+    "connection", "keep-alive", "transfer-encoding"};
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Lower;
+}
+
+template <typename List>
+bool contains(const List &Names, std::string_view Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+bool breaksLine(std::string_view Text) {
+  return Text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
+std::string partOf(CURLU *Url, CURLUPart Part) {
+  char *Text = nullptr;
+  if (curl_url_get(Url, Part, &Text, CURLU_DEFAULT_PORT) != CURLUE_OK)
+    return std::string();
+  std::string Copy = Text;
+  curl_free(Text);
+  return Copy;
+}
+
+/// Scheme, host and port; empty when the URL is not valid.
+std::string originOf(const std::string &Text) {
+  CURLU *Url = curl_url();
+  std::string Origin;
+  if (curl_url_set(Url, CURLUPART_URL, Text.c_str(), 0) == CURLUE_OK)
+    Origin = partOf(Url, CURLUPART_SCHEME) + "://" +
+             partOf(Url, CURLUPART_HOST) + ":" + partOf(Url, CURLUPART_PORT);
+  curl_url_cleanup(Url);
+  return Origin;
+}
+
+} // namespace
+
+Transfer::Transfer(HttpCallId Id, HttpCall Call, ResponseHooks Hooks)
+    : Id_(Id), Call_(std::move(Call)), Hooks_(std::move(Hooks)),
+      Origin_(originOf(Call_.Url)) {}
+
+Transfer::~Transfer() {
+  curl_easy_cleanup(Easy_);
+  curl_slist_free_all(Headers_);
+}
+
+Transfer &Transfer::of(CURL *Easy) {
+  Transfer *Self = nullptr;
+  curl_easy_getinfo(Easy, CURLINFO_PRIVATE, &Self);
+  return *Self;
+}
+
+Result<CURL *> Transfer::prepare(const HttpClientSettings &Settings,
+                                 bool Fresh) {
+  if (Origin_.empty() || Call_.Method.empty() || breaksLine(Call_.Method) ||
+      Call_.Method.find(' ') != std::string::npos)
+    return makeError(ErrorKind::BadRequest,
+                     "the call has no valid method or URL; check the address "
+                     "and the path");
+  if (!addHeaders())
+    return makeError(ErrorKind::BadRequest,
+                     "a header contains a line break; remove it");
+  Easy_ = curl_easy_init();
+  curl_easy_setopt(Easy_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(Easy_, CURLOPT_URL, Call_.Url.c_str());
+  curl_easy_setopt(Easy_, CURLOPT_HTTPHEADER, Headers_);
+  setMethod();
+  setLimits(Settings, Fresh || Call_.FreshConnection);
+  setHooks();
+  return Easy_;
+}
+
+bool Transfer::addHeaders() {
+  // An empty value keeps the library from adding the field by itself.
+  Headers_ = curl_slist_append(Headers_, "Expect:");
+  for (const HeaderField &Field : Call_.Headers) {
+    if (breaksLine(Field.Name) || breaksLine(Field.Value))
+      return false;
+    if (Field.Name.empty() || contains(ConnectionFields, lowerCase(Field.Name)))
+      continue;
+    // The library's way to send a field with an empty value.
+    std::string Line = Field.Value.empty() ? Field.Name + ";"
+                                           : Field.Name + ": " + Field.Value;
+    Headers_ = curl_slist_append(Headers_, Line.c_str());
+  }
+  return true;
+}
+
+void Transfer::setMethod() {
+  curl_easy_setopt(Easy_, CURLOPT_CUSTOMREQUEST, Call_.Method.c_str());
+  if (Call_.Method == "HEAD")
+    curl_easy_setopt(Easy_, CURLOPT_NOBODY, 1L);
+  const bool MustFrame = Call_.Method == "POST" || Call_.Method == "PUT";
+  if (!Call_.Body && !MustFrame)
+    return;
+  const std::size_t Size = Call_.Body ? Call_.Body->size() : 0;
+  curl_easy_setopt(Easy_, CURLOPT_UPLOAD, 1L);
+  curl_easy_setopt(Easy_, CURLOPT_INFILESIZE_LARGE,
+                   static_cast<curl_off_t>(Size));
+  curl_easy_setopt(Easy_, CURLOPT_READFUNCTION, &Transfer::sendBody);
+  curl_easy_setopt(Easy_, CURLOPT_READDATA, this);
+}
+
+void Transfer::setLimits(const HttpClientSettings &Settings, bool Fresh) {
+  curl_easy_setopt(Easy_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy_, CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy_, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(Easy_, CURLOPT_HTTP_VERSION,
+                   static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(Easy_, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(Easy_, CURLOPT_FRESH_CONNECT, Fresh ? 1L : 0L);
+  curl_easy_setopt(Easy_, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(Settings.IdleLimit.count()));
+  curl_easy_setopt(Easy_, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(Easy_, CURLOPT_TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  curl_easy_setopt(Easy_, CURLOPT_TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  curl_easy_setopt(Easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(Call_.ConnectTimeout.count()));
+  curl_easy_setopt(Easy_, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(Call_.Timeout.count()));
+  if (!Call_.CaFile.empty())
+    curl_easy_setopt(Easy_, CURLOPT_CAINFO, Call_.CaFile.c_str());
+}
+
+void Transfer::setHooks() {
+  curl_easy_setopt(Easy_, CURLOPT_HEADERFUNCTION, &Transfer::headerLine);
+  curl_easy_setopt(Easy_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(Easy_, CURLOPT_WRITEFUNCTION, &Transfer::dataArrived);
+  curl_easy_setopt(Easy_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(Easy_, CURLOPT_PREREQFUNCTION, &Transfer::beforeRequest);
+  curl_easy_setopt(Easy_, CURLOPT_PREREQDATA, this);
+}
+
+void Transfer::resume() {
+  if (!std::exchange(Paused_, false))
+    return;
+  // Delivers what the library holds back, which may pause again.
+  curl_easy_pause(Easy_, CURLPAUSE_CONT);
+}
+
+void Transfer::finish(CURLcode Code) {
+  if (Code != CURLE_OK)
+    return finish(errorOf(Code));
+  if (Hooks_.End)
+    Hooks_.End({});
+}
+
+void Transfer::finish(Error Cause) {
+  if (Hooks_.End)
+    Hooks_.End(tl::unexpected(std::move(Cause)));
+}
+
+bool Transfer::requestLeft() const {
+  long Sent = 0;
+  curl_easy_getinfo(Easy_, CURLINFO_REQUEST_SIZE, &Sent);
+  return Requests_ > 0 || Sent > 0;
+}
+
+bool Transfer::metSilence(std::chrono::milliseconds Limit) const {
+  const bool Worked = connectionsOpened() == 0 || HeadDelivered_;
+  return Worked && requestLeft() && Clock::now() - LastProgress_ >= Limit;
+}
+
+long Transfer::connectionsOpened() const {
+  long Opened = 0;
+  curl_easy_getinfo(Easy_, CURLINFO_NUM_CONNECTS, &Opened);
+  return Opened;
+}
+
+Error Transfer::errorOf(CURLcode Code) const {
+  const std::string Cause = curl_easy_strerror(Code);
+  if (!requestLeft())
+    return Error{ErrorKind::ConnectFailed,
+                 "no connection to " + Origin_ + " (" + Cause +
+                     "); check that it runs and is reachable"};
+  if (Code == CURLE_OPERATION_TIMEDOUT)
+    return Error{ErrorKind::RequestTimeout,
+                 Origin_ + " did not answer in time; allow more time or check "
+                           "its load"};
+  return Error{ErrorKind::ConnectionLost,
+               "the connection to " + Origin_ + " broke off (" + Cause +
+                   "); check whether it was restarted"};
+}
+
+ResponseHead Transfer::readHead() const {
+  constexpr int LastRequest = -1;
+  ResponseHead Head;
+  long Status = 0;
+  curl_easy_getinfo(Easy_, CURLINFO_RESPONSE_CODE, &Status);
+  Head.Status = static_cast<int>(Status);
+  curl_header *Field = nullptr;
+  while ((Field = curl_easy_nextheader(Easy_, CURLH_HEADER, LastRequest,
+                                       Field)) != nullptr) {
+    std::string Name = lowerCase(Field->name);
+    if (!contains(ResponseConnectionFields, Name))
+      Head.Headers.push_back({std::move(Name), Field->value});
+  }
+  return Head;
+}
+
+std::size_t Transfer::onHeaderLine(std::string_view Line) {
+  LastProgress_ = Clock::now();
+  const bool EndOfHead = Line == "\r\n" || Line == "\n";
+  // After the head only trailers come.
+  if (!EndOfHead || HeadDelivered_)
+    return Line.size();
+  constexpr int FirstFinalStatus = 200;
+  ResponseHead Head = readHead();
+  if (Head.Status < FirstFinalStatus)
+    return Line.size();
+  HeadDelivered_ = true;
+  if (Hooks_.Head)
+    Hooks_.Head(std::move(Head));
+  return Line.size();
+}
+
+std::size_t Transfer::onData(std::string_view Data) {
+  LastProgress_ = Clock::now();
+  if (Paused_)
+    return CURL_WRITEFUNC_PAUSE;
+  if (Hooks_.Chunk)
+    Paused_ = Hooks_.Chunk(std::string(Data)) == Flow::Pause;
+  return Data.size();
+}
+
+std::size_t Transfer::onSend(char *Buffer, std::size_t Size) {
+  LastProgress_ = Clock::now();
+  if (!Call_.Body)
+    return 0;
+  std::size_t Count = std::min(Size, Call_.Body->size() - Sent_);
+  std::memcpy(Buffer, Call_.Body->data() + Sent_, Count);
+  Sent_ += Count;
+  return Count;
+}
+
+int Transfer::onRequest() {
+  // The library sends a request again by itself when a reused connection
+  // closes under it.
+  if (Requests_ > 0 && !Call_.Repeatable)
+    return CURL_PREREQFUNC_ABORT;
+  ++Requests_;
+  LastProgress_ = Clock::now();
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t Transfer::headerLine(char *Data, std::size_t Size,
+                                 std::size_t Count, void *Self) {
+  return static_cast<Transfer *>(Self)->onHeaderLine({Data, Size * Count});
+}
+
+std::size_t Transfer::dataArrived(char *Data, std::size_t Size,
+                                  std::size_t Count, void *Self) {
+  return static_cast<Transfer *>(Self)->onData({Data, Size * Count});
+}
+
+std::size_t Transfer::sendBody(char *Buffer, std::size_t Size,
+                               std::size_t Count, void *Self) {
+  return static_cast<Transfer *>(Self)->onSend(Buffer, Size * Count);
+}
+
+int Transfer::beforeRequest(void *Self, char * /*PrimaryAddress*/,
+                            char * /*LocalAddress*/, int /*PrimaryPort*/,
+                            int /*LocalPort*/) {
+  return static_cast<Transfer *>(Self)->onRequest();
+}
+
+} // namespace celerybeam
--- /dev/null
+++ b/src/httpclient/internal/transfer.h
@@ -0,0 +1,94 @@
+#ifndef CELERYBEAM_HTTPCLIENT_INTERNAL_TRANSFER_H
+#define CELERYBEAM_HTTPCLIENT_INTERNAL_TRANSFER_H
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <curl/curl.h>
+
+#include "httpclient/httpclienttypes.h"
+
+namespace celerybeam {
+
+/// One HTTP call as a libcurl easy handle.
+///
+/// Used by one thread only. Its hooks run inside curl_multi_perform or
+/// finish.
+class Transfer {
+public:
+  Transfer(HttpCallId Id, HttpCall Call, ResponseHooks Hooks);
+  ~Transfer();
+
+  Transfer(const Transfer &) = delete;
+  Transfer &operator=(const Transfer &) = delete;
+
+  HttpCallId id() const { return Id_; }
+  /// Scheme, host and port of the server.
+  const std::string &origin() const { return Origin_; }
+  /// The handle that prepare made; null before.
+  CURL *easy() const { return Easy_; }
+
+  /// Makes the easy handle. Fails with BadRequest.
+  Result<CURL *> prepare(const HttpClientSettings &Settings, bool Fresh);
+
+  /// Lets data flow again after a pause.
+  void resume();
+
+  /// Runs End for the library's result.
+  void finish(CURLcode Code);
+  /// Runs End with an error.
+  void finish(Error Cause);
+
+  /// True when a connection that had worked before, for this call or an
+  /// earlier one, has carried nothing for the limit.
+  bool metSilence(std::chrono::milliseconds Limit) const;
+  /// Connections that the call opened.
+  long connectionsOpened() const;
+
+  /// The transfer that an easy handle of prepare belongs to.
+  static Transfer &of(CURL *Easy);
+
+private:
+  using Clock = std::chrono::steady_clock;
+
+  bool addHeaders();
+  void setMethod();
+  void setLimits(const HttpClientSettings &Settings, bool Fresh);
+  void setHooks();
+  bool requestLeft() const;
+  Error errorOf(CURLcode Code) const;
+  ResponseHead readHead() const;
+
+  std::size_t onHeaderLine(std::string_view Line);
+  std::size_t onData(std::string_view Data);
+  std::size_t onSend(char *Buffer, std::size_t Size);
+  int onRequest();
+
+  static std::size_t headerLine(char *Data, std::size_t Size,
+                                std::size_t Count, void *Self);
+  static std::size_t dataArrived(char *Data, std::size_t Size,
+                                 std::size_t Count, void *Self);
+  static std::size_t sendBody(char *Buffer, std::size_t Size,
+                              std::size_t Count, void *Self);
+  static int beforeRequest(void *Self, char *PrimaryAddress,
+                           char *LocalAddress, int PrimaryPort, int LocalPort);
+
+  const HttpCallId Id_;
+  const HttpCall Call_;
+  const ResponseHooks Hooks_;
+  std::string Origin_;
+  CURL *Easy_ = nullptr;
+  curl_slist *Headers_ = nullptr;
+  std::size_t Sent_ = 0;
+  unsigned Requests_ = 0;
+  bool HeadDelivered_ = false;
+  bool Paused_ = false;
+  Clock::time_point LastProgress_ = Clock::now();
+};
+
+} // namespace celerybeam
+
+#endif
--- /dev/null
+++ b/src/httpclient/internal/urlencoding.cpp
@@ -0,0 +1,32 @@
+#include "httpclient/urlencoding.h"
+
+#include <curl/curl.h>
+
+namespace celerybeam {
+
+std::string encodeUrlComponent(std::string_view Text) {
+  // A length of 0 would make the library measure the string itself.
+  if (Text.empty())
+    return std::string();
+  char *Encoded =
+      curl_easy_escape(nullptr, Text.data(), static_cast<int>(Text.size()));
+  if (Encoded == nullptr)
+    return std::string();
+  std::string Copy = Encoded;
+  curl_free(Encoded);
+  return Copy;
+}
+
+std::string encodeUrlPath(std::string_view Path) {
+  std::string Encoded;
+  while (true) {
+    std::size_t Slash = Path.find('/');
+    Encoded += encodeUrlComponent(Path.substr(0, Slash));
+    if (Slash == std::string_view::npos)
+      return Encoded;
+    Encoded += '/';
+    Path.remove_prefix(Slash + 1);
+  }
+}
+
+} // namespace celerybeam
--- /dev/null
+++ b/src/httpclient/tests/httpclienttest.cpp
@@ -0,0 +1,3 @@
+#include "httpclient/httpclient.h"
+
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/src/httpclient/urlencoding.h
@@ -0,0 +1,17 @@
+#ifndef CELERYBEAM_HTTPCLIENT_URLENCODING_H
+#define CELERYBEAM_HTTPCLIENT_URLENCODING_H
+
+#include <string>
+#include <string_view>
+
+namespace celerybeam {
+
+/// Percent-encodes all but the unreserved characters of RFC 3986.
+std::string encodeUrlComponent(std::string_view Text);
+
+/// As encodeUrlComponent, but leaves the slashes between path segments.
+std::string encodeUrlPath(std::string_view Path);
+
+} // namespace celerybeam
+
+#endif
