--- a/tests/fakes/fakeserver.cpp
+++ b/tests/fakes/fakeserver.cpp
@@ -39,8 +39,10 @@
 FakeRequest readRequest(const struct _u_request *From) {
   FakeRequest R;
   R.Method = From->http_verb;
-  std::string Url = From->http_url;
-  R.Path = Url.substr(0, Url.find('?'));
+  const std::string Url = From->http_url;
+  char *Path = ulfius_url_decode(Url.substr(0, Url.find('?')).c_str());
+  R.Path = Path;
+  o_free(Path);
   const char **Keys = u_map_enum_keys(From->map_url);
   for (; *Keys != nullptr; ++Keys)
     R.Query[*Keys] = u_map_get(From->map_url, *Keys);
@@ -88,8 +90,11 @@
                                U_STREAM_SIZE_UNKNOWN, StreamBlockBytes, S);
     return;
   }
-  ulfius_set_binary_body_response(To, Status, From.Body.data(),
-                                  From.Body.size());
+  // The library leaves the status as it was when the body is empty.
+  To->status = Status;
+  if (!From.Body.empty())
+    ulfius_set_binary_body_response(To, Status, From.Body.data(),
+                                    From.Body.size());
 }
 
 int handle(const struct _u_request *From, struct _u_response *To, void *Self) {
@@ -156,7 +161,8 @@
     unsigned Given = Port == 0 ? AnyAllowedPort : Port;
     if (ulfius_init_instance(&Instance_, Given, &Address_, nullptr) != U_OK)
       throw std::runtime_error("cannot set up the HTTP server");
-    ulfius_set_default_endpoint(&Instance_, handle, &Handle_);
+    ulfius_add_endpoint_by_val(&Instance_, "*", nullptr, "*", 0, handle,
+                               &Handle_);
     if (ulfius_start_framework(&Instance_) != U_OK) {
       ulfius_clean_instance(&Instance_);
       throw std::runtime_error("cannot listen; choose another --port");
