Add the platform client

Get, compare-and-swap put, watch by long poll, leases and the list of hosts over the HTTP client. A write whose reply is lost ends with StoreOutcomeUnknown and is never sent again; reads go to the next address.

--- /dev/null
+++ b/src/platform/tests/platformclienttest.cpp
@@ -0,0 +1,268 @@
+#include "platform/platformclient.h"
+
+#include <future>
+
+#include <boost/test/unit_test.hpp>
+
+#include "fakes/fakeplatform.h"
+#include "httpclient/httpfetch.h"
+
+using namespace celerybeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr seconds EventTimeout(30);
+const StoreKey Key("config/head of all");
+const std::string Nowhere = "http://127.0.0.1:1";
+
+const std::string Hosts = R"({
+  "entry_hosts": [
+    {"id": "k1", "caller_address": "127.0.0.1:80",
+     "peer_address": "127.0.0.1:81", "region": "kigali", "zone": "kigali-a",
+     "leaving": true},
+    {"id": "k2"}],
+  "endpoints": [
+    {"id": "m1", "address": "127.0.0.1:90", "region": "kigali",
+     "zone": "kigali-a", "kind": "engine", "label": "cedar", "slots": 4,
+     "leaving": false},
+    {"id": "m2", "address": "127.0.0.1:90", "region": "kigali",
+     "zone": "kigali-a", "kind": "typewriter", "label": "cedar"}]})";
+
+template <typename T> class Awaited {
+public:
+  Completion<T> completion() {
+    return [Promise = Promise_](Result<T> R) {
+      Promise->set_value(std::move(R));
+    };
+  }
+  Result<T> get() {
+    auto Future = Promise_->get_future();
+    BOOST_REQUIRE(Future.wait_for(EventTimeout) == std::future_status::ready);
+    return Future.get();
+  }
+
+private:
+  std::shared_ptr<std::promise<Result<T>>> Promise_ =
+      std::make_shared<std::promise<Result<T>>>();
+};
+
+template <typename T> std::optional<ErrorKind> errorOf(const Result<T> &R) {
+  return R ? std::nullopt : std::optional(R.error().Kind);
+}
+
+struct Fixture {
+  explicit Fixture(const std::vector<std::string> &Before = {})
+      : Fake(0, Hosts) {
+    PlatformSettings Settings;
+    Settings.Addresses = Before;
+    Settings.Addresses.push_back("http://" + Fake.address());
+    Settings.CallTimeout = seconds(20);
+    Client = std::make_unique<PlatformClient>(Http, Settings);
+    Store = Client->hooks();
+  }
+
+  Result<StoreVersion> put(std::string Data, StoreVersion Expected,
+                           std::optional<LeaseId> Lease = std::nullopt) {
+    Awaited<StoreVersion> A;
+    Store.Put({Key, std::move(Data), Expected, std::move(Lease)},
+              A.completion());
+    return A.get();
+  }
+  Result<StoreValue> get() {
+    Awaited<StoreValue> A;
+    Store.Get(Key, A.completion());
+    return A.get();
+  }
+  Result<StoreValue> watch(StoreVersion After, Duration Wait) {
+    Awaited<StoreValue> A;
+    Store.Watch({Key, After, Wait}, A.completion());
+    return A.get();
+  }
+  Result<StoreLease> grant(Duration TimeToLive) {
+    Awaited<StoreLease> A;
+    Store.GrantLease(TimeToLive, A.completion());
+    return A.get();
+  }
+  void setMode(const std::string &Mode) {
+    HttpCall Call;
+    Call.Method = "PUT";
+    Call.Url = "http://" + Fake.address() + "/control/mode?mode=" + Mode;
+    Awaited<HttpAnswer> A;
+    fetchHttp(Http, Call, 100, A.completion());
+    BOOST_REQUIRE(A.get().has_value());
+  }
+
+  fakes::FakePlatform Fake;
+  HttpClient Http;
+  std::unique_ptr<PlatformClient> Client;
+  StoreHooks Store;
+};
+
+struct FailoverFixture : Fixture {
+  FailoverFixture() : Fixture(std::vector<std::string>{Nowhere}) {}
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformClientTests)
+
+BOOST_FIXTURE_TEST_CASE(writesReplaceOnlyTheExpectedVersion, Fixture) {
+  BOOST_TEST((errorOf(get()) == ErrorKind::NotFound));
+  BOOST_TEST(put("one", 0).value() == 1);
+  BOOST_TEST((errorOf(put("two", 0)) == ErrorKind::StoreConflict));
+  BOOST_TEST(put("two", 1).value() == 2);
+  BOOST_TEST(get().value().Data == "two");
+  BOOST_TEST(get().value().Version == 2);
+  BOOST_TEST(put("", 2).value() == 3);
+  BOOST_TEST(get().value().Data.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(valueAboveTheLimitIsRefused, Fixture) {
+  std::string Large(1024 * 1024 + 1, 'x');
+  BOOST_TEST((errorOf(put(Large, 0)) == ErrorKind::BodyTooLarge));
+  Large.pop_back();
+  BOOST_TEST(put(Large, 0).value() == 1);
+  BOOST_TEST((get().value().Data == Large));
+}
+
+BOOST_FIXTURE_TEST_CASE(watchHearsOfAWriteAndOfItsEnd, Fixture) {
+  Awaited<StoreValue> A;
+  Store.Watch({Key, 0, seconds(20)}, A.completion());
+  put("one", 0);
+  BOOST_TEST(A.get().value().Data == "one");
+  Result<StoreValue> Standing = watch(1, milliseconds(1));
+  BOOST_TEST(Standing.value().Data == "one");
+  BOOST_TEST(Standing.value().Version == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(watchOfAMissingKeyEndsWithoutAValue, Fixture) {
+  Result<StoreValue> Missing = watch(0, milliseconds(1));
+  BOOST_TEST(Missing.value().Version == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(valueGoesAwayWithItsLease, Fixture) {
+  StoreLease Lease = grant(seconds(60)).value();
+  BOOST_TEST((Lease.TimeToLive == seconds(60)));
+  put("held", 0, Lease.Id);
+  Awaited<StoreLease> Renewed;
+  Store.RenewLease(Lease.Id, Renewed.completion());
+  BOOST_TEST(Renewed.get().value().Id == Lease.Id);
+  Awaited<void> Released;
+  Store.ReleaseLease(Lease.Id, Released.completion());
+  BOOST_TEST(Released.get().has_value());
+  BOOST_TEST((errorOf(watch(1, seconds(20))) == ErrorKind::NotFound));
+  BOOST_TEST((errorOf(put("x", 0, Lease.Id)) == ErrorKind::LeaseLost));
+  Awaited<StoreLease> Ended;
+  Store.RenewLease(Lease.Id, Ended.completion());
+  BOOST_TEST((errorOf(Ended.get()) == ErrorKind::LeaseLost));
+  // The version grew when the value went away, and grows on.
+  BOOST_TEST(put("again", 0).value() == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(lapsedLeaseTakesItsValueAlong, Fixture) {
+  StoreLease Lease = grant(milliseconds(300)).value();
+  BOOST_REQUIRE(put("held", 0, Lease.Id).has_value());
+  BOOST_TEST((errorOf(watch(1, seconds(20))) == ErrorKind::NotFound));
+}
+
+BOOST_FIXTURE_TEST_CASE(lostReplyOfAWriteLeavesItsOutcomeOpen, Fixture) {
+  setMode("lose-replies");
+  BOOST_TEST((errorOf(put("one", 0)) == ErrorKind::StoreOutcomeUnknown));
+  BOOST_TEST(
+      (errorOf(grant(seconds(1))) == ErrorKind::StoreOutcomeUnknown));
+  BOOST_TEST((errorOf(get()) == ErrorKind::StoreUnreachable));
+  setMode("ok");
+  BOOST_TEST(get().value().Data == "one");
+  BOOST_TEST(Client->counts().Puts == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(failingServiceLeavesOnlyWritesOpen, Fixture) {
+  setMode("down");
+  BOOST_TEST((errorOf(put("one", 0)) == ErrorKind::StoreOutcomeUnknown));
+  BOOST_TEST((errorOf(get()) == ErrorKind::StoreUnreachable));
+  BOOST_TEST((errorOf(watch(0, seconds(1))) == ErrorKind::StoreUnreachable));
+}
+
+BOOST_AUTO_TEST_CASE(serviceThatCannotBeReachedTookNoWrite) {
+  HttpClient Http;
+  for (const std::vector<std::string> &Addresses :
+       {std::vector<std::string>{Nowhere, Nowhere}, {}}) {
+    PlatformSettings Settings;
+    Settings.Addresses = Addresses;
+    PlatformClient Client(Http, Settings);
+    Awaited<StoreVersion> A;
+    Client.hooks().Put({Key, "one", 0}, A.completion());
+    BOOST_TEST((errorOf(A.get()) == ErrorKind::StoreUnreachable));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(nextAddressIsTriedAndKept, FailoverFixture) {
+  BOOST_TEST(put("one", 0).value() == 1);
+  BOOST_TEST(Client->counts().Puts == 2);
+  BOOST_TEST(get().value().Data == "one");
+  BOOST_TEST(Client->counts().Gets == 1);
+  BOOST_TEST(Client->counts().Failures == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(listLeavesOutRowsThatCannotBeRead, Fixture) {
+  Awaited<PlatformList> A;
+  Client->list(A.completion());
+  PlatformList List = A.get().value();
+  BOOST_REQUIRE(List.EntryHosts.size() == 1);
+  BOOST_TEST(List.EntryHosts[0].Id == HostId("k1"));
+  BOOST_TEST(List.EntryHosts[0].Leaving);
+  BOOST_REQUIRE(List.Endpoints.size() == 1);
+  const EndpointDescriptor &D = List.Endpoints[0].Descriptor;
+  BOOST_TEST(D.Where == Address("127.0.0.1:90"));
+  BOOST_TEST((D.Kind == PoolKind::Engine));
+  BOOST_TEST(D.Slots == 4);
+  BOOST_TEST(Client->counts().UnreadableRows == 2);
+}
+
+BOOST_AUTO_TEST_CASE(tokenAndStatusesOfRefusal) {
+  std::atomic<int> Status{401};
+  std::promise<std::string> Seen;
+  std::once_flag Once;
+  fakes::FakeServer Server(0, [&](const fakes::FakeRequest &R) {
+    std::call_once(Once, [&] { Seen.set_value(R.header("authorization")); });
+    fakes::FakeReply Reply;
+    Reply.Status = Status;
+    return Reply;
+  });
+  HttpClient Http;
+  PlatformSettings Settings;
+  Settings.Addresses = {"http://" + Server.address()};
+  Settings.Token = "secret";
+  PlatformClient Client(Http, Settings);
+  auto Put = [&](int Answer) {
+    Status = Answer;
+    Awaited<StoreVersion> A;
+    Client.hooks().Put({Key, "one", 0}, A.completion());
+    return errorOf(A.get());
+  };
+  BOOST_TEST((Put(401) == ErrorKind::StoreUnreachable));
+  BOOST_TEST(Seen.get_future().get() == "Bearer secret");
+  BOOST_TEST((Put(429) == ErrorKind::StoreUnreachable));
+  BOOST_TEST((Put(400) == ErrorKind::StoreUnreachable));
+  BOOST_TEST((Put(502) == ErrorKind::StoreOutcomeUnknown));
+  // Written, as far as one knows, but without its version.
+  BOOST_TEST((Put(200) == ErrorKind::StoreOutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(completionsOutliveTheClientThatAsked) {
+  fakes::FakePlatform Fake(0, Hosts);
+  Awaited<StoreValue> A;
+  {
+    HttpClient Http;
+    PlatformSettings Settings;
+    Settings.Addresses = {"http://" + Fake.address()};
+    PlatformClient(Http, Settings)
+        .hooks()
+        .Watch({Key, 0, seconds(20)}, A.completion());
+  }
+  BOOST_TEST((errorOf(A.get()) == ErrorKind::StoreUnreachable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
