Add the callers' listener on libmicrohttpd

Cause: ulfius reads a whole body before any callback, so residence could not be refused from the headers. Change: an access handler that decides on the head, streams answers through a bounded buffer with suspended connections and watches their sockets on one thread.

--- /dev/null
+++ b/src/gateway/internal/callerconnection.h
@@ -0,0 +1,114 @@
+#ifndef CELERYBEAM_GATEWAY_INTERNAL_CALLERCONNECTION_H
+#define CELERYBEAM_GATEWAY_INTERNAL_CALLERCONNECTION_H
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include <microhttpd.h>
+
+#include "gateway/errorresponse.h"
+#include "gateway/internal/callerroutes.h"
+#include "gateway/internal/exchange.h"
+#include "gateway/internal/headchecks.h"
+#include "gateway/internal/servercontext.h"
+
+namespace celerybeam {
+
+/// One connection of a caller and the requests on it, one after another.
+///
+/// The event loop calls beginRequest, handle and endRequest on the
+/// connection's thread; tick, peerClosed and cutOff come from other threads.
+class CallerConnection {
+public:
+  using Clock = Exchange::Clock;
+
+  /// \param Refusal  set when the connection is above a limit: each request
+  ///                 on it gets this failure.
+  CallerConnection(ServerContext &Context, MHD_Connection *Raw, int Socket,
+                   std::string Ip, std::optional<Error> Refusal);
+  ~CallerConnection();
+
+  /// The request line has arrived.
+  void beginRequest(const char *Target);
+
+  /// Called once with the head, then for each part of the body, then when the
+  /// body is whole and whenever the connection was resumed.
+  MHD_Result handle(const char *Method, const char *Data, std::size_t *Size);
+
+  void endRequest(MHD_RequestTerminationCode Code);
+
+  /// Closes the connection when the caller takes too long; keeps silent
+  /// streams alive.
+  void tick(Clock::time_point Now);
+
+  /// The caller closed its side.
+  void peerClosed();
+
+  /// Ends a request in flight without its answer.
+  void cutOff();
+
+  /// The socket is about to be closed and must not be used any more.
+  /// \returns true when unread bytes of a refused request may follow.
+  bool forgetSocket();
+
+  int socket() const { return Socket_; }
+  const std::string &ip() const { return Ip_; }
+
+private:
+  enum class Phase { AwaitingHead, ReadingBody, Answering };
+
+  MHD_Result onHead(const char *Method);
+  MHD_Result onBody(const char *Data, std::size_t *Size);
+  MHD_Result onWhole();
+  MHD_Result accept(CallerTarget Target);
+  MHD_Result acceptRequest();
+  MHD_Result acceptBookingStatus();
+  MHD_Result answerFromHead(CallerTarget Target);
+  MHD_Result refuse(const Error &Failure);
+  MHD_Result queue(const CallerAnswer &Answer);
+  MHD_Result continueAnswer();
+  MHD_Result queueExchange(const ResponseHead &Head);
+  CallerAnswer wrongRegion(const Error &Failure) const;
+  Result<void> checkHead(const char *Method);
+  void readHeaders();
+  void enterFlight(Phase Next, std::optional<ExchangeHooks> Hooks);
+  ExchangeHooks exchangeHooks() const;
+  std::shared_ptr<Exchange> exchange() const;
+  void startBookingStatus();
+
+  ServerContext &Context_;
+  MHD_Connection *const Raw_;
+  const int Socket_;
+  const std::string Ip_;
+  const std::optional<Error> Refusal_;
+
+  // Of the request at hand; used on the connection's thread only.
+  RequestHead Head_;
+  BodyFraming Framing_;
+  Result<void> TargetCheck_;
+  CallerTarget Target_ = CallerTarget::Request;
+  std::optional<AcceptedHead> Accepted_;
+  std::optional<Uuid7> BookingKey_;
+  TenantId Tenant_;
+  std::string Body_;
+  bool HeadSeen_ = false;
+  bool TooLarge_ = false;
+  bool InFlight_ = false;
+  bool Started_ = false;
+  bool Queued_ = false;
+
+  mutable std::mutex Mutex_;
+  Phase Phase_ = Phase::AwaitingHead;
+  Clock::time_point PhaseSince_ = Clock::now();
+  std::shared_ptr<Exchange> Exchange_;
+  bool PeerClosed_ = false;
+  bool SocketOpen_ = true;
+  bool Linger_ = false;
+};
+
+} // namespace celerybeam
+
+#endif
--- /dev/null
+++ b/src/gateway/internal/callerserver.cpp
@@ -0,0 +1,286 @@
+#include "gateway/callerserver.h"
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+#include <unistd.h>
+
+#include "gateway/internal/connectionwatch.h"
+#include "gateway/internal/servercontext.h"
+#include "gateway/internal/socketaddress.h"
+
+namespace celerybeam {
+
+namespace {
+
+/// Connections above the limit that still get an answer which says so.
+constexpr unsigned ConnectionsToRefuse = 64;
+/// Room for the library's bookkeeping beside a head of the greatest size.
+constexpr std::size_t PoolOverhead = 32 * 1024;
+constexpr unsigned ListenBacklog = 1024;
+constexpr std::chrono::milliseconds CutOffInterval{20};
+constexpr std::chrono::milliseconds ConnectionRetryAfter{1000};
+
+using ConnectionHandle = std::shared_ptr<CallerConnection>;
+
+Result<std::string> readFile(const std::string &Name) {
+  std::ifstream In(Name, std::ios::binary);
+  std::string Text{std::istreambuf_iterator<char>(In), {}};
+  if (!In || Text.empty())
+    return makeError(ErrorKind::InvalidSettings,
+                     "The file " + Name +
+                         " cannot be read or is empty; name a PEM file in "
+                         "the TLS settings that this process may read.");
+  return Text;
+}
+
+CallerConnection *connectionOf(MHD_Connection *Raw) {
+  const auto *Info =
+      MHD_get_connection_info(Raw, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  if (Info == nullptr || Info->socket_context == nullptr)
+    return nullptr;
+  return static_cast<ConnectionHandle *>(Info->socket_context)->get();
+}
+
+void *onRequestLine(void * /*Server*/, const char *Target,
+                    MHD_Connection *Raw) {
+  CallerConnection *Connection = connectionOf(Raw);
+  if (Connection != nullptr)
+    Connection->beginRequest(Target);
+  return Connection;
+}
+
+MHD_Result onRequest(void * /*Server*/, MHD_Connection *Raw,
+                     const char * /*Path*/, const char *Method,
+                     const char * /*Version*/, const char *Data,
+                     std::size_t *Size, void ** /*Request*/) {
+  CallerConnection *Connection = connectionOf(Raw);
+  return Connection == nullptr ? MHD_NO
+                               : Connection->handle(Method, Data, Size);
+}
+
+void onRequestEnd(void * /*Server*/, MHD_Connection *Raw, void ** /*Request*/,
+                  MHD_RequestTerminationCode Code) {
+  CallerConnection *Connection = connectionOf(Raw);
+  if (Connection != nullptr)
+    Connection->endRequest(Code);
+}
+
+/// Paths stay as they were sent.
+std::size_t keepEscapes(void * /*Server*/, MHD_Connection * /*Raw*/,
+                        char *Text) {
+  return std::char_traits<char>::length(Text);
+}
+
+void ignoreLog(void * /*Server*/, const char * /*Format*/, va_list /*List*/) {}
+
+} // namespace
+
+class CallerServer::Impl {
+public:
+  Impl(CallerServerOptions Options, CallerHandler Handler)
+      : Context_(std::move(Options), std::move(Handler)),
+        Watch_(Context_.Options.LingerTimeout) {}
+
+  Result<void> start();
+  std::size_t stop(std::chrono::milliseconds Grace);
+  std::uint16_t port() const { return Port_; }
+  const ServerContext &context() const { return Context_; }
+
+private:
+  static void onConnection(void *Self, MHD_Connection *Raw, void **Handle,
+                           MHD_ConnectionNotificationCode Code);
+  void opened(MHD_Connection *Raw, void **Handle);
+  void closed(void **Handle);
+  std::optional<Error> refusalFor(const std::string &Ip) const;
+  Result<std::vector<MHD_OptionItem>> options();
+  Result<unsigned> addTls(std::vector<MHD_OptionItem> &Items);
+  void stopListening();
+  std::size_t cutOffRest();
+
+  ServerContext Context_;
+  ConnectionWatch Watch_;
+  SocketAddress Where_;
+  std::string Certificate_;
+  std::string Key_;
+  MHD_Daemon *Daemon_ = nullptr;
+  std::uint16_t Port_ = 0;
+};
+
+Result<std::vector<MHD_OptionItem>> CallerServer::Impl::options() {
+  const CallerServerOptions &O = Context_.Options;
+  auto Pool = static_cast<std::intptr_t>(2 * O.HeaderLimit + PoolOverhead);
+  auto Limit =
+      static_cast<std::intptr_t>(O.ConnectionLimit + ConnectionsToRefuse);
+  auto Timeout = static_cast<std::intptr_t>(O.SendTimeout.count());
+  return std::vector<MHD_OptionItem>{
+      {MHD_OPTION_SOCK_ADDR, 0, &Where_.Storage},
+      {MHD_OPTION_THREAD_POOL_SIZE, static_cast<std::intptr_t>(O.Threads),
+       nullptr},
+      {MHD_OPTION_CONNECTION_MEMORY_LIMIT, Pool, nullptr},
+      {MHD_OPTION_CONNECTION_LIMIT, Limit, nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT, Timeout, nullptr},
+      {MHD_OPTION_LISTEN_BACKLOG_SIZE, ListenBacklog, nullptr},
+      {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+      {MHD_OPTION_STRICT_FOR_CLIENT, 1, nullptr},
+      {MHD_OPTION_NOTIFY_CONNECTION,
+       reinterpret_cast<std::intptr_t>(&Impl::onConnection), this},
+      {MHD_OPTION_NOTIFY_COMPLETED,
+       reinterpret_cast<std::intptr_t>(&onRequestEnd), this},
+      {MHD_OPTION_URI_LOG_CALLBACK,
+       reinterpret_cast<std::intptr_t>(&onRequestLine), this},
+      {MHD_OPTION_UNESCAPE_CALLBACK,
+       reinterpret_cast<std::intptr_t>(&keepEscapes), this},
+  };
+}
+
+Result<unsigned>
+CallerServer::Impl::addTls(std::vector<MHD_OptionItem> &Items) {
+  const TlsFiles &Tls = Context_.Options.Tls;
+  if (Tls.CertificateFile.empty() && Tls.KeyFile.empty())
+    return 0U;
+  auto Certificate = readFile(Tls.CertificateFile);
+  if (!Certificate)
+    return tl::unexpected<Error>(Certificate.error());
+  auto Key = readFile(Tls.KeyFile);
+  if (!Key)
+    return tl::unexpected<Error>(Key.error());
+  Certificate_ = std::move(*Certificate);
+  Key_ = std::move(*Key);
+  Items.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, Certificate_.data()});
+  Items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, Key_.data()});
+  return static_cast<unsigned>(MHD_USE_TLS);
+}
+
+Result<void> CallerServer::Impl::start() {
+  auto Where = parseSocketAddress(Context_.Options.Bind);
+  if (!Where)
+    return tl::unexpected<Error>(Where.error());
+  Where_ = *Where;
+  auto Items = options();
+  auto TlsFlag = addTls(*Items);
+  if (!TlsFlag)
+    return tl::unexpected<Error>(TlsFlag.error());
+  Items->push_back({MHD_OPTION_END, 0, nullptr});
+  if (auto Watching = Watch_.start(); !Watching)
+    return Watching;
+  unsigned Flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+                   MHD_USE_ERROR_LOG | *TlsFlag;
+  if (Where_.isV6())
+    Flags |= MHD_USE_IPv6;
+  Daemon_ =
+      MHD_start_daemon(Flags, Where_.Port, nullptr, nullptr, &onRequest, this,
+                       MHD_OPTION_EXTERNAL_LOGGER, &ignoreLog, nullptr,
+                       MHD_OPTION_ARRAY, Items->data(), MHD_OPTION_END);
+  if (Daemon_ == nullptr)
+    return makeError(ErrorKind::InvalidSettings,
+                     "Callers' requests cannot be taken at " +
+                         Context_.Options.Bind.str() +
+                         "; choose an address of this host and a free port, "
+                         "and check the TLS files.");
+  Port_ = MHD_get_daemon_info(Daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return {};
+}
+
+void CallerServer::Impl::onConnection(void *Self, MHD_Connection *Raw,
+                                      void **Handle,
+                                      MHD_ConnectionNotificationCode Code) {
+  auto *Server = static_cast<Impl *>(Self);
+  if (Code == MHD_CONNECTION_NOTIFY_STARTED)
+    Server->opened(Raw, Handle);
+  else
+    Server->closed(Handle);
+}
+
+std::optional<Error>
+CallerServer::Impl::refusalFor(const std::string &Ip) const {
+  if (Watch_.size() >= Context_.Options.ConnectionLimit)
+    return Error{ErrorKind::Overloaded,
+                 "This entry host has too many connections; use another one "
+                 "from /v1/entries or keep connections open for reuse.",
+                 ConnectionRetryAfter};
+  if (Watch_.countOf(Ip) >= Context_.Options.ConnectionLimitPerIp)
+    return Error{ErrorKind::RateLimited,
+                 "Too many connections from this IP number; send several "
+                 "requests over one connection.",
+                 ConnectionRetryAfter};
+  return std::nullopt;
+}
+
+void CallerServer::Impl::opened(MHD_Connection *Raw, void **Handle) {
+  const auto *Socket =
+      MHD_get_connection_info(Raw, MHD_CONNECTION_INFO_CONNECTION_FD);
+  int Descriptor = Socket->connect_fd;
+  const auto *Peer =
+      MHD_get_connection_info(Raw, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  std::string Ip = ipOf(Peer->client_addr);
+  auto Refusal = refusalFor(Ip);
+  Context_.Connections.fetch_add(1, std::memory_order_relaxed);
+  if (Refusal)
+    Context_.ConnectionsRefused.fetch_add(1, std::memory_order_relaxed);
+  auto Connection = std::make_shared<CallerConnection>(
+      Context_, Raw, Descriptor, std::move(Ip), std::move(Refusal));
+  Watch_.add(Connection);
+  *Handle = std::make_unique<ConnectionHandle>(std::move(Connection)).release();
+}
+
+void CallerServer::Impl::closed(void **Handle) {
+  std::unique_ptr<ConnectionHandle> Owner(
+      static_cast<ConnectionHandle *>(std::exchange(*Handle, nullptr)));
+  if (Owner)
+    Watch_.remove(*Owner);
+}
+
+void CallerServer::Impl::stopListening() {
+  int Listening = MHD_quiesce_daemon(Daemon_);
+  if (Listening >= 0)
+    ::close(Listening);
+}
+
+std::size_t CallerServer::Impl::cutOffRest() {
+  std::size_t Left = Context_.inFlight();
+  while (Context_.awaitIdle(CutOffInterval) > 0)
+    Watch_.forEach([](CallerConnection &C) { C.cutOff(); });
+  return Left;
+}
+
+std::size_t CallerServer::Impl::stop(std::chrono::milliseconds Grace) {
+  if (Daemon_ == nullptr)
+    return 0;
+  Context_.Stopping = true;
+  stopListening();
+  Context_.awaitIdle(Grace);
+  std::size_t Left = cutOffRest();
+  MHD_stop_daemon(std::exchange(Daemon_, nullptr));
+  return Left;
+}
+
+CallerServer::CallerServer(CallerServerOptions Options, CallerHandler Handler)
+    : Impl_(std::make_unique<Impl>(std::move(Options), std::move(Handler))) {}
+
+CallerServer::~CallerServer() { stop(std::chrono::milliseconds(0)); }
+
+Result<void> CallerServer::start() { return Impl_->start(); }
+
+std::uint16_t CallerServer::port() const { return Impl_->port(); }
+
+std::size_t CallerServer::stop(std::chrono::milliseconds Grace) {
+  return Impl_->stop(Grace);
+}
+
+CallerServerCounts CallerServer::counts() const {
+  const ServerContext &C = Impl_->context();
+  CallerServerCounts Counts;
+  Counts.Connections = C.Connections;
+  Counts.ConnectionsRefused = C.ConnectionsRefused;
+  Counts.Requests = C.Requests;
+  Counts.RefusedFromHead = C.RefusedFromHead;
+  Counts.CallersGone = C.CallersGone;
+  Counts.TimedOut = C.TimedOut;
+  Counts.InFlight = C.inFlight();
+  return Counts;
+}
+
+} // namespace celerybeam
