Read and write the two tables with every problem reported

Routes and pools are rows in arrays of tables; one list of keys serves the reader and the writer, so that a row formats back to what was read. Checks across both tables name the row, its line and the nearest known name.

--- a/src/configuration/tableparser.h
+++ b/src/configuration/tableparser.h
@@ -7,23 +7,20 @@
 
 #include "blackboard/tabletypes.h"
 #include "framework/error.h"
+#include "framework/tomlreader.h"
 
 namespace celerybeam {
 
-/// A fault of a table with the place to mend.
-struct TableProblem {
-  /// "routes.toml" or "pools.toml".
-  std::string File;
-  /// From 1; 0 when the fault has no line.
-  unsigned Line = 0;
-  /// Says what is wrong and the remedy.
-  std::string Message;
-};
+/// A fault of a table with the place to mend; the file is "routes.toml" or
+/// "pools.toml".
+using TableProblem = FileProblem;
 
 /// The operators' two tables as text.
 struct TableTexts {
   std::string Routes;
   std::string Pools;
+
+  bool operator==(const TableTexts &) const = default;
 };
 
 /// Tables, or every problem found in them.
@@ -31,12 +28,17 @@
 
 /// Reads both tables and checks them together: unknown keys, types, units,
 /// ranges, duplicate names, routes that name no pool, models that no pool
-/// loads. The revision of the result is 0.
+/// loads. Rows come out sorted by name. The revision of the result is 0.
 CheckedTables parseTables(const TableTexts &Texts);
 
-/// Writes tables in the form that parseTables reads, rows by name.
+/// Writes tables in the form that parseTables reads, rows by name, without
+/// the keys that have their default value.
 TableTexts formatTables(const Tables &T);
 
+/// One row as it stands in the text of formatTables.
+std::string formatRoute(const RouteRow &Row);
+std::string formatPool(const PoolRow &Row);
+
 } // namespace celerybeam
 
 #endif
