Add retry budget, stream assembly, hedging, stall and poison policies

Cause: a lost connection, a stalled or crashed endpoint must cost a bounded number of attempts and never a doubled or missing token. Change: src/recovery with a token bucket for retries, the sliding quantiles behind hedges and stall timeouts, the assembly of a stream from the event streams of several attempts, and the registry of requests that crash endpoints. A whole answer clears a request in its region; after a first crash one host of the region runs it, one copy at a time.

--- a/src/framework/shardedmap.h
+++ b/src/framework/shardedmap.h
@@ -46,6 +46,18 @@
     return S.Map.erase(K) > 0;
   }
 
+  /// Removes one entry if the predicate is true for its value.
+  template <typename Predicate>
+  bool eraseIfMatches(const Key &K, Predicate Remove) {
+    Shard &S = shardOf(K);
+    std::lock_guard Lock(S.Mutex);
+    auto It = S.Map.find(K);
+    if (It == S.Map.end() || !Remove(It->second))
+      return false;
+    S.Map.erase(It);
+    return true;
+  }
+
   /// Takes the value out of the map.
   std::optional<Value> take(const Key &K) {
     Shard &S = shardOf(K);
--- /dev/null
+++ b/src/recovery/internal/progresswatch.cpp
@@ -0,0 +1,85 @@
+#include "recovery/progresswatch.h"
+
+#include <algorithm>
+#include <string>
+
+#include "framework/shardedmap.h"
+#include "recovery/latencywindow.h"
+
+namespace celerybeam {
+
+namespace {
+
+constexpr double WatchedQuantile = 0.99;
+/// How far above the quantile a wait must be to count as a stall.
+constexpr int StallFactor = 4;
+/// Samples between two computations of the quantile.
+constexpr unsigned RefreshEvery = 32;
+
+struct WatchedLatency {
+  LatencyWindow Window;
+  std::optional<Duration> Quantile;
+  unsigned SinceRefresh = RefreshEvery - 1;
+
+  void add(Duration D) {
+    Window.add(D);
+    if (++SinceRefresh < RefreshEvery && Quantile)
+      return;
+    SinceRefresh = 0;
+    Quantile = Window.quantile(WatchedQuantile);
+  }
+};
+
+struct PoolLatencies {
+  WatchedLatency FirstTokenShort;
+  WatchedLatency FirstTokenLong;
+  WatchedLatency Gap;
+
+  WatchedLatency &firstToken(RequestClass Class) {
+    return Class == RequestClass::Short ? FirstTokenShort : FirstTokenLong;
+  }
+};
+
+} // namespace
+
+Duration progressTimeout(std::optional<Duration> Quantile,
+                         const ProgressLimits &Limits) {
+  if (!Quantile)
+    return Limits.Ceiling;
+  return std::clamp(*Quantile * StallFactor, Limits.Floor, Limits.Ceiling);
+}
+
+class ProgressWatch::Impl {
+public:
+  ShardedMap<PoolName, PoolLatencies> Pools_;
+};
+
+ProgressWatch::ProgressWatch() : Impl_(std::make_unique<Impl>()) {}
+ProgressWatch::~ProgressWatch() = default;
+
+void ProgressWatch::observeFirstToken(const PoolName &Pool, RequestClass Class,
+                                      Duration D) {
+  Impl_->Pools_.upsert(Pool,
+                       [&](PoolLatencies &P) { P.firstToken(Class).add(D); });
+}
+
+void ProgressWatch::observeGap(const PoolName &Pool, Duration D) {
+  Impl_->Pools_.upsert(Pool, [&](PoolLatencies &P) { P.Gap.add(D); });
+}
+
+Duration ProgressWatch::firstTokenTimeout(const PoolName &Pool,
+                                          RequestClass Class) const {
+  std::optional<Duration> Quantile;
+  Impl_->Pools_.update(
+      Pool, [&](PoolLatencies &P) { Quantile = P.firstToken(Class).Quantile; });
+  return progressTimeout(Quantile, FirstTokenLimits);
+}
+
+Duration ProgressWatch::gapTimeout(const PoolName &Pool) const {
+  std::optional<Duration> Quantile;
+  Impl_->Pools_.update(Pool,
+                       [&](PoolLatencies &P) { Quantile = P.Gap.Quantile; });
+  return progressTimeout(Quantile, GapLimits);
+}
+
+} // namespace celerybeam
--- /dev/null
+++ b/src/recovery/internal/retrybudget.cpp
@@ -0,0 +1,51 @@
+#include "recovery/retrybudget.h"
+
+#include <algorithm>
+
+#include "framework/shardedmap.h"
+
+namespace celerybeam {
+
+namespace {
+
+/// Tokens held at most, so that a quiet hour does not buy a retry storm.
+constexpr double Capacity = 10;
+/// Tokens of a pool that has no success yet.
+constexpr double InitialTokens = 3;
+
+struct Bucket {
+  double Tokens = InitialTokens;
+};
+
+} // namespace
+
+class RetryBudget::Impl {
+public:
+  ShardedMap<PoolName, Bucket> Buckets_;
+};
+
+RetryBudget::RetryBudget() : Impl_(std::make_unique<Impl>()) {}
+RetryBudget::~RetryBudget() = default;
+
+void RetryBudget::succeeded(const PoolName &Pool, double TokensPerSuccess) {
+  Impl_->Buckets_.upsert(Pool, [&](Bucket &B) {
+    B.Tokens = std::min(Capacity, B.Tokens + TokensPerSuccess);
+  });
+}
+
+Result<void> RetryBudget::take(const PoolName &Pool) {
+  bool Taken = Impl_->Buckets_.upsert(Pool, [](Bucket &B) {
+    if (B.Tokens < 1)
+      return false;
+    B.Tokens -= 1;
+    return true;
+  });
+  if (Taken)
+    return {};
+  return makeError(ErrorKind::RetryBudgetExhausted,
+                   "The retry budget of pool " + Pool.str() +
+                       " is used up; its endpoints fail often. Mend them, or "
+                       "raise retry_share of the pool in pools.toml.");
+}
+
+} // namespace celerybeam
--- a/src/recovery/poisonregistry.h
+++ b/src/recovery/poisonregistry.h
@@ -34,13 +34,19 @@
   static constexpr unsigned MaxEndpoints = 2;
 
   /// Asks to start an attempt. Fails with PoisonRequest when the request
-  /// crashed MaxEndpoints endpoints, or crashed one and another copy of it
-  /// runs (RetryAfter set in that case).
+  /// crashed MaxEndpoints endpoints, or crashed one and either another copy
+  /// of it runs or the entry host that saw the crash is another one that
+  /// serves (RetryAfter set in these cases).
   Result<void> begin(Fingerprint Print);
 
   /// The attempt ended without a crash of its endpoint.
   void ended(Fingerprint Print);
 
+  /// The attempt gave a whole answer: the request does not crash endpoints,
+  /// and earlier crashes under it count no longer, in the whole region. Called
+  /// in place of ended.
+  void succeeded(Fingerprint Print);
+
   /// The endpoint crashed under the attempt; tells the region.
   void crashed(Fingerprint Print, const EndpointId &Endpoint);
 
--- /dev/null
+++ b/src/recovery/tests/policytest.cpp
@@ -0,0 +1,75 @@
+#include <boost/test/unit_test.hpp>
+
+#include "recovery/hedgepolicy.h"
+#include "recovery/progresswatch.h"
+#include "recovery/retrybudget.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolName Pool("cedar");
+
+unsigned takeAll(RetryBudget &Budget) {
+  unsigned Taken = 0;
+  while (Budget.take(Pool))
+    ++Taken;
+  return Taken;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PolicyTests)
+
+BOOST_AUTO_TEST_CASE(retriesAreAShareOfSuccesses) {
+  RetryBudget Budget;
+  takeAll(Budget);
+  for (int I = 0; I < 55; ++I)
+    Budget.succeeded(Pool, 0.1);
+  BOOST_TEST(takeAll(Budget) == 5U);
+  auto Refused = Budget.take(Pool);
+  BOOST_TEST((Refused.error().Kind == ErrorKind::RetryBudgetExhausted));
+  BOOST_TEST(Refused.error().Message.find("retry_share") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(quietTimeSavesFewRetries) {
+  RetryBudget Budget;
+  for (int I = 0; I < 10000; ++I)
+    Budget.succeeded(Pool, 0.1);
+  BOOST_TEST(takeAll(Budget) <= 10U);
+  BOOST_TEST(Budget.take(PoolName("other")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(hedgesStartAfterTheTailBegins) {
+  HedgePolicy Policy;
+  BOOST_TEST((Policy.hedgeDelay(Pool) == HedgePolicy::DefaultDelay));
+  for (int I = 1; I <= 400; ++I)
+    Policy.observe(Pool, I * 1ms, 0.02);
+  BOOST_TEST((Policy.hedgeDelay(Pool) > 350ms));
+  BOOST_TEST((Policy.hedgeDelay(Pool) < 400ms));
+}
+
+BOOST_AUTO_TEST_CASE(hedgesAreAShareOfRequests) {
+  HedgePolicy Policy;
+  for (int I = 0; I < 120; ++I)
+    Policy.observe(Pool, 100ms, 0.02);
+  BOOST_TEST(Policy.takeHedge(Pool).has_value());
+  BOOST_TEST(Policy.takeHedge(Pool).has_value());
+  BOOST_TEST(!Policy.takeHedge(Pool).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(stallTimeoutFollowsThePoolWithinLimits) {
+  ProgressWatch Watch;
+  BOOST_TEST((Watch.gapTimeout(Pool) == ProgressWatch::GapLimits.Ceiling));
+  for (int I = 0; I < 100; ++I)
+    Watch.observeGap(Pool, 30ms);
+  BOOST_TEST((Watch.gapTimeout(Pool) == ProgressWatch::GapLimits.Floor));
+  for (int I = 0; I < 1000; ++I)
+    Watch.observeGap(Pool, 500ms);
+  BOOST_TEST((Watch.gapTimeout(Pool) == 2s));
+  BOOST_TEST((Watch.firstTokenTimeout(Pool, RequestClass::Long) ==
+              ProgressWatch::FirstTokenLimits.Ceiling));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
