--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -7,6 +7,7 @@
 #include "blackboard/blackboard.h"
 #include "framework/error.h"
 #include "framework/runtime.h"
+#include "routing/routersettings.h"
 #include "routing/routingtypes.h"
 
 namespace celerybeam {
@@ -18,7 +19,8 @@
 /// Wakes: on each request. Thread-safe.
 class Router {
 public:
-  Router(Blackboard &Board, Runtime R);
+  Router(Blackboard &Board, Runtime R,
+         const RouterSettings &Settings = RouterSettings());
   ~Router();
 
   /// Chooses for one attempt. Errors: UnknownRoute, NoEndpoint (none in the
