--- a/src/app/internal/adminpages.cpp
+++ b/src/app/internal/adminpages.cpp
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
-#include <string_view>
+#include <tuple>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -89,8 +87,7 @@
 }
 
 // This host in the form in which it knows its peers.
-PeerRecord selfRecord(const EntryHost &Host, const Blackboard &Board,
-                      TimePoint Now) {
+PeerRecord selfRecord(const Blackboard &Board, TimePoint Now) {
   const HostIdentity &Self = Board.self();
   PeerRecord Record;
   Record.Id = Self.Id;
@@ -102,12 +99,11 @@
   Record.Number = Self.Number;
   Record.InForce = Board.tables()->Number;
   Record.LastHeard = Now;
-  static_cast<void>(Host);
   return Record;
 }
 
 std::vector<PeerRecord> allHosts(EntryHost &Host, TimePoint Now) {
-  std::vector<PeerRecord> Hosts{selfRecord(Host, Host.board(), Now)};
+  std::vector<PeerRecord> Hosts{selfRecord(Host.board(), Now)};
   Host.board().peers().forEach([&](const HostId &Id, const PeerRecord &Peer) {
     if (Id != Host.board().self().Id)
       Hosts.push_back(Peer);
@@ -209,29 +205,44 @@
   return {{"endpoint", View.Endpoint.str()},
           {"score", static_cast<double>(View.Score.count()) / 1e6},
           {"predicted_wait_ms", millis(View.Score)},
-          {"affinity", View.Affinity},
           {"excluded", View.Exclusion}};
 }
 
-void addDecision(const Result<RouteChoice> &Choice, Json &Page) {
-  if (!Choice) {
-    Page["decision"] = "refuse";
-    Page["chosen"] = "";
-    Page["reason"] = Choice.error().Message;
-    return;
-  }
-  if (const auto *Away = std::get_if<SendAway>(&*Choice)) {
-    Page["decision"] = "send-away";
-    Page["chosen"] = Away->Region.str();
-    Page["reason"] = "another region answers sooner by more than the margin";
-    return;
-  }
-  const auto &Here = std::get<ServeHere>(*Choice);
-  Page["decision"] = "endpoint";
-  Page["chosen"] = Here.Endpoint.str();
-  Page["reason"] = Here.PrefixExpected
-                       ? "the prompt's prefix is expected in its cache"
-                       : "lowest predicted wait of the candidates drawn";
+void addDecision(const std::vector<CandidateView> &Views, Json &Page) {
+  auto Chosen = std::find_if(Views.begin(), Views.end(),
+                             [](const CandidateView &V) { return V.Chosen; });
+  bool Found = Chosen != Views.end();
+  Page["decision"] = Found ? "endpoint" : "refuse";
+  Page["chosen"] = Found ? Chosen->Endpoint.str() : "";
+  Page["reason"] =
+      Found ? "the lowest score of the endpoints that can serve"
+            : "no endpoint of this region can serve; see each one's exclusion";
+  Page["candidates"] = Json::array();
+  for (const CandidateView &View : Views)
+    Page["candidates"].push_back(candidateJson(View));
+}
+
+// Other regions with the least wait that their hosts tell of the pool.
+Json regionsFor(const Blackboard &Board, const RouteQuery &Query) {
+  std::map<RegionId, Duration> Least;
+  Board.peers().forEach([&](const HostId &, const PeerRecord &Peer) {
+    auto Load = Peer.Pools.find(Query.Pool);
+    bool Counts = Peer.Region != Board.self().Region &&
+                  Peer.State == PeerState::Alive && Load != Peer.Pools.end();
+    if (!Counts)
+      return;
+    auto [It, IsNew] = Least.emplace(Peer.Region, Load->second.Wait);
+    It->second = std::min(It->second, Load->second.Wait);
+  });
+  Json Regions = Json::array();
+  for (const auto &[Region, Wait] : Least)
+    Regions.push_back(
+        {{"region", Region.str()},
+         {"predicted_ms", millis(Wait)},
+         {"excluded", Query.MayLeaveRegion
+                          ? ""
+                          : "the route's requests may not leave the region"}});
+  return Regions;
 }
 
 } // namespace
@@ -359,16 +370,8 @@
                {"region", Host_.board().self().Region.str()},
                {"residence", nameOf(Route->Residence)},
                {"revision", T->Number}};
-  Explanation Why = Host_.router().explain(Query);
-  addDecision(Why.Choice, Page);
-  Page["candidates"] = Json::array();
-  for (const CandidateView &View : Why.Candidates)
-    Page["candidates"].push_back(candidateJson(View));
-  Page["regions"] = Json::array();
-  for (const RegionView &View : Why.Regions)
-    Page["regions"].push_back({{"region", View.Region.str()},
-                               {"predicted_ms", millis(View.Predicted)},
-                               {"excluded", View.Exclusion}});
+  addDecision(Host_.router().explain(Query), Page);
+  Page["regions"] = regionsFor(Host_.board(), Query);
   return Page.dump();
 }
 
--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -17,10 +17,6 @@
 
 StepResult fail(const std::string &Why) { return tl::unexpected(Why); }
 
-StepResult failIf(const std::string &Why) {
-  return Why.empty() ? StepResult() : fail(Why);
-}
-
 // "k" and 3 give k1, k2, k3; 0 gives the name itself.
 std::vector<std::string> numbered(const std::string &Name, unsigned Count) {
   if (Count == 0)
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -301,14 +301,25 @@
 }
 
 void World::apply(const std::string &Name, const TableTexts &Texts) {
+  CheckedTables Checked = parseTables(Texts);
+  if (!Checked) {
+    Applied_[Name] = "invalid_table: " + Checked.error().front().Message;
+    return;
+  }
   auto Writer = std::make_shared<TablesWriter>(Store_.hooks(Operator_),
                                                Operator_.runtime());
-  Writer->applyOnLatest(Texts, Name, [this, Name, Writer](auto Outcome) {
-    Applied_[Name] = Outcome
-                         ? "accepted"
-                         : std::string(errorKindName(Outcome.error().Kind)) +
-                               ": " + Outcome.error().Message;
+  auto Tell = [this, Name, Writer](const auto &Outcome) {
+    Applied_[Name] =
+        Outcome ? "accepted"
+                : std::string(errorKindName(Outcome.error().Kind)) + ": " +
+                      Outcome.error().Message;
     note("apply " + Name + ": " + Applied_[Name]);
+  };
+  Writer->read([Name, Writer, Tell,
+                Next = rowsOf(*Checked)](Result<StoredTables> Stored) {
+    if (!Stored)
+      return Tell(Stored);
+    Writer->apply({Stored->Content.Rows, Next, Name}, Tell);
   });
 }
 
