Add the endpoint client

Names the exchange in each request, drops answers of others, tells engines of cancellations and reads load pages. Bookings get connections of their own.

--- /dev/null
+++ b/src/endpoints/internal/endpointclient.cpp
@@ -0,0 +1,251 @@
+#include "endpoints/endpointclient.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <utility>
+
+#include "endpoints/internal/loadpage.h"
+#include "framework/shardedmap.h"
+#include "httpclient/httpfetch.h"
+#include "httpclient/urlencoding.h"
+
+namespace celerybeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t LoadPageLimitBytes = 64 * 1024;
+
+constexpr std::string_view RequestIdHeader = "x-request-id";
+constexpr std::string_view AttemptHeader = "x-attempt";
+constexpr std::string_view TimeoutHeader = "request-timeout";
+
+/// Fields that this client sets itself.
+constexpr std::array<std::string_view, 3> OwnHeaders = {
+    RequestIdHeader, AttemptHeader, TimeoutHeader};
+
+/// Whether the call is work of a model engine, which can be told to stop it.
+bool isEngineWork(const RequestHead &Head) {
+  return Head.Method == "POST" && (Head.Path == "/v1/chat/completions" ||
+                                   Head.Path == "/v1/completions");
+}
+
+/// Milliseconds, rounded up; 0 stays "no limit" and nothing else becomes it.
+milliseconds toMilliseconds(Duration Time) {
+  if (Time == Duration::zero())
+    return milliseconds::zero();
+  return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(Time));
+}
+
+std::string secondsText(Duration Time) {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                std::chrono::duration<double>(Time).count());
+  return Text.data();
+}
+
+HeaderFields requestHeaders(const EndpointCall &Call) {
+  HeaderFields Fields = Call.Head.Headers;
+  std::erase_if(Fields, [](const HeaderField &Field) {
+    return std::find(OwnHeaders.begin(), OwnHeaders.end(), Field.Name) !=
+           OwnHeaders.end();
+  });
+  Fields.push_back({std::string(RequestIdHeader), Call.Id.Request.str()});
+  Fields.push_back(
+      {std::string(AttemptHeader), std::to_string(Call.Id.Number)});
+  if (Call.Timeout > Duration::zero())
+    Fields.push_back({std::string(TimeoutHeader), secondsText(Call.Timeout)});
+  return Fields;
+}
+
+/// Whether the head names another exchange. Plain services need not name any.
+bool namesOther(const ResponseHead &Head, const AttemptId &Id) {
+  const std::string_view Request = findHeader(Head.Headers, RequestIdHeader);
+  const std::string_view Attempt = findHeader(Head.Headers, AttemptHeader);
+  return (!Request.empty() && Request != Id.Request.str()) ||
+         (!Attempt.empty() && Attempt != std::to_string(Id.Number));
+}
+
+/// An exchange under way. Its hooks run one at a time.
+struct Exchange {
+  AttemptId Id;
+  Address Where;
+  bool EngineWork = false;
+  CallObserver Observer;
+  bool Foreign = false;
+};
+
+} // namespace
+
+class EndpointClient::Impl
+    : public std::enable_shared_from_this<EndpointClient::Impl> {
+public:
+  Impl(HttpClient &Http, std::function<TimePoint()> Now,
+       EndpointClientSettings Settings)
+      : Http_(Http), Now_(std::move(Now)), Settings_(std::move(Settings)) {}
+
+  void start(const EndpointCall &Call, CallObserver Observer) {
+    auto E = std::make_shared<Exchange>();
+    E->Id = Call.Id;
+    E->Where = Call.Where;
+    E->EngineWork = isEngineWork(Call.Head);
+    E->Observer = std::move(Observer);
+    // Under the lock, so that a cancellation finds the call or comes before
+    // it; start of the HTTP client runs no hook.
+    Calls_.upsert(Call.Id, [&](HttpCallId &Id) {
+      Id = Http_.start(httpCall(Call), responseHooks(E));
+    });
+  }
+
+  void cancel(const AttemptId &Id) {
+    if (auto Call = Calls_.find(Id))
+      Http_.cancel(*Call);
+  }
+
+  void resume(const AttemptId &Id) {
+    if (auto Call = Calls_.find(Id))
+      Http_.resume(*Call);
+  }
+
+  void askLoad(const Address &Where,
+               std::function<void(Result<LoadAnswer>)> Done) {
+    HttpCall Call = controlCall("GET", Where, "/load");
+    Call.Repeatable = true;
+    fetchHttp(Http_, std::move(Call), LoadPageLimitBytes,
+              [Now = Now_, Done = std::move(Done)](Result<HttpAnswer> Answer) {
+                if (Answer)
+                  return Done(readLoadPage(*Answer, Now()));
+                Error Failure = std::move(Answer.error());
+                if (Failure.Kind != ErrorKind::ConnectFailed)
+                  Failure.Kind = ErrorKind::ConnectionLost;
+                Done(tl::unexpected(std::move(Failure)));
+              });
+  }
+
+  EndpointClientCounts counts() const {
+    EndpointClientCounts C;
+    C.InFlight = Calls_.size();
+    C.ForeignAnswers = ForeignAnswers_;
+    C.Cancellations = Cancellations_;
+    return C;
+  }
+
+private:
+  std::string baseUrl(const Address &Where) const {
+    return (Settings_.Tls ? "https://" : "http://") + Where.str();
+  }
+
+  HttpCall httpCall(const EndpointCall &Call) const {
+    HttpCall Http;
+    Http.Method = Call.Head.Method;
+    Http.Url = baseUrl(Call.Where) + encodeUrlPath(Call.Head.Path);
+    if (!Call.Head.Query.empty())
+      Http.Url += "?" + Call.Head.Query;
+    Http.Headers = requestHeaders(Call);
+    Http.Body = Call.Body;
+    Http.ConnectTimeout = toMilliseconds(Call.ConnectTimeout);
+    Http.Timeout = toMilliseconds(Call.Timeout);
+    Http.FreshConnection = countHeaders(Http.Headers, "idempotency-key") > 0;
+    Http.CaFile = Settings_.CaFile;
+    return Http;
+  }
+
+  HttpCall controlCall(std::string Method, const Address &Where,
+                       const std::string &Target) const {
+    HttpCall Http;
+    Http.Method = std::move(Method);
+    Http.Url = baseUrl(Where) + Target;
+    Http.ConnectTimeout = Settings_.ControlConnectTimeout;
+    Http.Timeout = Settings_.ControlTimeout;
+    Http.CaFile = Settings_.CaFile;
+    return Http;
+  }
+
+  ResponseHooks responseHooks(const std::shared_ptr<Exchange> &E) {
+    ResponseHooks Hooks;
+    auto Self = shared_from_this();
+    Hooks.Head = [Self, E](ResponseHead Head) {
+      Self->headArrived(*E, std::move(Head));
+    };
+    Hooks.Chunk = [E](std::string Data) {
+      if (E->Foreign || !E->Observer.OnData)
+        return Flow::Continue;
+      return E->Observer.OnData(std::move(Data));
+    };
+    Hooks.End = [Self, E](Result<void> End) {
+      Self->ended(*E, std::move(End));
+    };
+    return Hooks;
+  }
+
+  void headArrived(Exchange &E, ResponseHead Head) {
+    if (namesOther(Head, E.Id)) {
+      E.Foreign = true;
+      ++ForeignAnswers_;
+      return cancel(E.Id);
+    }
+    if (E.Observer.OnHead)
+      E.Observer.OnHead(std::move(Head));
+  }
+
+  void ended(Exchange &E, Result<void> End) {
+    Calls_.erase(E.Id);
+    const bool Abandoned =
+        !End && (End.error().Kind == ErrorKind::Cancelled ||
+                 End.error().Kind == ErrorKind::RequestTimeout);
+    if (Abandoned && E.EngineWork)
+      tellCancelled(E);
+    if (E.Foreign)
+      End = makeError(ErrorKind::ConnectionLost,
+                      "the endpoint answered another request; restart it when "
+                      "this repeats");
+    if (E.Observer.OnEnd)
+      E.Observer.OnEnd(std::move(End));
+  }
+
+  /// Tells an engine to stop the work; it sees the closed connection only
+  /// when it writes next.
+  void tellCancelled(const Exchange &E) {
+    ++Cancellations_;
+    const std::string Target = "/v1/requests/" +
+                               encodeUrlComponent(E.Id.Request.str()) +
+                               "?attempt=" + std::to_string(E.Id.Number);
+    Http_.start(controlCall("DELETE", E.Where, Target), ResponseHooks());
+  }
+
+  HttpClient &Http_;
+  const std::function<TimePoint()> Now_;
+  const EndpointClientSettings Settings_;
+  ShardedMap<AttemptId, HttpCallId> Calls_;
+  std::atomic<std::uint64_t> ForeignAnswers_{0};
+  std::atomic<std::uint64_t> Cancellations_{0};
+};
+
+EndpointClient::EndpointClient(HttpClient &Http, std::function<TimePoint()> Now,
+                               EndpointClientSettings Settings)
+    : Impl_(std::make_shared<Impl>(Http, std::move(Now), std::move(Settings))) {
+}
+
+EndpointClient::~EndpointClient() = default;
+
+EndpointHooks EndpointClient::hooks() const {
+  EndpointHooks Hooks;
+  auto Self = Impl_;
+  Hooks.Start = [Self](const EndpointCall &Call, CallObserver Observer) {
+    Self->start(Call, std::move(Observer));
+  };
+  Hooks.Cancel = [Self](const AttemptId &Id) { Self->cancel(Id); };
+  Hooks.Resume = [Self](const AttemptId &Id) { Self->resume(Id); };
+  Hooks.AskLoad = [Self](const EndpointId & /*Endpoint*/, const Address &Where,
+                         std::function<void(Result<LoadAnswer>)> Done) {
+    Self->askLoad(Where, std::move(Done));
+  };
+  return Hooks;
+}
+
+EndpointClientCounts EndpointClient::counts() const { return Impl_->counts(); }
+
+} // namespace celerybeam
--- a/src/platform/tests/platformclienttest.cpp
+++ b/src/platform/tests/platformclienttest.cpp
@@ -5,15 +5,15 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fakes/fakeplatform.h"
-#include "httpclient/httpfetch.h"
+#include "httpclient/tests/awaited.h"
 
 using namespace celerybeam;
+using namespace celerybeam::tests;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
-constexpr seconds EventTimeout(30);
 const StoreKey Key("config/head of all");
 const std::string Nowhere = "http://127.0.0.1:1";
 
@@ -30,28 +30,6 @@
     {"id": "m2", "address": "127.0.0.1:90", "region": "kigali",
      "zone": "kigali-a", "kind": "typewriter", "label": "cedar"}]})";
 
-template <typename T> class Awaited {
-public:
-  Completion<T> completion() {
-    return [Promise = Promise_](Result<T> R) {
-      Promise->set_value(std::move(R));
-    };
-  }
-  Result<T> get() {
-    auto Future = Promise_->get_future();
-    BOOST_REQUIRE(Future.wait_for(EventTimeout) == std::future_status::ready);
-    return Future.get();
-  }
-
-private:
-  std::shared_ptr<std::promise<Result<T>>> Promise_ =
-      std::make_shared<std::promise<Result<T>>>();
-};
-
-template <typename T> std::optional<ErrorKind> errorOf(const Result<T> &R) {
-  return R ? std::nullopt : std::optional(R.error().Kind);
-}
-
 struct Fixture {
   explicit Fixture(const std::vector<std::string> &Before = {})
       : Fake(0, Hosts) {
@@ -86,12 +64,7 @@
     return A.get();
   }
   void setMode(const std::string &Mode) {
-    HttpCall Call;
-    Call.Method = "PUT";
-    Call.Url = "http://" + Fake.address() + "/control/mode?mode=" + Mode;
-    Awaited<HttpAnswer> A;
-    fetchHttp(Http, Call, 100, A.completion());
-    BOOST_REQUIRE(A.get().has_value());
+    request(Http, "PUT", Fake.address(), "/control/mode?mode=" + Mode);
   }
 
   fakes::FakePlatform Fake;
@@ -170,8 +143,7 @@
 BOOST_FIXTURE_TEST_CASE(lostReplyOfAWriteLeavesItsOutcomeOpen, Fixture) {
   setMode("lose-replies");
   BOOST_TEST((errorOf(put("one", 0)) == ErrorKind::StoreOutcomeUnknown));
-  BOOST_TEST(
-      (errorOf(grant(seconds(1))) == ErrorKind::StoreOutcomeUnknown));
+  BOOST_TEST((errorOf(grant(seconds(1))) == ErrorKind::StoreOutcomeUnknown));
   BOOST_TEST((errorOf(get()) == ErrorKind::StoreUnreachable));
   setMode("ok");
   BOOST_TEST(get().value().Data == "one");
