--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -27,9 +27,9 @@
   /// Threads that serve connections; each serves many.
   unsigned Threads = 4;
   /// Bytes of the request line and all header fields.
-  std::size_t HeaderLimit = 16 * 1024;
+  std::size_t HeaderLimit = std::size_t{16} * 1024;
   /// Bytes of a request body.
-  std::size_t BodyLimit = 8 * 1024 * 1024;
+  std::size_t BodyLimit = std::size_t{8} * 1024 * 1024;
   unsigned ConnectionLimit = 2000;
   unsigned ConnectionLimitPerIp = 500;
   /// Time for a whole head, also the time that a connection may stay idle
@@ -40,7 +40,7 @@
   /// Time in which a caller must take some byte of its answer.
   std::chrono::seconds SendTimeout = std::chrono::seconds(30);
   /// Bytes of an answer held for a slow caller before its producer pauses.
-  std::size_t AnswerBuffer = 64 * 1024;
+  std::size_t AnswerBuffer = std::size_t{64} * 1024;
   /// A silent event stream gets a comment line after this time.
   std::chrono::milliseconds KeepAliveInterval = std::chrono::seconds(5);
   /// Time to read and discard what a refused caller still sends, so that it
--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Bytes asked of an exchange at a time.
-constexpr std::size_t ReadBlock = 16 * 1024;
+constexpr std::size_t ReadBlock = std::size_t{16} * 1024;
 constexpr int OkStatus = 200;
 
 /// Fields that the listener writes itself.
--- a/src/gateway/internal/responsebuffer.h
+++ b/src/gateway/internal/responsebuffer.h
@@ -26,7 +26,7 @@
 
 private:
   /// Bytes already taken that are kept before the rest is moved down.
-  static constexpr std::size_t CompactAt = 16 * 1024;
+  static constexpr std::size_t CompactAt = std::size_t{16} * 1024;
 
   std::string Data_;
   std::size_t Taken_ = 0;
--- /dev/null
+++ b/src/logging/internal/linelimit.h
@@ -0,0 +1,40 @@
+#ifndef CELERYBEAM_LOGGING_INTERNAL_LINELIMIT_H
+#define CELERYBEAM_LOGGING_INTERNAL_LINELIMIT_H
+
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace celerybeam {
+
+/// Bounds the lines of each part with a token bucket. Thread-safe.
+class LineLimit {
+public:
+  using TimePoint = std::chrono::system_clock::time_point;
+
+  /// \param PerSecond  0: no limit.
+  LineLimit(double PerSecond, double BurstSeconds);
+
+  /// Takes a token: unset when the line has to be dropped, else how many
+  /// lines of the part were dropped since its last one.
+  std::optional<std::uint64_t> admit(const std::string &Part, TimePoint Now);
+
+private:
+  struct Bucket {
+    double Tokens = 0;
+    TimePoint At;
+    std::uint64_t Dropped = 0;
+  };
+
+  const double PerSecond_;
+  const double Capacity_;
+  std::mutex Mutex_;
+  std::unordered_map<std::string, Bucket> Buckets_;
+};
+
+} // namespace celerybeam
+
+#endif
