Add metrics on Boost.Histogram

Histograms by route and class and by tenant, bounded by space-saving counts; counters, gauges and sources; Prometheus text. test_metrics 6 tests pass.

--- /dev/null
+++ b/src/metrics/internal/requestseries.cpp
@@ -0,0 +1,139 @@
+#include "metrics/internal/requestseries.h"
+
+#include <chrono>
+
+namespace celerybeam {
+
+namespace {
+
+// Four buckets a decade from 1 ms to 1000 s.
+constexpr DistributionScale RouteSeconds{24, 0.001, 1000};
+// Two a decade.
+constexpr DistributionScale TenantSeconds{12, 0.001, 1000};
+// From 0.1 ms, since tokens follow each other fast.
+constexpr DistributionScale GapSeconds{20, 0.0001, 10};
+constexpr DistributionScale AttemptCounts{4, 1, 16};
+constexpr DistributionScale TokenCounts{15, 1, 100000};
+
+constexpr const char *WholeOutcome = "ok";
+constexpr const char *FailedOutcome = "failed";
+
+constexpr const char *FirstTokenName = "celerybeam_first_token_seconds";
+constexpr const char *TokenGapName = "celerybeam_token_gap_seconds";
+constexpr const char *QueueWaitName = "celerybeam_queue_wait_seconds";
+constexpr const char *TotalName = "celerybeam_request_seconds";
+constexpr const char *AttemptsName = "celerybeam_request_attempts";
+constexpr const char *TokensName = "celerybeam_request_tokens";
+constexpr const char *RequestsName = "celerybeam_requests_total";
+constexpr const char *SentAwayName = "celerybeam_requests_sent_away_total";
+constexpr const char *TenantFirstTokenName =
+    "celerybeam_tenant_first_token_seconds";
+constexpr const char *TenantQueueWaitName =
+    "celerybeam_tenant_queue_wait_seconds";
+constexpr const char *TenantTotalName = "celerybeam_tenant_request_seconds";
+constexpr const char *TenantRequestsName = "celerybeam_tenant_requests_total";
+
+double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
+
+bool hasFirstToken(const RequestSample &Sample) {
+  return Sample.FirstToken > Duration::zero();
+}
+
+} // namespace
+
+RouteSeries::RouteSeries()
+    : FirstToken_(RouteSeconds), TokenGap_(GapSeconds),
+      QueueWait_(RouteSeconds), Total_(RouteSeconds), Attempts_(AttemptCounts),
+      Tokens_(TokenCounts) {}
+
+void RouteSeries::record(const RequestSample &Sample) {
+  QueueWait_.add(seconds(Sample.QueueWait));
+  Total_.add(seconds(Sample.Total));
+  Attempts_.add(Sample.Attempts);
+  ++Outcomes_[Sample.Outcome];
+  if (Sample.SentAway)
+    ++SentAway_;
+  if (hasFirstToken(Sample))
+    FirstToken_.add(seconds(Sample.FirstToken));
+  if (Sample.Tokens > 0)
+    Tokens_.add(Sample.Tokens);
+  if (Sample.Tokens > 1 && hasFirstToken(Sample))
+    TokenGap_.add(seconds(Sample.Total - Sample.FirstToken) /
+                  (Sample.Tokens - 1));
+}
+
+void RouteSeries::write(PrometheusText &Text,
+                        const MetricLabels &Labels) const {
+  FirstToken_.write(Text, FirstTokenName, Labels);
+  TokenGap_.write(Text, TokenGapName, Labels);
+  QueueWait_.write(Text, QueueWaitName, Labels);
+  Total_.write(Text, TotalName, Labels);
+  Attempts_.write(Text, AttemptsName, Labels);
+  Tokens_.write(Text, TokensName, Labels);
+  for (const auto &[Outcome, Count] : Outcomes_) {
+    MetricLabels WithOutcome = Labels;
+    WithOutcome.push_back({"outcome", Outcome});
+    Text.addValue(RequestsName, WithOutcome, static_cast<double>(Count));
+  }
+  Text.addValue(SentAwayName, Labels, static_cast<double>(SentAway_));
+}
+
+void RouteSeries::declare(PrometheusText &Text) {
+  constexpr auto Histogram = MetricType::Histogram;
+  Text.declare(FirstTokenName, "Time to the first token.", Histogram);
+  Text.declare(TokenGapName, "Mean time between two tokens of a request.",
+               Histogram);
+  Text.declare(QueueWaitName, "Time in this host's queue.", Histogram);
+  Text.declare(TotalName, "Time to the end of the answer.", Histogram);
+  Text.declare(AttemptsName, "Attempts of a request.", Histogram);
+  Text.declare(TokensName, "Tokens of an answer.", Histogram);
+  Text.declare(RequestsName, "Ended requests by outcome.", MetricType::Counter);
+  Text.declare(SentAwayName, "Requests sent to another region.",
+               MetricType::Counter);
+}
+
+TenantSeries::TenantSeries()
+    : FirstToken_(TenantSeconds), QueueWait_(TenantSeconds),
+      Total_(TenantSeconds) {}
+
+void TenantSeries::record(const RequestSample &Sample) {
+  QueueWait_.add(seconds(Sample.QueueWait));
+  Total_.add(seconds(Sample.Total));
+  if (hasFirstToken(Sample))
+    FirstToken_.add(seconds(Sample.FirstToken));
+  ++(Sample.Outcome == WholeOutcome ? Whole_ : Failed_);
+}
+
+void TenantSeries::merge(const TenantSeries &Other) {
+  FirstToken_.merge(Other.FirstToken_);
+  QueueWait_.merge(Other.QueueWait_);
+  Total_.merge(Other.Total_);
+  Whole_ += Other.Whole_;
+  Failed_ += Other.Failed_;
+}
+
+void TenantSeries::write(PrometheusText &Text,
+                         const MetricLabels &Labels) const {
+  FirstToken_.write(Text, TenantFirstTokenName, Labels);
+  QueueWait_.write(Text, TenantQueueWaitName, Labels);
+  Total_.write(Text, TenantTotalName, Labels);
+  MetricLabels WithOutcome = Labels;
+  WithOutcome.push_back({"outcome", WholeOutcome});
+  Text.addValue(TenantRequestsName, WithOutcome, static_cast<double>(Whole_));
+  WithOutcome.back().Value = FailedOutcome;
+  Text.addValue(TenantRequestsName, WithOutcome, static_cast<double>(Failed_));
+}
+
+void TenantSeries::declare(PrometheusText &Text) {
+  constexpr auto Histogram = MetricType::Histogram;
+  Text.declare(TenantFirstTokenName, "Time to the first token, by tenant.",
+               Histogram);
+  Text.declare(TenantQueueWaitName, "Time in this host's queue, by tenant.",
+               Histogram);
+  Text.declare(TenantTotalName, "Time to the end of the answer, by tenant.",
+               Histogram);
+  Text.declare(TenantRequestsName, "Ended requests by tenant and outcome.",
+               MetricType::Counter);
+}
+
+} // namespace celerybeam
--- /dev/null
+++ b/src/metrics/metricsregistry.h
@@ -0,0 +1,89 @@
+#ifndef CELERYBEAM_METRICS_METRICSREGISTRY_H
+#define CELERYBEAM_METRICS_METRICSREGISTRY_H
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "blackboard/idtypes.h"
+#include "blackboard/tabletypes.h"
+#include "framework/runtime.h"
+
+namespace celerybeam {
+
+/// What is measured of one request that has ended.
+struct RequestSample {
+  TenantId Tenant;
+  RouteName Route;
+  RequestClass Class = RequestClass::Short;
+  /// "ok" or the name of an error kind.
+  std::string Outcome = "ok";
+  Duration QueueWait{};
+  /// From the request's start; zero when no token came.
+  Duration FirstToken{};
+  Duration Total{};
+  std::uint32_t Attempts = 0;
+  std::uint32_t Tokens = 0;
+  bool SentAway = false;
+};
+
+/// One label of a counter or gauge.
+struct MetricLabel {
+  std::string Name;
+  std::string Value;
+};
+
+using MetricLabels = std::vector<MetricLabel>;
+
+/// Bounds of the number of series.
+struct MetricsLimits {
+  /// Tenants with series of their own, those with most requests; the others
+  /// are counted together as tenant "rest".
+  std::size_t Tenants = 200;
+  /// Pairs of route and class with series of their own; further ones are
+  /// counted together as route "rest".
+  std::size_t Routes = 400;
+  /// Label sets of all counters and gauges; further ones are dropped.
+  std::size_t Values = 2000;
+};
+
+/// Histograms, counters and gauges of this host, bounded in number.
+///
+/// State lies in shards, each under its own lock. Thread-safe.
+class MetricsRegistry {
+public:
+  explicit MetricsRegistry(MetricsLimits Limits = {});
+  ~MetricsRegistry();
+
+  /// Counts a request in the histograms of its route and class and of its
+  /// tenant.
+  void record(const RequestSample &Sample);
+
+  /// Adds to a counter; by custom its name ends in "_total". A name keeps
+  /// its first help text.
+  void add(const std::string &Name, const std::string &Help,
+           const MetricLabels &Labels = {}, double Amount = 1);
+
+  /// Sets a gauge.
+  void set(const std::string &Name, const std::string &Help,
+           const MetricLabels &Labels, double Value);
+
+  /// Reads a gauge or counter each time that text is called, without a lock
+  /// held. A name that ends in "_total" is a counter.
+  void addSource(const std::string &Name, const std::string &Help,
+                 std::function<double()> Read);
+
+  /// All metrics in the Prometheus text format, version 0.0.4.
+  std::string text() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace celerybeam
+
+#endif
