--- a/src/configuration/configurationcontroller.h
+++ b/src/configuration/configurationcontroller.h
@@ -20,7 +20,8 @@
 /// it is higher than the one in force and its digest fits.
 ///
 /// Reads: peers, tables. Writes: tables. Wakes: start, tick, messages, store
-/// completions. Thread-safe.
+/// completions. Thread-safe. Store calls that end after the destructor are
+/// ignored, but none may be ending on another thread while it runs.
 class ConfigurationController {
 public:
   ConfigurationController(Blackboard &Board, Runtime R, StoreHooks Store,
--- /dev/null
+++ b/src/configuration/tests/fakestore.h
@@ -0,0 +1,100 @@
+#ifndef CELERYBEAM_CONFIGURATION_TESTS_FAKESTORE_H
+#define CELERYBEAM_CONFIGURATION_TESTS_FAKESTORE_H
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "configuration/tests/virtualtime.h"
+#include "framework/storehooks.h"
+
+namespace celerybeam::tests {
+
+/// A key-value store in memory with faults on command.
+class FakeStore {
+public:
+  explicit FakeStore(VirtualTime &Time) : Time_(Time) {}
+
+  bool Down = false;
+  Duration Delay = std::chrono::milliseconds(5);
+  /// Called with each write of the head: true loses its reply.
+  std::function<bool()> LosesHeadReply = [] { return false; };
+  /// Runs before each write of the head, as a racing editor would.
+  std::function<void()> BeforeHeadWrite = [] {};
+  /// Keys whose reads answer with the value at the time of freeze().
+  void freeze() { Old_ = Values_; }
+  void thaw() { Old_.reset(); }
+  int Reads = 0;
+  int Writes = 0;
+
+  StoreHooks hooks() {
+    StoreHooks Hooks;
+    Hooks.Get = [this](StoreKey Key, Completion<StoreValue> Done) {
+      ++Reads;
+      Time_.after(Delay, [=, this] { Done(read(Key)); });
+    };
+    Hooks.Watch = [this](StoreWatch Watch, Completion<StoreValue> Done) {
+      ++Reads;
+      poll(Watch, Time_.now() + Watch.Wait, Done);
+    };
+    Hooks.Put = [this](StorePut Put, Completion<StoreVersion> Done) {
+      ++Writes;
+      Time_.after(Delay, [=, this] { Done(write(Put)); });
+    };
+    return Hooks;
+  }
+
+  const std::string &data(const StoreKey &Key) { return Values_[Key].Data; }
+  void corrupt(const StoreKey &Key) { Values_[Key].Data += " "; }
+
+private:
+  using Values = std::map<StoreKey, StoreValue>;
+
+  static tl::unexpected<Error> unreachable() {
+    return makeError(ErrorKind::StoreUnreachable, "down");
+  }
+
+  Result<StoreValue> read(const StoreKey &Key) {
+    if (Down)
+      return unreachable();
+    const Values &From = Old_ ? *Old_ : Values_;
+    auto It = From.find(Key);
+    if (It == From.end())
+      return makeError(ErrorKind::NotFound, "no key");
+    return It->second;
+  }
+
+  void poll(const StoreWatch &Watch, TimePoint End,
+            const Completion<StoreValue> &Done) {
+    Result<StoreValue> Value = read(Watch.Key);
+    bool Waits = Value && Value->Version <= Watch.After && Time_.now() < End;
+    if (!Waits)
+      return Time_.after(Delay, [=] { Done(Value); });
+    Time_.after(std::chrono::milliseconds(50),
+                [=, this] { poll(Watch, End, Done); });
+  }
+
+  Result<StoreVersion> write(const StorePut &Put) {
+    bool IsHead = Put.Key.str() == "config/head";
+    if (IsHead)
+      BeforeHeadWrite();
+    if (Down)
+      return unreachable();
+    StoreValue &Value = Values_[Put.Key];
+    if (Value.Version != Put.Expected)
+      return makeError(ErrorKind::StoreConflict, "another version");
+    Value = {Put.Data, Value.Version + 1};
+    if (IsHead && LosesHeadReply())
+      return makeError(ErrorKind::StoreOutcomeUnknown, "reply lost");
+    return Value.Version;
+  }
+
+  VirtualTime &Time_;
+  Values Values_;
+  std::optional<Values> Old_;
+};
+
+} // namespace celerybeam::tests
+
+#endif
