Add admission: fair queues, windows and limits in shares

Cause: more requests than slots must not lower what is answered in time, and limits count over a region without a question on each request's way. Change: src/admission with a queue for each pool (short before long with a floor for long, tenants in turns, earliest deadline first, refusal at once with the time to come back, bounded with shedding), a window from this host's part of the region's slots and what stands free, and limits lent in shares: one keeper a limit, two seconds' life, counted by the holder from its question and by the keeper from its grant. AdmissionController::addDemands is gone since nothing reads demands; core no longer calls it. Conclusion: test_admission passes.

--- /dev/null
+++ b/src/admission/tests/admissiontest.cpp
@@ -0,0 +1,257 @@
+#include "admission/admissioncontroller.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "support/virtualtime.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One entry host with one pool of 8 slots.
+struct Fixture {
+  Fixture() : Board(identity()), Admission(Board, Time.runtime(), hooks()) {
+    Route.Name = RouteName("quotes");
+    Pool.Name = PoolName("cedar");
+    Pool.Label = "cedar";
+    publish();
+    EndpointDescriptor D;
+    D.Id = EndpointId("m1");
+    D.Region = identity().Region;
+    D.Label = "cedar";
+    D.Slots = 8;
+    Board.describeEndpoint(D, EndpointState::Live);
+    run(3s);
+  }
+
+  static HostIdentity identity() {
+    HostIdentity Self;
+    Self.Id = HostId("h1");
+    Self.Region = RegionId("huye");
+    return Self;
+  }
+
+  static PeerHooks hooks() {
+    return {[](const HostId &, messages::Envelope) {}};
+  }
+
+  void publish() {
+    auto T = std::make_shared<Tables>();
+    T->Number = Board.tables()->Number + 1;
+    T->Routes = {Route};
+    T->Pools = {Pool};
+    Board.adoptTables(T);
+  }
+
+  void run(Duration Span) {
+    for (Duration Past{}; Past < Span;
+         Past += AdmissionController::TickInterval) {
+      Time.runFor(AdmissionController::TickInterval);
+      Admission.tick();
+    }
+  }
+
+  RequestId submit(RequestClass Class, const std::string &Tenant = "t",
+                   Duration Deadline = 60s) {
+    RequestId Id("r" + std::to_string(++Submitted));
+    AdmissionRequest Ask{
+        Id, Route.Name,           Pool.Name, TenantId(Tenant), Class,
+        10, Time.now() + Deadline};
+    Admission.submit(Ask, [this, Id](Result<void> R) {
+      Order.push_back(Id);
+      Results.emplace(Id, std::move(R));
+    });
+    return Id;
+  }
+
+  std::vector<RequestId> fill(unsigned Count) {
+    std::vector<RequestId> Ids;
+    for (unsigned I = 0; I < Count; ++I)
+      Ids.push_back(submit(RequestClass::Short));
+    return Ids;
+  }
+
+  bool admitted(const RequestId &Id) const {
+    auto It = Results.find(Id);
+    return It != Results.end() && It->second.has_value();
+  }
+
+  bool waits(const RequestId &Id) const { return !Results.contains(Id); }
+
+  const Error &error(const RequestId &Id) const {
+    BOOST_REQUIRE(Results.contains(Id));
+    BOOST_REQUIRE(!Results.at(Id));
+    return Results.at(Id).error();
+  }
+
+  testing::VirtualTime Time{3};
+  RouteRow Route;
+  PoolRow Pool;
+  Blackboard Board;
+  AdmissionController Admission;
+  unsigned Submitted = 0;
+  std::map<RequestId, Result<void>> Results;
+  std::vector<RequestId> Order;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AdmissionTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(theWindowIsThePoolsSlots) {
+  auto Ids = fill(9);
+  BOOST_TEST(admitted(Ids[7]));
+  BOOST_TEST(waits(Ids[8]));
+  Admission.finished(Ids[0], 10);
+  BOOST_TEST(admitted(Ids[8]));
+  BOOST_TEST(Admission.view(Pool.Name).Admitted == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(hostsOfARegionShareTheSlots) {
+  PeerRecord Peer;
+  Peer.Id = HostId("h2");
+  Peer.Region = RegionId("huye");
+  Board.peers().set(Peer.Id, Peer);
+  Board.endpoints().update(EndpointId("m1"),
+                           [](EndpointRecord &E) { E.Report.Running = 8; });
+  run(1s);
+  auto Ids = fill(5);
+  BOOST_TEST(admitted(Ids[3]));
+  BOOST_TEST(waits(Ids[4]));
+}
+
+BOOST_AUTO_TEST_CASE(freeSlotsOfOtherHostsAreBorrowed) {
+  PeerRecord Peer;
+  Peer.Id = HostId("h2");
+  Peer.Region = RegionId("huye");
+  Board.peers().set(Peer.Id, Peer);
+  run(1s);
+  auto Ids = fill(7);
+  BOOST_TEST(waits(Ids[6]));
+  run(1s);
+  BOOST_TEST(admitted(Ids[6]));
+}
+
+BOOST_AUTO_TEST_CASE(shortQuestionsOvertakeLongDrafts) {
+  auto Ids = fill(8);
+  RequestId Drafts[] = {submit(RequestClass::Long), submit(RequestClass::Long),
+                        submit(RequestClass::Long)};
+  RequestId Question = submit(RequestClass::Short);
+  Admission.finished(Ids[0], 10);
+  Admission.finished(Ids[1], 10);
+  // Long drafts keep a quarter of the window; then the question comes first.
+  BOOST_TEST(admitted(Drafts[1]));
+  BOOST_TEST(waits(Question));
+  Admission.finished(Ids[2], 10);
+  BOOST_TEST(admitted(Question));
+  BOOST_TEST(waits(Drafts[2]));
+}
+
+BOOST_AUTO_TEST_CASE(longDraftsLeaveSlotsFree) {
+  std::vector<RequestId> Drafts;
+  for (int I = 0; I < 8; ++I)
+    Drafts.push_back(submit(RequestClass::Long));
+  BOOST_TEST(admitted(Drafts[5]));
+  BOOST_TEST(waits(Drafts[6]));
+  BOOST_TEST(admitted(submit(RequestClass::Short)));
+}
+
+BOOST_AUTO_TEST_CASE(refusedAtOnceWhenTheDeadlineCannotBeMet) {
+  fill(40);
+  RequestId Late = submit(RequestClass::Short, "t", 2s);
+  BOOST_TEST((error(Late).Kind == ErrorKind::NoCapacityInTime));
+  // 32 wait for 8 slots of a second each: the queue is about 4 s long.
+  BOOST_TEST((*error(Late).RetryAfter >= 2s));
+  BOOST_TEST((*error(Late).RetryAfter <= 4s));
+}
+
+BOOST_AUTO_TEST_CASE(aWaiterIsRefusedAsSoonAsItCannotBeServed) {
+  fill(8);
+  RequestId Waiter = submit(RequestClass::Short, "u", 1500ms);
+  BOOST_TEST(waits(Waiter));
+  run(900ms);
+  BOOST_TEST((error(Waiter).Kind == ErrorKind::NoCapacityInTime));
+}
+
+BOOST_AUTO_TEST_CASE(aFullQueueShedsLongThenTheNewestOfTheLargestTenant) {
+  fill(8);
+  RequestId Draft = submit(RequestClass::Long, "polite", 1h);
+  std::vector<RequestId> Flood;
+  for (int I = 0; I < 63; ++I)
+    Flood.push_back(submit(RequestClass::Short, "flood", 1h));
+  BOOST_TEST(waits(Draft));
+  RequestId Polite = submit(RequestClass::Short, "polite", 1h);
+  BOOST_TEST((error(Draft).Kind == ErrorKind::Overloaded));
+  BOOST_TEST(error(Draft).RetryAfter.has_value());
+  RequestId Second = submit(RequestClass::Short, "polite", 1h);
+  BOOST_TEST(waits(Polite));
+  BOOST_TEST(waits(Second));
+  BOOST_TEST((error(Flood.back()).Kind == ErrorKind::Overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(cancelledRequestsAreNeverAdmitted) {
+  auto Ids = fill(9);
+  Admission.cancel(Ids[8]);
+  Admission.finished(Ids[0], 10);
+  BOOST_TEST(waits(Ids[8]));
+  BOOST_TEST(Admission.view(Pool.Name).Admitted == 7U);
+  // Of an admitted request whose end nobody told.
+  Admission.cancel(Ids[1]);
+  BOOST_TEST(Admission.view(Pool.Name).Admitted == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(limitsRefuseWithTheTimeToTheNextToken) {
+  Route.Limits.TenantRequestsPerSecond = 2;
+  publish();
+  auto Ids = fill(3);
+  BOOST_TEST(admitted(Ids[1]));
+  BOOST_TEST((error(Ids[2]).Kind == ErrorKind::RateLimited));
+  BOOST_TEST((*error(Ids[2]).RetryAfter > 400ms));
+  BOOST_TEST((*error(Ids[2]).RetryAfter <= 600ms));
+  run(520ms);
+  BOOST_TEST(admitted(submit(RequestClass::Short)));
+  BOOST_TEST(admitted(submit(RequestClass::Short, "other")));
+}
+
+BOOST_AUTO_TEST_CASE(concurrencyIsGivenBackWhateverTheEnd) {
+  Route.Limits.TenantConcurrency = 2;
+  publish();
+  auto Ids = fill(3);
+  BOOST_TEST((error(Ids[2]).Kind == ErrorKind::RateLimited));
+  Admission.finished(Ids[0], 10);
+  Admission.cancel(Ids[1]);
+  auto More = fill(3);
+  BOOST_TEST(admitted(More[1]));
+  BOOST_TEST(!admitted(More[2]));
+}
+
+BOOST_AUTO_TEST_CASE(tokensUsedAreCountedInPlaceOfThoseAsked) {
+  Route.Limits.TenantTokensPerSecond = 100;
+  publish();
+  RequestId First = submit(RequestClass::Short);
+  BOOST_TEST(admitted(First));
+  Admission.finished(First, 500);
+  RequestId Second = submit(RequestClass::Short);
+  BOOST_TEST((error(Second).Kind == ErrorKind::RateLimited));
+  BOOST_TEST((*error(Second).RetryAfter > 3s));
+}
+
+BOOST_AUTO_TEST_CASE(requestsThatGoAwayTakeNoPlace) {
+  fill(8);
+  AdmissionRequest Ask{
+      RequestId("away"),   Route.Name, Pool.Name,       TenantId("t"),
+      RequestClass::Short, 10,         Time.now() + 9s, true};
+  bool Done = false;
+  Admission.submit(Ask, [&](Result<void> R) { Done = R.has_value(); });
+  BOOST_TEST(Done);
+}
+
+BOOST_AUTO_TEST_CASE(aPastDeadlineIsTold) {
+  BOOST_TEST((error(submit(RequestClass::Short, "t", 0s)).Kind ==
+              ErrorKind::DeadlineExpired));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/admission/tests/fairqueuetest.cpp
@@ -0,0 +1,91 @@
+#include "admission/internal/fairqueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+using celerybeam::detail::FairQueue;
+
+namespace {
+
+void push(FairQueue &Queue, const std::string &Request,
+          const std::string &Tenant, Duration Deadline, double Cost = 1) {
+  Queue.push({RequestId(Request), TenantId(Tenant), TimePoint(Deadline),
+              TimePoint(), Cost});
+}
+
+std::string popAll(FairQueue &Queue) {
+  std::string Order;
+  while (auto Next = Queue.pop())
+    Order += Next->Request.str() + " ";
+  return Order;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FairQueueTests)
+
+BOOST_AUTO_TEST_CASE(earliestDeadlineGoesFirstWithinATenant) {
+  FairQueue Queue;
+  push(Queue, "a", "t", 3s);
+  push(Queue, "b", "t", 1s);
+  push(Queue, "c", "t", 2s);
+  BOOST_TEST(popAll(Queue) == "b c a ");
+}
+
+BOOST_AUTO_TEST_CASE(tenantsTakeTurnsHoweverMuchOneSends) {
+  FairQueue Queue;
+  for (int I = 0; I < 4; ++I)
+    push(Queue, "f" + std::to_string(I), "flood", I * 1s);
+  push(Queue, "p0", "polite", 9s);
+  push(Queue, "p1", "polite", 9s);
+  BOOST_TEST(popAll(Queue) == "f0 p0 f1 p1 f2 f3 ");
+}
+
+BOOST_AUTO_TEST_CASE(costlyRequestsTakeMoreOfATenantsTurns) {
+  FairQueue Queue;
+  for (int I = 0; I < 2; ++I)
+    push(Queue, "h" + std::to_string(I), "heavy", I * 1s, 3);
+  for (int I = 0; I < 4; ++I)
+    push(Queue, "l" + std::to_string(I), "light", I * 1s, 1);
+  BOOST_TEST(popAll(Queue) == "h0 l0 l1 l2 h1 l3 ");
+}
+
+BOOST_AUTO_TEST_CASE(theNewestOfTheLargestTenantIsShed) {
+  FairQueue Queue;
+  push(Queue, "p", "polite", 9s);
+  push(Queue, "f0", "flood", 5s);
+  push(Queue, "f1", "flood", 1s);
+  push(Queue, "q", "other", 9s);
+  BOOST_TEST(Queue.shed()->Request == RequestId("f1"));
+  BOOST_TEST(Queue.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(lateRequestsAreTakenOut) {
+  FairQueue Queue;
+  push(Queue, "a", "t", 1s);
+  push(Queue, "b", "t", 3s);
+  push(Queue, "c", "u", 2s);
+  BOOST_TEST(Queue.removeDueBefore(TimePoint(2500ms)).size() == 2U);
+  BOOST_TEST(popAll(Queue) == "b ");
+}
+
+BOOST_AUTO_TEST_CASE(aheadCountsTurnsNotTheWholeQueue) {
+  FairQueue Queue;
+  for (int I = 0; I < 50; ++I)
+    push(Queue, "f" + std::to_string(I), "flood", 1s);
+  BOOST_TEST(Queue.ahead(TenantId("polite")) == 1U);
+  BOOST_TEST(Queue.ahead(TenantId("flood")) == 50U);
+  BOOST_TEST(FairQueue().ahead(TenantId("polite")) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(removalForgetsTheTenant) {
+  FairQueue Queue;
+  push(Queue, "a", "t", 1s);
+  BOOST_TEST(Queue.remove(RequestId("a")).has_value());
+  BOOST_TEST(!Queue.remove(RequestId("a")).has_value());
+  BOOST_TEST(Queue.empty());
+  BOOST_TEST(!Queue.pop().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/core/internal/entryhost.cpp
+++ b/src/core/internal/entryhost.cpp
@@ -25,10 +25,7 @@
         Admission_(Board_, Hooks_.Time, Hooks_.Peers),
         Poison_(Board_, Hooks_.Time, Hooks_.Peers),
         Monitor_(Board_, Hooks_.Time, Hooks_.Endpoints),
-        Membership_(Board_, Hooks_.Time, Hooks_.Peers,
-                    [this](messages::Gossip &Gossip) {
-                      Admission_.addDemands(Gossip);
-                    }),
+        Membership_(Board_, Hooks_.Time, Hooks_.Peers, {}),
         Configuration_(Board_, Hooks_.Time, Hooks_.Store, Hooks_.Peers),
         Bookings_(Board_, Hooks_.Time, Hooks_.Store, Hooks_.Peers,
                   Hooks_.Endpoints,
--- a/src/httpclient/internal/transfer.h
+++ b/src/httpclient/internal/transfer.h
@@ -67,14 +67,14 @@
   std::size_t onSend(char *Buffer, std::size_t Size);
   int onRequest();
 
-  static std::size_t headerLine(char *Data, std::size_t Size,
-                                std::size_t Count, void *Self);
+  static std::size_t headerLine(char *Data, std::size_t Size, std::size_t Count,
+                                void *Self);
   static std::size_t dataArrived(char *Data, std::size_t Size,
                                  std::size_t Count, void *Self);
-  static std::size_t sendBody(char *Buffer, std::size_t Size,
-                              std::size_t Count, void *Self);
-  static int beforeRequest(void *Self, char *PrimaryAddress,
-                           char *LocalAddress, int PrimaryPort, int LocalPort);
+  static std::size_t sendBody(char *Buffer, std::size_t Size, std::size_t Count,
+                              void *Self);
+  static int beforeRequest(void *Self, char *PrimaryAddress, char *LocalAddress,
+                           int PrimaryPort, int LocalPort);
 
   const HttpCallId Id_;
   const HttpCall Call_;
--- a/src/httpclient/tests/closingserver.h
+++ b/src/httpclient/tests/closingserver.h
@@ -20,10 +20,10 @@
     struct sockaddr_in Any = {};
     Any.sin_family = AF_INET;
     Any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    Daemon_ = MHD_start_daemon(
-        MHD_USE_INTERNAL_POLLING_THREAD, 0, nullptr, nullptr, &serve, this,
-        MHD_OPTION_SOCK_ADDR, reinterpret_cast<struct sockaddr *>(&Any),
-        MHD_OPTION_END);
+    Daemon_ = MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, nullptr,
+                               nullptr, &serve, this, MHD_OPTION_SOCK_ADDR,
+                               reinterpret_cast<struct sockaddr *>(&Any),
+                               MHD_OPTION_END);
     struct sockaddr_in Bound = {};
     socklen_t Size = sizeof(Bound);
     getsockname(
--- a/src/platform/internal/platformanswers.cpp
+++ b/src/platform/internal/platformanswers.cpp
@@ -163,8 +163,7 @@
     return leaseLost();
   try {
     const Json Body = Json::parse(Answer.Body);
-    std::chrono::milliseconds TimeToLive(
-        Body.at("ttl_ms").get<std::int64_t>());
+    std::chrono::milliseconds TimeToLive(Body.at("ttl_ms").get<std::int64_t>());
     return StoreLease{requiredId<LeaseId>(Body, "id"), TimeToLive};
   } catch (const std::exception &Failure) {
     return tl::unexpected(lostAnswer(StoreAccess::Write, Failure.what()));
--- a/src/platform/internal/platformclient.cpp
+++ b/src/platform/internal/platformclient.cpp
@@ -97,8 +97,7 @@
     PlatformCall Call;
     Call.Counted = &AtomicCounts::Watches;
     Call.Wait = toMilliseconds(Watch.Wait);
-    Call.Target = keyPath(Watch.Key) +
-                  "?after=" + std::to_string(Watch.After) +
+    Call.Target = keyPath(Watch.Key) + "?after=" + std::to_string(Watch.After) +
                   "&wait_ms=" + countText(Call.Wait);
     send(std::move(Call), [Self = shared_from_this(), Watch,
                            Done = std::move(Done)](Result<HttpAnswer> Answer) {
--- a/src/platform/tests/platformclienttest.cpp
+++ b/src/platform/tests/platformclienttest.cpp
@@ -33,9 +33,8 @@
 template <typename T> class Awaited {
 public:
   Completion<T> completion() {
-    return [Promise = Promise_](Result<T> R) {
-      Promise->set_value(std::move(R));
-    };
+    return
+        [Promise = Promise_](Result<T> R) { Promise->set_value(std::move(R)); };
   }
   Result<T> get() {
     auto Future = Promise_->get_future();
@@ -170,8 +169,7 @@
 BOOST_FIXTURE_TEST_CASE(lostReplyOfAWriteLeavesItsOutcomeOpen, Fixture) {
   setMode("lose-replies");
   BOOST_TEST((errorOf(put("one", 0)) == ErrorKind::StoreOutcomeUnknown));
-  BOOST_TEST(
-      (errorOf(grant(seconds(1))) == ErrorKind::StoreOutcomeUnknown));
+  BOOST_TEST((errorOf(grant(seconds(1))) == ErrorKind::StoreOutcomeUnknown));
   BOOST_TEST((errorOf(get()) == ErrorKind::StoreUnreachable));
   setMode("ok");
   BOOST_TEST(get().value().Data == "one");
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -138,8 +138,8 @@
   FakeReply write(const FakeRequest &R, const std::string &Key) {
     if (R.Body.size() > ValueLimitBytes)
       return status(413);
-    FakeStore::PutOutcome Outcome = Store_.put(
-        Key, R.Body, R.queryNumber("expected", 0), R.query("lease"));
+    FakeStore::PutOutcome Outcome =
+        Store_.put(Key, R.Body, R.queryNumber("expected", 0), R.query("lease"));
     if (Outcome.Status == FakeStore::PutStatus::NoLease)
       return status(404);
     const bool Written = Outcome.Status == FakeStore::PutStatus::Written;
