Satisfy the linter in admission

Cause: clang-tidy found copies and containers that grow in loops. Change: moves, references and reserves. Conclusion: test_admission passes.

--- a/src/admission/internal/admissioncontroller.cpp
+++ b/src/admission/internal/admissioncontroller.cpp
@@ -79,7 +79,8 @@
 class AdmissionController::Impl {
 public:
   Impl(Blackboard &Board, Runtime R, PeerHooks Peers)
-      : Board_(Board), Runtime_(R), Limits_(Board, std::move(R), Peers) {}
+      : Board_(Board), Runtime_(R),
+        Limits_(Board, std::move(R), std::move(Peers)) {}
 
   void submit(AdmissionRequest Request, Completion<void> Done) {
     TimePoint Now = Runtime_.Now();
--- a/src/admission/internal/fairqueue.cpp
+++ b/src/admission/internal/fairqueue.cpp
@@ -77,6 +77,7 @@
       Due.push_back({Tenant, At});
     }
   std::vector<WaitingRequest> Removed;
+  Removed.reserve(Due.size());
   for (const Place &P : Due)
     Removed.push_back(takeOut(P.Tenant, P.At));
   return Removed;
--- a/src/admission/tests/admissiontest.cpp
+++ b/src/admission/tests/admissiontest.cpp
@@ -35,7 +35,7 @@
   }
 
   static PeerHooks hooks() {
-    return {[](const HostId &, messages::Envelope) {}};
+    return {[](const HostId &, const messages::Envelope &) {}};
   }
 
   void publish() {
@@ -67,10 +67,14 @@
     return Id;
   }
 
-  std::vector<RequestId> fill(unsigned Count) {
+  std::vector<RequestId> fill(unsigned Count,
+                              RequestClass Class = RequestClass::Short,
+                              const std::string &Tenant = "t",
+                              Duration Deadline = 60s) {
     std::vector<RequestId> Ids;
+    Ids.reserve(Count);
     for (unsigned I = 0; I < Count; ++I)
-      Ids.push_back(submit(RequestClass::Short));
+      Ids.push_back(submit(Class, Tenant, Deadline));
     return Ids;
   }
 
@@ -151,9 +155,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(longDraftsLeaveSlotsFree) {
-  std::vector<RequestId> Drafts;
-  for (int I = 0; I < 8; ++I)
-    Drafts.push_back(submit(RequestClass::Long));
+  auto Drafts = fill(8, RequestClass::Long);
   BOOST_TEST(admitted(Drafts[5]));
   BOOST_TEST(waits(Drafts[6]));
   BOOST_TEST(admitted(submit(RequestClass::Short)));
@@ -179,9 +181,7 @@
 BOOST_AUTO_TEST_CASE(aFullQueueShedsLongThenTheNewestOfTheLargestTenant) {
   fill(8);
   RequestId Draft = submit(RequestClass::Long, "polite", 1h);
-  std::vector<RequestId> Flood;
-  for (int I = 0; I < 63; ++I)
-    Flood.push_back(submit(RequestClass::Short, "flood", 1h));
+  auto Flood = fill(63, RequestClass::Short, "flood", 1h);
   BOOST_TEST(waits(Draft));
   RequestId Polite = submit(RequestClass::Short, "polite", 1h);
   BOOST_TEST((error(Draft).Kind == ErrorKind::Overloaded));
@@ -245,7 +245,7 @@
       RequestId("away"),   Route.Name, Pool.Name,       TenantId("t"),
       RequestClass::Short, 10,         Time.now() + 9s, true};
   bool Done = false;
-  Admission.submit(Ask, [&](Result<void> R) { Done = R.has_value(); });
+  Admission.submit(Ask, [&](const Result<void> &R) { Done = R.has_value(); });
   BOOST_TEST(Done);
 }
 
