--- a/src/core/internal/entryhost.cpp
+++ b/src/core/internal/entryhost.cpp
@@ -56,15 +56,15 @@
 
   // Requests come to their end first, since bookings among them still need
   // this host's part of the ledger.
-  void leave(Task Done) {
+  void leave(const Task &Done) {
     if (!Board_.leaving()) {
       Board_.setLeaving();
       Membership_.announceLeaving();
     }
-    waitForRequests(std::move(Done));
+    waitForRequests(Done);
   }
 
-  void waitForRequests(Task Done) {
+  void waitForRequests(const Task &Done) {
     if (Requests_.inFlight() > 0) {
       later(LeavePollInterval, [this, Done] { waitForRequests(Done); });
       return;
@@ -141,7 +141,7 @@
 void EntryHost::platformListed(const PlatformList &List) {
   Impl_->Membership_.platformListed(List);
 }
-void EntryHost::leave(Task Done) { Impl_->leave(std::move(Done)); }
+void EntryHost::leave(Task Done) { Impl_->leave(Done); }
 bool EntryHost::ready() const {
   return Impl_->Configuration_.ready() && Impl_->Board_.tables()->Number > 0 &&
          !Impl_->Board_.leaving();
--- a/src/requests/internal/bookingexchange.cpp
+++ b/src/requests/internal/bookingexchange.cpp
@@ -25,7 +25,8 @@
     Ask.Class = RequestClass::Short;
     Ask.Deadline = Start_.Deadline;
     Services_.Admission->submit(
-        std::move(Ask), [Self = shared_from_this()](Result<void> Admitted) {
+        std::move(Ask),
+        [Self = shared_from_this()](const Result<void> &Admitted) {
           Self->onAdmitted(Admitted);
         });
   }
--- a/src/requests/internal/exchange.cpp
+++ b/src/requests/internal/exchange.cpp
@@ -115,10 +115,11 @@
   Ask.Class = Start_.Class;
   Ask.Tokens = Start_.Asked.PromptTokens + Start_.Asked.MaxTokens;
   Ask.Deadline = Start_.Deadline;
-  Services_.Admission->submit(std::move(Ask), [Weak](Result<void> Admitted) {
-    if (std::shared_ptr<Exchange> Self = Weak.lock())
-      Self->post([Admitted](Exchange &E) { E.onAdmitted(Admitted); });
-  });
+  Services_.Admission->submit(
+      std::move(Ask), [Weak](const Result<void> &Admitted) {
+        if (std::shared_ptr<Exchange> Self = Weak.lock())
+          Self->post([Admitted](Exchange &E) { E.onAdmitted(Admitted); });
+      });
 }
 
 void Exchange::callerReady() {
--- a/src/requests/internal/forwardserver.cpp
+++ b/src/requests/internal/forwardserver.cpp
@@ -62,11 +62,11 @@
 
 ResponseHooks ForwardServer::replyHooks(const HostId &, const AttemptId &Id) {
   ResponseHooks Hooks;
-  Hooks.Head = [this, Id](ResponseHead Head) { sendHead(Id, Head); };
+  Hooks.Head = [this, Id](const ResponseHead &Head) { sendHead(Id, Head); };
   Hooks.Chunk = [this, Id](std::string Data) {
     return sendChunk(Id, std::move(Data));
   };
-  Hooks.End = [this, Id](Result<void> Outcome) { sendEnd(Id, Outcome); };
+  Hooks.End = [this, Id](const Result<void> &Outcome) { sendEnd(Id, Outcome); };
   return Hooks;
 }
 
--- a/src/requests/internal/replycollector.h
+++ b/src/requests/internal/replycollector.h
@@ -1,6 +1,7 @@
 #ifndef CELERYBEAM_REQUESTS_INTERNAL_REPLYCOLLECTOR_H
 #define CELERYBEAM_REQUESTS_INTERNAL_REPLYCOLLECTOR_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -37,7 +38,7 @@
   /// Whether bytes that cannot be taken back have gone to the caller.
   bool passedThrough() const { return PassedThrough_; }
 
-  static constexpr std::size_t HoldBytes = 256 * 1024;
+  static constexpr std::size_t HoldBytes = std::size_t{256} * 1024;
 
 private:
   ResponseHead Head_;
--- a/src/requests/internal/requestcontroller.cpp
+++ b/src/requests/internal/requestcontroller.cpp
@@ -50,7 +50,7 @@
         Forwards_(Services_.Peers),
         Server_(Services_.Peers, Services_.Time, forwardRunner()) {}
 
-  RequestId start(AcceptedHead Accepted, std::string Body,
+  RequestId start(const AcceptedHead &Accepted, std::string Body,
                   ResponseHooks Answer) {
     RequestId Id(Uuid7::generate(Services_.Time).str());
     auto Shared = std::make_shared<const std::string>(std::move(Body));
@@ -292,7 +292,7 @@
 
 RequestId RequestController::start(AcceptedHead Accepted, std::string Body,
                                    ResponseHooks Answer) {
-  return Impl_->start(std::move(Accepted), std::move(Body), std::move(Answer));
+  return Impl_->start(Accepted, std::move(Body), std::move(Answer));
 }
 
 void RequestController::callerReady(const RequestId &Request) {
--- a/tests/scenario/fakeendpoint.cpp
+++ b/tests/scenario/fakeendpoint.cpp
@@ -311,8 +311,9 @@
   produce(J);
 }
 
-void FakeEndpoint::askLoad(const VirtualHost &Caller,
-                           std::function<void(Result<LoadAnswer>)> Done) {
+void FakeEndpoint::askLoad(
+    const VirtualHost &Caller,
+    const std::function<void(Result<LoadAnswer>)> &Done) {
   if (Down_ || (Reachable && !Reachable(Caller.id()))) {
     Caller.post(2 * Options_.Link, [Done] {
       Done(makeError(ErrorKind::ConnectFailed, "nobody answers"));
--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr Duration WithinStep = std::chrono::milliseconds(10);
-
 StepResult fail(const std::string &Why) { return tl::unexpected(Why); }
 
 // "k" and 3 give k1, k2, k3; 0 gives the name itself.
@@ -151,7 +149,7 @@
 
 void ScenarioRunner::addFaultVerbs() {
   auto OnHosts = [this](const std::string &Verb,
-                        std::function<void(const HostId &)> Do) {
+                        const std::function<void(const HostId &)> &Do) {
     Verbs_[Verb] = [this, Do](const Step &S) { return eachHost(S, Do); };
   };
   OnHosts("kill", [this](const HostId &Id) { World_->crashHost(Id); });
@@ -159,7 +157,7 @@
   OnHosts("pause", [this](const HostId &Id) { World_->pauseHost(Id, true); });
   OnHosts("resume", [this](const HostId &Id) { World_->pauseHost(Id, false); });
   auto OnEndpoints = [this](const std::string &Verb,
-                            std::function<void(FakeEndpoint &)> Do) {
+                            const std::function<void(FakeEndpoint &)> &Do) {
     Verbs_[Verb] = [this, Do](const Step &S) { return eachEndpoint(S, Do); };
   };
   OnEndpoints("crash", [](FakeEndpoint &E) { E.crash(); });
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -225,10 +225,11 @@
     for (auto &[Name, E] : Endpoints_)
       E->resume(Id);
   };
-  Hooks.AskLoad = [this, Host](const EndpointId &Id, const Address &,
-                               std::function<void(Result<LoadAnswer>)> Done) {
+  Hooks.AskLoad = [this,
+                   Host](const EndpointId &Id, const Address &,
+                         const std::function<void(Result<LoadAnswer>)> &Done) {
     if (FakeEndpoint *E = endpoint(Id))
-      E->askLoad(Host, std::move(Done));
+      E->askLoad(Host, Done);
   };
   return Hooks;
 }
@@ -309,10 +310,10 @@
   auto Writer = std::make_shared<TablesWriter>(Store_.hooks(Operator_),
                                                Operator_.runtime());
   auto Tell = [this, Name, Writer](const auto &Outcome) {
-    Applied_[Name] =
-        Outcome ? "accepted"
-                : std::string(errorKindName(Outcome.error().Kind)) + ": " +
-                      Outcome.error().Message;
+    Applied_[Name] = Outcome
+                         ? "accepted"
+                         : std::string(errorKindName(Outcome.error().Kind)) +
+                               ": " + Outcome.error().Message;
     note("apply " + Name + ": " + Applied_[Name]);
   };
   Writer->read([Name, Writer, Tell,
@@ -323,7 +324,8 @@
   });
 }
 
-void World::request(CallRecord Record, RequestHead Head, std::string Body) {
+void World::request(CallRecord Record, const RequestHead &Head,
+                    std::string Body) {
   Record.StartedAt = Time_.now();
   std::string Name = Record.Name;
   HostId Via = Record.Via;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -64,7 +64,7 @@
   const std::map<std::string, std::string> &applied() const { return Applied_; }
 
   // Callers.
-  void request(CallRecord Record, RequestHead Head, std::string Body);
+  void request(CallRecord Record, const RequestHead &Head, std::string Body);
   void queryBooking(const std::string &Name, const HostId &Via);
   void callerGone(const std::string &Name);
 
