--- a/src/endpoints/internal/endpointclient.cpp
+++ b/src/endpoints/internal/endpointclient.cpp
@@ -17,7 +17,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t LoadPageLimitBytes = 64 * 1024;
+constexpr std::size_t LoadPageLimitBytes = 65536;
 
 constexpr std::string_view RequestIdHeader = "x-request-id";
 constexpr std::string_view AttemptHeader = "x-attempt";
--- a/src/httpclient/internal/httpfetch.cpp
+++ b/src/httpclient/internal/httpfetch.cpp
@@ -21,7 +21,7 @@
   Hooks.Head = [State](ResponseHead Head) {
     State->Answer.Head = std::move(Head);
   };
-  Hooks.Chunk = [State, BodyLimit](std::string Data) {
+  Hooks.Chunk = [State, BodyLimit](const std::string &Data) {
     std::string &Body = State->Answer.Body;
     State->TooLarge |= Data.size() > BodyLimit - Body.size();
     if (!State->TooLarge)
--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <cstring>
 #include <string_view>
 #include <utility>
 
@@ -257,7 +256,7 @@
   if (!Call_.Body)
     return 0;
   std::size_t Count = std::min(Size, Call_.Body->size() - Sent_);
-  std::memcpy(Buffer, Call_.Body->data() + Sent_, Count);
+  std::copy_n(Call_.Body->data() + Sent_, Count, Buffer);
   Sent_ += Count;
   return Count;
 }
--- a/src/platform/internal/platformclient.cpp
+++ b/src/platform/internal/platformclient.cpp
@@ -16,7 +16,7 @@
 
 /// Above the service's limit of 1 MiB for a value; the list of hosts of the
 /// greatest fleet fits as well.
-constexpr std::size_t AnswerLimitBytes = 8 * 1024 * 1024;
+constexpr std::size_t AnswerLimitBytes = 8UL * 1024 * 1024;
 
 milliseconds toMilliseconds(Duration Time) {
   return std::chrono::ceil<milliseconds>(Time);
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t ValueLimitBytes = 1024 * 1024;
+constexpr std::size_t ValueLimitBytes = 1024UL * 1024;
 constexpr std::uint64_t DefaultDelayMs = 2000;
 constexpr std::uint64_t DefaultLeaseMs = 10000;
 const std::string KeyPrefix = "/v1/kv/";
