Merge distributions cell by cell

Cause: Boost.Histogram's operator+= makes GCC 12 warn of an uninitialised index when built with sanitizers, and warnings are errors. Ruled out: the cell access by at(), which was changed first and did not help. The tests of gateway, peers, logging and metrics pass with address and undefined sanitizers.

--- a/src/metrics/internal/distribution.cpp
+++ b/src/metrics/internal/distribution.cpp
@@ -1,12 +1,14 @@
 #include "metrics/internal/distribution.h"
 
 #include <algorithm>
+#include <functional>
 #include <vector>
 
 namespace celerybeam {
 
 Distribution::Distribution(const DistributionScale &Scale)
-    : Counts_(boost::histogram::make_histogram(
+    : Counts_(boost::histogram::make_histogram_with(
+          std::vector<double>(),
           Axis(Scale.Buckets, Scale.Lowest, Scale.Highest))) {}
 
 void Distribution::add(double Value) {
@@ -16,21 +18,26 @@
 }
 
 void Distribution::merge(const Distribution &Other) {
-  Counts_ += Other.Counts_;
+  // Cell by cell, since both have the same bounds.
+  std::transform(Counts_.begin(), Counts_.end(), Other.Counts_.begin(),
+                 Counts_.begin(), std::plus<>());
   Sum_ += Other.Sum_;
 }
 
 void Distribution::write(PrometheusText &Text, const std::string &Name,
                          const MetricLabels &Labels) const {
   const auto &Bounds = Counts_.axis();
-  // Cell -1 holds what lies below the lowest bound.
-  double Count = Counts_.at(-1);
-  std::vector<CumulativeBucket> Buckets = {{Bounds.value(0), Count}};
-  for (int I = 0; I < Bounds.size(); ++I) {
-    Count += Counts_.at(I);
-    Buckets.push_back({Bounds.value(I + 1), Count});
+  // The first cell holds what lies below the lowest bound, the last one what
+  // lies above the highest.
+  double Count = 0;
+  int Cell = 0;
+  std::vector<CumulativeBucket> Buckets;
+  for (double InCell : Counts_) {
+    Count += InCell;
+    if (Cell <= Bounds.size())
+      Buckets.push_back({Bounds.value(Cell), Count});
+    ++Cell;
   }
-  Count += Counts_.at(Bounds.size());
   Text.addHistogram(Name, Labels, Buckets, Count, Sum_);
 }
 
--- a/src/metrics/internal/distribution.h
+++ b/src/metrics/internal/distribution.h
@@ -2,6 +2,8 @@
 #define CELERYBEAM_METRICS_INTERNAL_DISTRIBUTION_H
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/histogram.hpp>
@@ -35,8 +37,8 @@
   using Axis =
       boost::histogram::axis::regular<double,
                                       boost::histogram::axis::transform::log>;
-  using Histogram =
-      decltype(boost::histogram::make_histogram(std::declval<Axis>()));
+  using Histogram = decltype(boost::histogram::make_histogram_with(
+      std::vector<double>(), std::declval<Axis>()));
 
   Histogram Counts_;
   double Sum_ = 0;
