--- a/src/gateway/internal/callerserver.cpp
+++ b/src/gateway/internal/callerserver.cpp
@@ -1,7 +1,6 @@
 #include "gateway/callerserver.h"
 
-#include <fstream>
-#include <iterator>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -10,6 +9,7 @@
 #include "gateway/internal/connectionwatch.h"
 #include "gateway/internal/servercontext.h"
 #include "gateway/internal/socketaddress.h"
+#include "gateway/internal/tlsfiles.h"
 
 namespace celerybeam {
 
@@ -25,17 +25,6 @@
 
 using ConnectionHandle = std::shared_ptr<CallerConnection>;
 
-Result<std::string> readFile(const std::string &Name) {
-  std::ifstream In(Name, std::ios::binary);
-  std::string Text{std::istreambuf_iterator<char>(In), {}};
-  if (!In || Text.empty())
-    return makeError(ErrorKind::InvalidSettings,
-                     "The file " + Name +
-                         " cannot be read or is empty; name a PEM file in "
-                         "the TLS settings that this process may read.");
-  return Text;
-}
-
 CallerConnection *connectionOf(MHD_Connection *Raw) {
   const auto *Info =
       MHD_get_connection_info(Raw, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -95,7 +84,7 @@
   void opened(MHD_Connection *Raw, void **Handle);
   void closed(void **Handle);
   std::optional<Error> refusalFor(const std::string &Ip) const;
-  Result<std::vector<MHD_OptionItem>> options();
+  std::vector<MHD_OptionItem> options();
   Result<unsigned> addTls(std::vector<MHD_OptionItem> &Items);
   void stopListening();
   std::size_t cutOffRest();
@@ -103,19 +92,18 @@
   ServerContext Context_;
   ConnectionWatch Watch_;
   SocketAddress Where_;
-  std::string Certificate_;
-  std::string Key_;
+  std::optional<TlsMaterial> Tls_;
   MHD_Daemon *Daemon_ = nullptr;
   std::uint16_t Port_ = 0;
 };
 
-Result<std::vector<MHD_OptionItem>> CallerServer::Impl::options() {
+std::vector<MHD_OptionItem> CallerServer::Impl::options() {
   const CallerServerOptions &O = Context_.Options;
   auto Pool = static_cast<std::intptr_t>(2 * O.HeaderLimit + PoolOverhead);
   auto Limit =
       static_cast<std::intptr_t>(O.ConnectionLimit + ConnectionsToRefuse);
   auto Timeout = static_cast<std::intptr_t>(O.SendTimeout.count());
-  return std::vector<MHD_OptionItem>{
+  return {
       {MHD_OPTION_SOCK_ADDR, 0, &Where_.Storage},
       {MHD_OPTION_THREAD_POOL_SIZE, static_cast<std::intptr_t>(O.Threads),
        nullptr},
@@ -138,19 +126,14 @@
 
 Result<unsigned>
 CallerServer::Impl::addTls(std::vector<MHD_OptionItem> &Items) {
-  const TlsFiles &Tls = Context_.Options.Tls;
-  if (Tls.CertificateFile.empty() && Tls.KeyFile.empty())
+  auto Tls = readTlsFiles(Context_.Options.Tls);
+  if (!Tls)
+    return tl::unexpected<Error>(Tls.error());
+  Tls_ = std::move(*Tls);
+  if (!Tls_)
     return 0U;
-  auto Certificate = readFile(Tls.CertificateFile);
-  if (!Certificate)
-    return tl::unexpected<Error>(Certificate.error());
-  auto Key = readFile(Tls.KeyFile);
-  if (!Key)
-    return tl::unexpected<Error>(Key.error());
-  Certificate_ = std::move(*Certificate);
-  Key_ = std::move(*Key);
-  Items.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, Certificate_.data()});
-  Items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, Key_.data()});
+  Items.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, Tls_->Certificate.data()});
+  Items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, Tls_->Key.data()});
   return static_cast<unsigned>(MHD_USE_TLS);
 }
 
@@ -160,10 +143,10 @@
     return tl::unexpected<Error>(Where.error());
   Where_ = *Where;
   auto Items = options();
-  auto TlsFlag = addTls(*Items);
+  auto TlsFlag = addTls(Items);
   if (!TlsFlag)
     return tl::unexpected<Error>(TlsFlag.error());
-  Items->push_back({MHD_OPTION_END, 0, nullptr});
+  Items.push_back({MHD_OPTION_END, 0, nullptr});
   if (auto Watching = Watch_.start(); !Watching)
     return Watching;
   unsigned Flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
@@ -173,7 +156,7 @@
   Daemon_ =
       MHD_start_daemon(Flags, Where_.Port, nullptr, nullptr, &onRequest, this,
                        MHD_OPTION_EXTERNAL_LOGGER, &ignoreLog, nullptr,
-                       MHD_OPTION_ARRAY, Items->data(), MHD_OPTION_END);
+                       MHD_OPTION_ARRAY, Items.data(), MHD_OPTION_END);
   if (Daemon_ == nullptr)
     return makeError(ErrorKind::InvalidSettings,
                      "Callers' requests cannot be taken at " +
--- a/src/gateway/internal/socketaddress.cpp
+++ b/src/gateway/internal/socketaddress.cpp
@@ -54,6 +54,16 @@
   return Parsed;
 }
 
+std::uint16_t boundPort(int Socket) {
+  SocketAddress Bound;
+  Bound.Size = sizeof(Bound.Storage);
+  auto *Where = reinterpret_cast<sockaddr *>(&Bound.Storage);
+  if (::getsockname(Socket, Where, &Bound.Size) != 0)
+    return 0;
+  return ntohs(Bound.isV6() ? reinterpret_cast<sockaddr_in6 *>(Where)->sin6_port
+                            : reinterpret_cast<sockaddr_in *>(Where)->sin_port);
+}
+
 std::string ipOf(const sockaddr *Where) {
   std::array<char, INET6_ADDRSTRLEN> Text{};
   if (Where == nullptr)
--- a/src/gateway/internal/socketaddress.h
+++ b/src/gateway/internal/socketaddress.h
@@ -26,6 +26,9 @@
 /// Reads "127.0.0.1:8443" or "[::1]:8443". Fails with InvalidSettings.
 Result<SocketAddress> parseSocketAddress(const Address &Text);
 
+/// The port that a socket is bound to.
+std::uint16_t boundPort(int Socket);
+
 /// The IP number of a connected socket's other end, without its port.
 std::string ipOf(const sockaddr *Where);
 
