--- a/src/configuration/internal/applyrun.cpp
+++ b/src/configuration/internal/applyrun.cpp
@@ -38,6 +38,7 @@
 
 std::vector<ChunkId> idsOf(const std::vector<Chunk> &Chunks) {
   std::vector<ChunkId> Ids;
+  Ids.reserve(Chunks.size());
   for (const Chunk &Each : Chunks)
     Ids.push_back(Each.Id);
   return Ids;
@@ -75,7 +76,7 @@
                next<ReadRevision>(&ApplyRun::takeTheirs));
 }
 
-void ApplyRun::takeTheirs(ReadRevision Theirs) {
+void ApplyRun::takeTheirs(const ReadRevision &Theirs) {
   Cache_ = Theirs.Chunks;
   MergedRows Merged =
       mergeRows(Request_.Base, Request_.Next, Theirs.Content.Rows);
--- a/src/configuration/internal/applyrun.h
+++ b/src/configuration/internal/applyrun.h
@@ -21,7 +21,7 @@
 
 private:
   void takeHead(HeadState State);
-  void takeTheirs(ReadRevision Theirs);
+  void takeTheirs(const ReadRevision &Theirs);
   void writeRevision(const MergedRows &Merged, const ReadRevision &Theirs);
   void putHead();
   void takeHeadWritten(Result<StoreVersion> Answer);
--- a/src/configuration/internal/configurationcontroller.cpp
+++ b/src/configuration/internal/configurationcontroller.cpp
@@ -55,7 +55,7 @@
 
 class ConfigurationController::Impl {
 public:
-  Impl(Blackboard &Board, Runtime R, StoreHooks Store, PeerHooks Peers)
+  Impl(Blackboard &Board, Runtime R, StoreHooks Store, const PeerHooks &Peers)
       : Board_(Board), Runtime_(R), Peers_(Peers), Keep_(Board),
         Fetch_(Board, R, Peers, Keep_),
         Watch_(std::make_shared<detail::HeadWatch>(
@@ -161,7 +161,7 @@
                                                  StoreHooks Store,
                                                  PeerHooks Peers)
     : Impl_(std::make_unique<Impl>(Board, std::move(R), std::move(Store),
-                                   std::move(Peers))) {}
+                                   Peers)) {}
 ConfigurationController::~ConfigurationController() = default;
 
 void ConfigurationController::handle(const messages::Envelope &Message) {
--- a/src/configuration/internal/storeretry.cpp
+++ b/src/configuration/internal/storeretry.cpp
@@ -31,7 +31,7 @@
 void StoreRetry::getAgain(const StoreKey &Key, int Attempts,
                           Completion<StoreValue> Done) const {
   Store_.Get(Key, [Self = *this, Key, Attempts,
-                   Done = std::move(Done)](Result<StoreValue> Answer) {
+                   Done = std::move(Done)](Result<StoreValue> Answer) mutable {
     bool Retry = !Answer &&
                  Answer.error().Kind == ErrorKind::StoreUnreachable &&
                  Attempts + 1 < GreatestAttempts;
--- a/src/configuration/internal/tableswriter.cpp
+++ b/src/configuration/internal/tableswriter.cpp
@@ -25,24 +25,24 @@
 
 /// Extends marks into the past by following records to their parents.
 /// \param IsEnough  says when to stop.
-void extendHistory(const StoreRetry &Store, Marks Known, ChunkId Next,
-                   std::function<bool(const Marks &)> IsEnough,
-                   Completion<Marks> Done) {
+void extendHistory(const StoreRetry &Store, Marks Known, const ChunkId &Next,
+                   const std::function<bool(const Marks &)> &IsEnough,
+                   const Completion<Marks> &Done) {
   if (Next.empty() || IsEnough(Known))
     return Done(std::move(Known));
-  StoreKey Key = chunkKey(Next);
-  Store.get(
-      Key, [=, Known = std::move(Known)](Result<StoreValue> Answer) mutable {
-        if (!Answer)
-          return Done(tl::make_unexpected(Answer.error()));
-        Result<RevisionRecord> Record = decodeRecord(Answer->Data);
-        if (!Record)
-          return Done(tl::make_unexpected(Record.error()));
-        // The oldest known mark is read once more only to learn its parent.
-        if (Known.back().Record != Next)
-          Known.push_back(markOf(Next, *Record));
-        extendHistory(Store, std::move(Known), Record->Parent, IsEnough, Done);
-      });
+  auto OnRecord = [=](const Result<StoreValue> &Answer) {
+    if (!Answer)
+      return Done(tl::make_unexpected(Answer.error()));
+    Result<RevisionRecord> Record = decodeRecord(Answer->Data);
+    if (!Record)
+      return Done(tl::make_unexpected(Record.error()));
+    Marks Longer = Known;
+    // The oldest known mark is read once more only to learn its parent.
+    if (Longer.back().Record != Next)
+      Longer.push_back(markOf(Next, *Record));
+    extendHistory(Store, std::move(Longer), Record->Parent, IsEnough, Done);
+  };
+  Store.get(chunkKey(Next), std::move(OnRecord));
 }
 
 } // namespace
--- a/src/configuration/tests/fakestore.h
+++ b/src/configuration/tests/fakestore.h
@@ -17,12 +17,14 @@
   explicit FakeStore(VirtualTime &Time) : Time_(Time) {}
 
   bool Down = false;
+  /// Reads find no key, as from a copy that lags far behind.
+  bool SaysEmpty = false;
   Duration Delay = std::chrono::milliseconds(5);
   /// Called with each write of the head: true loses its reply.
   std::function<bool()> LosesHeadReply = [] { return false; };
   /// Runs before each write of the head, as a racing editor would.
   std::function<void()> BeforeHeadWrite = [] {};
-  /// Keys whose reads answer with the value at the time of freeze().
+  /// Reads answer with the values at this time until thaw().
   void freeze() { Old_ = Values_; }
   void thaw() { Old_.reset(); }
   int Reads = 0;
@@ -30,15 +32,18 @@
 
   StoreHooks hooks() {
     StoreHooks Hooks;
-    Hooks.Get = [this](StoreKey Key, Completion<StoreValue> Done) {
+    Hooks.Get = [this](const StoreKey &Key,
+                       const Completion<StoreValue> &Done) {
       ++Reads;
       Time_.after(Delay, [=, this] { Done(read(Key)); });
     };
-    Hooks.Watch = [this](StoreWatch Watch, Completion<StoreValue> Done) {
+    Hooks.Watch = [this](const StoreWatch &Watch,
+                         const Completion<StoreValue> &Done) {
       ++Reads;
       poll(Watch, Time_.now() + Watch.Wait, Done);
     };
-    Hooks.Put = [this](StorePut Put, Completion<StoreVersion> Done) {
+    Hooks.Put = [this](const StorePut &Put,
+                       const Completion<StoreVersion> &Done) {
       ++Writes;
       Time_.after(Delay, [=, this] { Done(write(Put)); });
     };
@@ -60,7 +65,7 @@
       return unreachable();
     const Values &From = Old_ ? *Old_ : Values_;
     auto It = From.find(Key);
-    if (It == From.end())
+    if (It == From.end() || SaysEmpty)
       return makeError(ErrorKind::NotFound, "no key");
     return It->second;
   }
--- a/src/configuration/tests/tableswritertest.cpp
+++ b/src/configuration/tests/tableswritertest.cpp
@@ -46,7 +46,7 @@
                              Done = false]() mutable {
       if (std::exchange(Done, true))
         return;
-      Other.apply(Request, [](Result<ApplyOutcome>) {});
+      Other.apply(Request, [](const Result<ApplyOutcome> &) {});
       Time.run(5s);
     };
   }
@@ -149,7 +149,7 @@
     if (std::exchange(Lost, true))
       return false;
     E.Other.apply({Mine, withDeadline(Mine, "r0", 9), "bob"},
-                  [](Result<ApplyOutcome>) {});
+                  [](const Result<ApplyOutcome> &) {});
     return true;
   };
   Result<ApplyOutcome> Outcome = E.apply(Base, Mine);
--- a/src/framework/internal/tomlreader.cpp
+++ b/src/framework/internal/tomlreader.cpp
@@ -189,7 +189,7 @@
   return Node->as_table();
 }
 
-void TomlReader::problem(std::string_view Key, std::string Message) {
+void TomlReader::problem(std::string_view Key, const std::string &Message) {
   Problems_.push_back({File_, lineOf(Key), Section_ + ": " + Message});
 }
 
--- a/src/framework/tomlreader.h
+++ b/src/framework/tomlreader.h
@@ -111,7 +111,7 @@
 
   /// Adds a problem at the line of the key, or of the table when it is
   /// absent.
-  void problem(std::string_view Key, std::string Message);
+  void problem(std::string_view Key, const std::string &Message);
 
   /// Reports keys that were not read, with the nearest known key.
   void finish();
