--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -68,11 +68,10 @@
                        "The deadline has passed; allow more time.");
     PoolViewPtr View = viewOf(*Pool);
     std::optional<Weighed> Best = chooseHere(Query, *Pool, *View, Remaining);
-    detail::SendAwayCase Case{&Query, Route, Pool, std::nullopt, Remaining};
-    if (Best)
-      Case.LocalScore = Best->Score;
-    if (std::optional<SendAway> Away = SendAway_.choose(Case))
-      return RouteChoice(std::move(*Away));
+    if (!Best || !Query.AwayConsidered)
+      if (auto Away =
+              SendAway_.choose(awayCase(Query, *Route, *Pool, Best, Remaining)))
+        return RouteChoice(std::move(*Away));
     if (!Best)
       return noEndpoint(*Pool);
     if (needed(*Best) > Remaining)
@@ -80,6 +79,18 @@
     return RouteChoice(serveHere(Query, *Best));
   }
 
+  std::optional<SendAway> chooseAway(const RouteQuery &Query) {
+    TablesSnapshot T = Board_.tables();
+    const RouteRow *Route = T->findRoute(Query.Route);
+    const PoolRow *Pool = T->findPool(Query.Pool);
+    if (!Route || !Pool)
+      return std::nullopt;
+    Duration Remaining = Query.Deadline - Runtime_.Now();
+    std::optional<Weighed> Best =
+        chooseHere(Query, *Pool, *viewOf(*Pool), Remaining);
+    return SendAway_.choose(awayCase(Query, *Route, *Pool, Best, Remaining));
+  }
+
   std::vector<CandidateView> explain(const RouteQuery &Query) {
     std::vector<CandidateView> Views;
     TablesSnapshot T = Board_.tables();
@@ -114,6 +125,15 @@
     return Fresh;
   }
 
+  static detail::SendAwayCase
+  awayCase(const RouteQuery &Query, const RouteRow &Route, const PoolRow &Pool,
+           const std::optional<Weighed> &Best, Duration Remaining) {
+    detail::SendAwayCase Case{&Query, &Route, &Pool, std::nullopt, Remaining};
+    if (Best)
+      Case.LocalScore = Best->Score + Query.QueueWait;
+    return Case;
+  }
+
   std::optional<Weighed> chooseHere(const RouteQuery &Query,
                                     const PoolRow &Pool, const PoolView &View,
                                     Duration Remaining) {
@@ -343,6 +363,10 @@
   return Impl_->choose(Query);
 }
 
+std::optional<SendAway> Router::chooseAway(const RouteQuery &Query) {
+  return Impl_->chooseAway(Query);
+}
+
 std::vector<CandidateView> Router::explain(const RouteQuery &Query) const {
   return Impl_->explain(Query);
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -2,6 +2,7 @@
 #define CELERYBEAM_ROUTING_ROUTER_H
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "blackboard/blackboard.h"
@@ -28,6 +29,11 @@
   /// set).
   Result<RouteChoice> choose(const RouteQuery &Query);
 
+  /// Decides before admission, while a request would wait here, whether it is
+  /// worth a trip to another region; empty when it stays. Query.QueueWait
+  /// counts towards the wait here.
+  std::optional<SendAway> chooseAway(const RouteQuery &Query);
+
   /// Every candidate of the pool with its score or exclusion; changes
   /// nothing.
   std::vector<CandidateView> explain(const RouteQuery &Query) const;
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -30,6 +30,11 @@
   TimePoint Deadline{};
   /// False when the request came from another region or must reside here.
   bool MayLeaveRegion = false;
+  /// How long the request would wait here before it is admitted.
+  Duration QueueWait{};
+  /// Whether chooseAway has kept the request here: it then leaves only when
+  /// no endpoint here can serve.
+  bool AwayConsidered = false;
   /// Size of prompt and expected answer on a link between regions.
   std::uint64_t WireBytes = 0;
   /// Endpoints that attempts of this request failed on or run on.
