Add the endpoint monitor and the membership of entry hosts

Cause: routing needs to know which endpoints straggle or leave and which entry hosts live, at a bounded cost a node. Change: own observation of attempts judged against the pool's medians; SWIM-style probing in a zone, delegates between zones.

--- /dev/null
+++ b/src/membership/internal/endpointmonitor.cpp
@@ -0,0 +1,448 @@
+#include "membership/endpointmonitor.h"
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "framework/digest.h"
+#include "framework/shardedmap.h"
+#include "membership/internal/stragglerjudge.h"
+
+namespace celerybeam {
+
+namespace {
+
+constexpr double AverageWeight = 0.2;
+/// An ejected endpoint stays out this long; doubled each time it is ejected
+/// again soon after its return.
+constexpr Duration FirstEjection = std::chrono::seconds(3);
+constexpr Duration LongestEjection = std::chrono::seconds(60);
+constexpr Duration GoodBehaviour = std::chrono::seconds(60);
+constexpr double FirstReturnShare = 0.1;
+constexpr double ReturnGrowth = 1.5;
+/// An endpoint without traffic has no successes to grow its share with.
+constexpr Duration IdleReturnStep = std::chrono::seconds(2);
+constexpr Duration MembersRefresh = std::chrono::seconds(1);
+constexpr Duration PollInterval = std::chrono::milliseconds(250);
+constexpr Duration FreshReport = std::chrono::seconds(2);
+constexpr std::size_t RememberedDispatches = 64;
+constexpr int StatusUnavailable = 503;
+
+/// What the monitor keeps of an endpoint beyond the blackboard.
+struct Health {
+  std::uint32_t Streaming = 0;
+  Duration Ejection = FirstEjection;
+  TimePoint EjectedAt{};
+  TimePoint ClearedAt{};
+  TimePoint ShareGrownAt{};
+  TimePoint PolledAt{};
+  /// Of the last dispatches, oldest first.
+  std::deque<TimePoint> Dispatches;
+};
+
+struct AttemptRecord {
+  EndpointId Endpoint;
+  RequestClass Class = RequestClass::Short;
+  TimePoint DispatchedAt{};
+  TimePoint LastProgress{};
+  bool Streaming = false;
+};
+
+void average(Duration &Average, Duration Sample) {
+  if (Average == Duration::zero()) {
+    Average = Sample;
+    return;
+  }
+  double Next = static_cast<double>(Average.count()) * (1 - AverageWeight) +
+                static_cast<double>(Sample.count()) * AverageWeight;
+  Average = Duration(static_cast<Duration::rep>(Next));
+}
+
+std::optional<std::uint32_t> numberOf(std::string_view Text) {
+  std::uint32_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Parsed, Failure] = std::from_chars(Text.data(), End, Value);
+  if (Text.empty() || Failure != std::errc() || Parsed != End)
+    return std::nullopt;
+  return Value;
+}
+
+bool countsAgainst(ErrorKind Kind) {
+  return Kind == ErrorKind::ConnectFailed ||
+         Kind == ErrorKind::ConnectionLost ||
+         Kind == ErrorKind::EndpointFailed || Kind == ErrorKind::StreamStalled;
+}
+
+} // namespace
+
+class EndpointMonitor::Impl {
+public:
+  Impl(Blackboard &Board, Runtime R, EndpointHooks Calls)
+      : Board_(Board), Runtime_(std::move(R)), Calls_(std::move(Calls)) {}
+
+  void dispatched(const EndpointId &Endpoint, const AttemptId &Attempt,
+                  RequestClass Class);
+  void firstToken(const AttemptId &Attempt);
+  void progressed(const AttemptId &Attempt);
+  void ended(const AttemptId &Attempt, const Result<void> &Outcome);
+  void takeReport(const EndpointId &Endpoint, const LoadReport &Report);
+  void takeLoaded(const EndpointId &Endpoint, const LoadAnswer &Answer);
+  void markLeaving(const EndpointId &Endpoint);
+  void tick();
+
+  Blackboard &Board_;
+  Runtime Runtime_;
+  EndpointHooks Calls_;
+
+private:
+  using EndpointSample = detail::EndpointSample;
+
+  void succeeded(EndpointRecord &Record, const AttemptRecord &Attempt) const;
+  void judgePool(const PoolRow &Pool);
+  EndpointSample sampleOf(const EndpointRecord &Record) const;
+  void eject(const EndpointId &Id);
+  void returnEjected(const EndpointId &Id, const detail::PoolNorm &Norm);
+  void poll();
+  std::optional<std::pair<EndpointId, Address>> oldestReport() const;
+  std::vector<EndpointId> membersOf(const std::string &Label);
+  void refreshMembers();
+
+  ShardedMap<AttemptId, AttemptRecord> Attempts_;
+  ShardedMap<EndpointId, Health> Health_;
+  /// Endpoints of this region, by label; touched by tick alone.
+  std::mutex TickMutex_;
+  std::unordered_map<std::string, std::vector<EndpointId>> Members_;
+  TimePoint MembersAt_{};
+  TimePoint PolledAt_{};
+};
+
+void EndpointMonitor::Impl::dispatched(const EndpointId &Endpoint,
+                                       const AttemptId &Attempt,
+                                       RequestClass Class) {
+  TimePoint Now = Runtime_.Now();
+  if (!Attempts_.insert(Attempt, {Endpoint, Class, Now, Now, false}))
+    return;
+  Health_.upsert(Endpoint, [&](Health &H) {
+    H.Dispatches.push_back(Now);
+    if (H.Dispatches.size() > RememberedDispatches)
+      H.Dispatches.pop_front();
+  });
+  Board_.endpoints().update(Endpoint, [&](EndpointRecord &R) {
+    EndpointObservation &O = R.Observed;
+    if (O.ShortInFlight + O.LongInFlight == 0)
+      O.LastProgress = Now;
+    ++(Class == RequestClass::Short ? O.ShortInFlight : O.LongInFlight);
+    ++O.SentSinceReport;
+  });
+}
+
+void EndpointMonitor::Impl::firstToken(const AttemptId &Attempt) {
+  TimePoint Now = Runtime_.Now();
+  EndpointId Endpoint;
+  Duration Waited{};
+  Attempts_.update(Attempt, [&](AttemptRecord &A) {
+    if (A.Streaming)
+      return;
+    A.Streaming = true;
+    A.LastProgress = Now;
+    Endpoint = A.Endpoint;
+    Waited = Now - A.DispatchedAt;
+  });
+  if (Endpoint.empty())
+    return;
+  Health_.upsert(Endpoint, [](Health &H) { ++H.Streaming; });
+  Board_.endpoints().update(Endpoint, [&](EndpointRecord &R) {
+    average(R.Observed.FirstToken, std::max(Waited, Duration(1)));
+    R.Observed.LastProgress = Now;
+  });
+}
+
+void EndpointMonitor::Impl::progressed(const AttemptId &Attempt) {
+  TimePoint Now = Runtime_.Now();
+  EndpointId Endpoint;
+  Duration Gap{};
+  Attempts_.update(Attempt, [&](AttemptRecord &A) {
+    Endpoint = A.Endpoint;
+    Gap = Now - std::exchange(A.LastProgress, Now);
+  });
+  if (Endpoint.empty())
+    return;
+  Board_.endpoints().update(Endpoint, [&](EndpointRecord &R) {
+    average(R.Observed.TokenGap, std::max(Gap, Duration(1)));
+    R.Observed.LastProgress = Now;
+  });
+}
+
+void EndpointMonitor::Impl::ended(const AttemptId &Attempt,
+                                  const Result<void> &Outcome) {
+  std::optional<AttemptRecord> Ended = Attempts_.take(Attempt);
+  if (!Ended)
+    return;
+  if (Ended->Streaming)
+    Health_.upsert(Ended->Endpoint, [](Health &H) { --H.Streaming; });
+  Board_.endpoints().update(Ended->Endpoint, [&](EndpointRecord &R) {
+    EndpointObservation &O = R.Observed;
+    auto &Count =
+        Ended->Class == RequestClass::Short ? O.ShortInFlight : O.LongInFlight;
+    Count -= Count > 0 ? 1 : 0;
+    if (Outcome)
+      succeeded(R, *Ended);
+    else if (countsAgainst(Outcome.error().Kind))
+      ++O.ConsecutiveFailures;
+  });
+  if (!Outcome && Outcome.error().Kind == ErrorKind::EndpointLeaving)
+    markLeaving(Ended->Endpoint);
+}
+
+void EndpointMonitor::Impl::succeeded(EndpointRecord &Record,
+                                      const AttemptRecord &Attempt) const {
+  EndpointObservation &O = Record.Observed;
+  average(O.Service, Runtime_.Now() - Attempt.DispatchedAt);
+  O.ConsecutiveFailures = 0;
+  if (Record.Probation == ProbationState::Returning)
+    Record.ReturnShare = std::min(1.0, Record.ReturnShare * ReturnGrowth);
+}
+
+void EndpointMonitor::Impl::takeReport(const EndpointId &Endpoint,
+                                       const LoadReport &Report) {
+  std::uint32_t SentSince = 0;
+  Health_.upsert(Endpoint, [&](Health &H) {
+    SentSince = static_cast<std::uint32_t>(
+        std::count_if(H.Dispatches.begin(), H.Dispatches.end(),
+                      [&](TimePoint At) { return At > Report.MeasuredAt; }));
+  });
+  Board_.endpoints().update(Endpoint, [&](EndpointRecord &R) {
+    if (Report.MeasuredAt < R.Report.MeasuredAt)
+      return;
+    R.Report = Report;
+    R.Observed.SentSinceReport = SentSince;
+  });
+}
+
+void EndpointMonitor::Impl::markLeaving(const EndpointId &Endpoint) {
+  Board_.endpoints().update(Endpoint, [](EndpointRecord &R) {
+    if (R.State == EndpointState::Live)
+      R.State = EndpointState::Leaving;
+  });
+}
+
+void EndpointMonitor::Impl::takeLoaded(const EndpointId &Endpoint,
+                                       const LoadAnswer &Answer) {
+  Board_.endpoints().update(
+      Endpoint, [&](EndpointRecord &R) { R.Loaded = Answer.Loaded; });
+  if (Answer.Leaving)
+    markLeaving(Endpoint);
+}
+
+void EndpointMonitor::Impl::tick() {
+  std::lock_guard Lock(TickMutex_);
+  refreshMembers();
+  TablesSnapshot Tables = Board_.tables();
+  for (const PoolRow &Pool : Tables->Pools)
+    judgePool(Pool);
+  poll();
+}
+
+void EndpointMonitor::Impl::refreshMembers() {
+  TimePoint Now = Runtime_.Now();
+  if (!Members_.empty() && Now - MembersAt_ < MembersRefresh)
+    return;
+  MembersAt_ = Now;
+  Members_.clear();
+  Board_.endpoints().forEach(
+      [&](const EndpointId &Id, const EndpointRecord &R) {
+        if (R.Descriptor.Region == Board_.self().Region &&
+            R.State == EndpointState::Live)
+          Members_[R.Descriptor.Label].push_back(Id);
+      });
+  for (auto &[Label, Ids] : Members_)
+    std::sort(Ids.begin(), Ids.end());
+}
+
+std::vector<EndpointId>
+EndpointMonitor::Impl::membersOf(const std::string &Label) {
+  auto It = Members_.find(Label);
+  return It == Members_.end() ? std::vector<EndpointId>() : It->second;
+}
+
+detail::EndpointSample
+EndpointMonitor::Impl::sampleOf(const EndpointRecord &Record) const {
+  const EndpointObservation &O = Record.Observed;
+  EndpointSample Sample;
+  Sample.Id = Record.Descriptor.Id;
+  Sample.Probation = Record.Probation;
+  Sample.FirstToken = O.FirstToken;
+  Sample.TokenGap = O.TokenGap;
+  Sample.ConsecutiveFailures = O.ConsecutiveFailures;
+  if (O.ShortInFlight + O.LongInFlight > 0)
+    Sample.SinceProgress = Runtime_.Now() - O.LastProgress;
+  return Sample;
+}
+
+void EndpointMonitor::Impl::judgePool(const PoolRow &Pool) {
+  std::vector<EndpointSample> Samples;
+  for (const EndpointId &Id : membersOf(Pool.Label))
+    Board_.endpoints().update(Id, [&](EndpointRecord &R) {
+      if (R.State == EndpointState::Live)
+        Samples.push_back(sampleOf(R));
+    });
+  for (EndpointSample &S : Samples)
+    Health_.upsert(S.Id, [&](Health &H) { S.Streaming = H.Streaming > 0; });
+  detail::PoolNorm Norm = detail::poolNorm(Samples);
+  for (const EndpointId &Id :
+       detail::pickStragglers(Samples, Norm, Pool.EjectionCap))
+    eject(Id);
+  for (const EndpointSample &S : Samples)
+    if (S.Probation != ProbationState::Clear)
+      returnEjected(S.Id, Norm);
+}
+
+void EndpointMonitor::Impl::eject(const EndpointId &Id) {
+  TimePoint Now = Runtime_.Now();
+  Health_.upsert(Id, [&](Health &H) {
+    bool Relapsed = H.EjectedAt != TimePoint() &&
+                    Now - std::max(H.ClearedAt, H.EjectedAt) < GoodBehaviour;
+    H.Ejection =
+        Relapsed ? std::min(H.Ejection * 2, LongestEjection) : FirstEjection;
+    H.EjectedAt = Now;
+  });
+  Board_.endpoints().update(Id, [](EndpointRecord &R) {
+    R.Probation = ProbationState::Ejected;
+    R.ReturnShare = FirstReturnShare;
+  });
+}
+
+void EndpointMonitor::Impl::returnEjected(const EndpointId &Id,
+                                          const detail::PoolNorm &Norm) {
+  TimePoint Now = Runtime_.Now();
+  bool TimeServed = false;
+  bool IdleStep = false;
+  Health_.upsert(Id, [&](Health &H) {
+    TimeServed = Now - H.EjectedAt >= H.Ejection;
+    IdleStep = TimeServed && Now - H.ShareGrownAt >= IdleReturnStep;
+    if (IdleStep)
+      H.ShareGrownAt = Now;
+  });
+  bool Cleared = false;
+  Board_.endpoints().update(Id, [&](EndpointRecord &R) {
+    EndpointObservation &O = R.Observed;
+    if (R.Probation == ProbationState::Ejected && TimeServed) {
+      R.Probation = ProbationState::Returning;
+      // Old samples would eject it again before it has done anything.
+      O.FirstToken = Norm.FirstToken;
+      O.TokenGap = Norm.TokenGap;
+      O.LastProgress = Now;
+      O.ConsecutiveFailures = 0;
+      return;
+    }
+    if (R.Probation != ProbationState::Returning)
+      return;
+    if (IdleStep && O.ShortInFlight + O.LongInFlight == 0)
+      R.ReturnShare = std::min(1.0, R.ReturnShare * ReturnGrowth);
+    Cleared = R.ReturnShare >= 1;
+    if (Cleared)
+      R.Probation = ProbationState::Clear;
+  });
+  if (Cleared)
+    Health_.upsert(Id, [&](Health &H) { H.ClearedAt = Now; });
+}
+
+std::optional<std::pair<EndpointId, Address>>
+EndpointMonitor::Impl::oldestReport() const {
+  TimePoint Now = Runtime_.Now();
+  TimePoint Oldest = Now - FreshReport;
+  std::optional<std::pair<EndpointId, Address>> Found;
+  for (const auto &[Label, Ids] : Members_) {
+    for (const EndpointId &Id : Ids) {
+      std::optional<Health> H = Health_.find(Id);
+      std::optional<EndpointRecord> R = Board_.endpoints().find(Id);
+      if (!R || R->State != EndpointState::Live)
+        continue;
+      TimePoint Last = R->Report.MeasuredAt;
+      if (H)
+        Last = std::max(Last, H->PolledAt);
+      if (Last >= Oldest)
+        continue;
+      Oldest = Last;
+      Found.emplace(Id, R->Descriptor.Where);
+    }
+  }
+  return Found;
+}
+
+void EndpointMonitor::Impl::poll() {
+  TimePoint Now = Runtime_.Now();
+  if (!Calls_.AskLoad || Now - PolledAt_ < PollInterval)
+    return;
+  PolledAt_ = Now;
+  auto Next = oldestReport();
+  if (!Next)
+    return;
+  Health_.upsert(Next->first, [&](Health &H) { H.PolledAt = Now; });
+  Calls_.AskLoad(Next->first, Next->second,
+                 [this, Id = Next->first](const Result<LoadAnswer> &Answer) {
+                   if (!Answer)
+                     return;
+                   takeReport(Id, Answer->Report);
+                   takeLoaded(Id, *Answer);
+                 });
+}
+
+EndpointMonitor::EndpointMonitor(Blackboard &Board, Runtime R,
+                                 EndpointHooks Calls)
+    : Impl_(std::make_unique<Impl>(Board, std::move(R), std::move(Calls))) {}
+EndpointMonitor::~EndpointMonitor() = default;
+
+void EndpointMonitor::dispatched(const EndpointId &Endpoint,
+                                 const AttemptId &Attempt, RequestClass Class) {
+  Impl_->dispatched(Endpoint, Attempt, Class);
+}
+
+void EndpointMonitor::firstToken(const EndpointId & /*Endpoint*/,
+                                 const AttemptId &Attempt) {
+  Impl_->firstToken(Attempt);
+}
+
+void EndpointMonitor::progressed(const EndpointId & /*Endpoint*/,
+                                 const AttemptId &Attempt) {
+  Impl_->progressed(Attempt);
+}
+
+void EndpointMonitor::ended(const EndpointId & /*Endpoint*/,
+                            const AttemptId &Attempt,
+                            const Result<void> &Outcome) {
+  Impl_->ended(Attempt, Outcome);
+}
+
+void EndpointMonitor::responseHead(const EndpointId &Endpoint,
+                                   const ResponseHead &Head) {
+  if (Head.Status == StatusUnavailable &&
+      findHeader(Head.Headers, "x-endpoint-leaving") == "1") {
+    Impl_->markLeaving(Endpoint);
+    return;
+  }
+  auto Running = numberOf(findHeader(Head.Headers, "x-load-running"));
+  auto Waiting = numberOf(findHeader(Head.Headers, "x-load-waiting"));
+  if (!Running || !Waiting)
+    return;
+  auto Lag = numberOf(findHeader(Head.Headers, "x-load-lag-ms")).value_or(0);
+  LoadReport Report;
+  Report.MeasuredAt = Impl_->Runtime_.Now() - std::chrono::milliseconds(Lag);
+  Report.Running = *Running;
+  Report.Waiting = *Waiting;
+  Impl_->takeReport(Endpoint, Report);
+}
+
+void EndpointMonitor::reported(const EndpointId &Endpoint,
+                               const LoadAnswer &Answer) {
+  Impl_->takeReport(Endpoint, Answer.Report);
+  Impl_->takeLoaded(Endpoint, Answer);
+}
+
+void EndpointMonitor::tick() { Impl_->tick(); }
+
+} // namespace celerybeam
--- /dev/null
+++ b/src/membership/internal/newsqueue.h
@@ -0,0 +1,57 @@
+#ifndef CELERYBEAM_MEMBERSHIP_INTERNAL_NEWSQUEUE_H
+#define CELERYBEAM_MEMBERSHIP_INTERNAL_NEWSQUEUE_H
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace celerybeam::detail {
+
+/// News that ride on other messages: each item is sent a set number of times
+/// and then dropped. Not thread-safe.
+template <typename Message> class NewsQueue {
+public:
+  /// Queues an item; it replaces an earlier one of the same name.
+  void add(const std::string &Name, Message Item, unsigned Transmissions) {
+    Items_.insert_or_assign(Name, Entry{std::move(Item), Transmissions});
+  }
+
+  /// Takes items for one message, those sent least first, within the room.
+  std::vector<Message> take(std::size_t &RoomBytes) {
+    std::vector<std::pair<unsigned, std::string>> Order;
+    for (const auto &[Name, E] : Items_)
+      Order.emplace_back(E.Left, Name);
+    std::sort(Order.begin(), Order.end(), std::greater<>());
+    std::vector<Message> Taken;
+    for (const auto &[Left, Name] : Order) {
+      auto It = Items_.find(Name);
+      std::size_t Size = It->second.Item.ByteSizeLong() + FramingBytes;
+      if (Size > RoomBytes)
+        continue;
+      RoomBytes -= Size;
+      Taken.push_back(It->second.Item);
+      if (--It->second.Left == 0)
+        Items_.erase(It);
+    }
+    return Taken;
+  }
+
+  std::size_t size() const { return Items_.size(); }
+
+private:
+  /// Tag and length of an item in its message.
+  static constexpr std::size_t FramingBytes = 3;
+
+  struct Entry {
+    Message Item;
+    unsigned Left = 0;
+  };
+  std::map<std::string, Entry> Items_;
+};
+
+} // namespace celerybeam::detail
+
+#endif
--- /dev/null
+++ b/src/membership/internal/rendezvous.h
@@ -0,0 +1,29 @@
+#ifndef CELERYBEAM_MEMBERSHIP_INTERNAL_RENDEZVOUS_H
+#define CELERYBEAM_MEMBERSHIP_INTERNAL_RENDEZVOUS_H
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "blackboard/idtypes.h"
+#include "framework/digest.h"
+
+namespace celerybeam::detail {
+
+/// Sorts hosts by their rendezvous rank for a purpose, highest first: every
+/// host that knows the same hosts gets the same order, and a host that comes
+/// or goes changes only its own place.
+inline void sortByRank(std::vector<HostId> &Hosts, const std::string &Purpose) {
+  std::sort(Hosts.begin(), Hosts.end(),
+            [&](const HostId &Left, const HostId &Right) {
+              auto RankOf = [&](const HostId &Id) {
+                return stableHash(Purpose + '/' + Id.str());
+              };
+              return std::make_pair(RankOf(Left), Left) >
+                     std::make_pair(RankOf(Right), Right);
+            });
+}
+
+} // namespace celerybeam::detail
+
+#endif
