--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -83,13 +83,13 @@
   CallerServerOptions Options;
   Options.Bind = Settings.Listen;
   Options.Tls = {Settings.Tls.CertificateFile, Settings.Tls.KeyFile};
-  Options.HeaderLimit = Settings.MaxHeaders.count();
-  Options.BodyLimit = Settings.MaxBody.count();
+  Options.HeaderLimit = Settings.MaxHeaders.Bytes;
+  Options.BodyLimit = Settings.MaxBody.Bytes;
   Options.ConnectionLimit = Settings.MaxConnections;
   Options.ConnectionLimitPerIp = Settings.MaxConnectionsPerAddress;
   Options.HeadTimeout = toMillis(Settings.HeadTimeout);
   Options.BodyTimeout = toMillis(Settings.BodyTimeout);
-  Options.AnswerBuffer = Settings.Buffer.count();
+  Options.AnswerBuffer = Settings.Buffer.Bytes;
   return Options;
 }
 
--- a/src/app/internal/operatorroutes.cpp
+++ b/src/app/internal/operatorroutes.cpp
@@ -25,7 +25,9 @@
 }
 
 std::string queryText(const OperatorRequest &Request, std::string_view Name) {
-  return decodeUrlComponent(findQueryValue(Request.Query, Name));
+  std::string_view Value = findQueryValue(Request.Query, Name);
+  // An empty text would be taken for one that ends at a zero.
+  return Value.empty() ? "" : decodeUrlComponent(Value);
 }
 
 OperatorAnswer explain(const AdminPages &Pages,
--- a/src/httpclient/internal/urlencoding.cpp
+++ b/src/httpclient/internal/urlencoding.cpp
@@ -29,4 +29,15 @@
   }
 }
 
+std::string decodeUrlComponent(std::string_view Text) {
+  int Length = 0;
+  char *Decoded = curl_easy_unescape(nullptr, Text.data(),
+                                     static_cast<int>(Text.size()), &Length);
+  if (!Decoded)
+    return std::string(Text);
+  std::string Result(Decoded, static_cast<std::size_t>(Length));
+  curl_free(Decoded);
+  return Result;
+}
+
 } // namespace celerybeam
--- a/src/httpclient/urlencoding.h
+++ b/src/httpclient/urlencoding.h
@@ -12,6 +12,9 @@
 /// As encodeUrlComponent, but leaves the slashes between path segments.
 std::string encodeUrlPath(std::string_view Path);
 
+/// Undoes percent-encoding; text that is not encoded comes back as it is.
+std::string decodeUrlComponent(std::string_view Text);
+
 } // namespace celerybeam
 
 #endif
