--- a/src/booking/internal/bookingcontroller.cpp
+++ b/src/booking/internal/bookingcontroller.cpp
@@ -69,8 +69,8 @@
                  Effects &Out);
   void takeCopy(const HostId &From, const messages::IntentCopy &Copy,
                 Effects &Out);
-  void takeCopyQuery(const HostId &From,
-                     const messages::IntentCopyQuery &Query, Effects &Out);
+  void takeCopyQuery(const HostId &From, const messages::IntentCopyQuery &Query,
+                     Effects &Out);
   BookingWaiter remoteWaiter(const HostId &To, const std::string &RequestName,
                              const std::string &Key, TimePoint Deadline);
   void reply(const HostId &To, const std::string &RequestName,
@@ -184,9 +184,8 @@
   enter([&](Effects &Out) { Forwarder_.start(std::move(Request), Out); });
 }
 
-void BookingController::Impl::serve(
-    const detail::BookingForwarder::Request &R, BookingWaiter Waiter,
-    Effects &Out) {
+void BookingController::Impl::serve(const detail::BookingForwarder::Request &R,
+                                    BookingWaiter Waiter, Effects &Out) {
   ShardOwner &Shard = *Shards_[R.Shard];
   if (!R.Order) {
     Shard.query(R.Tenant, R.Key, Waiter, Out);
@@ -198,8 +197,7 @@
 }
 
 void BookingController::Impl::sendTo(const HostId &To,
-                                     messages::Envelope Message,
-                                     Effects &Out) {
+                                     messages::Envelope Message, Effects &Out) {
   Out.add([Send = Context_.Peers.Send, To, Message = std::move(Message)] {
     Send(To, Message);
   });
@@ -233,15 +231,15 @@
   BookingWaiter Waiter;
   Waiter.Name = RequestName;
   Waiter.Deadline = Deadline;
-  Waiter.Reply = [=, this](const Result<BookingOutcome> &Answer,
-                           Effects &Out) {
+  Waiter.Reply = [=, this](const Result<BookingOutcome> &Answer, Effects &Out) {
     reply(To, RequestName, Key, Answer, Out);
   };
   return Waiter;
 }
 
-void BookingController::Impl::takeRequest(
-    const HostId &From, const messages::BookingRequest &Wire, Effects &Out) {
+void BookingController::Impl::takeRequest(const HostId &From,
+                                          const messages::BookingRequest &Wire,
+                                          Effects &Out) {
   Result<Uuid7> Key = Uuid7::parse(Wire.key());
   if (!Key || !keyIsInTime(Key->createdAt())) {
     reply(From, Wire.request_id(), Wire.key(), expiredKey(Wire.key()), Out);
@@ -283,8 +281,7 @@
     return;
   Shards_[shardOf(Key->str())]->query(
       TenantId(Wire.tenant()), Key->str(),
-      remoteWaiter(From, Wire.request_id(), Key->str(), TimePoint::max()),
-      Out);
+      remoteWaiter(From, Wire.request_id(), Key->str(), TimePoint::max()), Out);
 }
 
 void BookingController::Impl::takeCopy(const HostId &From,
@@ -306,8 +303,7 @@
 }
 
 void BookingController::Impl::takeCopyQuery(
-    const HostId &From, const messages::IntentCopyQuery &Query,
-    Effects &Out) {
+    const HostId &From, const messages::IntentCopyQuery &Query, Effects &Out) {
   if (Query.shard() >= ShardCount)
     return;
   messages::Envelope Message;
@@ -411,8 +407,7 @@
 }
 
 void BookingController::leave(Completion<void> Done) {
-  Impl_->enter(
-      [&](Effects &Out) { Impl_->leave(std::move(Done), Out); });
+  Impl_->enter([&](Effects &Out) { Impl_->leave(std::move(Done), Out); });
 }
 
 } // namespace celerybeam
--- a/src/booking/internal/bookingforwarder.cpp
+++ b/src/booking/internal/bookingforwarder.cpp
@@ -100,8 +100,7 @@
   C.NextSend = Context_.Time.Now() + ResendAfter;
   auto [It, IsNew] = C.Open.try_emplace(Target);
   if (IsNew)
-    It->second =
-        Context_.OwnerName + "/" + std::to_string(NextName_++);
+    It->second = Context_.OwnerName + "/" + std::to_string(NextName_++);
   if (Target != Context_.Board.self().Id) {
     sendMessage(Target, It->second, C.What, Out);
     return;
@@ -202,8 +201,7 @@
 void BookingForwarder::tick(Effects &Out) {
   for (const Arrival &A : std::exchange(Arrived_, {})) {
     auto It = Calls_.find(A.Id);
-    if (It != Calls_.end() &&
-        take(It->second, A.From, A.Answer, HostId(), Out))
+    if (It != Calls_.end() && take(It->second, A.From, A.Answer, HostId(), Out))
       Calls_.erase(It);
   }
   TimePoint Now = Context_.Time.Now();
--- a/src/booking/internal/bookingforwarder.h
+++ b/src/booking/internal/bookingforwarder.h
@@ -29,8 +29,8 @@
   };
 
   /// Serves a request on this host itself.
-  using ServeHere = std::function<void(const Request &, BookingWaiter,
-                                       Effects &)>;
+  using ServeHere =
+      std::function<void(const Request &, BookingWaiter, Effects &)>;
 
   BookingForwarder(BookingContext &Context, ServeHere Serve)
       : Context_(Context), Serve_(std::move(Serve)) {}
--- a/src/booking/internal/copyholder.cpp
+++ b/src/booking/internal/copyholder.cpp
@@ -19,8 +19,10 @@
   for (const messages::LedgerEntry &E : Copy.entries())
     H.Copies[E.key()] = E;
   bool BoundToOther = Now < H.AgreedUntil && H.AgreedTo != Owner;
-  if (StoreReached)
+  if (StoreReached) {
+    H.CutOffOwner = Owner;
     H.CutOffOwnerSeen = Now;
+  }
   if (StoreReached || BoundToOther) {
     Ack.set_refused(true);
     return Ack;
@@ -54,9 +56,11 @@
   return Reply;
 }
 
-bool CopyHolder::sawCutOffOwner(std::uint32_t Shard, TimePoint Since) const {
+HostId CopyHolder::cutOffOwner(std::uint32_t Shard, TimePoint Since) const {
   auto It = Shards_.find(Shard);
-  return It != Shards_.end() && It->second.CutOffOwnerSeen > Since;
+  if (It == Shards_.end() || It->second.CutOffOwnerSeen <= Since)
+    return {};
+  return It->second.CutOffOwner;
 }
 
 } // namespace celerybeam::detail
--- a/src/booking/internal/copyholder.h
+++ b/src/booking/internal/copyholder.h
@@ -32,13 +32,13 @@
   /// still be bound.
   std::optional<messages::IntentCopyAck> keep(const HostId &Owner,
                                               const messages::IntentCopy &Copy,
-                                              bool StoreReached,
-                                              TimePoint Now);
+                                              bool StoreReached, TimePoint Now);
   /// Hands out the copies, and agrees to a new owner unless bound.
   messages::IntentCopyReply agree(const HostId &Taker, std::uint32_t Shard,
                                   std::uint64_t Query, TimePoint Now);
-  /// Whether an owner went on without a store that this host does reach.
-  bool sawCutOffOwner(std::uint32_t Shard, TimePoint Since) const;
+  /// The owner that went on without a store that this host does reach; empty
+  /// when there was none since the time.
+  HostId cutOffOwner(std::uint32_t Shard, TimePoint Since) const;
 
 private:
   struct Held {
@@ -47,6 +47,7 @@
     TimePoint PromisedUntil{};
     HostId AgreedTo;
     TimePoint AgreedUntil{};
+    HostId CutOffOwner;
     TimePoint CutOffOwnerSeen{};
   };
 
--- a/src/booking/internal/copysender.cpp
+++ b/src/booking/internal/copysender.cpp
@@ -49,8 +49,7 @@
   Copy.set_serial(NextSerial_++);
   Sent S;
   S.At = Context_.Time.Now();
-  for (auto &E :
-       Table.changedSince(P.Acknowledged, EntriesPerCopy, S.UpTo))
+  for (auto &E : Table.changedSince(P.Acknowledged, EntriesPerCopy, S.UpTo))
     *Copy.add_entries() = std::move(E);
   P.LastSent = S.At;
   P.LastSentUpTo = S.UpTo;
@@ -89,8 +88,8 @@
   }
   PeerProgress &P = It->second;
   P.Acknowledged = std::max(P.Acknowledged, Node.mapped().UpTo);
-  P.PromisedUntil = std::max(P.PromisedUntil,
-                             Node.mapped().At + PromiseTime - PromiseMargin);
+  P.PromisedUntil =
+      std::max(P.PromisedUntil, Node.mapped().At + PromiseTime - PromiseMargin);
 }
 
 bool CopySender::holds(ChangeNumber Change) const {
--- a/src/booking/internal/ledgertable.cpp
+++ b/src/booking/internal/ledgertable.cpp
@@ -31,8 +31,8 @@
   }
 }
 
-std::size_t sizeWithoutAnswers(
-    const std::map<std::string, LedgerTable::Entry> &Entries) {
+std::size_t
+sizeWithoutAnswers(const std::map<std::string, LedgerTable::Entry> &Entries) {
   std::size_t Bytes = 0;
   for (const auto &[Key, E] : Entries)
     Bytes += E.Wire.ByteSizeLong() - E.Wire.answer().size() + 8;
@@ -60,9 +60,8 @@
                 [](const auto &Item) { return !Item.second.Dispatched; });
   for (const messages::LedgerEntry &Wire : Record.entries()) {
     Entry *Own = find(Wire.key());
-    if (Own != nullptr &&
-        (Own->InFlight ||
-         knowledge(Own->Wire.state()) >= knowledge(Wire.state())))
+    if (Own != nullptr && (Own->InFlight || knowledge(Own->Wire.state()) >=
+                                                knowledge(Wire.state())))
       continue;
     messages::LedgerEntry Loaded = Wire;
     if (Loaded.state() == State::INTENT)
@@ -76,9 +75,8 @@
   if (Heard.state() == State::INTENT)
     Heard.set_state(State::UNKNOWN);
   Entry *Own = find(Heard.key());
-  if (Own != nullptr &&
-      (Own->InFlight ||
-       knowledge(Own->Wire.state()) >= knowledge(Heard.state())))
+  if (Own != nullptr && (Own->InFlight || knowledge(Own->Wire.state()) >=
+                                              knowledge(Heard.state())))
     return false;
   put(std::move(Heard));
   return true;
@@ -111,8 +109,9 @@
   for (const auto &[Key, E] : Entries_)
     if (E.Change > After)
       Changed.push_back(&E);
-  std::sort(Changed.begin(), Changed.end(),
-            [](const Entry *L, const Entry *R) { return L->Change < R->Change; });
+  std::sort(Changed.begin(), Changed.end(), [](const Entry *L, const Entry *R) {
+    return L->Change < R->Change;
+  });
   UpTo = LastChange_;
   if (Changed.size() > Most) {
     Changed.resize(Most);
@@ -128,8 +127,7 @@
   while (!Entries_.empty()) {
     auto Oldest = Entries_.begin();
     Result<Uuid7> Key = Uuid7::parse(Oldest->first);
-    if (Oldest->second.InFlight ||
-        (Key && Key->createdAt() >= CreatedBefore))
+    if (Oldest->second.InFlight || (Key && Key->createdAt() >= CreatedBefore))
       return;
     Entries_.erase(Oldest);
   }
--- a/src/booking/internal/ledgertable.h
+++ b/src/booking/internal/ledgertable.h
@@ -50,9 +50,8 @@
   /// Whether a new booking still fits.
   bool hasRoom() const;
   /// Entries that changed after a number, oldest change first.
-  std::vector<messages::LedgerEntry> changedSince(ChangeNumber After,
-                                                  std::size_t Most,
-                                                  ChangeNumber &UpTo) const;
+  std::vector<messages::LedgerEntry>
+  changedSince(ChangeNumber After, std::size_t Most, ChangeNumber &UpTo) const;
   /// Drops entries whose key is older than the time, but those in flight.
   void forget(UnixMillis CreatedBefore);
 
--- a/src/booking/internal/ledgerwriter.cpp
+++ b/src/booking/internal/ledgerwriter.cpp
@@ -103,9 +103,8 @@
   });
 }
 
-void LedgerWriter::release(
-    messages::LedgerShard Record, Effects &Out,
-    std::function<void(Result<void>, Effects &)> Done) {
+void LedgerWriter::release(messages::LedgerShard Record, Effects &Out,
+                           std::function<void(Result<void>, Effects &)> Done) {
   auto Take = [this, Done = std::move(Done)](const Result<void> &Answer,
                                              Effects &Next) {
     if (!Answer) {
@@ -137,12 +136,12 @@
   Attempted_ = Attempts_[Nonce] = Table.lastChange();
   Owner_ = Record.owner();
   StorePut Put{Key_, Record.SerializeAsString(), Version_, std::nullopt};
-  Out.add([this, PutHook = Context_.Store.Put, Enter = Context_.Enter, Put,
-           Nonce] {
-    PutHook(Put, [this, Enter, Nonce](Result<StoreVersion> Answer) {
-      Enter([&](Effects &Next) { finishCommit(Answer, Nonce, Next); });
-    });
-  });
+  Out.add(
+      [this, PutHook = Context_.Store.Put, Enter = Context_.Enter, Put, Nonce] {
+        PutHook(Put, [this, Enter, Nonce](Result<StoreVersion> Answer) {
+          Enter([&](Effects &Next) { finishCommit(Answer, Nonce, Next); });
+        });
+      });
 }
 
 void LedgerWriter::finishCommit(const Result<StoreVersion> &Answer,
--- a/src/booking/internal/ledgerwriter.h
+++ b/src/booking/internal/ledgerwriter.h
@@ -24,8 +24,7 @@
   LedgerWriter(BookingContext &Context, std::uint32_t Shard);
 
   /// Reads the record.
-  void read(Effects &Out,
-            std::function<void(Result<Stored>, Effects &)> Done);
+  void read(Effects &Out, std::function<void(Result<Stored>, Effects &)> Done);
 
   /// Puts a record in place of the version; the nonce is filled in. The
   /// record has the table's changes up to the one given.
--- a/src/booking/internal/runnercall.cpp
+++ b/src/booking/internal/runnercall.cpp
@@ -56,9 +56,9 @@
                      Effects &Out,
                      std::function<void(RunnerResult, Effects &)> Done) {
   EndpointCall Start;
-  Start.Id = {RequestId("booking/" + Call.Key + "/" +
-                        std::to_string(Call.Epoch)),
-              Call.Number};
+  Start.Id = {
+      RequestId("booking/" + Call.Key + "/" + std::to_string(Call.Epoch)),
+      Call.Number};
   Start.Endpoint = Call.Runner;
   Start.Where = Call.Where;
   Start.Head = headFor(Call);
--- a/src/booking/internal/shardbookings.cpp
+++ b/src/booking/internal/shardbookings.cpp
@@ -31,8 +31,8 @@
 
 BookingOutcome outcomeOf(const messages::LedgerEntry &Wire) {
   BookingOutcome O;
-  O.State = Wire.state() == State::DONE ? BookingState::Done
-                                        : BookingState::NotRun;
+  O.State =
+      Wire.state() == State::DONE ? BookingState::Done : BookingState::NotRun;
   O.Status = static_cast<int>(Wire.status());
   O.ContentType = Wire.content_type();
   O.Answer = Wire.answer();
@@ -46,9 +46,8 @@
 }
 
 void addWaiter(std::vector<BookingWaiter> &Waiters, BookingWaiter Waiter) {
-  std::erase_if(Waiters, [&](const BookingWaiter &W) {
-    return W.Name == Waiter.Name;
-  });
+  std::erase_if(Waiters,
+                [&](const BookingWaiter &W) { return W.Name == Waiter.Name; });
   Waiters.push_back(std::move(Waiter));
 }
 
@@ -88,8 +87,8 @@
   }
   if (E.Wire.state() == State::NOT_RUN && !isSafe(E.Change)) {
     Order.Waiter.Reply(
-        tl::unexpected(notRun(ErrorKind::NotReady,
-                              "its withdrawal is not recorded yet")),
+        tl::unexpected(
+            notRun(ErrorKind::NotReady, "its withdrawal is not recorded yet")),
         Out);
     return;
   }
@@ -141,9 +140,9 @@
   std::optional<EndpointDescriptor> Runner = Context_.Pick(Order.Pool, {});
   if (!Runner) {
     Order.Waiter.Reply(
-        tl::unexpected(notRun(ErrorKind::NoEndpoint,
-                              "no runner of pool \"" + Order.Pool.str() +
-                                  "\" takes work")),
+        tl::unexpected(notRun(ErrorKind::NoEndpoint, "no runner of pool \"" +
+                                                         Order.Pool.str() +
+                                                         "\" takes work")),
         Out);
     return;
   }
@@ -194,8 +193,8 @@
   Call.Head = L.Order.Head;
   Call.Body = L.Order.Body;
   startRunnerCall(Context_, Call, Out,
-                  [this, Key = Call.Key, Number = Call.Number](
-                      const RunnerResult &R, Effects &Next) {
+                  [this, Key = Call.Key,
+                   Number = Call.Number](const RunnerResult &R, Effects &Next) {
                     finish(Key, Number, R, Next);
                   });
 }
@@ -221,9 +220,9 @@
     E->Wire.set_content_type(R.ContentType);
     if (R.Answer.size() <= MaxKeptAnswerBytes)
       E->Wire.set_answer(R.Answer);
-    settle(L, *E, State::DONE,
-           BookingOutcome{BookingState::Done, R.Status, R.ContentType,
-                          R.Answer});
+    settle(
+        L, *E, State::DONE,
+        BookingOutcome{BookingState::Done, R.Status, R.ContentType, R.Answer});
     forwardOutcome(*E, Out);
     break;
   }
@@ -293,9 +292,8 @@
   Message.mutable_intent_copy()->set_shard(Shard_);
   Message.mutable_intent_copy()->set_epoch(Epoch_);
   *Message.mutable_intent_copy()->add_entries() = E.Wire;
-  Out.add([Send = Context_.Peers.Send, Owner, Message] {
-    Send(Owner, Message);
-  });
+  Out.add(
+      [Send = Context_.Peers.Send, Owner, Message] { Send(Owner, Message); });
 }
 
 void ShardOwner::tellOutcomes(Effects &Out) {
@@ -327,8 +325,8 @@
   TimePoint Now = Context_.Time.Now();
   for (auto &[Key, L] : Live_) {
     // The answer is known to be final but not recorded in time.
-    bool Ran = L.Outcome && *L.Outcome &&
-               (*L.Outcome)->State == BookingState::Done;
+    bool Ran =
+        L.Outcome && *L.Outcome && (*L.Outcome)->State == BookingState::Done;
     Result<BookingOutcome> Answer = tl::unexpected(
         unknownOutcome("the booking was sent to a runner that has not "
                        "answered by the deadline"));
@@ -361,10 +359,10 @@
     return;
   }
   if (!Known) {
-    Waiter.Reply(makeError(ErrorKind::NotFound,
-                           "no booking with the key " + Key +
-                               "; check the key and the tenant"),
-                 Out);
+    Waiter.Reply(
+        makeError(ErrorKind::NotFound, "no booking with the key " + Key +
+                                           "; check the key and the tenant"),
+        Out);
     return;
   }
   BookingOutcome O;
--- a/src/booking/internal/shardowner.cpp
+++ b/src/booking/internal/shardowner.cpp
@@ -38,10 +38,9 @@
 bool ShardOwner::isCandidate() const {
   if (Context_.Board.leaving())
     return false;
-  bool CutOff = Context_.Copies.sawCutOffOwner(
-      Shard_, Context_.Time.Now() - CutOffMemory);
-  std::vector<HostId> Ranking = ownerRanking(
-      Context_.Board, Shard_, CutOff ? recordOwner() : HostId());
+  HostId CutOff =
+      Context_.Copies.cutOffOwner(Shard_, Context_.Time.Now() - CutOffMemory);
+  std::vector<HostId> Ranking = ownerRanking(Context_.Board, Shard_, CutOff);
   return !Ranking.empty() && Ranking.front() == Context_.Board.self().Id;
 }
 
@@ -64,7 +63,7 @@
   else if (Phase_ == Phase::Asking)
     countAgreements(Out);
   else if (Phase_ == Phase::Idle && !Releasing_ &&
-           Now - LookedAt_ >= LookInterval && isCandidate())
+           Now - LookedAt_ >= LookInterval)
     look(Out);
   tellOutcomes(Out);
   expireWaiters(Out);
@@ -72,13 +71,15 @@
 
 void ShardOwner::look(Effects &Out) {
   LookedAt_ = Context_.Time.Now();
+  if (!isCandidate())
+    return;
   Phase_ = Phase::Reading;
-  Writer_.read(Out, [this](const Result<LedgerWriter::Stored> &Read,
-                           Effects &Next) {
-    Phase_ = Phase::Idle;
-    if (Read)
-      judge(*Read, Next);
-  });
+  Writer_.read(Out,
+               [this](const Result<LedgerWriter::Stored> &Read, Effects &Next) {
+                 Phase_ = Phase::Idle;
+                 if (Read)
+                   judge(*Read, Next);
+               });
 }
 
 void ShardOwner::judge(const LedgerWriter::Stored &Stored, Effects &Out) {
@@ -95,8 +96,8 @@
 bool ShardOwner::ownerIsGone(const HostId &Owner) const {
   if (Owner == Context_.Board.self().Id)
     return true;
-  if (Context_.Copies.sawCutOffOwner(Shard_,
-                                     Context_.Time.Now() - CutOffMemory))
+  if (Owner ==
+      Context_.Copies.cutOffOwner(Shard_, Context_.Time.Now() - CutOffMemory))
     return true;
   std::optional<PeerRecord> R = Context_.Board.peers().find(Owner);
   return !R || R->State == PeerState::Dead || R->State == PeerState::Leaving;
@@ -118,9 +119,8 @@
     messages::Envelope Message;
     Message.mutable_intent_copy_query()->set_shard(Shard_);
     Message.mutable_intent_copy_query()->set_query(Query_);
-    Out.add([Send = Context_.Peers.Send, Peer, Message] {
-      Send(Peer, Message);
-    });
+    Out.add(
+        [Send = Context_.Peers.Send, Peer, Message] { Send(Peer, Message); });
   }
 }
 
@@ -150,8 +150,8 @@
 bool ShardOwner::copiesMayBeLost() const {
   const StoreContact &Contact = Context_.Contact;
   TimePoint Now = Context_.Time.Now();
-  bool OutageRuledOut = Contact.reached(Now) &&
-                        Now - Contact.ContinuousSince >= CertainContact;
+  bool OutageRuledOut =
+      Contact.reached(Now) && Now - Contact.ContinuousSince >= CertainContact;
   return !AllAgreed_ || !OutageRuledOut;
 }
 
@@ -163,10 +163,9 @@
   messages::LedgerShard Record = header();
   Table_.write(Record);
   AskedAt_ = Context_.Time.Now();
-  Writer_.claim(std::move(Record), Seen_.Version, Table_.lastChange(), Out,
-                [this](const Result<void> &Answer, Effects &) {
-                  claimed(Answer);
-                });
+  Writer_.claim(
+      std::move(Record), Seen_.Version, Table_.lastChange(), Out,
+      [this](const Result<void> &Answer, Effects &) { claimed(Answer); });
 }
 
 void ShardOwner::claimed(const Result<void> &Answer) {
@@ -217,9 +216,9 @@
   Duration Since = Context_.Time.Now() - Writer_.lastCall();
   if (Writer_.busy() || (Writer_.failing() && Since < OutageRetry))
     return;
-  bool InFlight = std::any_of(
-      Table_.entries().begin(), Table_.entries().end(),
-      [](const auto &Item) { return Item.second.InFlight; });
+  bool InFlight =
+      std::any_of(Table_.entries().begin(), Table_.entries().end(),
+                  [](const auto &Item) { return Item.second.InFlight; });
   bool GiveAway = Releasing_ && !InFlight && Live_.empty();
   if (GiveAway) {
     messages::LedgerShard Record = header();
--- a/tests/support/fakestore.cpp
+++ b/tests/support/fakestore.cpp
@@ -39,6 +39,10 @@
 void FakeStore::call(const VirtualHost &Host, ErrorKind OnTimeout,
                      std::function<Result<T>()> Effect, Completion<T> Done) {
   Completion<T> Reply = once<T>(std::move(Done));
+  if (OnCall)
+    OnCall(Host.id());
+  if (Host.crashed())
+    return;
   if (Down_) {
     Host.post(Latency_, [Reply] {
       Reply(tl::unexpected(storeError(ErrorKind::StoreUnreachable)));
--- a/tests/support/fakestore.h
+++ b/tests/support/fakestore.h
@@ -43,6 +43,8 @@
   /// A host that is cut off gets no reply; its calls time out.
   void setCutOff(const HostId &Host, bool CutOff);
 
+  /// Hears of each call before its fate is decided.
+  std::function<void(const HostId &)> OnCall;
   /// Decides the fate of each call (get, put, lease calls); unset: no fault.
   std::function<StoreFault()> PickFault;
 
