--- a/src/booking/internal/bookingcontroller.cpp
+++ b/src/booking/internal/bookingcontroller.cpp
@@ -48,7 +48,7 @@
 /// The controller's state under its lock, kept alive by no callback.
 class BookingController::Impl {
 public:
-  Impl(Blackboard &Board, Runtime R, StoreHooks Store, PeerHooks Peers,
+  Impl(Blackboard &Board, const Runtime &R, StoreHooks Store, PeerHooks Peers,
        EndpointHooks Calls, RunnerPicker Pick);
 
   void enter(const std::function<void(Effects &)> &Step);
@@ -99,9 +99,9 @@
   }
 };
 
-BookingController::Impl::Impl(Blackboard &Board, Runtime R, StoreHooks Store,
-                              PeerHooks Peers, EndpointHooks Calls,
-                              RunnerPicker Pick)
+BookingController::Impl::Impl(Blackboard &Board, const Runtime &R,
+                              StoreHooks Store, PeerHooks Peers,
+                              EndpointHooks Calls, RunnerPicker Pick)
     : Context_{Board,
                R,
                std::move(Store),
@@ -270,7 +270,8 @@
   Order.Waiter = remoteWaiter(
       From, Wire.request_id(), Order.Key,
       Context_.Time.Now() + std::chrono::milliseconds(Wire.remaining_ms()));
-  Shards_[shardOf(Order.Key)]->book(std::move(Order), Out);
+  ShardOwner &Shard = *Shards_[shardOf(Order.Key)];
+  Shard.book(std::move(Order), Out);
 }
 
 void BookingController::Impl::takeQuery(const HostId &From,
@@ -382,9 +383,8 @@
 BookingController::BookingController(Blackboard &Board, Runtime R,
                                      StoreHooks Store, PeerHooks Peers,
                                      EndpointHooks Calls, RunnerPicker Pick)
-    : Impl_(std::make_unique<Impl>(Board, std::move(R), std::move(Store),
-                                   std::move(Peers), std::move(Calls),
-                                   std::move(Pick))) {}
+    : Impl_(std::make_unique<Impl>(Board, R, std::move(Store), std::move(Peers),
+                                   std::move(Calls), std::move(Pick))) {}
 BookingController::~BookingController() = default;
 
 void BookingController::book(BookingOrder Order,
--- a/src/booking/internal/ledgertable.cpp
+++ b/src/booking/internal/ledgertable.cpp
@@ -86,6 +86,7 @@
   std::size_t Room = MaxRecordBytes;
   Room -= std::min(Room, sizeWithoutAnswers(Entries_));
   std::vector<messages::LedgerEntry> NewestFirst;
+  NewestFirst.reserve(Entries_.size());
   for (auto It = Entries_.rbegin(); It != Entries_.rend(); ++It) {
     messages::LedgerEntry Wire = It->second.Wire;
     if (Wire.answer().size() <= Room)
@@ -118,6 +119,7 @@
     UpTo = Changed.back()->Change;
   }
   std::vector<messages::LedgerEntry> Out;
+  Out.reserve(Changed.size());
   for (const Entry *E : Changed)
     Out.push_back(E->Wire);
   return Out;
--- a/src/booking/internal/ledgerwriter.cpp
+++ b/src/booking/internal/ledgerwriter.cpp
@@ -19,9 +19,8 @@
 } // namespace
 
 LedgerWriter::LedgerWriter(BookingContext &Context, std::uint32_t Shard)
-    : Context_(Context), Shard_(Shard),
-      Key_("ledger/" + Context.Board.self().Region.str() + "/" +
-           std::to_string(Shard)),
+    : Context_(Context), Key_("ledger/" + Context.Board.self().Region.str() +
+                              "/" + std::to_string(Shard)),
       Tokens_(WriteBurst) {}
 
 std::string LedgerWriter::makeNonce() {
@@ -38,12 +37,11 @@
   return true;
 }
 
-void LedgerWriter::read(Effects &Out,
-                        std::function<void(Result<Stored>, Effects &)> Done) {
+void LedgerWriter::read(
+    Effects &Out, const std::function<void(Result<Stored>, Effects &)> &Done) {
   Busy_ = true;
   LastCall_ = Context_.Time.Now();
-  auto Take = [this, Done = std::move(Done)](const Result<StoreValue> &Value,
-                                             Effects &Next) {
+  auto Take = [this, Done](const Result<StoreValue> &Value, Effects &Next) {
     Busy_ = false;
     bool Absent = !Value && Value.error().Kind == ErrorKind::NotFound;
     Failing_ = !Value && !Absent;
--- a/src/booking/internal/ledgerwriter.h
+++ b/src/booking/internal/ledgerwriter.h
@@ -24,7 +24,8 @@
   LedgerWriter(BookingContext &Context, std::uint32_t Shard);
 
   /// Reads the record.
-  void read(Effects &Out, std::function<void(Result<Stored>, Effects &)> Done);
+  void read(Effects &Out,
+            const std::function<void(Result<Stored>, Effects &)> &Done);
 
   /// Puts a record in place of the version; the nonce is filled in. The
   /// record has the table's changes up to the one given.
@@ -63,7 +64,6 @@
   std::string makeNonce();
 
   BookingContext &Context_;
-  std::uint32_t Shard_;
   StoreKey Key_;
   StoreVersion Version_ = 0;
   std::string Owner_;
--- a/src/booking/tests/bookingfleet.cpp
+++ b/src/booking/tests/bookingfleet.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 struct BookingFleet::Life {
-  Life(BookingFleet &Fleet, HostIdentity Self)
+  Life(BookingFleet &Fleet, const HostIdentity &Self)
       : Host(Fleet.Time, Self.Id), Board(Self),
         Controller(Board, Host.runtime(), Fleet.Store.hooks(Host),
                    Fleet.Network.hooks(Host), Fleet.runners(Host), pickRunner) {
--- a/src/membership/internal/membershipcontroller.cpp
+++ b/src/membership/internal/membershipcontroller.cpp
@@ -70,7 +70,7 @@
 private:
   using Outbox = std::vector<std::pair<HostId, messages::Envelope>>;
 
-  void send(Outbox Out) const;
+  void send(Outbox &&Out) const;
 
   // What follows runs under the lock.
   void take(const messages::Envelope &Message, Outbox &Out);
@@ -125,7 +125,7 @@
   std::map<EndpointId, TimePoint> LeavingSince_;
 };
 
-void MembershipController::Impl::send(Outbox Out) const {
+void MembershipController::Impl::send(Outbox &&Out) const {
   for (auto &[To, Message] : Out) {
     messages::Gossip *Gossip = nullptr;
     if (Message.has_ping())
--- a/src/membership/internal/stragglerjudge.cpp
+++ b/src/membership/internal/stragglerjudge.cpp
@@ -96,6 +96,7 @@
   std::sort(Found.begin(), Found.end(), std::greater<>());
   Found.resize(std::min(Found.size(), probationRoom(Samples, EjectionCap)));
   std::vector<EndpointId> Ids;
+  Ids.reserve(Found.size());
   for (auto &[Severity, Id] : Found)
     Ids.push_back(std::move(Id));
   return Ids;
--- a/src/membership/tests/membershipcontrollertest.cpp
+++ b/src/membership/tests/membershipcontrollertest.cpp
@@ -17,7 +17,7 @@
 
 /// One life of an entry host.
 struct Member {
-  Member(VirtualTime &Time, FakeNetwork &Network, HostIdentity Self)
+  Member(VirtualTime &Time, FakeNetwork &Network, const HostIdentity &Self)
       : Host(Time, Self.Id), Board(Self),
         Controller(Board, Host.runtime(), Network.hooks(Host), nullptr) {
     Network.join(Host, Self.Number,
