--- /dev/null
+++ b/src/metrics/internal/distribution.cpp
@@ -0,0 +1,44 @@
+#include "metrics/internal/distribution.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace celerybeam {
+
+Distribution::Distribution(const DistributionScale &Scale)
+    : Counts_(boost::histogram::make_histogram_with(
+          std::vector<double>(),
+          Axis(Scale.Buckets, Scale.Lowest, Scale.Highest))) {}
+
+void Distribution::add(double Value) {
+  // The logarithm of zero is below all buckets.
+  Counts_(std::max(Value, 0.0));
+  Sum_ += Value;
+}
+
+void Distribution::merge(const Distribution &Other) {
+  // Cell by cell, since both have the same bounds.
+  std::transform(Counts_.begin(), Counts_.end(), Other.Counts_.begin(),
+                 Counts_.begin(), std::plus<>());
+  Sum_ += Other.Sum_;
+}
+
+void Distribution::write(PrometheusText &Text, const std::string &Name,
+                         const MetricLabels &Labels) const {
+  const auto &Bounds = Counts_.axis();
+  // The first cell holds what lies below the lowest bound, the last one what
+  // lies above the highest.
+  double Count = 0;
+  int Cell = 0;
+  std::vector<CumulativeBucket> Buckets;
+  for (double InCell : Counts_) {
+    Count += InCell;
+    if (Cell <= Bounds.size())
+      Buckets.push_back({Bounds.value(Cell), Count});
+    ++Cell;
+  }
+  Text.addHistogram(Name, Labels, Buckets, Count, Sum_);
+}
+
+} // namespace celerybeam
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -2,11 +2,13 @@
 #define CELERYBEAM_ROUTING_ROUTER_H
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "blackboard/blackboard.h"
 #include "framework/error.h"
 #include "framework/runtime.h"
+#include "routing/routersettings.h"
 #include "routing/routingtypes.h"
 
 namespace celerybeam {
@@ -18,7 +20,8 @@
 /// Wakes: on each request. Thread-safe.
 class Router {
 public:
-  Router(Blackboard &Board, Runtime R);
+  Router(Blackboard &Board, Runtime R,
+         const RouterSettings &Settings = RouterSettings());
   ~Router();
 
   /// Chooses for one attempt. Errors: UnknownRoute, NoEndpoint (none in the
@@ -26,6 +29,11 @@
   /// set).
   Result<RouteChoice> choose(const RouteQuery &Query);
 
+  /// Decides before admission, while a request would wait here, whether it is
+  /// worth a trip to another region; empty when it stays. Query.QueueWait
+  /// counts towards the wait here.
+  std::optional<SendAway> chooseAway(const RouteQuery &Query);
+
   /// Every candidate of the pool with its score or exclusion; changes
   /// nothing.
   std::vector<CandidateView> explain(const RouteQuery &Query) const;
