--- a/src/endpoints/tests/endpointclienttest.cpp
+++ b/src/endpoints/tests/endpointclienttest.cpp
@@ -138,6 +138,28 @@
   waitUntilIdle();
 }
 
+BOOST_FIXTURE_TEST_CASE(streamOfAnEngineThatEndsIsCutOff, Fixture) {
+  RecordedCall Record;
+  Calls.Start(streamCall(Engine.address(), 1000000), observe(Record));
+  Record.waitBody(1);
+  Engine.stop();
+  BOOST_TEST((Record.waitError() == ErrorKind::ConnectionLost));
+  BOOST_TEST(Record.body().find("[DONE]") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(callsEndWithTheHttpClient) {
+  fakes::FakeEngine Engine(0, engineSettings());
+  RecordedCall Record;
+  {
+    HttpClient Http;
+    EndpointClient Client(Http, [] { return Now; });
+    Client.hooks().Start(streamCall(Engine.address(), 1000000),
+                         observe(Record));
+    Record.waitBody(1);
+  }
+  BOOST_TEST((Record.waitError() == ErrorKind::Cancelled));
+}
+
 BOOST_FIXTURE_TEST_CASE(pausedStreamGoesOnWhenResumed, Fixture) {
   RecordedCall Record;
   Record.pauseAfterChunk();
--- a/src/httpclient/httpclienttypes.h
+++ b/src/httpclient/httpclienttypes.h
@@ -48,7 +48,7 @@
   std::chrono::seconds IdleLimit{20};
   /// A call that ends after its connection has carried nothing for this long
   /// makes the client distrust idle connections to the same server.
-  std::chrono::milliseconds SilenceLimit{1000};
+  std::chrono::milliseconds SilenceLimit{500};
 };
 
 /// What the client did since it started.
--- a/src/httpclient/tests/httpclienttest.cpp
+++ b/src/httpclient/tests/httpclienttest.cpp
@@ -45,7 +45,7 @@
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto *Generic = reinterpret_cast<struct sockaddr *>(&Address);
     socklen_t Size = sizeof(Address);
-    bind(Socket_, Generic, Size);
+    BOOST_REQUIRE(bind(Socket_, Generic, Size) == 0);
     listen(Socket_, 8);
     getsockname(Socket_, Generic, &Size);
     Address_ = "127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
@@ -241,7 +241,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(pausedCallGetsNoDataUntilItIsResumed) {
-  constexpr std::size_t Size = 4 * 1024 * 1024;
+  constexpr std::size_t Size = 4UL * 1024 * 1024;
   FakeServer Server(0, [&](const FakeRequest &) {
     FakeReply Reply;
     Reply.Body = std::string(Size, 'x');
--- a/src/platform/internal/platformclient.cpp
+++ b/src/platform/internal/platformclient.cpp
@@ -163,7 +163,7 @@
   }
 
   template <typename Reader, typename T>
-  void run(PlatformCall Call, Reader Read, Completion<T> Done) {
+  void run(PlatformCall &&Call, Reader Read, Completion<T> Done) {
     send(std::move(Call), [Read = std::move(Read), Done = std::move(Done)](
                               const Result<HttpAnswer> &Answer) {
       Done(Answer.and_then(Read));
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -52,8 +52,8 @@
 
 class FakePlatform::Impl {
 public:
-  Impl(std::uint16_t Port, std::string Hosts)
-      : Hosts_(std::move(Hosts)),
+  Impl(std::uint16_t Port, std::string Hosts, std::string State)
+      : State_(std::move(State)), Store_(State_), Hosts_(std::move(Hosts)),
         Server_(Port, [this](const FakeRequest &R) { return handle(R); }) {}
 
   ~Impl() { stop(); }
@@ -66,6 +66,8 @@
       ModeChanged_.notify_all();
     }
     Server_.stop();
+    if (!State_.empty())
+      Store_.save(State_);
   }
 
   std::uint16_t port() const { return Server_.port(); }
@@ -155,6 +157,7 @@
     return TimeToLive ? leaseReply(Id, *TimeToLive) : status(404);
   }
 
+  const std::string State_;
   FakeStore Store_;
   std::mutex Mutex_;
   std::condition_variable ModeChanged_;
@@ -167,8 +170,9 @@
   FakeServer Server_;
 };
 
-FakePlatform::FakePlatform(std::uint16_t Port, std::string Hosts)
-    : Impl_(std::make_unique<Impl>(Port, std::move(Hosts))) {}
+FakePlatform::FakePlatform(std::uint16_t Port, std::string Hosts,
+                           std::string State)
+    : Impl_(std::make_unique<Impl>(Port, std::move(Hosts), std::move(State))) {}
 
 FakePlatform::~FakePlatform() = default;
 
--- a/tests/fakes/fakeplatform.h
+++ b/tests/fakes/fakeplatform.h
@@ -18,7 +18,9 @@
 ///   GET /control/calls           JSON object of calls by kind.
 class FakePlatform {
 public:
-  FakePlatform(std::uint16_t Port, std::string Hosts);
+  /// \param State  file that keeps the keys from stop to the next start;
+  /// empty: none.
+  FakePlatform(std::uint16_t Port, std::string Hosts, std::string State = "");
   ~FakePlatform();
 
   std::uint16_t port() const;
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -1,10 +1,32 @@
 #include "fakestore.h"
 
 #include <algorithm>
+#include <fstream>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 namespace celerybeam::fakes {
 
+FakeStore::FakeStore(const std::string &File) {
+  std::ifstream In(File, std::ios::binary);
+  if (!In)
+    return;
+  const nlohmann::json All = nlohmann::json::from_cbor(In);
+  for (const auto &[Key, Entry] : All.items()) {
+    FakeValue &V = Values_[Key];
+    V.Version = Entry.at("version");
+    V.Lease = Entry.at("lease");
+    if (!Entry.contains("data"))
+      continue;
+    const auto &Bytes = Entry.at("data").get_binary();
+    V.Data = std::string(Bytes.begin(), Bytes.end());
+    // The lease was not kept, so its values end now.
+    if (!V.Lease.empty())
+      drop(V.Lease);
+  }
+}
+
 FakeValue FakeStore::get(const std::string &Key) {
   std::lock_guard Lock(Mutex_);
   expire();
@@ -72,6 +94,20 @@
   Changed_.notify_all();
 }
 
+void FakeStore::save(const std::string &File) {
+  std::lock_guard Lock(Mutex_);
+  nlohmann::json All = nlohmann::json::object();
+  for (const auto &[Key, V] : Values_) {
+    nlohmann::json &Entry = All[Key];
+    Entry["version"] = V.Version;
+    Entry["lease"] = V.Lease;
+    if (V.Data)
+      Entry["data"] = nlohmann::json::binary({V.Data->begin(), V.Data->end()});
+  }
+  std::ofstream Out(File, std::ios::binary);
+  nlohmann::json::to_cbor(All, Out);
+}
+
 void FakeStore::expire() {
   const Clock::time_point Now = Clock::now();
   for (auto It = Leases_.begin(); It != Leases_.end();) {
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -33,6 +33,9 @@
     std::uint64_t Version;
   };
 
+  /// \param File  what save wrote; empty or missing: no keys yet.
+  explicit FakeStore(const std::string &File);
+
   FakeValue get(const std::string &Key);
 
   /// Waits until the key's version is above After, the wait ends or stop is
@@ -49,6 +52,9 @@
 
   void stop();
 
+  /// Writes the keys to a file; leases are not kept.
+  void save(const std::string &File);
+
 private:
   void expire();
   void drop(const std::string &Lease);
--- a/tests/fakes/main.cpp
+++ b/tests/fakes/main.cpp
@@ -29,6 +29,8 @@
       "port on 127.0.0.1; 0: chosen by the kernel");
   Add("hosts", options::value<std::string>(),
       "platform: JSON file with the list of hosts");
+  Add("state", options::value<std::string>()->default_value(""),
+      "platform: file that keeps the keys from one run to the next");
   Add("slots", options::value<unsigned>()->default_value(4),
       "requests that run at the same time");
   Add("queue", options::value<unsigned>()->default_value(64),
@@ -139,7 +141,7 @@
   const auto Role = Map["role"].as<std::string>();
   const auto Port = Map["port"].as<std::uint16_t>();
   if (Role == "platform") {
-    FakePlatform F(Port, readHosts(Map));
+    FakePlatform F(Port, readHosts(Map), Map["state"].as<std::string>());
     serve(Role, F, Signals);
   } else if (Role == "engine") {
     FakeEngine F(Port, engineSettings(Map));
