--- a/tests/fakes/fakeserver.cpp
+++ b/tests/fakes/fakeserver.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstring>
 #include <stdexcept>
 #include <utility>
 
@@ -73,7 +72,7 @@
     S.Part = std::move(*Next);
   }
   std::size_t Count = std::min(Room, S.Part.size());
-  std::memcpy(Buffer, S.Part.data(), Count);
+  std::copy_n(S.Part.data(), Count, Buffer);
   S.Part.erase(0, Count);
   return static_cast<ssize_t>(Count);
 }
