Drive the HTTP client from epoll

Cause: with curl_multi_poll and curl_multi_perform the client asked the state of every socket at each event of any: 13,741 poll calls for 2,032 receives with 20 streams on two threads (strace).

Change: curl_multi_socket_action with epoll and an eventfd for commands.

--- a/src/httpclient/internal/clientloop.cpp
+++ b/src/httpclient/internal/clientloop.cpp
@@ -4,23 +4,15 @@
 
 namespace celerybeam {
 
-namespace {
-
-constexpr int PollMilliseconds = 1000;
-
-} // namespace
-
 ClientLoop::ClientLoop(const HttpClientSettings &Settings,
                        SuspectHosts &Suspects, LoopCounters &Counters)
     : Settings_(Settings), Suspects_(Suspects), Counters_(Counters),
-      Multi_(curl_multi_init()) {
-  curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS,
+      Multi_(curl_multi_init()), Poller_(Multi_.get()) {
+  curl_multi_setopt(Multi_.get(), CURLMOPT_MAXCONNECTS,
                     static_cast<long>(Settings.IdleConnections));
   Thread_ = std::thread([this] { run(); });
 }
 
-ClientLoop::~ClientLoop() { curl_multi_cleanup(Multi_); }
-
 void ClientLoop::start(std::unique_ptr<Transfer> T) {
   // A std::function must be copyable, so it cannot own a unique_ptr.
   auto Owner = std::make_shared<std::unique_ptr<Transfer>>(std::move(T));
@@ -41,7 +33,7 @@
 
 void ClientLoop::stop() {
   Stopping_ = true;
-  curl_multi_wakeup(Multi_);
+  Poller_.wake();
   Thread_.join();
 }
 
@@ -57,7 +49,7 @@
     std::lock_guard Lock(Mutex_);
     Commands_.push_back(std::move(C));
   }
-  curl_multi_wakeup(Multi_);
+  Poller_.wake();
 }
 
 std::vector<ClientLoop::Command> ClientLoop::takeCommands() {
@@ -68,10 +60,8 @@
 void ClientLoop::run() {
   while (!Stopping_) {
     runCommands();
-    int Running = 0;
-    curl_multi_perform(Multi_, &Running);
+    Poller_.poll();
     readResults();
-    curl_multi_poll(Multi_, nullptr, 0, PollMilliseconds, nullptr);
   }
   runCommands();
   endAll();
@@ -89,7 +79,7 @@
   Result<CURL *> Easy = T->prepare(Settings_, Fresh);
   if (!Easy)
     return T->finish(Easy.error());
-  curl_multi_add_handle(Multi_, *Easy);
+  curl_multi_add_handle(Multi_.get(), *Easy);
   HttpCallId Id = T->id();
   Active_.emplace(Id, std::move(T));
 }
@@ -107,7 +97,7 @@
 
 void ClientLoop::readResults() {
   int Left = 0;
-  while (CURLMsg *Message = curl_multi_info_read(Multi_, &Left)) {
+  while (CURLMsg *Message = curl_multi_info_read(Multi_.get(), &Left)) {
     if (Message->msg != CURLMSG_DONE)
       continue;
     CURLcode Code = Message->data.result;
@@ -123,7 +113,7 @@
     return;
   Transfer &T = *Node.mapped();
   count(T);
-  curl_multi_remove_handle(Multi_, T.easy());
+  curl_multi_remove_handle(Multi_.get(), T.easy());
   Finish(T);
 }
 
--- a/src/httpclient/internal/clientloop.h
+++ b/src/httpclient/internal/clientloop.h
@@ -12,6 +12,7 @@
 #include <curl/curl.h>
 
 #include "httpclient/httpclienttypes.h"
+#include "httpclient/internal/socketpoller.h"
 #include "httpclient/internal/suspecthosts.h"
 #include "httpclient/internal/transfer.h"
 
@@ -31,7 +32,6 @@
 public:
   ClientLoop(const HttpClientSettings &Settings, SuspectHosts &Suspects,
              LoopCounters &Counters);
-  ~ClientLoop();
 
   void start(std::unique_ptr<Transfer> T);
   void cancel(HttpCallId Id);
@@ -46,6 +46,10 @@
 private:
   using Command = std::function<void()>;
 
+  struct CleanUpMulti {
+    void operator()(CURLM *Multi) const { curl_multi_cleanup(Multi); }
+  };
+
   void enqueue(Command C);
   std::vector<Command> takeCommands();
   void run();
@@ -60,7 +64,8 @@
   const HttpClientSettings Settings_;
   SuspectHosts &Suspects_;
   LoopCounters &Counters_;
-  CURLM *Multi_;
+  std::unique_ptr<CURLM, CleanUpMulti> Multi_;
+  SocketPoller Poller_;
   std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> Active_;
   std::mutex Mutex_;
   std::vector<Command> Commands_;
