Keep connections open after answers from the head; test the faults

Cause: libmicrohttpd closes a connection whose answer is queued at the first call. Requests without a body are now answered at their end.

--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -94,6 +94,7 @@
   Framing_ = {};
   Accepted_.reset();
   BookingKey_.reset();
+  Deferred_.reset();
   Body_.clear();
   HeadSeen_ = false;
   TooLarge_ = false;
@@ -110,6 +111,8 @@
     HeadSeen_ = true;
     return onHead(Method);
   }
+  if (Deferred_)
+    return queueNow(*std::exchange(Deferred_, std::nullopt));
   if (*Size > 0)
     return onBody(Data, Size);
   return Started_ ? continueAnswer() : onWhole();
@@ -234,7 +237,16 @@
   return Answer;
 }
 
-MHD_Result CallerConnection::queue(const CallerAnswer &Answer) {
+MHD_Result CallerConnection::queue(CallerAnswer Answer) {
+  if (Framing_.hasBody())
+    return queueNow(Answer);
+  // The library closes connections that are answered before it has called
+  // for the end of the request.
+  Deferred_ = std::move(Answer);
+  return MHD_YES;
+}
+
+MHD_Result CallerConnection::queueNow(const CallerAnswer &Answer) {
   auto *Data = const_cast<char *>(Answer.Body.data());
   MHD_Response *Response = MHD_create_response_from_buffer(
       Answer.Body.size(), Data, MHD_RESPMEM_MUST_COPY);
--- a/src/gateway/internal/callerconnection.h
+++ b/src/gateway/internal/callerconnection.h
@@ -68,7 +68,8 @@
   MHD_Result acceptBookingStatus();
   MHD_Result answerFromHead(CallerTarget Target);
   MHD_Result refuse(const Error &Failure);
-  MHD_Result queue(const CallerAnswer &Answer);
+  MHD_Result queue(CallerAnswer Answer);
+  MHD_Result queueNow(const CallerAnswer &Answer);
   MHD_Result continueAnswer();
   MHD_Result queueExchange(const ResponseHead &Head);
   CallerAnswer wrongRegion(const Error &Failure) const;
@@ -92,6 +93,7 @@
   CallerTarget Target_ = CallerTarget::Request;
   std::optional<AcceptedHead> Accepted_;
   std::optional<Uuid7> BookingKey_;
+  std::optional<CallerAnswer> Deferred_;
   TenantId Tenant_;
   std::string Body_;
   bool HeadSeen_ = false;
--- a/src/gateway/internal/callerserver.cpp
+++ b/src/gateway/internal/callerserver.cpp
@@ -198,6 +198,10 @@
   int Descriptor = Socket->connect_fd;
   const auto *Peer =
       MHD_get_connection_info(Raw, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  // The kernel's buffer would otherwise grow to megabytes for a slow caller.
+  auto SendBuffer = static_cast<int>(Context_.Options.AnswerBuffer);
+  ::setsockopt(Descriptor, SOL_SOCKET, SO_SNDBUF, &SendBuffer,
+               sizeof(SendBuffer));
   std::string Ip = ipOf(Peer->client_addr);
   auto Refusal = refusalFor(Ip);
   Context_.Connections.fetch_add(1, std::memory_order_relaxed);
--- /dev/null
+++ b/src/gateway/tests/callerfaultstest.cpp
@@ -0,0 +1,290 @@
+#include <thread>
+
+#include "gateway/tests/callerfixture.h"
+
+using namespace celerybeam;
+
+namespace {
+
+constexpr std::chrono::milliseconds NoGrace{0};
+constexpr std::chrono::seconds LongGrace{60};
+const ResponseHead EventStream{200, {{"content-type", "text/event-stream"}}};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CallerFaults, CallerFixture)
+
+BOOST_AUTO_TEST_CASE(HalfSentHeadIsClosed) {
+  Options.HeadTimeout = std::chrono::milliseconds(300);
+  TestClient Client(serve().port());
+  Client.send("POST /v1/completions HTTP/1.1\r\nHos");
+  Client.readAll();
+  BOOST_TEST(Server->counts().TimedOut == 1U);
+  BOOST_TEST(Controller.Heads == 0);
+}
+
+BOOST_AUTO_TEST_CASE(HalfSentBodyIsClosedAndNeverStarted) {
+  Options.BodyTimeout = std::chrono::milliseconds(300);
+  TestClient Client(serve().port());
+  Client.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+              "Content-Length: 10\r\n\r\nhalf");
+  Client.readAll();
+  BOOST_TEST(Server->counts().TimedOut == 1U);
+  BOOST_TEST(Controller.startedCount() == 0U);
+  Server->stop(LongGrace);
+  BOOST_TEST(Server->counts().InFlight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatLeavesBeforeTheHeadIsNoticed) {
+  TestClient Client(serve().port());
+  Client.send(post("/v1/completions", "", "{}"));
+  ResponseHooks Answer = Controller.awaitStarted();
+  Client.close();
+  Controller.await(Controller.Gone, 1);
+  // What still comes goes nowhere.
+  Answer.Head(EventStream);
+  BOOST_TEST((Answer.Chunk("late") == Flow::Continue));
+  Answer.End({});
+  Server->stop(LongGrace);
+  BOOST_TEST(Controller.Gone == 1);
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatLeavesMidStreamIsNoticed) {
+  serve();
+  for (bool Reset : {false, true}) {
+    TestClient Client(Server->port());
+    Client.send(post("/v1/completions", "", "{}"));
+    ResponseHooks Answer = Controller.awaitStarted();
+    Answer.Head(EventStream);
+    Answer.Chunk("data: 1\n\n");
+    Client.readUntil("data: 1\n\n");
+    Reset ? Client.reset() : Client.close();
+    Controller.await(Controller.Gone, Reset ? 2 : 1);
+  }
+  Server->stop(LongGrace);
+  BOOST_TEST(Controller.Gone == 2);
+  BOOST_TEST(Server->counts().CallersGone == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowCallerPausesItsProducerAndLosesNothing) {
+  constexpr std::size_t ChunkSize = 4096;
+  constexpr int ChunkCount = 2000;
+  TestClient Client(serve().port(), 4096);
+  Client.send(post("/v1/completions", "", "{}"));
+  ResponseHooks Answer = Controller.awaitStarted();
+  std::string Whole;
+  Answer.Head(
+      {200, {{"content-length", std::to_string(ChunkSize * ChunkCount)}}});
+  int Pauses = 0;
+  int Reads = 0;
+  std::string Read;
+  for (int I = 0; I < ChunkCount; ++I) {
+    std::string Data(ChunkSize, static_cast<char>('a' + I % 26));
+    Whole += Data;
+    if (Answer.Chunk(std::move(Data)) == Flow::Continue)
+      continue;
+    ++Pauses;
+    while (!Controller.reached(Controller.Ready, Pauses)) {
+      Read += Client.readSome();
+      ++Reads;
+    }
+  }
+  Answer.End({});
+  BOOST_TEST(Pauses > 10);
+  BOOST_TEST(Reads > 10);
+  while (Read.size() < Whole.size())
+    Read += Client.readSome();
+  BOOST_TEST(Read.ends_with(Whole));
+}
+
+BOOST_AUTO_TEST_CASE(RequestsWithTwoReadingsAreRefusedAndNotReadOn) {
+  Controller.Echo = true;
+  serve();
+  std::string Hidden = "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                       "Content-Length: 1\r\n\r\nx";
+  for (const char *Fields :
+       {"Content-Length: 4\r\nContent-Length: 40\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Content-Length: 4, 4\r\n",
+        "Content-Length: -4\r\n", "Content-Length: 0x4\r\n"}) {
+    TestClient Client(Server->port());
+    Client.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\n" +
+                std::string(Fields) + "\r\n0\r\n\r\n" + Hidden);
+    std::string Answer = Client.readAll();
+    BOOST_TEST(contains(Answer, "HTTP/1.1 400 "), Fields << Answer);
+  }
+  BOOST_TEST(Controller.startedCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedBodyIsNotReadAsTheNextRequest) {
+  Controller.Echo = true;
+  serve();
+  std::string Hidden = "GET /v1/entries HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const char *Method : {"POST", "DELETE", "PATCH", "GET"}) {
+    TestClient Client(Server->port());
+    Client.send(std::string(Method) +
+                " /services/a/b HTTP/1.1\r\nHost: h\r\n"
+                "Celerybeam-Region: huye\r\nContent-Length: " +
+                std::to_string(Hidden.size()) + "\r\n\r\n" + Hidden);
+    std::string Answer = Client.readAll();
+    BOOST_TEST(contains(Answer, "HTTP/1.1 421 "));
+    BOOST_TEST(!contains(Answer, "\"query\""));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ExpectedContinueGetsTheRefusalInstead) {
+  Controller.Echo = true;
+  serve();
+  std::string Head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                     "Expect: 100-continue\r\nContent-Length: 2\r\n";
+  TestClient Refused(Server->port());
+  Refused.send(Head + "Celerybeam-Region: huye\r\n\r\n");
+  BOOST_TEST(Refused.readAll().starts_with("HTTP/1.1 421 "));
+  TestClient Accepted(Server->port());
+  Accepted.send(Head + "\r\n");
+  Accepted.readUntil("HTTP/1.1 100 Continue\r\n\r\n");
+  Accepted.send("ok");
+  BOOST_TEST(Accepted.readUntil("\r\n\r\nok").starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_AUTO_TEST_CASE(LargeBodiesGet413) {
+  Controller.Echo = true;
+  Options.BodyLimit = 100;
+  serve();
+  TestClient Known(Server->port());
+  Known.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+             "Content-Length: 101\r\n\r\n");
+  BOOST_TEST(Known.readAll().starts_with("HTTP/1.1 413 "));
+  BOOST_TEST(Controller.Heads == 0);
+  TestClient Chunked(Server->port());
+  Chunked.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n65\r\n" +
+               std::string(101, 'x') + "\r\n0\r\n\r\n");
+  BOOST_TEST(Chunked.readAll().starts_with("HTTP/1.1 413 "));
+  TestClient Endless(Server->port());
+  Endless.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n");
+  while (Endless.send("64\r\n" + std::string(100, 'x') + "\r\n")) {
+  }
+  BOOST_TEST(Controller.startedCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalReachesACallerThatStillSends) {
+  serve();
+  TestClient Client(Server->port());
+  std::string Body(4 << 20, 'x');
+  Client.send(post("/v1/completions", "Celerybeam-Region: huye\r\n", Body));
+  std::string Answer = Client.readAll();
+  BOOST_TEST(Answer.starts_with("HTTP/1.1 421 "));
+  BOOST_TEST(contains(Answer, "huye-1"));
+}
+
+BOOST_AUTO_TEST_CASE(LargeHeadsGet431) {
+  Options.HeaderLimit = 4096;
+  serve();
+  for (std::size_t Size : {4096U, 400000U}) {
+    TestClient Client(Server->port());
+    Client.send("GET /v1/entries HTTP/1.1\r\nHost: h\r\nX: " +
+                std::string(Size, 'x') + "\r\n\r\n");
+    BOOST_TEST(contains(Client.readUntil("\r\n"), "HTTP/1.1 431 "));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsAreLimitedWithAnAnswer) {
+  Options.ConnectionLimit = 3;
+  Options.ConnectionLimitPerIp = 2;
+  serve();
+  auto Ask = [](TestClient &Client) {
+    Client.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+    return Client.readUntil("}");
+  };
+  TestClient First(Server->port());
+  TestClient Second(Server->port());
+  BOOST_TEST(contains(Ask(First), "200 OK"));
+  BOOST_TEST(contains(Ask(Second), "200 OK"));
+  TestClient Third(Server->port());
+  std::string Refused = Ask(Third);
+  BOOST_TEST(contains(Refused, "HTTP/1.1 429 "), Refused);
+  BOOST_TEST(contains(Refused, "retry-after: 1"));
+  TestClient Fourth(Server->port());
+  BOOST_TEST(contains(Ask(Fourth), "\"rate_limited\""));
+  BOOST_TEST(Server->counts().ConnectionsRefused == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(BrokenAnswersEndWithoutTheLastChunk) {
+  serve();
+  TestClient Client(Server->port());
+  Client.send(post("/v1/completions", "", "{}"));
+  ResponseHooks Answer = Controller.awaitStarted();
+  Answer.Head(EventStream);
+  Answer.Chunk("data: 1\n\n");
+  Answer.End(makeError(ErrorKind::ConnectionLost, "The engine has gone."));
+  std::string Read = Client.readAll();
+  BOOST_TEST(contains(Read, "data: 1\n\n"));
+  BOOST_TEST(!contains(Read, "0\r\n\r\n"));
+  TestClient Other(Server->port());
+  Other.send(post("/v1/completions", "", "{}"));
+  Controller.awaitStarted().End(
+      makeError(ErrorKind::Overloaded, "Full.", std::chrono::seconds(3)));
+  std::string Refused = Other.readUntil("}}");
+  BOOST_TEST(Refused.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(contains(Refused, "retry-after: 3\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(SilentStreamsGetCommentLinesBetweenEvents) {
+  Options.KeepAliveInterval = std::chrono::milliseconds(50);
+  serve();
+  TestClient Client(Server->port());
+  Client.send(post("/v1/completions", "", "{}"));
+  ResponseHooks Answer = Controller.awaitStarted();
+  Answer.Head(EventStream);
+  Client.readUntil(": keep-alive\n\n");
+  Answer.Chunk("data: 1\n\n");
+  Client.readUntil(": keep-alive\n\n");
+  Answer.End({});
+  Client.readUntil("0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(GracefulStopFinishesWhatIsInFlight) {
+  serve();
+  TestClient Idle(Server->port());
+  Idle.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+  Idle.readUntil("}");
+  TestClient Client(Server->port());
+  Client.send(post("/v1/completions", "", "{}"));
+  ResponseHooks Answer = Controller.awaitStarted();
+  Answer.Head(EventStream);
+  Answer.Chunk("data: 1\n\n");
+  Client.readUntil("data: 1\n\n");
+  std::size_t CutOff = 99;
+  std::thread Stopping([&] { CutOff = Server->stop(LongGrace); });
+  // Once new connections are refused, new requests are as well.
+  while (TestClient::connects(Server->port()))
+    std::this_thread::yield();
+  Idle.send(post("/v1/completions", "", "{}"));
+  std::string Refused = Idle.readAll();
+  BOOST_TEST(contains(Refused, "\"shutting_down\""), Refused);
+  Answer.Chunk("data: 2\n\n");
+  Answer.End({});
+  BOOST_TEST(contains(Client.readUntil("0\r\n\r\n"), "data: 2\n\n"));
+  Stopping.join();
+  BOOST_TEST(CutOff == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StopWithoutGraceCutsOffAndTellsTheProducer) {
+  serve();
+  TestClient Client(Server->port());
+  Client.send(post("/v1/completions", "", "{}"));
+  ResponseHooks Answer = Controller.awaitStarted();
+  BOOST_TEST(Server->stop(NoGrace) == 1U);
+  BOOST_TEST(Controller.Gone == 1);
+  Server.reset();
+  Answer.Head(EventStream);
+  Answer.Chunk("late");
+  Answer.End({});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/testclient.cpp
+++ b/src/gateway/tests/testclient.cpp
@@ -38,16 +38,32 @@
 
 std::string TestClient::readUntil(std::string_view Text) {
   std::string Read;
-  std::array<char, 4096> Block{};
   while (Text.empty() || Read.find(Text) == std::string::npos) {
-    ssize_t Count = ::recv(Socket_, Block.data(), Block.size(), 0);
-    if (Count <= 0)
+    std::string Next = readSome();
+    if (Next.empty())
       break;
-    Read.append(Block.data(), static_cast<std::size_t>(Count));
+    Read += Next;
   }
   return Read;
 }
 
+std::string TestClient::readSome() {
+  std::array<char, 4096> Block{};
+  ssize_t Count = ::recv(Socket_, Block.data(), Block.size(), 0);
+  return Count <= 0
+             ? std::string()
+             : std::string(Block.data(), static_cast<std::size_t>(Count));
+}
+
+bool TestClient::connects(std::uint16_t Port) {
+  try {
+    TestClient Probe(Port);
+    return true;
+  } catch (const std::runtime_error &) {
+    return false;
+  }
+}
+
 void TestClient::reset() {
   linger Hard{1, 0};
   ::setsockopt(Socket_, SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
--- a/src/gateway/tests/testclient.h
+++ b/src/gateway/tests/testclient.h
@@ -15,10 +15,15 @@
   TestClient &operator=(const TestClient &) = delete;
   ~TestClient();
 
+  /// Whether anything listens on the port.
+  static bool connects(std::uint16_t Port);
+
   /// False when the other end no longer takes data.
   bool send(std::string_view Data) const;
   /// Reads until the text has arrived or the other end closes.
   std::string readUntil(std::string_view Text);
+  /// Reads what there is, at least one byte unless the other end closed.
+  std::string readSome();
   /// Reads until the other end closes.
   std::string readAll() { return readUntil({}); }
   /// Closes with a reset, as a crashed caller's host does.
