--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -94,8 +94,10 @@
 }
 
 Error notStarted() {
-  return {ErrorKind::NotReady, "the entry host is starting; try again shortly",
-          NotReadyRetryAfter, {}};
+  return {ErrorKind::NotReady,
+          "the entry host is starting; try again shortly",
+          NotReadyRetryAfter,
+          {}};
 }
 
 } // namespace
@@ -124,11 +126,10 @@
       return Started;
     Core_->start();
     readPlatformList();
-    Log_.info("Entry host started.",
-              {{"host", Settings_.Host.Id},
-               {"callers", Callers_->port()},
-               {"operators", Operators_->port()},
-               {"peers", Peers_->port()}});
+    Log_.info("Entry host started.", {{"host", Settings_.Host.Id},
+                                      {"callers", Callers_->port()},
+                                      {"operators", Operators_->port()},
+                                      {"peers", Peers_->port()}});
     return {};
   }
 
@@ -217,8 +218,8 @@
     Facts.ShareAway = [this](const PoolName &Pool) {
       return Rates_.shareAway(Pool, Time_.hooks().Now());
     };
-    Pages_ = std::make_unique<AdminPages>(*Core_, Time_.hooks(),
-                                          std::move(Facts));
+    Pages_ =
+        std::make_unique<AdminPages>(*Core_, Time_.hooks(), std::move(Facts));
     OperatorServerOptions Options;
     Options.Bind = Settings_.Operators.Listen;
     Options.Token = secretOrEmpty(Settings_.Operators.TokenFile);
@@ -227,8 +228,8 @@
     OperatorHandler Basics;
     Basics.Ready = [this] { return readiness(); };
     Basics.MetricsText = [this] { return Metrics_.text(); };
-    Operators_ = std::make_unique<OperatorServer>(std::move(Options),
-                                                  std::move(Basics));
+    Operators_ =
+        std::make_unique<OperatorServer>(std::move(Options), std::move(Basics));
     addOperatorRoutes(*Operators_, *Pages_, *Core_, Time_.hooks(),
                       [this] { signal(DrainAsked_); });
     return Operators_->start();
@@ -246,8 +247,8 @@
     Self.CallerAddress =
         advertised(Settings_.Callers.Listen, Settings_.Callers.Advertise,
                    Callers_->port());
-    Self.PeerAddress = advertised(
-        Settings_.Peers.Listen, Settings_.Peers.Advertise, Peers_->port());
+    Self.PeerAddress = advertised(Settings_.Peers.Listen,
+                                  Settings_.Peers.Advertise, Peers_->port());
     Self.Number = incarnation();
     EntryHostHooks Hooks;
     Hooks.Time = Time_.hooks();
@@ -301,7 +302,8 @@
       return Core ? entriesElsewhere(*Core, Head) : std::string();
     };
     H.BookingStatus = [this](const TenantId &Tenant, const RequestHead &,
-                             const Uuid7 &Key, Completion<BookingOutcome> Done) {
+                             const Uuid7 &Key,
+                             Completion<BookingOutcome> Done) {
       EntryHost *Core = Serving_.load();
       if (!Core) {
         Done(tl::unexpected(notStarted()));
@@ -364,27 +366,23 @@
   }
 
   void addMetricSources() {
-    Metrics_.addSource("celerybeam_requests_in_flight",
-                       "Requests that have not ended.", [this] {
-                         return static_cast<double>(
-                             Core_->requests().inFlight());
-                       });
-    Metrics_.addSource("celerybeam_revision",
-                       "Revision of the tables in force.", [this] {
-                         return static_cast<double>(
-                             Core_->board().tables()->Number);
-                       });
+    Metrics_.addSource(
+        "celerybeam_requests_in_flight", "Requests that have not ended.",
+        [this] { return static_cast<double>(Core_->requests().inFlight()); });
+    Metrics_.addSource(
+        "celerybeam_revision", "Revision of the tables in force.", [this] {
+          return static_cast<double>(Core_->board().tables()->Number);
+        });
     Metrics_.addSource("celerybeam_platform_calls_total",
                        "Calls sent to the platform.", [this] {
                          PlatformCallCounts C = Platform_.counts();
-                         return static_cast<double>(C.Gets + C.Puts +
-                                                    C.Watches + C.Leases +
-                                                    C.Lists);
-                       });
-    Metrics_.addSource("celerybeam_platform_failures_total",
-                       "Calls to the platform without an answer.", [this] {
-                         return static_cast<double>(Platform_.counts().Failures);
+                         return static_cast<double>(
+                             C.Gets + C.Puts + C.Watches + C.Leases + C.Lists);
                        });
+    Metrics_.addSource(
+        "celerybeam_platform_failures_total",
+        "Calls to the platform without an answer.",
+        [this] { return static_cast<double>(Platform_.counts().Failures); });
     Metrics_.addSource("celerybeam_peer_messages_sent_total",
                        "Messages sent to other entry hosts.", [this] {
                          return static_cast<double>(Peers_->counts().Sent);
@@ -476,9 +474,7 @@
   return Impl_->waitForDrainRequest(Limit);
 }
 std::uint16_t Daemon::callerPort() const { return Impl_->Callers_->port(); }
-std::uint16_t Daemon::operatorPort() const {
-  return Impl_->Operators_->port();
-}
+std::uint16_t Daemon::operatorPort() const { return Impl_->Operators_->port(); }
 std::uint16_t Daemon::peerPort() const { return Impl_->Peers_->port(); }
 
 } // namespace celerybeam
--- /dev/null
+++ b/src/ctl/internal/draincommand.cpp
@@ -0,0 +1,26 @@
+#include "ctl/commands.h"
+#include "ctl/internal/hostcommands.h"
+#include "ctl/servers.h"
+
+namespace celerybeam::ctl {
+
+namespace {
+
+ExitCode run(const Invocation &I) {
+  return detail::showAnswer(I, "POST", "/admin/drain", [&](const Json &Answer) {
+    I.Out << "leaving; " << cellText(Answer.value("in_flight", Json(0)))
+          << " requests in flight are finished first\n";
+  });
+}
+
+} // namespace
+
+Command drainCommand() {
+  return {"drain",
+          "Shuts the entry host at --operator down gracefully",
+          {},
+          addOperatorOptions,
+          run};
+}
+
+} // namespace celerybeam::ctl
--- a/src/framework/internal/httptypes.cpp
+++ b/src/framework/internal/httptypes.cpp
@@ -16,8 +16,7 @@
                     [&](const auto &Field) { return Field.Name == Name; }));
 }
 
-std::string_view findQueryValue(std::string_view Query,
-                                std::string_view Name) {
+std::string_view findQueryValue(std::string_view Query, std::string_view Name) {
   while (!Query.empty()) {
     std::string_view Item = Query.substr(0, Query.find('&'));
     Query.remove_prefix(std::min(Query.size(), Item.size() + 1));
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -309,10 +309,10 @@
   auto Writer = std::make_shared<TablesWriter>(Store_.hooks(Operator_),
                                                Operator_.runtime());
   auto Tell = [this, Name, Writer](const auto &Outcome) {
-    Applied_[Name] =
-        Outcome ? "accepted"
-                : std::string(errorKindName(Outcome.error().Kind)) + ": " +
-                      Outcome.error().Message;
+    Applied_[Name] = Outcome
+                         ? "accepted"
+                         : std::string(errorKindName(Outcome.error().Kind)) +
+                               ": " + Outcome.error().Message;
     note("apply " + Name + ": " + Applied_[Name]);
   };
   Writer->read([Name, Writer, Tell,
