--- a/src/ctl/internal/applycommand.cpp
+++ b/src/ctl/internal/applycommand.cpp
@@ -34,6 +34,11 @@
   }
   if (Files.Origin) {
     Result<TablesRevision> Base = Platform.readRecord(Files.Origin->Record);
+    if (!Base && Base.error().Kind == ErrorKind::NotFound)
+      return makeError(ErrorKind::NotFound,
+                       "The revision in the files' first lines is not in this "
+                       "platform's store; check --platform, or remove these "
+                       "lines if the files are meant for another one.");
     if (!Base)
       return tl::make_unexpected(Base.error());
     return Base->Rows;
--- a/src/ctl/internal/exitcode.cpp
+++ b/src/ctl/internal/exitcode.cpp
@@ -9,6 +9,8 @@
   case ErrorKind::StoreUnreachable:
   case ErrorKind::StoreOutcomeUnknown:
     return ExitCode::Unreachable;
+  case ErrorKind::BadRequest:
+    return ExitCode::Usage;
   case ErrorKind::StoreConflict:
     return ExitCode::Conflict;
   default:
--- a/src/ctl/internal/platformstore.cpp
+++ b/src/ctl/internal/platformstore.cpp
@@ -11,6 +11,7 @@
 constexpr long StatusUnauthorized = 401;
 constexpr long StatusNotFound = 404;
 constexpr long StatusConflict = 409;
+constexpr long LeastServerError = 500;
 
 Result<StoreVersion> versionOf(const HttpAnswer &Answer) {
   StoreVersion Version = 0;
@@ -58,6 +59,10 @@
                      "The platform: " + Answer.error().Message);
   if (Answer->Status == StatusConflict)
     return makeError(ErrorKind::StoreConflict, "Another version stands.");
+  // A server that failed may have done so after the write.
+  if (Answer->Status >= LeastServerError)
+    return makeError(ErrorKind::StoreOutcomeUnknown,
+                     refused(*Answer).value().Message);
   if (Answer->Status != StatusOk)
     return refused(*Answer);
   return versionOf(*Answer);
--- a/src/ctl/internal/servers.cpp
+++ b/src/ctl/internal/servers.cpp
@@ -116,7 +116,7 @@
                         "; see its log for the reason";
   if (Parsed.is_object() && Parsed.contains("error"))
     Message = Parsed["error"].value("message", Message);
-  return {ErrorKind::BadRequest, Message};
+  return {ErrorKind::Internal, Message};
 }
 
 } // namespace
@@ -150,7 +150,7 @@
     return tl::make_unexpected(errorIn(*Answer));
   Json Parsed = Json::parse(Answer->Body, nullptr, false);
   if (!Parsed.is_object())
-    return makeError(ErrorKind::BadRequest,
+    return makeError(ErrorKind::Internal,
                      "The answer is no JSON object; check that the address is "
                      "that of an operators' interface.");
   return Parsed;
