--- a/src/routing/routersettings.h
+++ b/src/routing/routersettings.h
@@ -20,7 +20,7 @@
   /// Service time of an endpoint before any was observed.
   Duration AssumedService = std::chrono::seconds(2);
   /// Endpoints drawn at random for one decision.
-  unsigned RandomChoices = 2;
+  unsigned RandomChoices = 4;
   /// How old the view of a pool may be that a decision draws from. The
   /// endpoints that it draws are read fresh.
   Duration ViewAge = std::chrono::milliseconds(100);
