Tell slow streams, so that they are resumed elsewhere

Cause: with two of eighteen engines slowed five times, a short question that meets one before its host has noticed takes seven seconds; a hedge does not help, since the first token still comes in time.

--- a/bench/decisions/engine.cpp
+++ b/bench/decisions/engine.cpp
@@ -76,8 +76,9 @@
   auto CachedTokens = static_cast<std::uint32_t>(Cached) * BlockTokens;
   CachedTokens_ += CachedTokens;
   PromptTokens_ += W->Request.promptTokens();
-  Duration Prefill =
-      PrefillPerToken * (W->Request.promptTokens() - CachedTokens) + TokenGap;
+  std::uint32_t Cold =
+      W->Request.promptTokens() - CachedTokens + W->Request.ResumedTokens;
+  Duration Prefill = PrefillPerToken * Cold + TokenGap;
   Time_.after(scaled(Prefill), [this, W] { firstToken(W); });
 }
 
@@ -108,7 +109,7 @@
     W->TokensLeft -= Tokens;
     if (W->TokensLeft == 0)
       return finish(W);
-    W->Observer.OnProgress();
+    W->Observer.OnProgress(Tokens);
     scheduleTokens(W);
   });
 }
--- a/bench/decisions/engine.h
+++ b/bench/decisions/engine.h
@@ -33,7 +33,8 @@
 /// What an engine tells of one attempt.
 struct EngineObserver {
   std::function<void()> OnFirstToken;
-  std::function<void()> OnProgress;
+  /// Tells how many tokens arrived.
+  std::function<void(std::uint32_t)> OnProgress;
   /// True for a whole answer; false when the deadline passed in the queue.
   std::function<void(bool)> OnEnd;
 };
--- a/bench/decisions/entryhost.h
+++ b/bench/decisions/entryhost.h
@@ -10,6 +10,8 @@
 #include "decisions/picker.h"
 #include "membership/endpointmonitor.h"
 #include "recovery/hedgepolicy.h"
+#include "recovery/progresswatch.h"
+#include "recovery/retrybudget.h"
 #include "routing/router.h"
 #include "support/virtualtime.h"
 
@@ -51,6 +53,8 @@
   AdmissionController Admission;
   Router Routes;
   HedgePolicy Hedges;
+  ProgressWatch Progress;
+  RetryBudget Retries;
   Picker Simple;
   std::vector<Engine *> Engines;
 
--- a/bench/decisions/fleet.cpp
+++ b/bench/decisions/fleet.cpp
@@ -73,6 +73,12 @@
     bool Ended = false;
     unsigned Resends = 0;
     TimePoint DispatchedAt{};
+    /// Of the winning attempt.
+    TimePoint FirstTokenAt{};
+    TimePoint LastProgress{};
+    std::uint32_t AttemptTokens = 0;
+    /// Of all attempts.
+    std::uint32_t Tokens = 0;
 
     bool isAway() const { return Host != Origin; }
   };
@@ -224,7 +230,10 @@
     F->DispatchedAt = Time_.now();
     hostOf(*F).Monitor.dispatched(E.id(), Attempt, F->Request->Class);
     Time_.after(Plan_.User.ZoneHop, [this, F, Attempt, &E] {
-      E.submit(Attempt, *F->Request, F->Deadline, observer(F, Attempt, E));
+      Arrival Rest = *F->Request;
+      Rest.ResumedTokens = F->Tokens;
+      Rest.AnswerTokens -= F->Tokens;
+      E.submit(Attempt, Rest, F->Deadline, observer(F, Attempt, E));
     });
     if (Plan_.Rule == Policy::Celerybeam && Attempt.Number == 1 &&
         F->Request->Class == RequestClass::Short)
@@ -256,8 +265,8 @@
     Observer.OnFirstToken = [=, this, &E] {
       Later([=, this, &E] { firstToken(F, Attempt, E); });
     };
-    Observer.OnProgress = [=, this, &E] {
-      Later([=, this, &E] { hostOf(*F).Monitor.progressed(E.id(), Attempt); });
+    Observer.OnProgress = [=, this, &E](std::uint32_t Tokens) {
+      Later([=, this, &E] { progressed(F, Attempt, E, Tokens); });
     };
     Observer.OnEnd = [=, this, &E](bool Whole) {
       Later([=, this, &E] { ended(F, Attempt, E, Whole); });
@@ -269,10 +278,13 @@
     BenchHost &Host = hostOf(*F);
     Host.heardLoad(E);
     Host.Monitor.firstToken(E.id(), Attempt);
-    if (F->Winner != 0)
+    if (F->Winner != 0 || !F->Running.contains(Attempt.Number))
       return;
     F->Winner = Attempt.Number;
-    if (F->Request->Class == RequestClass::Short) {
+    F->FirstTokenAt = F->LastProgress = Time_.now();
+    F->AttemptTokens = 1;
+    ++F->Tokens;
+    if (F->Request->Class == RequestClass::Short && F->Tokens == 1) {
       Host.Hedges.observe(PoolName("cedar"), Time_.now() - F->DispatchedAt,
                           benchPool(*Host.Board.tables()).HedgeShare);
       Result_.ShortFirstToken.add(Time_.now() + answerHops(*F) - F->ArrivedAt);
@@ -280,6 +292,40 @@
     cancelOthers(F, Attempt.Number);
   }
 
+  void progressed(const FlightPtr &F, const AttemptId &Attempt, Engine &E,
+                  std::uint32_t Tokens) {
+    BenchHost &Host = hostOf(*F);
+    Host.Monitor.progressed(E.id(), Attempt);
+    if (F->Winner != Attempt.Number)
+      return;
+    F->AttemptTokens += Tokens;
+    F->Tokens += Tokens;
+    Host.Progress.observeGap(PoolName("cedar"),
+                             (Time_.now() - F->LastProgress) / Tokens);
+    F->LastProgress = Time_.now();
+    if (Plan_.Rule == Policy::Celerybeam)
+      moveIfSlow(F, Attempt, E);
+  }
+
+  /// Resumes a slow stream at another engine, within the retry budget.
+  void moveIfSlow(const FlightPtr &F, const AttemptId &Attempt, Engine &E) {
+    BenchHost &Host = hostOf(*F);
+    if (!Host.Progress.isSlow(PoolName("cedar"), F->AttemptTokens,
+                              Time_.now() - F->FirstTokenAt) ||
+        !Host.Retries.take(PoolName("cedar")))
+      return;
+    Result<RouteChoice> Choice = Host.Routes.choose(queryOf(*F));
+    if (!Choice || !std::holds_alternative<ServeHere>(*Choice))
+      return;
+    ++Result_.Moves;
+    Host.Monitor.ended(E.id(), Attempt,
+                       makeError(ErrorKind::StreamStalled, "slow"));
+    Time_.after(Plan_.User.ZoneHop, [&E, Attempt] { E.cancel(Attempt); });
+    F->Running.clear();
+    F->Winner = 0;
+    dispatch(F, engineOf(std::get<ServeHere>(*Choice).Endpoint));
+  }
+
   void cancelOthers(const FlightPtr &F, AttemptNumber Kept) {
     for (auto &[Number, E] : F->Running) {
       if (Number == Kept)
@@ -303,6 +349,9 @@
     if (!Whole)
       How = makeError(ErrorKind::DeadlineExpired, "late");
     Host.Monitor.ended(E.id(), Attempt, How);
+    if (Whole)
+      Host.Retries.succeeded(PoolName("cedar"),
+                             benchPool(*Host.Board.tables()).RetryShare);
     F->Running.erase(Attempt.Number);
     if (!Whole && !F->Running.empty())
       return;
--- a/bench/decisions/report.h
+++ b/bench/decisions/report.h
@@ -37,6 +37,8 @@
   Latencies Refusal;
   std::uint64_t SentAway = 0;
   std::uint64_t Hedges = 0;
+  /// Streams resumed elsewhere since they were slow.
+  std::uint64_t Moves = 0;
   double EgressBytes = 0;
   double SlotSeconds = 0;
   std::uint64_t CachedTokens = 0;
--- a/bench/decisions/workload.h
+++ b/bench/decisions/workload.h
@@ -23,6 +23,8 @@
   RequestClass Class = RequestClass::Short;
   PrefixBlocks Blocks;
   std::uint32_t AnswerTokens = 0;
+  /// Answer tokens that another engine gave before this attempt.
+  std::uint32_t ResumedTokens = 0;
   Duration Deadline{};
 
   std::uint32_t promptTokens() const {
--- a/src/ctl/internal/applycommand.cpp
+++ b/src/ctl/internal/applycommand.cpp
@@ -105,8 +105,7 @@
 ExitCode run(const Invocation &I) {
   if (I.text("routes").empty() || I.text("pools").empty())
     return I.usage("apply needs --routes FILE and --pools FILE");
-  Result<TableFiles> Files =
-      readTableFiles(I.text("routes"), I.text("pools"));
+  Result<TableFiles> Files = readTableFiles(I.text("routes"), I.text("pools"));
   if (!Files)
     return I.fail(Files.error());
   std::optional<TableRows> Next = checkTableFiles(*Files, I);
--- a/src/ctl/internal/checkcommand.cpp
+++ b/src/ctl/internal/checkcommand.cpp
@@ -9,8 +9,7 @@
 ExitCode run(const Invocation &I) {
   if (I.text("routes").empty() || I.text("pools").empty())
     return I.usage("check needs both files: check ROUTES POOLS");
-  Result<TableFiles> Files =
-      readTableFiles(I.text("routes"), I.text("pools"));
+  Result<TableFiles> Files = readTableFiles(I.text("routes"), I.text("pools"));
   if (!Files)
     return I.fail(Files.error());
   std::optional<TableRows> Rows = checkTableFiles(*Files, I);
--- a/src/ctl/internal/getcommand.cpp
+++ b/src/ctl/internal/getcommand.cpp
@@ -21,9 +21,9 @@
       {"routes.toml", Texts.Routes}, {"pools.toml", Texts.Pools}};
   for (const auto &[Name, Text] : Files)
     if (I.Options.count("force") == 0 && std::filesystem::exists(Folder / Name))
-      return I.fail({ErrorKind::InvalidTable,
-                     (Folder / Name).string() +
-                         " exists; move it away or add --force."});
+      return I.fail(
+          {ErrorKind::InvalidTable,
+           (Folder / Name).string() + " exists; move it away or add --force."});
   for (const auto &[Name, Text] : Files) {
     Result<void> Written = writeWholeFile((Folder / Name).string(), Text);
     if (!Written)
--- a/src/ctl/internal/historycommand.cpp
+++ b/src/ctl/internal/historycommand.cpp
@@ -55,8 +55,7 @@
           {},
           [](po::options_description &Options) {
             Options.add_options()(
-                "limit",
-                po::value<std::size_t>()->default_value(DefaultLimit),
+                "limit", po::value<std::size_t>()->default_value(DefaultLimit),
                 "greatest number of revisions");
             addPlatformOptions(Options);
           },
--- a/src/ctl/internal/httpclient.cpp
+++ b/src/ctl/internal/httpclient.cpp
@@ -77,10 +77,9 @@
       ulfius_set_request_properties(&Request, U_OPT_CA_PATH,
                                     Access_.CaFile.c_str(), U_OPT_NONE);
     if (!Access_.Token.empty())
-      ulfius_set_request_properties(&Request, U_OPT_HEADER_PARAMETER,
-                                    "Authorization",
-                                    ("Bearer " + Access_.Token).c_str(),
-                                    U_OPT_NONE);
+      ulfius_set_request_properties(
+          &Request, U_OPT_HEADER_PARAMETER, "Authorization",
+          ("Bearer " + Access_.Token).c_str(), U_OPT_NONE);
     if (!Call.Body.empty())
       ulfius_set_request_properties(&Request, U_OPT_BINARY_BODY,
                                     Call.Body.data(), Call.Body.size(),
--- a/src/ctl/internal/output.cpp
+++ b/src/ctl/internal/output.cpp
@@ -67,8 +67,8 @@
   for (const Column &C : Columns)
     Width = std::max(Width, C.Title.size());
   for (const Column &C : Columns)
-    Out << padded(C.Title, Width) << Gap
-        << cellText(fieldOf(Object, C.Field)) << "\n";
+    Out << padded(C.Title, Width) << Gap << cellText(fieldOf(Object, C.Field))
+        << "\n";
 }
 
 } // namespace celerybeam::ctl
--- a/src/ctl/internal/platformstore.cpp
+++ b/src/ctl/internal/platformstore.cpp
@@ -49,8 +49,8 @@
 }
 
 Result<StoreVersion> put(HttpClient &Client, const StorePut &Put) {
-  std::string Target = "/v1/kv/" + Put.Key.str() +
-                       "?expected=" + std::to_string(Put.Expected);
+  std::string Target =
+      "/v1/kv/" + Put.Key.str() + "?expected=" + std::to_string(Put.Expected);
   Result<HttpAnswer> Answer = Client.send({"PUT", Target, Put.Data});
   // The client cannot tell a refused connection from a lost reply.
   if (!Answer)
--- a/src/ctl/internal/servers.cpp
+++ b/src/ctl/internal/servers.cpp
@@ -74,8 +74,9 @@
     std::string Each = Text.substr(Begin, End - Begin);
     if (!parseAddress(Each))
       return makeError(ErrorKind::BadRequest,
-                       "\"" + Each + "\" is no address; give an IP number and "
-                                     "a port, as in 10.0.0.1:8081.");
+                       "\"" + Each +
+                           "\" is no address; give an IP number and "
+                           "a port, as in 10.0.0.1:8081.");
     Addresses.emplace_back(std::move(Each));
     Begin = End + 1;
   }
@@ -156,9 +157,9 @@
 }
 
 PlatformTables::PlatformTables(ServerAccess Access)
-    : Writer_(platformStore(std::make_shared<HttpClient>(std::move(Access)),
-                            Loop_),
-              Loop_.runtime()) {}
+    : Writer_(
+          platformStore(std::make_shared<HttpClient>(std::move(Access)), Loop_),
+          Loop_.runtime()) {}
 
 Result<std::unique_ptr<PlatformTables>>
 PlatformTables::fromOptions(const Invocation &I) {
@@ -182,19 +183,17 @@
   Result<StoredTables> Newest = read();
   if (!Newest || Newest->Mark.Number == Number)
     return Newest;
-  tl::unexpected<Error> Absent =
-      makeError(ErrorKind::NotFound, "There is no revision " +
-                                         std::to_string(Number) +
-                                         "; celerybeamctl history lists them.");
+  tl::unexpected<Error> Absent = makeError(
+      ErrorKind::NotFound, "There is no revision " + std::to_string(Number) +
+                               "; celerybeamctl history lists them.");
   if (Number == 0 || Number > Newest->Mark.Number)
     return Absent;
   Result<std::vector<RevisionMark>> Marks =
       history(Newest->Mark.Number - Number + 1);
   if (!Marks)
     return tl::make_unexpected(Marks.error());
-  auto It = std::find_if(Marks->begin(), Marks->end(), [&](const auto &M) {
-    return M.Number == Number;
-  });
+  auto It = std::find_if(Marks->begin(), Marks->end(),
+                         [&](const auto &M) { return M.Number == Number; });
   if (It == Marks->end())
     return Absent;
   Result<TablesRevision> Content = readRecord(It->Record);
--- a/src/recovery/internal/progresswatch.cpp
+++ b/src/recovery/internal/progresswatch.cpp
@@ -13,12 +13,18 @@
 constexpr double WatchedQuantile = 0.99;
 /// How far above the quantile a wait must be to count as a stall.
 constexpr int StallFactor = 4;
+/// How many times slower than the median a stream must be to be moved.
+constexpr double SlowFactor = 2.5;
+/// Time that a stream must have lost before it is moved, so that a move pays
+/// for the prompt that another endpoint reads again.
+constexpr Duration MinLostTime = std::chrono::milliseconds(400);
 /// Samples between two computations of the quantile.
 constexpr unsigned RefreshEvery = 32;
 
 struct WatchedLatency {
   LatencyWindow Window;
   std::optional<Duration> Quantile;
+  std::optional<Duration> Median;
   unsigned SinceRefresh = RefreshEvery - 1;
 
   void add(Duration D) {
@@ -27,6 +33,7 @@
       return;
     SinceRefresh = 0;
     Quantile = Window.quantile(WatchedQuantile);
+    Median = Window.quantile(0.5);
   }
 };
 
@@ -82,4 +89,16 @@
   return progressTimeout(Quantile, GapLimits);
 }
 
+bool ProgressWatch::isSlow(const PoolName &Pool, std::uint32_t Tokens,
+                           Duration SinceFirstToken) const {
+  std::optional<Duration> Median;
+  Impl_->Pools_.update(Pool, [&](PoolLatencies &P) { Median = P.Gap.Median; });
+  if (!Median)
+    return false;
+  Duration Usual = *Median * Tokens;
+  auto Limit = Duration(static_cast<Duration::rep>(
+      SlowFactor * static_cast<double>(Usual.count())));
+  return SinceFirstToken > Limit && SinceFirstToken - Usual > MinLostTime;
+}
+
 } // namespace celerybeam
--- a/src/recovery/progresswatch.h
+++ b/src/recovery/progresswatch.h
@@ -1,6 +1,7 @@
 #ifndef CELERYBEAM_RECOVERY_PROGRESSWATCH_H
 #define CELERYBEAM_RECOVERY_PROGRESSWATCH_H
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -41,6 +42,12 @@
   /// Longest wait for the next token.
   Duration gapTimeout(const PoolName &Pool) const;
 
+  /// Whether a stream is so much slower than the pool's streams of late that
+  /// its rest comes sooner from another endpoint, although it moves on.
+  /// \param Tokens  received so far from the attempt.
+  bool isSlow(const PoolName &Pool, std::uint32_t Tokens,
+              Duration SinceFirstToken) const;
+
   static constexpr ProgressLimits FirstTokenLimits = {std::chrono::seconds(2),
                                                       std::chrono::seconds(20)};
   static constexpr ProgressLimits GapLimits = {std::chrono::seconds(1),
--- a/src/recovery/tests/policytest.cpp
+++ b/src/recovery/tests/policytest.cpp
@@ -72,4 +72,16 @@
               ProgressWatch::FirstTokenLimits.Ceiling));
 }
 
+BOOST_AUTO_TEST_CASE(aStreamFarBelowThePoolsPaceIsSlow) {
+  ProgressWatch Watch;
+  BOOST_TEST(!Watch.isSlow(Pool, 10, 1h));
+  for (int I = 0; I < 100; ++I)
+    Watch.observeGap(Pool, 20ms);
+  BOOST_TEST(!Watch.isSlow(Pool, 100, 4s));
+  BOOST_TEST(Watch.isSlow(Pool, 100, 6s));
+  // A short pause at the start of a stream is no reason to move it.
+  BOOST_TEST(!Watch.isSlow(Pool, 2, 300ms));
+  BOOST_TEST(Watch.isSlow(Pool, 2, 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
