Order waiting tenants by deadline among equal turns

Cause: tenants with one request each all have the same virtual time, and the set then ordered them by name: a tenant late in the alphabet was overtaken by every newcomer until its deadline had passed. Change: among equal virtual times the earliest deadline goes first. Two tests that failed before.

--- a/src/admission/internal/fairqueue.cpp
+++ b/src/admission/internal/fairqueue.cpp
@@ -5,31 +5,41 @@
 
 namespace celerybeam::detail {
 
+void FairQueue::addTurn(const TenantId &Tenant) {
+  const TenantQueue &Queue = Tenants_.at(Tenant);
+  Turns_.emplace(Queue.VirtualTime, Queue.Waiting.begin()->first, Tenant);
+}
+
+void FairQueue::removeTurn(const TenantId &Tenant) {
+  const TenantQueue &Queue = Tenants_.at(Tenant);
+  Turns_.erase({Queue.VirtualTime, Queue.Waiting.begin()->first, Tenant});
+}
+
 void FairQueue::push(WaitingRequest Request) {
-  TenantQueue &Queue = Tenants_[Request.Tenant];
-  if (Queue.Waiting.empty()) {
+  TenantId Tenant = Request.Tenant;
+  TenantQueue &Queue = Tenants_[Tenant];
+  if (Queue.Waiting.empty())
     // An idle tenant saves up no turns.
     Queue.VirtualTime = VirtualTime_;
-    Turns_.emplace(Queue.VirtualTime, Request.Tenant);
-  }
+  else
+    removeTurn(Tenant);
   Order At(Request.Deadline, NextSerial_++);
-  Index_.insert_or_assign(Request.Request, Place{Request.Tenant, At});
+  Index_.insert_or_assign(Request.Request, Place{Tenant, At});
   Arrivals_.emplace(At.second, Request.EnqueuedAt);
   Queue.Waiting.emplace(At, std::move(Request));
+  addTurn(Tenant);
 }
 
 std::optional<WaitingRequest> FairQueue::pop() {
   if (Turns_.empty())
     return std::nullopt;
-  auto [Time, Tenant] = *Turns_.begin();
+  auto [Time, At, Tenant] = *Turns_.begin();
   VirtualTime_ = Time;
+  removeTurn(Tenant);
   TenantQueue &Queue = Tenants_.at(Tenant);
-  const auto &[At, First] = *Queue.Waiting.begin();
-  double Cost = First.Cost;
-  Turns_.erase({Queue.VirtualTime, Tenant});
-  Queue.VirtualTime += Cost;
-  Turns_.emplace(Queue.VirtualTime, Tenant);
-  return takeOut(Tenant, Order(At));
+  Queue.VirtualTime += Queue.Waiting.at(At).Cost;
+  addTurn(Tenant);
+  return takeOut(Tenant, At);
 }
 
 std::optional<WaitingRequest> FairQueue::remove(const RequestId &Request) {
@@ -41,15 +51,16 @@
 }
 
 WaitingRequest FairQueue::takeOut(const TenantId &Tenant, const Order &At) {
+  removeTurn(Tenant);
   auto It = Tenants_.find(Tenant);
   auto Node = It->second.Waiting.extract(At);
   WaitingRequest Request = std::move(Node.mapped());
   Index_.erase(Request.Request);
   Arrivals_.erase(At.second);
-  if (It->second.Waiting.empty()) {
-    Turns_.erase({It->second.VirtualTime, Tenant});
+  if (It->second.Waiting.empty())
     Tenants_.erase(It);
-  }
+  else
+    addTurn(Tenant);
   return Request;
 }
 
--- a/src/admission/internal/fairqueue.h
+++ b/src/admission/internal/fairqueue.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -56,8 +57,11 @@
     TenantId Tenant;
     Order At;
   };
-  using Turn = std::pair<double, TenantId>;
+  /// Virtual time first; among equals the earliest deadline, then arrival.
+  using Turn = std::tuple<double, Order, TenantId>;
 
+  void addTurn(const TenantId &Tenant);
+  void removeTurn(const TenantId &Tenant);
   WaitingRequest takeOut(const TenantId &Tenant, const Order &At);
 
   std::map<TenantId, TenantQueue> Tenants_;
--- a/src/admission/tests/fairqueuetest.cpp
+++ b/src/admission/tests/fairqueuetest.cpp
@@ -51,6 +51,24 @@
   BOOST_TEST(popAll(Queue) == "h0 l0 l1 l2 h1 l3 ");
 }
 
+BOOST_AUTO_TEST_CASE(amongTenantsWithEqualTurnsTheEarliestDeadlineGoesFirst) {
+  FairQueue Queue;
+  push(Queue, "late", "a", 9s);
+  push(Queue, "early", "z", 1s);
+  BOOST_TEST(popAll(Queue) == "early late ");
+}
+
+BOOST_AUTO_TEST_CASE(newTenantsDoNotOvertakeThoseThatWait) {
+  FairQueue Queue;
+  push(Queue, "first", "zz", 1s);
+  for (int I = 0; I < 5; ++I) {
+    push(Queue, "n" + std::to_string(I), "t" + std::to_string(I), 2s + I * 1s);
+    if (I == 1)
+      BOOST_TEST(Queue.pop()->Request == RequestId("first"));
+  }
+  BOOST_TEST(popAll(Queue) == "n0 n1 n2 n3 n4 ");
+}
+
 BOOST_AUTO_TEST_CASE(theNewestOfTheLargestTenantIsShed) {
   FairQueue Queue;
   push(Queue, "p", "polite", 9s);
