Keep the slots that short questions need free of long drafts

Cause: whenever no question waited, drafts filled three of a host's five slots and held them for seventeen seconds, while the questions alone needed three. Change: the limit for drafts is what the window leaves above the questions' rate times their service time and its square root; the floor for drafts falls from a quarter to 0.15 of the window, since overload sheds the lowest class first.

--- a/src/admission/internal/poolqueue.cpp
+++ b/src/admission/internal/poolqueue.cpp
@@ -17,7 +17,9 @@
 /// time.
 constexpr double NeededServiceShare = 0.7;
 /// Share of the window that long drafts keep while short questions wait.
-constexpr double LongFloor = 0.25;
+constexpr double LongFloor = 0.15;
+/// Time constant of the observed rate of short questions.
+constexpr double RateSeconds = 5;
 /// Requests that may wait, as a multiple of the window.
 constexpr std::uint32_t WaitingPerSlot = 8;
 constexpr std::uint32_t MinWaitingLimit = 64;
@@ -44,6 +46,8 @@
                                 TimePoint Now) {
   std::lock_guard Lock(Mutex_);
   QueueVerdicts Verdicts;
+  if (Request.Class == RequestClass::Short)
+    observeShort(Now);
   Duration Wait = predictedWait(Request.Class, Request.Tenant);
   Duration Spare = Request.Deadline - Now - Wait - minService(Request.Class);
   bool Waits = Admitted_.size() >= limit() || Wait > Duration(0);
@@ -102,8 +106,20 @@
 
 std::uint32_t PoolQueue::limit() const { return Window_.Base + Window_.Extra; }
 
+// A draft holds its slot many times longer than a question: the slots that the
+// questions need, with room for their bursts, are kept free of drafts.
 double PoolQueue::longLimit() const {
-  return std::max(1., std::floor(Window_.LongShare * limit()));
+  double ForShort = ShortRate_ * Short_.ServiceSeconds;
+  double Left = limit() - ForShort - std::sqrt(ForShort);
+  double Most = std::floor(Window_.LongShare * limit());
+  return std::max({1., std::ceil(LongFloor * limit()), std::min(Left, Most)});
+}
+
+void PoolQueue::observeShort(TimePoint Now) {
+  double Elapsed =
+      static_cast<double>((Now - ShortSeenAt_).count()) / MicrosPerSecond;
+  ShortRate_ = ShortRate_ * std::exp(-Elapsed / RateSeconds) + 1 / RateSeconds;
+  ShortSeenAt_ = Now;
 }
 
 double PoolQueue::releasesPerSecond(RequestClass Class) const {
--- a/src/admission/internal/poolqueue.h
+++ b/src/admission/internal/poolqueue.h
@@ -81,6 +81,7 @@
   }
   std::uint32_t limit() const;
   double longLimit() const;
+  void observeShort(TimePoint Now);
   double releasesPerSecond(RequestClass Class) const;
   Duration predictedWait(RequestClass Class, const TenantId &Tenant) const;
   Duration minService(RequestClass Class);
@@ -99,6 +100,9 @@
   PoolWindow Window_;
   ClassState Short_;
   ClassState Long_;
+  /// Moving average of the rate of short questions, a second.
+  double ShortRate_ = 0;
+  TimePoint ShortSeenAt_{};
   std::unordered_map<RequestId, AdmittedRequest> Admitted_;
 };
 
