Even out own requests, move virtual time, refuse earlier

Cause: reports of other hosts' work are a second or two old, so endpoints fill unevenly; newcomers overtook the second request of a waiting tenant without end, since virtual time stood still; requests predicted to wait until just before their deadline mostly missed it. Change: own requests in flight count half again on top of the report; virtual time moves on with the service each waiting tenant was due; a request is refused when its predicted wait exceeds half of the time before its latest start.

--- a/src/admission/internal/fairqueue.cpp
+++ b/src/admission/internal/fairqueue.cpp
@@ -34,10 +34,14 @@
   if (Turns_.empty())
     return std::nullopt;
   auto [Time, At, Tenant] = *Turns_.begin();
-  VirtualTime_ = Time;
   removeTurn(Tenant);
   TenantQueue &Queue = Tenants_.at(Tenant);
-  Queue.VirtualTime += Queue.Waiting.at(At).Cost;
+  double Cost = Queue.Waiting.at(At).Cost;
+  // Moves on with the service that each waiting tenant was due; otherwise
+  // newcomers would overtake a tenant's second request without end.
+  VirtualTime_ = std::max(VirtualTime_, Time) +
+                 Cost / static_cast<double>(Tenants_.size());
+  Queue.VirtualTime += Cost;
   addTurn(Tenant);
   return takeOut(Tenant, At);
 }
--- a/src/admission/internal/poolqueue.cpp
+++ b/src/admission/internal/poolqueue.cpp
@@ -16,6 +16,9 @@
 /// Part of the mean service time that a request needs at least to end in
 /// time.
 constexpr double NeededServiceShare = 0.7;
+/// Part of the time before the latest start that a request may be predicted
+/// to wait, in percent.
+constexpr int WaitPercent = 50;
 /// Share of the window that long drafts keep while short questions wait.
 constexpr double LongFloor = 0.15;
 /// Time constant of the observed rate of short questions.
@@ -49,7 +52,11 @@
   if (Request.Class == RequestClass::Short)
     observeShort(Now);
   Duration Wait = predictedWait(Request.Class, Request.Tenant);
-  Duration Spare = Request.Deadline - Now - Wait - minService(Request.Class);
+  // Predictions err: a wait that would take up most of the time there is ends
+  // in a refusal too often, and late.
+  Duration Spare =
+      (Request.Deadline - Now - minService(Request.Class)) * WaitPercent / 100 -
+      Wait;
   bool Waits = Admitted_.size() >= limit() || Wait > Duration(0);
   if (Waits && Spare < Duration(0)) {
     Verdicts.Refused.push_back({Request.Request, lateError(-Spare)});
--- a/src/admission/tests/fairqueuetest.cpp
+++ b/src/admission/tests/fairqueuetest.cpp
@@ -69,6 +69,21 @@
   BOOST_TEST(popAll(Queue) == "n0 n1 n2 n3 n4 ");
 }
 
+BOOST_AUTO_TEST_CASE(aSecondRequestIsServedThoughNewTenantsKeepComing) {
+  FairQueue Queue;
+  push(Queue, "b0", "busy", 1s);
+  push(Queue, "b1", "busy", 2s);
+  push(Queue, "w", "waiting", 2s);
+  unsigned Pops = 0;
+  for (int I = 0; I < 20; ++I) {
+    push(Queue, "n" + std::to_string(I), "t" + std::to_string(I), 3s + I * 1s);
+    ++Pops;
+    if (Queue.pop()->Request == RequestId("b1"))
+      break;
+  }
+  BOOST_TEST(Pops <= 8U);
+}
+
 BOOST_AUTO_TEST_CASE(theNewestOfTheLargestTenantIsShed) {
   FairQueue Queue;
   push(Queue, "p", "polite", 9s);
--- a/src/routing/internal/waitpredictor.cpp
+++ b/src/routing/internal/waitpredictor.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr double MaxSlowdown = 10;
+/// Weight of own requests in flight on top of the report. The other hosts'
+/// are as many but known late, so evening out the own ones evens out all.
+constexpr double OwnWeight = 0.5;
 
 Duration scaled(Duration D, double Factor) {
   return Duration(
@@ -35,7 +38,9 @@
                    const PoolAverages &Averages) {
   Prediction P;
   double Slots = std::max(1U, Endpoint.Descriptor.Slots);
-  double Requests = requestsAt(Endpoint);
+  const EndpointObservation &Seen = Endpoint.Observed;
+  double Requests = requestsAt(Endpoint) +
+                    OwnWeight * (Seen.ShortInFlight + Seen.LongInFlight);
   double Slow = slowdown(Endpoint, Averages);
   P.Load = Requests / Slots;
   double Ahead = std::max(0., Requests - Slots + 1);
