Give long drafts a floor over time and predict their wait from it

Cause: a floor of whole slots is a fifth of a small window, and drafts were predicted to move as fast as before the questions crowded them out, so most were refused only after 79 s. Change: under load a draft is admitted at intervals that make up a tenth of the window; the prediction for drafts uses that rate while questions wait.

--- a/src/admission/internal/poolqueue.cpp
+++ b/src/admission/internal/poolqueue.cpp
@@ -19,8 +19,9 @@
 /// Part of the time before the latest start that a request may be predicted
 /// to wait, in percent.
 constexpr int WaitPercent = 50;
-/// Share of the window that long drafts keep while short questions wait.
-constexpr double LongFloor = 0.15;
+/// Share of the window, over time, that long drafts keep while short questions
+/// wait.
+constexpr double LongFloor = 0.1;
 /// Time constant of the observed rate of short questions.
 constexpr double RateSeconds = 5;
 /// Requests that may wait, as a multiple of the window.
@@ -119,7 +120,7 @@
   double ForShort = ShortRate_ * Short_.ServiceSeconds;
   double Left = limit() - ForShort - std::sqrt(ForShort);
   double Most = std::floor(Window_.LongShare * limit());
-  return std::max({1., std::ceil(LongFloor * limit()), std::min(Left, Most)});
+  return std::max(1., std::min(Left, Most));
 }
 
 void PoolQueue::observeShort(TimePoint Now) {
@@ -132,7 +133,9 @@
 double PoolQueue::releasesPerSecond(RequestClass Class) const {
   double Long = Long_.Admitted / std::max(Long_.ServiceSeconds, 1e-3);
   if (Class == RequestClass::Long)
-    return std::max(Long, LongFloor * limit() / Long_.ServiceSeconds);
+    return Short_.Waiting.empty() && Long_.Admitted > 0
+               ? Long
+               : LongFloor * limit() / Long_.ServiceSeconds;
   double Short = Short_.Admitted / std::max(Short_.ServiceSeconds, 1e-3);
   return std::max(Short + Long, 1e-3);
 }
@@ -151,9 +154,15 @@
   return fromSeconds(NeededServiceShare * state(Class).ServiceSeconds);
 }
 
-std::optional<RequestClass> PoolQueue::nextClass() {
+// A small window has room for whole drafts only; admitting them at intervals
+// holds the floor over time.
+Duration PoolQueue::floorInterval() const {
+  return fromSeconds(Long_.ServiceSeconds / (LongFloor * limit()));
+}
+
+std::optional<RequestClass> PoolQueue::nextClass(TimePoint Now) const {
   bool LongMay = !Long_.Waiting.empty() && Long_.Admitted < longLimit();
-  if (LongMay && Long_.Admitted < LongFloor * limit())
+  if (LongMay && Now - LongAdmittedAt_ >= floorInterval())
     return RequestClass::Long;
   if (!Short_.Waiting.empty())
     return RequestClass::Short;
@@ -164,7 +173,7 @@
 
 void PoolQueue::admitWhileFree(TimePoint Now, QueueVerdicts &Verdicts) {
   while (Admitted_.size() < limit()) {
-    std::optional<RequestClass> Class = nextClass();
+    std::optional<RequestClass> Class = nextClass(Now);
     if (!Class)
       return;
     WaitingRequest Next = *state(*Class).Waiting.pop();
@@ -181,6 +190,8 @@
                       TimePoint Now, QueueVerdicts &Verdicts) {
   Admitted_.insert_or_assign(Request, AdmittedRequest{Class, Now});
   ++state(Class).Admitted;
+  if (Class == RequestClass::Long)
+    LongAdmittedAt_ = Now;
   Verdicts.Admitted.push_back(Request);
 }
 
--- a/src/admission/internal/poolqueue.h
+++ b/src/admission/internal/poolqueue.h
@@ -85,7 +85,8 @@
   double releasesPerSecond(RequestClass Class) const;
   Duration predictedWait(RequestClass Class, const TenantId &Tenant) const;
   Duration minService(RequestClass Class);
-  std::optional<RequestClass> nextClass();
+  Duration floorInterval() const;
+  std::optional<RequestClass> nextClass(TimePoint Now) const;
   void admitWhileFree(TimePoint Now, QueueVerdicts &Verdicts);
   void admit(const RequestId &Request, RequestClass Class, TimePoint Now,
              QueueVerdicts &Verdicts);
@@ -103,6 +104,7 @@
   /// Moving average of the rate of short questions, a second.
   double ShortRate_ = 0;
   TimePoint ShortSeenAt_{};
+  TimePoint LongAdmittedAt_{};
   std::unordered_map<RequestId, AdmittedRequest> Admitted_;
 };
 
