--- a/src/admission/internal/poolqueue.cpp
+++ b/src/admission/internal/poolqueue.cpp
@@ -16,8 +16,14 @@
 /// Part of the mean service time that a request needs at least to end in
 /// time.
 constexpr double NeededServiceShare = 0.7;
-/// Share of the window that long drafts keep while short questions wait.
-constexpr double LongFloor = 0.25;
+/// Part of the time before the latest start that a request may be predicted
+/// to wait, in percent.
+constexpr int WaitPercent = 50;
+/// Share of the window, over time, that long drafts keep while short questions
+/// wait.
+constexpr double LongFloor = 0.1;
+/// Time constant of the observed rate of short questions.
+constexpr double RateSeconds = 5;
 /// Requests that may wait, as a multiple of the window.
 constexpr std::uint32_t WaitingPerSlot = 8;
 constexpr std::uint32_t MinWaitingLimit = 64;
@@ -44,8 +50,14 @@
                                 TimePoint Now) {
   std::lock_guard Lock(Mutex_);
   QueueVerdicts Verdicts;
+  if (Request.Class == RequestClass::Short)
+    observeShort(Now);
   Duration Wait = predictedWait(Request.Class, Request.Tenant);
-  Duration Spare = Request.Deadline - Now - Wait - minService(Request.Class);
+  // Predictions err: a wait that would take up most of the time there is ends
+  // in a refusal too often, and late.
+  Duration Spare =
+      (Request.Deadline - Now - minService(Request.Class)) * WaitPercent / 100 -
+      Wait;
   bool Waits = Admitted_.size() >= limit() || Wait > Duration(0);
   if (Waits && Spare < Duration(0)) {
     Verdicts.Refused.push_back({Request.Request, lateError(-Spare)});
@@ -102,14 +114,28 @@
 
 std::uint32_t PoolQueue::limit() const { return Window_.Base + Window_.Extra; }
 
+// A draft holds its slot many times longer than a question: the slots that the
+// questions need, with room for their bursts, are kept free of drafts.
 double PoolQueue::longLimit() const {
-  return std::max(1., std::floor(Window_.LongShare * limit()));
+  double ForShort = ShortRate_ * Short_.ServiceSeconds;
+  double Left = limit() - ForShort - std::sqrt(ForShort);
+  double Most = std::floor(Window_.LongShare * limit());
+  return std::max(1., std::min(Left, Most));
+}
+
+void PoolQueue::observeShort(TimePoint Now) {
+  double Elapsed =
+      static_cast<double>((Now - ShortSeenAt_).count()) / MicrosPerSecond;
+  ShortRate_ = ShortRate_ * std::exp(-Elapsed / RateSeconds) + 1 / RateSeconds;
+  ShortSeenAt_ = Now;
 }
 
 double PoolQueue::releasesPerSecond(RequestClass Class) const {
   double Long = Long_.Admitted / std::max(Long_.ServiceSeconds, 1e-3);
   if (Class == RequestClass::Long)
-    return std::max(Long, LongFloor * limit() / Long_.ServiceSeconds);
+    return Short_.Waiting.empty() && Long_.Admitted > 0
+               ? Long
+               : LongFloor * limit() / Long_.ServiceSeconds;
   double Short = Short_.Admitted / std::max(Short_.ServiceSeconds, 1e-3);
   return std::max(Short + Long, 1e-3);
 }
@@ -128,9 +154,15 @@
   return fromSeconds(NeededServiceShare * state(Class).ServiceSeconds);
 }
 
-std::optional<RequestClass> PoolQueue::nextClass() {
+// A small window has room for whole drafts only; admitting them at intervals
+// holds the floor over time.
+Duration PoolQueue::floorInterval() const {
+  return fromSeconds(Long_.ServiceSeconds / (LongFloor * limit()));
+}
+
+std::optional<RequestClass> PoolQueue::nextClass(TimePoint Now) const {
   bool LongMay = !Long_.Waiting.empty() && Long_.Admitted < longLimit();
-  if (LongMay && Long_.Admitted < LongFloor * limit())
+  if (LongMay && Now - LongAdmittedAt_ >= floorInterval())
     return RequestClass::Long;
   if (!Short_.Waiting.empty())
     return RequestClass::Short;
@@ -141,7 +173,7 @@
 
 void PoolQueue::admitWhileFree(TimePoint Now, QueueVerdicts &Verdicts) {
   while (Admitted_.size() < limit()) {
-    std::optional<RequestClass> Class = nextClass();
+    std::optional<RequestClass> Class = nextClass(Now);
     if (!Class)
       return;
     WaitingRequest Next = *state(*Class).Waiting.pop();
@@ -158,6 +190,8 @@
                       TimePoint Now, QueueVerdicts &Verdicts) {
   Admitted_.insert_or_assign(Request, AdmittedRequest{Class, Now});
   ++state(Class).Admitted;
+  if (Class == RequestClass::Long)
+    LongAdmittedAt_ = Now;
   Verdicts.Admitted.push_back(Request);
 }
 
