--- a/src/requests/internal/prompt.cpp
+++ b/src/requests/internal/prompt.cpp
@@ -112,12 +112,19 @@
   if (!Text)
     return tl::unexpected(Text.error());
 
-  Prompt P;
-  P.Model = ModelName(Model->get<std::string>());
+  Prompt P =
+      promptOfText(ModelName(Model->get<std::string>()), *Text, *MaxTokens);
   P.Stream = HasStream && Stream->get<bool>();
-  P.MaxTokens = *MaxTokens;
-  P.PromptTokens = static_cast<std::uint32_t>(Text->size() / BytesPerToken + 1);
-  P.Prefix = hashPrefix(P.Model, *Text);
+  return P;
+}
+
+Prompt promptOfText(const ModelName &Model, std::string_view Text,
+                    std::uint32_t MaxTokens) {
+  Prompt P;
+  P.Model = Model;
+  P.MaxTokens = MaxTokens;
+  P.PromptTokens = static_cast<std::uint32_t>(Text.size() / BytesPerToken + 1);
+  P.Prefix = hashPrefix(Model, Text);
   return P;
 }
 
