--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -5,4 +5,6 @@
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 cmake -S . -B "$build" -G Ninja "$@" >/dev/null
-cmake --build "$build"
+# BUILD_TARGETS limits the build to some targets.
+# shellcheck disable=SC2086
+cmake --build "$build" ${BUILD_TARGETS:+--target $BUILD_TARGETS}
