--- a/src/booking/tests/bookingfleet.cpp
+++ b/src/booking/tests/bookingfleet.cpp
@@ -69,6 +69,9 @@
 BookingFleet::BookingFleet(std::uint64_t Seed, RunnerCheck Checks, int Hosts)
     : Time(Seed), Network(Time), Store(Time), Checks_(Checks),
       Tables_(makeTables(Checks)) {
+  Network.Connected = [this](const HostId &L, const HostId &R) {
+    return Isolated_.count(L) == 0 && Isolated_.count(R) == 0;
+  };
   for (int I = 0; I < Hosts; ++I)
     start(hostName(I), 1);
   for (const auto &[Name, L] : Lives_)
@@ -165,6 +168,28 @@
   Time.after(Span, [=, this] { Store.setCutOff(HostId(Host), false); });
 }
 
+void BookingFleet::divide(const std::string &Host, PeerState State) {
+  announce(Host, State);
+  for (const auto &[Other, L] : Lives_) {
+    if (Other == Host || (State == PeerState::Alive && !alive(Other)))
+      continue;
+    board(Host).peers().update(HostId(Other),
+                               [&](PeerRecord &R) { R.State = State; });
+  }
+}
+
+void BookingFleet::isolate(const std::string &Host, Duration Span) {
+  HostId Id(Host);
+  if (!Isolated_.insert(Id).second)
+    return;
+  Time.after(NoticeDeath, [=, this] { divide(Host, PeerState::Dead); });
+  Time.after(Span, [=, this] {
+    Isolated_.erase(Id);
+    if (alive(Host))
+      divide(Host, PeerState::Alive);
+  });
+}
+
 Uuid7 BookingFleet::newKey() { return Uuid7::generate(Time.runtime()); }
 
 std::size_t BookingFleet::book(const std::string &Host, const Uuid7 &Key,
@@ -254,7 +279,8 @@
 
 std::string BookingFleet::execute(const EndpointCall &Call) {
   std::string Key(findHeader(Call.Head.Headers, "idempotency-key"));
-  if (Checks_ != RunnerCheck::Key || Executions_[Key] == 0)
+  bool IsNew = Seen_.emplace(Call.Endpoint, Key).second;
+  if (Checks_ != RunnerCheck::Key || IsNew)
     ++Executions_[Key];
   return "done " + Key;
 }
--- a/src/booking/tests/bookingfleet.h
+++ b/src/booking/tests/bookingfleet.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "booking/bookingcontroller.h"
@@ -56,6 +58,8 @@
   void crash(const std::string &Host, bool Restart = true);
   void pause(const std::string &Host, Duration Span);
   void storeDown(Duration Span);
+  /// Cuts a host off from the others; callers still reach it.
+  void isolate(const std::string &Host, Duration Span);
   void cutOffFromStore(const std::string &Host, Duration Span);
 
   Uuid7 newKey();
@@ -83,6 +87,8 @@
 
   void start(const std::string &Host, Incarnation Number);
   void announce(const std::string &Host, PeerState State);
+  /// Both sides of a cut hold each other to be in the state.
+  void divide(const std::string &Host, PeerState State);
   EndpointHooks runners(const VirtualHost &Host);
   void run(const VirtualHost &Host, const EndpointCall &Call,
            const CallObserver &Observer);
@@ -94,6 +100,9 @@
   std::vector<std::unique_ptr<Life>> Ended_;
   std::map<std::string, Incarnation> Numbers_;
   std::map<std::string, int> Executions_;
+  /// Keys that each runner has executed.
+  std::set<std::pair<EndpointId, std::string>> Seen_;
+  std::set<HostId> Isolated_;
 };
 
 } // namespace celerybeam::testing
--- a/src/booking/tests/bookingsweeptest.cpp
+++ b/src/booking/tests/bookingsweeptest.cpp
@@ -27,6 +27,10 @@
   StoreDown,
   CutOffHost,
   CrashAndStoreDown,
+  LoseAndCrashHost,
+  IsolateHost,
+  IsolateHostAndStore,
+  IsolateHostWithStore,
   Count
 };
 
@@ -47,7 +51,8 @@
 
 class SweepRun {
 public:
-  SweepRun(std::uint64_t Seed, Plan P) : Fleet_(Seed), Plan_(std::move(P)) {
+  SweepRun(std::uint64_t Seed, Plan P, RunnerCheck Checks = RunnerCheck::None)
+      : Fleet_(Seed, Checks), Plan_(std::move(P)) {
     Fleet_.Network.PickFault = [this](const messages::Envelope &M) {
       return atMessage(HostId(M.from()));
     };
@@ -59,7 +64,7 @@
   }
 
   RunSummary run() {
-    Fleet_.Time.runFor(12s);
+    Fleet_.Time.runFor(45s);
     Counting_ = true;
     // One key at three hosts at once, one sent once.
     Uuid7 Shared = Fleet_.newKey();
@@ -76,8 +81,14 @@
         Fleet_.Time.runFor(3s);
       }
     Counting_ = false;
+    // A key that first comes when owners may have changed.
+    Uuid7 Late = Fleet_.newKey();
+    for (int I : {0, 1, 2}) {
+      bookIfAlive(I, Late);
+      Fleet_.Time.runFor(2s);
+    }
     Fleet_.Time.runFor(40s);
-    for (const Uuid7 &Key : {Shared, Single})
+    for (const Uuid7 &Key : {Shared, Single, Late})
       judgeKey(Key);
     judgeAnswers(Single);
     Summary_.Boundaries = Boundary_;
@@ -124,6 +135,24 @@
       Fleet_.storeDown(15s);
       Fleet_.Time.after(1500ms, [this, Host] { Fleet_.crash(Host); });
       return;
+    case Fault::LoseAndCrashHost:
+      Now_ = Fault::Lose;
+      Fleet_.Time.after(100ms, [this, Host] { Fleet_.crash(Host); });
+      return;
+    case Fault::IsolateHost:
+      Fleet_.isolate(Host, 25s);
+      return;
+    case Fault::IsolateHostWithStore:
+      // The store is on the side of the one host, the majority on the other.
+      Fleet_.isolate(Host, 25s);
+      for (int I = 0; I < 3; ++I)
+        if (BookingFleet::hostName(I) != Host)
+          Fleet_.cutOffFromStore(BookingFleet::hostName(I), 25s);
+      return;
+    case Fault::IsolateHostAndStore:
+      Fleet_.isolate(Host, 25s);
+      Fleet_.cutOffFromStore(Host, 25s);
+      return;
     default:
       Now_ = What;
     }
@@ -243,7 +272,8 @@
 
   bool everCrashed(const std::string &) const {
     for (const PlannedFault &F : Plan_)
-      if (F.What == Fault::CrashHost || F.What == Fault::CrashAndStoreDown)
+      if (F.What == Fault::CrashHost || F.What == Fault::CrashAndStoreDown ||
+          F.What == Fault::LoseAndCrashHost)
         return true;
     return false;
   }
@@ -270,8 +300,9 @@
   int Unknown = 0;
 };
 
-void check(std::uint64_t Seed, const Plan &P, Totals &T) {
-  RunSummary S = SweepRun(Seed, P).run();
+void check(std::uint64_t Seed, const Plan &P, Totals &T,
+           RunnerCheck Checks = RunnerCheck::None) {
+  RunSummary S = SweepRun(Seed, P, Checks).run();
   ++T.Runs;
   T.Keys += S.Keys;
   T.Unknown += S.UnknownKeys;
@@ -310,15 +341,18 @@
   constexpr int Pairs = 300;
   RunSummary Plain = SweepRun(7, {}).run();
   std::mt19937_64 Random(11);
-  Totals T;
+  Totals Plainly;
+  Totals Checked;
   for (int I = 0; I < Pairs; ++I) {
     Plan P;
     for (int Times = 0; Times < 2; ++Times)
       P.push_back({1 + int(Random() % std::uint64_t(Plain.Boundaries)),
                    Fault(Random() % std::uint64_t(Fault::Count))});
-    check(100 + std::uint64_t(I), P, T);
+    check(100 + std::uint64_t(I), P, Plainly);
+    check(100 + std::uint64_t(I), P, Checked, RunnerCheck::Key);
   }
-  report("pairs", T);
+  report("pairs, runners check nothing", Plainly);
+  report("pairs, runners check the key", Checked);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
