Send engine work once more when a kept connection was closing

Cause: an engine that closes an idle connection just as a request goes out looks like one that crashed under it: the attempt ends with ConnectionLost, counts against the endpoint and towards the request being poison.

Change: calls that change nothing may leave once more when the reused connection closes within 250 ms of the request and before any byte of the answer. Later closes are left to the caller, since the request itself may have ended the server. Bookings and writes to the store still leave at most once.

Tested: a server that closes after reading sees 2 requests with a window of 0 and 3 with a window; the body of 100,000 bytes arrives whole the second time.

--- a/src/endpoints/endpointclient.h
+++ b/src/endpoints/endpointclient.h
@@ -38,9 +38,11 @@
 /// Names the exchange in each request and drops answers that name another
 /// one; the call then ends with ConnectionLost. A call with an
 /// Idempotency-Key gets a connection of its own, so that a connection that
-/// another side has closed cannot leave its outcome open. No request is ever
-/// sent twice. Besides the errors of CallObserver a call ends with BadRequest
-/// when it cannot be expressed in HTTP.
+/// another side has closed cannot leave its outcome open. Only work of model
+/// engines, GET and HEAD are sent a second time, when a kept connection was
+/// being closed as it went out, so that this does not count as a crash. Besides
+/// the errors of CallObserver a call ends with BadRequest when it cannot be
+/// expressed in HTTP.
 ///
 /// Thread-safe. Observers run on threads of the HTTP client, which must
 /// outlive the hooks.
--- a/src/endpoints/internal/endpointclient.cpp
+++ b/src/endpoints/internal/endpointclient.cpp
@@ -33,6 +33,10 @@
                                    Head.Path == "/v1/completions");
 }
 
+bool changesNothing(const RequestHead &Head) {
+  return isEngineWork(Head) || Head.Method == "GET" || Head.Method == "HEAD";
+}
+
 /// Milliseconds, rounded up; 0 stays "no limit" and nothing else becomes it.
 milliseconds toMilliseconds(Duration Time) {
   if (Time == Duration::zero())
@@ -148,6 +152,7 @@
     Http.Body = Call.Body;
     Http.ConnectTimeout = toMilliseconds(Call.ConnectTimeout);
     Http.Timeout = toMilliseconds(Call.Timeout);
+    Http.Repeatable = changesNothing(Call.Head);
     Http.FreshConnection = countHeaders(Http.Headers, "idempotency-key") > 0;
     Http.CaFile = Settings_.CaFile;
     return Http;
--- a/src/httpclient/httpclienttypes.h
+++ b/src/httpclient/httpclienttypes.h
@@ -31,9 +31,9 @@
   /// Opens a connection for this call, so that the call cannot meet one that
   /// has gone silent or is being closed.
   bool FreshConnection = false;
-  /// Lets the client send a request without a body again by itself when a
-  /// reused connection closes before any byte of the answer. Otherwise a
-  /// request leaves at most once.
+  /// Lets the client send the request once more by itself when a reused
+  /// connection closes within HttpClientSettings::ResendWindow and before any
+  /// byte of the answer. Otherwise a request leaves at most once.
   bool Repeatable = false;
   /// PEM file of the authorities trusted for https; empty: the system's.
   std::string CaFile;
@@ -49,6 +49,9 @@
   /// A call that ends after its connection has carried nothing for this long
   /// makes the client distrust idle connections to the same server.
   std::chrono::milliseconds SilenceLimit{500};
+  /// A reused connection that closes this soon after the request was being
+  /// closed already; later, the request itself may have ended the server.
+  std::chrono::milliseconds ResendWindow{250};
 };
 
 /// What the client did since it started.
--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cstdio>
 #include <string_view>
 #include <utility>
 
@@ -127,9 +128,12 @@
                    static_cast<curl_off_t>(Size));
   curl_easy_setopt(Easy_, CURLOPT_READFUNCTION, &Transfer::sendBody);
   curl_easy_setopt(Easy_, CURLOPT_READDATA, this);
+  curl_easy_setopt(Easy_, CURLOPT_SEEKFUNCTION, &Transfer::rewindBody);
+  curl_easy_setopt(Easy_, CURLOPT_SEEKDATA, this);
 }
 
 void Transfer::setLimits(const HttpClientSettings &Settings, bool Fresh) {
+  ResendWindow_ = Settings.ResendWindow;
   curl_easy_setopt(Easy_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Easy_, CURLOPT_PROXY, "");
   curl_easy_setopt(Easy_, CURLOPT_PROTOCOLS_STR, "http,https");
@@ -197,6 +201,11 @@
 
 Error Transfer::errorOf(CURLcode Code) const {
   const std::string Cause = curl_easy_strerror(Code);
+  if (Code == CURLE_PEER_FAILED_VERIFICATION ||
+      Code == CURLE_SSL_CACERT_BADFILE)
+    return Error{ErrorKind::ConnectFailed,
+                 Origin_ + " has no trusted certificate (" + Cause +
+                     "); check the file of authorities in the settings"};
   if (!requestLeft())
     return Error{ErrorKind::ConnectFailed,
                  "no connection to " + Origin_ + " (" + Cause +
@@ -264,13 +273,19 @@
 int Transfer::onRequest() {
   // The library sends a request again by itself when a reused connection
   // closes under it.
-  if (Requests_ > 0 && !Call_.Repeatable)
+  if (Requests_ > 0 && !mayResend())
     return CURL_PREREQFUNC_ABORT;
   ++Requests_;
-  LastProgress_ = Clock::now();
+  RequestedAt_ = Clock::now();
+  LastProgress_ = RequestedAt_;
   return CURL_PREREQFUNC_OK;
 }
 
+bool Transfer::mayResend() const {
+  return Call_.Repeatable && Requests_ == 1 &&
+         Clock::now() - RequestedAt_ <= ResendWindow_;
+}
+
 std::size_t Transfer::headerLine(char *Data, std::size_t Size,
                                  std::size_t Count, void *Self) {
   return static_cast<Transfer *>(Self)->onHeaderLine({Data, Size * Count});
@@ -286,6 +301,13 @@
   return static_cast<Transfer *>(Self)->onSend(Buffer, Size * Count);
 }
 
+int Transfer::rewindBody(void *Self, curl_off_t Offset, int Origin) {
+  if (Origin != SEEK_SET)
+    return CURL_SEEKFUNC_CANTSEEK;
+  static_cast<Transfer *>(Self)->Sent_ = static_cast<std::size_t>(Offset);
+  return CURL_SEEKFUNC_OK;
+}
+
 int Transfer::beforeRequest(void *Self, char * /*PrimaryAddress*/,
                             char * /*LocalAddress*/, int /*PrimaryPort*/,
                             int /*LocalPort*/) {
--- a/src/httpclient/internal/transfer.h
+++ b/src/httpclient/internal/transfer.h
@@ -66,6 +66,7 @@
   std::size_t onData(std::string_view Data);
   std::size_t onSend(char *Buffer, std::size_t Size);
   int onRequest();
+  bool mayResend() const;
 
   static std::size_t headerLine(char *Data, std::size_t Size, std::size_t Count,
                                 void *Self);
@@ -73,6 +74,7 @@
                                  std::size_t Count, void *Self);
   static std::size_t sendBody(char *Buffer, std::size_t Size, std::size_t Count,
                               void *Self);
+  static int rewindBody(void *Self, curl_off_t Offset, int Origin);
   static int beforeRequest(void *Self, char *PrimaryAddress, char *LocalAddress,
                            int PrimaryPort, int LocalPort);
 
@@ -84,6 +86,8 @@
   curl_slist *Headers_ = nullptr;
   std::size_t Sent_ = 0;
   unsigned Requests_ = 0;
+  std::chrono::milliseconds ResendWindow_{};
+  Clock::time_point RequestedAt_;
   bool HeadDelivered_ = false;
   bool Paused_ = false;
   Clock::time_point LastProgress_ = Clock::now();
--- a/src/httpclient/tests/closingserver.h
+++ b/src/httpclient/tests/closingserver.h
@@ -12,11 +12,13 @@
 
 namespace celerybeam::tests {
 
-/// Answers the first request and keeps the connection alive; reads each later
-/// request in full and then closes its connection without an answer.
+/// Answers the first request and keeps the connection alive; reads later
+/// requests in full and closes their connection without an answer: one of
+/// them, or all.
 class ClosingServer {
 public:
-  ClosingServer() {
+  /// \param Only  the one request that gets no answer; 0: all but the first.
+  explicit ClosingServer(unsigned Only = 0) : Only_(Only) {
     struct sockaddr_in Any = {};
     Any.sin_family = AF_INET;
     Any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -37,6 +39,7 @@
     return "http://127.0.0.1:" + std::to_string(Port_) + "/";
   }
   unsigned arrivals() const { return Arrivals_; }
+  std::size_t lastBodySize() const { return LastBodySize_; }
 
 private:
   static MHD_Result serve(void *Self, struct MHD_Connection *Connection,
@@ -44,15 +47,19 @@
                           const char * /*Version*/, const char * /*Upload*/,
                           std::size_t *UploadSize, void **State) {
     static int Begun;
+    auto &Server = *static_cast<ClosingServer *>(Self);
     if (*State == nullptr) {
       *State = &Begun;
+      Server.LastBodySize_ = 0;
       return MHD_YES;
     }
     if (*UploadSize > 0) {
+      Server.LastBodySize_ += *UploadSize;
       *UploadSize = 0;
       return MHD_YES;
     }
-    if (++static_cast<ClosingServer *>(Self)->Arrivals_ > 1)
+    const unsigned Arrival = ++Server.Arrivals_;
+    if (Server.Only_ == 0 ? Arrival > 1 : Arrival == Server.Only_)
       return MHD_NO;
     struct MHD_Response *Response =
         MHD_create_response_from_buffer(0, nullptr, MHD_RESPMEM_PERSISTENT);
@@ -63,7 +70,9 @@
 
   struct MHD_Daemon *Daemon_ = nullptr;
   std::uint16_t Port_ = 0;
+  const unsigned Only_;
   std::atomic<unsigned> Arrivals_{0};
+  std::atomic<std::size_t> LastBodySize_{0};
 };
 
 } // namespace celerybeam::tests
--- a/src/httpclient/tests/httpclienttest.cpp
+++ b/src/httpclient/tests/httpclienttest.cpp
@@ -17,6 +17,7 @@
 using fakes::FakeReply;
 using fakes::FakeRequest;
 using fakes::FakeServer;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -155,18 +156,41 @@
   BOOST_TEST(Server.arrivals() == 2);
 }
 
-BOOST_AUTO_TEST_CASE(repeatableRequestIsSentAgainOnce) {
-  ClosingServer Server;
-  HttpClient Client(oneThread());
-  HttpCall Call = makeCall("GET", Server.url());
+BOOST_AUTO_TEST_CASE(repeatableRequestIsSentOnceMoreWithinTheWindow) {
+  for (milliseconds Window : {milliseconds(0), milliseconds(30000)}) {
+    for (const char *Method : {"GET", "POST"}) {
+      ClosingServer Server;
+      HttpClientSettings Settings = oneThread();
+      Settings.ResendWindow = Window;
+      HttpClient Client(Settings);
+      HttpCall Call = makeCall(Method, Server.url(), "prompt");
+      Call.Repeatable = true;
+      RecordedCall First;
+      Client.start(Call, First.hooks());
+      First.waitEnd();
+      RecordedCall Second;
+      Client.start(Call, Second.hooks());
+      BOOST_TEST((Second.waitError() == ErrorKind::ConnectionLost));
+      BOOST_TEST(Server.arrivals() == (Window.count() == 0 ? 2 : 3));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(restartedServerGetsTheWholeRepeatedRequest) {
+  // Closes its kept connection on the second request, answers the third.
+  ClosingServer Server(2);
+  HttpClientSettings Settings = oneThread();
+  Settings.ResendWindow = milliseconds(30000);
+  HttpClient Client(Settings);
+  HttpCall Call = makeCall("POST", Server.url(), std::string(100000, 'x'));
   Call.Repeatable = true;
-  RecordedCall First;
-  Client.start(Call, First.hooks());
-  First.waitEnd();
-  RecordedCall Second;
-  Client.start(Call, Second.hooks());
-  BOOST_TEST((Second.waitError() == ErrorKind::ConnectionLost));
+  for (int I = 0; I < 2; ++I) {
+    RecordedCall Record;
+    Client.start(Call, Record.hooks());
+    BOOST_TEST(!Record.waitError().has_value());
+  }
   BOOST_TEST(Server.arrivals() == 3);
+  BOOST_TEST(Server.lastBodySize() == 100000);
 }
 
 BOOST_AUTO_TEST_CASE(refusedConnectionSaysThatNothingWasSent) {
@@ -181,7 +205,7 @@
   MuteListener Mute;
   HttpClient Client;
   HttpCall Call = makeCall("POST", "https://" + Mute.address() + "/", "x");
-  Call.ConnectTimeout = std::chrono::milliseconds(50);
+  Call.ConnectTimeout = milliseconds(50);
   RecordedCall Record;
   Client.start(Call, Record.hooks());
   BOOST_TEST((Record.waitError() == ErrorKind::ConnectFailed));
@@ -191,7 +215,7 @@
   MuteListener Mute;
   HttpClient Client;
   HttpCall Call = makeCall("POST", "http://" + Mute.address() + "/", "x");
-  Call.Timeout = std::chrono::milliseconds(500);
+  Call.Timeout = milliseconds(500);
   RecordedCall Record;
   Client.start(Call, Record.hooks());
   BOOST_TEST((Record.waitError() == ErrorKind::RequestTimeout));
@@ -207,14 +231,14 @@
     return echo(R);
   });
   HttpClientSettings Settings = oneThread();
-  Settings.SilenceLimit = std::chrono::milliseconds(10);
+  Settings.SilenceLimit = milliseconds(10);
   HttpClient Client(Settings);
   HttpCall Call = makeCall("GET", "http://" + Server.address() + "/");
   RecordedCall First;
   Client.start(Call, First.hooks());
   First.waitEnd();
   Mute = true;
-  Call.Timeout = std::chrono::milliseconds(500);
+  Call.Timeout = milliseconds(500);
   RecordedCall Silent;
   Client.start(Call, Silent.hooks());
   BOOST_TEST((Silent.waitError() == ErrorKind::RequestTimeout));
--- a/src/platform/platformclient.h
+++ b/src/platform/platformclient.h
@@ -50,7 +50,9 @@
   PlatformClient(HttpClient &Http, PlatformSettings Settings);
   ~PlatformClient();
 
-  /// Errors are those of StoreHooks. Besides: BodyTooLarge for a value above
+  /// Errors are those of StoreHooks. A watch on a connection that has gone
+  /// silent ends only after its wait and the call timeout, so the wait bounds
+  /// how late a change may be heard of. Besides: BodyTooLarge for a value above
   /// the service's limit. A watch that ends without a newer value reads the
   /// standing one; it gives version 0 when After is 0.
   StoreHooks hooks() const;
