--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -97,7 +97,7 @@
   Deferred_.reset();
   Body_.clear();
   HeadSeen_ = false;
-  TooLarge_ = false;
+  Discarded_ = 0;
   InFlight_ = false;
   Started_ = false;
   Queued_ = false;
@@ -268,21 +268,21 @@
 MHD_Result CallerConnection::onBody(const char *Data, std::size_t *Size) {
   std::size_t Count = std::exchange(*Size, 0);
   std::size_t Limit = Context_.Options.BodyLimit;
-  std::size_t Room = Limit - Body_.size();
-  if (!TooLarge_ && Count <= Room) {
+  std::size_t Room = Discarded_ > 0 ? 0 : Limit - Body_.size();
+  if (Count <= Room) {
     Body_.append(Data, Count);
     return MHD_YES;
   }
-  // The library answers only after the whole body, so the rest of a chunked
-  // body is discarded.
-  TooLarge_ = true;
+  // The library takes no answer inside a body, so the rest of a chunked body
+  // that is too large is discarded, up to the same size again.
   Body_ = {};
-  return MHD_YES;
+  Discarded_ += Count - Room;
+  return Discarded_ <= Limit ? MHD_YES : MHD_NO;
 }
 
 MHD_Result CallerConnection::onWhole() {
   Started_ = true;
-  if (TooLarge_)
+  if (Discarded_ > 0)
     return refuse(bodyTooLarge(Context_.Options.BodyLimit));
   enterFlight(Phase::Answering, exchangeHooks());
   auto Running = exchange();
--- a/src/gateway/internal/callerconnection.h
+++ b/src/gateway/internal/callerconnection.h
@@ -97,7 +97,8 @@
   TenantId Tenant_;
   std::string Body_;
   bool HeadSeen_ = false;
-  bool TooLarge_ = false;
+  /// Bytes of a body above the limit.
+  std::size_t Discarded_ = 0;
   bool InFlight_ = false;
   bool Started_ = false;
   bool Queued_ = false;
--- a/src/gateway/internal/callerserver.cpp
+++ b/src/gateway/internal/callerserver.cpp
@@ -18,7 +18,7 @@
 /// Connections above the limit that still get an answer which says so.
 constexpr unsigned ConnectionsToRefuse = 64;
 /// Room for the library's bookkeeping beside a head of the greatest size.
-constexpr std::size_t PoolOverhead = 32 * 1024;
+constexpr std::size_t PoolOverhead = std::size_t{32} * 1024;
 constexpr unsigned ListenBacklog = 1024;
 constexpr std::chrono::milliseconds CutOffInterval{20};
 constexpr std::chrono::milliseconds ConnectionRetryAfter{1000};
@@ -100,8 +100,7 @@
 std::vector<MHD_OptionItem> CallerServer::Impl::options() {
   const CallerServerOptions &O = Context_.Options;
   auto Pool = static_cast<std::intptr_t>(2 * O.HeaderLimit + PoolOverhead);
-  auto Limit =
-      static_cast<std::intptr_t>(O.ConnectionLimit + ConnectionsToRefuse);
+  std::intptr_t Limit = std::intptr_t{O.ConnectionLimit} + ConnectionsToRefuse;
   auto Timeout = static_cast<std::intptr_t>(O.SendTimeout.count());
   return {
       {MHD_OPTION_SOCK_ADDR, 0, &Where_.Storage},
--- a/src/gateway/tests/callerfaultstest.cpp
+++ b/src/gateway/tests/callerfaultstest.cpp
@@ -194,24 +194,25 @@
 }
 
 BOOST_AUTO_TEST_CASE(ConnectionsAreLimitedWithAnAnswer) {
-  Options.ConnectionLimit = 3;
-  Options.ConnectionLimitPerIp = 2;
-  serve();
   auto Ask = [](TestClient &Client) {
     Client.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
     return Client.readUntil("}");
   };
-  TestClient First(Server->port());
-  TestClient Second(Server->port());
-  BOOST_TEST(contains(Ask(First), "200 OK"));
-  BOOST_TEST(contains(Ask(Second), "200 OK"));
-  TestClient Third(Server->port());
-  std::string Refused = Ask(Third);
-  BOOST_TEST(contains(Refused, "HTTP/1.1 429 "), Refused);
-  BOOST_TEST(contains(Refused, "retry-after: 1"));
-  TestClient Fourth(Server->port());
-  BOOST_TEST(contains(Ask(Fourth), "\"rate_limited\""));
-  BOOST_TEST(Server->counts().ConnectionsRefused == 2U);
+  for (bool PerIp : {false, true}) {
+    Options.ConnectionLimit = PerIp ? 10 : 2;
+    Options.ConnectionLimitPerIp = PerIp ? 2 : 10;
+    serve();
+    TestClient First(Server->port());
+    TestClient Second(Server->port());
+    BOOST_TEST(contains(Ask(First), "200 OK"));
+    BOOST_TEST(contains(Ask(Second), "200 OK"));
+    TestClient Third(Server->port());
+    std::string Refused = Ask(Third);
+    BOOST_TEST(contains(Refused, PerIp ? "HTTP/1.1 429 " : "HTTP/1.1 503 "));
+    BOOST_TEST(contains(Refused, "retry-after: 1"));
+    BOOST_TEST(contains(Ask(First), "200 OK"));
+    BOOST_TEST(Server->counts().ConnectionsRefused == 1U);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(BrokenAnswersEndWithoutTheLastChunk) {
--- a/src/gateway/tests/callerservertest.cpp
+++ b/src/gateway/tests/callerservertest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/tests/callerfixture.h"
+#include "gateway/tests/tlsclient.h"
 
 using namespace celerybeam;
 
@@ -60,4 +61,59 @@
   BOOST_TEST(contains(Client.readUntil("}}"), "HTTP/1.1 401 "));
 }
 
+BOOST_AUTO_TEST_CASE(ManyStreamsEachGetTheirOwnAnswer) {
+  constexpr int StreamCount = 300;
+  constexpr int EventCount = 20;
+  serve();
+  std::vector<std::unique_ptr<TestClient>> Clients;
+  std::vector<ResponseHooks> Answers;
+  for (int I = 0; I < StreamCount; ++I) {
+    Clients.push_back(std::make_unique<TestClient>(Server->port()));
+    Clients.back()->send(post("/v1/completions", "", "{}"));
+    Answers.push_back(Controller.awaitStarted());
+    Answers.back().Head({200, {{"content-type", "text/event-stream"}}});
+  }
+  BOOST_TEST(Server->counts().InFlight == StreamCount);
+  auto EventOf = [](int Stream, int Event) {
+    return "data: " + std::to_string(Stream) + "/" + std::to_string(Event) +
+           "\n\n";
+  };
+  for (int Event = 0; Event < EventCount; ++Event) {
+    for (int I = 0; I < StreamCount; ++I)
+      Answers[static_cast<std::size_t>(I)].Chunk(EventOf(I, Event));
+  }
+  for (int I = 0; I < StreamCount; ++I) {
+    Answers[static_cast<std::size_t>(I)].End({});
+    std::string Read =
+        Clients[static_cast<std::size_t>(I)]->readUntil("0\r\n\r\n");
+    std::size_t At = 0;
+    for (int Event = 0; Event < EventCount && At != std::string::npos; ++Event)
+      At = Read.find(EventOf(I, Event), At);
+    BOOST_REQUIRE(At != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ServesOverTls) {
+  TestCertificate Certificate;
+  Options.Tls = Certificate.files();
+  TestClient Connection(serve().port());
+  TlsClient Client(Connection.socket());
+  Client.send(post("/v1/completions", "", "{}"));
+  ResponseHooks Answer = Controller.awaitStarted();
+  Answer.Head({200, {{"content-type", "text/event-stream"}}});
+  Answer.Chunk("data: 1\n\n");
+  BOOST_TEST(contains(Client.readUntil("data: 1\n\n"), "200 OK"));
+  Connection.close();
+  Controller.await(Controller.Gone, 1);
+}
+
+BOOST_AUTO_TEST_CASE(HeadRequestsGetNoBody) {
+  Controller.Echo = true;
+  TestClient Client(serve().port());
+  Client.send("HEAD /services/slots/a HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::string Answer = Client.readUntil("healthy");
+  BOOST_TEST(contains(Answer, "\r\n\r\nHTTP/1.1 200 OK"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/testclient.h
+++ b/src/gateway/tests/testclient.h
@@ -29,6 +29,7 @@
   /// Closes with a reset, as a crashed caller's host does.
   void reset();
   void close();
+  int socket() const { return Socket_; }
 
 private:
   int Socket_ = -1;
--- a/src/logging/tests/loggingtest.cpp
+++ b/src/logging/tests/loggingtest.cpp
@@ -95,8 +95,10 @@
   LogOptions Options;
   Options.LinesPerSecond = 0;
   setUp(Options);
+  constexpr int ThreadCount = 4;
   std::vector<std::thread> Threads;
-  for (int T = 0; T < 4; ++T)
+  Threads.reserve(ThreadCount);
+  for (int T = 0; T < ThreadCount; ++T)
     Threads.emplace_back([] {
       for (int I = 0; I < 250; ++I)
         Logger("a").info("Line.", {{"i", I}});
--- a/src/metrics/tests/metricsregistrytest.cpp
+++ b/src/metrics/tests/metricsregistrytest.cpp
@@ -152,8 +152,10 @@
 
 BOOST_AUTO_TEST_CASE(ThreadsRecordAtTheSameTime) {
   MetricsRegistry Registry;
+  constexpr int ThreadCount = 4;
   std::vector<std::thread> Threads;
-  for (int T = 0; T < 4; ++T)
+  Threads.reserve(ThreadCount);
+  for (int T = 0; T < ThreadCount; ++T)
     Threads.emplace_back([&Registry, T] {
       for (int I = 0; I < 500; ++I)
         Registry.record(sampleOf("t" + std::to_string(T)));
--- a/src/peers/tests/peertransporttest.cpp
+++ b/src/peers/tests/peertransporttest.cpp
@@ -1,10 +1,12 @@
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 #include <zmq.hpp>
 
 #include "peers/peertransport.h"
+#include "peers/tests/silentrelay.h"
 
 using namespace celerybeam;
 
@@ -119,6 +121,25 @@
   BOOST_TEST(B->next().ping().sequence() >= 2U);
 }
 
+BOOST_AUTO_TEST_CASE(SilentConnectionIsReplaced) {
+  auto Options = optionsOf(Alpha);
+  Options.HeartbeatInterval = std::chrono::milliseconds(100);
+  Options.HeartbeatTimeout = std::chrono::milliseconds(300);
+  TestPeer A(Options);
+  TestPeer B(optionsOf(Beta));
+  SilentRelay Relay(B->port());
+  BOOST_REQUIRE(
+      A->setPeer(Beta, Address("127.0.0.1:" + std::to_string(Relay.port()))));
+  A->send(Beta, ping(1));
+  B.next();
+  Relay.silence();
+  for (std::uint64_t Sequence = 2; B.heard() < 2; ++Sequence) {
+    A->send(Beta, ping(Sequence));
+    std::this_thread::yield();
+  }
+  BOOST_TEST(Relay.connections() >= 2);
+}
+
 BOOST_AUTO_TEST_CASE(UnknownKeyGetsNothing) {
   auto Ours = *generateKeyPair();
   auto Theirs = *generateKeyPair();
