--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -83,13 +83,13 @@
   CallerServerOptions Options;
   Options.Bind = Settings.Listen;
   Options.Tls = {Settings.Tls.CertificateFile, Settings.Tls.KeyFile};
-  Options.HeaderLimit = Settings.MaxHeaders.count();
-  Options.BodyLimit = Settings.MaxBody.count();
+  Options.HeaderLimit = Settings.MaxHeaders.Bytes;
+  Options.BodyLimit = Settings.MaxBody.Bytes;
   Options.ConnectionLimit = Settings.MaxConnections;
   Options.ConnectionLimitPerIp = Settings.MaxConnectionsPerAddress;
   Options.HeadTimeout = toMillis(Settings.HeadTimeout);
   Options.BodyTimeout = toMillis(Settings.BodyTimeout);
-  Options.AnswerBuffer = Settings.Buffer.count();
+  Options.AnswerBuffer = Settings.Buffer.Bytes;
   return Options;
 }
 
@@ -222,14 +222,20 @@
         std::make_unique<AdminPages>(*Core_, Time_.hooks(), std::move(Facts));
     OperatorServerOptions Options;
     Options.Bind = Settings_.Operators.Listen;
-    Options.Token = secretOrEmpty(Settings_.Operators.TokenFile);
+    Options.BearerToken = secretOrEmpty(Settings_.Operators.TokenFile);
     Options.Tls = {Settings_.Operators.Tls.CertificateFile,
                    Settings_.Operators.Tls.KeyFile};
+<<<<<<< HEAD
     OperatorHandler Basics;
     Basics.Ready = [this] { return readiness(); };
     Basics.MetricsText = [this] { return Metrics_.text(); };
     Operators_ =
         std::make_unique<OperatorServer>(std::move(Options), std::move(Basics));
+=======
+    Operators_ = std::make_unique<OperatorServer>(
+        std::move(Options), [this] { return readiness(); },
+        [this] { return Metrics_.text(); });
+>>>>>>> main
     addOperatorRoutes(*Operators_, *Pages_, *Core_, Time_.hooks(),
                       [this] { signal(DrainAsked_); });
     return Operators_->start();
--- a/src/configuration/internal/applyrun.cpp
+++ b/src/configuration/internal/applyrun.cpp
@@ -86,7 +86,9 @@
          describeConflicts(Merged.Conflicts,
                            Seen_.Head ? Seen_.Head->Current : RevisionMark())});
   ChangedByOthers_ = changesBetween(Request_.Base, Theirs.Content.Rows);
-  if (Merged.Rows == Theirs.Content.Rows && Seen_.Head)
+  bool IsNumberedHighEnough =
+      Seen_.Head && Seen_.Head->Current.Number > Request_.Above;
+  if (Merged.Rows == Theirs.Content.Rows && IsNumberedHighEnough)
     return Done_(ApplyOutcome{Seen_.Head->Current, false, ChangedByOthers_});
   CheckedTables Checked = parseTables(textsOf(Merged.Rows));
   if (!Checked)
@@ -103,7 +105,8 @@
   std::vector<Chunk> Routes = chunksOf(Merged.Rows.Routes);
   std::vector<Chunk> Pools = chunksOf(Merged.Rows.Pools);
   RevisionRecord Record;
-  Record.Number = Seen_.Head ? Seen_.Head->Current.Number + 1 : 1;
+  Revision Newest = Seen_.Head ? Seen_.Head->Current.Number : 0;
+  Record.Number = std::max(Newest, Request_.Above) + 1;
   Record.Digest = digestOf(Merged.Rows);
   Record.Author = Request_.Author;
   Record.WrittenAt = wallSeconds(Store_.runtime());
--- a/src/configuration/tests/configurationcontrollertest.cpp
+++ b/src/configuration/tests/configurationcontrollertest.cpp
@@ -26,7 +26,7 @@
 TableRows start(Fleet &F) {
   TableRows Rows = someRows(20);
   BOOST_REQUIRE(F.apply({}, Rows)->has_value());
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_REQUIRE(F.allHave(1));
   return Rows;
 }
@@ -51,7 +51,7 @@
   addHosts(F);
   TableRows Rows = start(F);
   edit(F, Rows, 7);
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F.allHave(2));
   const RouteRow *Row = F["ma3"].Board.tables()->findRoute(RouteName("r0"));
   BOOST_TEST(Row->DefaultDeadline.count() == 7'000'000);
@@ -61,7 +61,7 @@
   Fleet F;
   F.add("ka1");
   BOOST_TEST(!F["ka1"].Controller->ready());
-  F.Time.run(1s);
+  F.Time.runFor(1s);
   BOOST_TEST(F["ka1"].Controller->ready());
 }
 
@@ -69,10 +69,10 @@
   Fleet F;
   F.Store.Down = true;
   F.add("ka1");
-  F.Time.run(60s);
+  F.Time.runFor(60s);
   BOOST_TEST(!F["ka1"].Controller->ready());
   F.Store.Down = false;
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F["ka1"].Controller->ready());
 }
 
@@ -85,7 +85,7 @@
   F.Passes = [](const auto &, const HostId &To, auto &) {
     return To.str() != "ka9";
   };
-  F.Time.run(10s);
+  F.Time.runFor(10s);
   BOOST_TEST(!Fresh.Controller->ready());
 }
 
@@ -94,11 +94,11 @@
   addHosts(F);
   TableRows Rows = start(F);
   edit(F, Rows, 7);
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   F.Store.Down = true;
-  F.Time.run(600s);
+  F.Time.runFor(600s);
   Fleet::Host &Fresh = F.add("ka9");
-  F.Time.run(5s);
+  F.Time.runFor(5s);
   BOOST_TEST(Fresh.inForce() == 2U);
   BOOST_TEST(Fresh.Controller->ready());
   // Those that have tables serve on.
@@ -110,13 +110,13 @@
   addHosts(F);
   TableRows Rows = start(F);
   edit(F, Rows, 7);
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   F.Store.freeze();
   edit(F, Rows, 8);
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F.allHave(2));
   F.Store.thaw();
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F.allHave(3));
 }
 
@@ -132,7 +132,7 @@
            To.str() == "ma2";
   };
   edit(F, Rows, 7);
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F.allHave(2));
 }
 
@@ -148,7 +148,7 @@
     for (const char *Id : {"ma1", "ma2", "ma3"})
       F[Id].StoreCut = std::string(Open) != Id;
     edit(F, Rows, 7);
-    F.Time.run(2 * InForceLimit);
+    F.Time.runFor(2 * InForceLimit);
     BOOST_TEST(F.allHave(2));
   }
 }
@@ -160,9 +160,9 @@
   F.Copies = 3;
   for (int Seconds = 1; Seconds <= 10; ++Seconds) {
     edit(F, Rows, Seconds);
-    F.Time.run(Duration(300ms) * Seconds);
+    F.Time.runFor(Duration(300ms) * Seconds);
   }
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F.allHave(11));
   for (const char *Id : {"ka1", "kb2", "ma3"})
     BOOST_TEST((rowsOf(*F[Id].Board.tables()) == Rows));
@@ -186,7 +186,7 @@
     return true;
   };
   edit(F, Rows, 7);
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F.allHave(2));
   BOOST_TEST(Changes > 0);
   BOOST_TEST(Whole > 0);
@@ -204,7 +204,7 @@
     return true;
   };
   edit(F, Rows, 7);
-  F.Time.run(2 * InForceLimit);
+  F.Time.runFor(2 * InForceLimit);
   BOOST_TEST(F["ma1"].inForce() == 1U);
   BOOST_TEST(F["ka1"].inForce() == 2U);
 }
@@ -217,23 +217,33 @@
   F["ka1"].StoreCut = true;
   BOOST_REQUIRE(F.apply(Rows, Next)->has_value());
   for (const Chunk &Each : chunksOf(Next.Routes))
-    F.Store.corrupt(chunkKey(Each.Id));
+    F.Store.corrupt(chunkKey(Each.Id), Each.Data + " ");
   F["ka1"].StoreCut = false;
-  F.Time.run(30s);
+  F.Time.runFor(30s);
   BOOST_TEST(F["ka1"].inForce() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(aMalformedHeadTakesNothingOutOfForce) {
+  Fleet F;
+  F.add("ka1");
+  start(F);
+  F.Store.corrupt(headKey(), "{");
+  F.Time.runFor(30s);
+  BOOST_TEST(F["ka1"].inForce() == 1U);
+  BOOST_TEST(F["ka1"].Controller->ready());
+}
+
 BOOST_AUTO_TEST_CASE(aPausedHostCatchesUpAndDoesNoHarm) {
   Fleet F;
   addHosts(F);
   TableRows Rows = start(F);
   F["ka1"].Paused = F["kb1"].Paused = true;
   edit(F, Rows, 7);
-  F.Time.run(40s);
+  F.Time.runFor(40s);
   edit(F, Rows, 8);
-  F.Time.run(5s);
+  F.Time.runFor(5s);
   F["ka1"].Paused = F["kb1"].Paused = false;
-  F.Time.run(InForceLimit);
+  F.Time.runFor(InForceLimit);
   BOOST_TEST(F.allHave(3));
 }
 
@@ -244,11 +254,11 @@
   F.Store.Delay = 400ms;
   TableRows Next = withDeadline(Rows, "r0", 7);
   BOOST_REQUIRE(!F.apply(Rows, Next).has_value());
-  F.Time.run(4s);
+  F.Time.runFor(4s);
   F.Store.Down = true;
-  F.Time.run(30s);
+  F.Time.runFor(30s);
   F.Store.Down = false;
-  F.Time.run(30s);
+  F.Time.runFor(30s);
   BOOST_TEST(F["ka1"].inForce() == 2U);
 }
 
@@ -259,7 +269,7 @@
       F.add("ka" + std::to_string(I));
     start(F);
     int Before = F.Store.Reads;
-    F.Time.run(300s);
+    F.Time.runFor(300s);
     return F.Store.Reads - Before;
   };
   int Few = ReadsWith(4);
--- a/src/configuration/tests/fakestore.h
+++ b/src/configuration/tests/fakestore.h
@@ -6,12 +6,15 @@
 #include <set>
 #include <string>
 
-#include "configuration/tests/virtualtime.h"
 #include "framework/storehooks.h"
+#include "support/virtualtime.h"
 
 namespace celerybeam::tests {
 
-/// A key-value store in memory with faults on command.
+using testing::VirtualTime;
+
+/// A key-value store in memory whose reads can be old, and whose writes of the
+/// head can be watched and raced.
 class FakeStore {
 public:
   explicit FakeStore(VirtualTime &Time) : Time_(Time) {}
@@ -51,7 +54,10 @@
   }
 
   const std::string &data(const StoreKey &Key) { return Values_[Key].Data; }
-  void corrupt(const StoreKey &Key) { Values_[Key].Data += " "; }
+  void corrupt(const StoreKey &Key, std::string Data) {
+    Values_[Key].Data = std::move(Data);
+    ++Values_[Key].Version;
+  }
 
 private:
   using Values = std::map<StoreKey, StoreValue>;
--- a/src/ctl/internal/rollbackcommand.cpp
+++ b/src/ctl/internal/rollbackcommand.cpp
@@ -1,5 +1,3 @@
-#include <cstdlib>
-
 #include "ctl/commands.h"
 #include "ctl/inforce.h"
 #include "ctl/output.h"
@@ -15,12 +13,8 @@
   auto Platform = PlatformTables::fromOptions(I);
   if (!Platform)
     return I.fail(Platform.error());
-  std::string Author = I.text("author");
-  const char *User = std::getenv("USER");
-  if (Author.empty())
-    Author = User ? User : "unknown";
   Revision To = I.Options["revision"].as<Revision>();
-  Result<ApplyOutcome> Outcome = (*Platform)->rollback(To, Author);
+  Result<ApplyOutcome> Outcome = (*Platform)->rollback(To, authorOf(I));
   if (!Outcome)
     return I.fail(Outcome.error());
   Revision Number = Outcome->Mark.Number;
--- a/src/ctl/internal/servers.cpp
+++ b/src/ctl/internal/servers.cpp
@@ -131,6 +131,11 @@
                    "the platform's key-value service");
 }
 
+std::string authorOf(const Invocation &I) {
+  std::string Author = optionOrVariable(I, "author", "USER");
+  return Author.empty() ? "unknown" : Author;
+}
+
 OperatorClient::OperatorClient(ServerAccess Access)
     : Client_(std::make_unique<HttpClient>(std::move(Access))) {}
 
--- a/src/platform/internal/platformclient.cpp
+++ b/src/platform/internal/platformclient.cpp
@@ -16,7 +16,7 @@
 
 /// Above the service's limit of 1 MiB for a value; the list of hosts of the
 /// greatest fleet fits as well.
-constexpr std::size_t AnswerLimitBytes = 8 * 1024 * 1024;
+constexpr std::size_t AnswerLimitBytes = 8UL * 1024 * 1024;
 
 milliseconds toMilliseconds(Duration Time) {
   return std::chrono::ceil<milliseconds>(Time);
@@ -163,7 +163,7 @@
   }
 
   template <typename Reader, typename T>
-  void run(PlatformCall Call, Reader Read, Completion<T> Done) {
+  void run(PlatformCall &&Call, Reader Read, Completion<T> Done) {
     send(std::move(Call), [Read = std::move(Read), Done = std::move(Done)](
                               const Result<HttpAnswer> &Answer) {
       Done(Answer.and_then(Read));
