--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -225,17 +225,9 @@
     Options.BearerToken = secretOrEmpty(Settings_.Operators.TokenFile);
     Options.Tls = {Settings_.Operators.Tls.CertificateFile,
                    Settings_.Operators.Tls.KeyFile};
-<<<<<<< HEAD
-    OperatorHandler Basics;
-    Basics.Ready = [this] { return readiness(); };
-    Basics.MetricsText = [this] { return Metrics_.text(); };
-    Operators_ =
-        std::make_unique<OperatorServer>(std::move(Options), std::move(Basics));
-=======
     Operators_ = std::make_unique<OperatorServer>(
         std::move(Options), [this] { return readiness(); },
         [this] { return Metrics_.text(); });
->>>>>>> main
     addOperatorRoutes(*Operators_, *Pages_, *Core_, Time_.hooks(),
                       [this] { signal(DrainAsked_); });
     return Operators_->start();
