--- a/src/configuration/internal/storeretry.cpp
+++ b/src/configuration/internal/storeretry.cpp
@@ -37,8 +37,7 @@
                  Attempts + 1 < GreatestAttempts;
     if (!Retry)
       return Done(std::move(Answer));
-    Self.wait(Attempts,
-              [=] { Self.getAgain(Key, Attempts + 1, std::move(Done)); });
+    Self.wait(Attempts, [=] { Self.getAgain(Key, Attempts + 1, Done); });
   });
 }
 
