--- a/src/configuration/tableswriter.h
+++ b/src/configuration/tableswriter.h
@@ -26,6 +26,9 @@
   /// What the operator wants; has passed parseTables.
   TableRows Next;
   std::string Author;
+  /// The new revision gets a higher number than this. Set it when the store
+  /// has lost revisions that hosts have in force.
+  Revision Above = 0;
 };
 
 /// An accepted edit.
--- a/src/configuration/tests/fleet.h
+++ b/src/configuration/tests/fleet.h
@@ -29,9 +29,9 @@
     Revision inForce() const { return Board.tables()->Number; }
   };
 
-  VirtualTime Time;
+  VirtualTime Time{1};
   FakeStore Store{Time};
-  TablesWriter Writer{Store.hooks(), Time.runtime(1)};
+  TablesWriter Writer{Store.hooks(), Time.runtime()};
   /// Sees each message before it is sent; false drops it.
   std::function<bool(const HostId &, const HostId &, messages::Envelope &)>
       Passes = [](const auto &, const auto &, auto &) { return true; };
@@ -59,7 +59,7 @@
       send(From, To, std::move(Message));
     };
     H.Controller = std::make_unique<ConfigurationController>(
-        H.Board, Time.runtime(stableSeed(Id)), hooksOf(H), Peers);
+        H.Board, Time.runtime(), hooksOf(H), Peers);
     tickLater(Self.Id);
     gossipLater(Self.Id);
     return H;
@@ -72,7 +72,7 @@
     std::optional<Result<ApplyOutcome>> Outcome;
     Writer.apply({Base, Next, "ann"},
                  [&](const Result<ApplyOutcome> &R) { Outcome.emplace(R); });
-    Time.run(std::chrono::seconds(1));
+    Time.runFor(std::chrono::seconds(1));
     return Outcome;
   }
 
@@ -85,11 +85,6 @@
   }
 
 private:
-  static std::uint64_t stableSeed(const std::string &Id) {
-    return 1000 + static_cast<std::uint64_t>(Id[1]) * 10 +
-           static_cast<std::uint64_t>(Id.back());
-  }
-
   static void introduce(Host &To, const HostIdentity &Who) {
     PeerRecord Peer;
     Peer.Id = Who.Id;
--- a/src/ctl/internal/applycommand.cpp
+++ b/src/ctl/internal/applycommand.cpp
@@ -1,5 +1,3 @@
-#include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 #include "ctl/commands.h"
@@ -12,14 +10,6 @@
 
 namespace {
 
-std::string authorOf(const Invocation &I) {
-  std::string Author = I.text("author");
-  if (!Author.empty())
-    return Author;
-  const char *User = std::getenv("USER");
-  return User ? User : "unknown";
-}
-
 /// The rows that the operator started from: those of --base or of the
 /// files' first line. Files that name no revision may only add rows, since a
 /// row that differs may be another operator's newer one.
@@ -124,8 +114,10 @@
     return I.fail(Base.error());
   if (I.Options.count("dry-run") != 0)
     return dryRun(I, *Base, *Next);
-  Result<ApplyOutcome> Outcome =
-      (*Platform)->apply({std::move(*Base), std::move(*Next), authorOf(I)});
+  ApplyRequest Request{std::move(*Base), std::move(*Next), authorOf(I)};
+  if (I.Options.count("above") != 0)
+    Request.Above = I.Options["above"].as<Revision>();
+  Result<ApplyOutcome> Outcome = (*Platform)->apply(Request);
   if (!Outcome)
     return I.fail(Outcome.error());
   print(I, *Outcome);
@@ -147,6 +139,9 @@
                 "revision that the files were edited from, instead of the one "
                 "in their first lines")("author", po::value<std::string>(),
                                         "name in the history ($USER)")(
+                "above", po::value<Revision>(),
+                "give the revision a higher number than this, after the "
+                "platform has lost revisions that are in force")(
                 "dry-run", "only show what would change")(
                 "no-stamp", "leave the first lines of the files alone");
             addPlatformOptions(Options);
--- a/src/ctl/tests/commandtest.cpp
+++ b/src/ctl/tests/commandtest.cpp
@@ -2,7 +2,6 @@
 
 #include <filesystem>
 #include <fstream>
-#include <iterator>
 #include <sstream>
 
 #include <boost/test/unit_test.hpp>
@@ -12,6 +11,7 @@
 #include "fakes/fakeserver.h"
 #include "framework/tenantkey.h"
 #include "settings/secretfile.h"
+#include "support/temporaryfolder.h"
 
 using namespace celerybeam;
 using namespace celerybeam::ctl;
@@ -22,19 +22,11 @@
 using Json = nlohmann::json;
 
 /// The platform, an entry host and an operator's folder with the examples.
-class Desk {
+class Desk : public testing::TemporaryFolder {
 public:
   Desk() {
-    std::string Template = (fs::temp_directory_path() / "cbXXXXXX").string();
-    Folder = ::mkdtemp(Template.data());
-    takeExamples();
-  }
-  ~Desk() { fs::remove_all(Folder); }
-
-  void takeExamples() {
     for (const char *Name : {"routes.toml", "pools.toml"})
-      fs::copy_file(fs::path(CELERYBEAM_EXAMPLES) / Name, Folder / Name,
-                    fs::copy_options::overwrite_existing);
+      fs::copy_file(fs::path(CELERYBEAM_EXAMPLES) / Name, path(Name));
   }
 
   ExitCode run(std::vector<std::string> Arguments) {
@@ -61,13 +53,8 @@
     return onTables(std::move(Arguments));
   }
 
-  std::string path(const std::string &Name) const {
-    return (Folder / Name).string();
-  }
-
   std::string read(const std::string &Name) const {
-    std::ifstream In(path(Name));
-    return {std::istreambuf_iterator<char>(In), {}};
+    return testing::readFile(path(Name));
   }
 
   void edit(const std::string &Name, const std::string &Old,
@@ -78,7 +65,6 @@
     std::ofstream(path(Name)) << Text.replace(Where, Old.size(), New);
   }
 
-  fs::path Folder;
   fakes::FakePlatform Platform{0, "{}"};
   std::string Out;
   std::string Err;
--- a/src/settings/tests/daemonsettingstest.cpp
+++ b/src/settings/tests/daemonsettingstest.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
+#include <sstream>
 
 #include <boost/test/unit_test.hpp>
 
 #include "settings/addresstext.h"
 #include "settings/secretfile.h"
+#include "support/temporaryfolder.h"
 
 using namespace celerybeam;
 
@@ -17,31 +17,20 @@
 namespace fs = std::filesystem;
 
 /// A folder of its own with the secret files that the example names.
-class SettingsFolder {
+class SettingsFolder : public testing::TemporaryFolder {
 public:
   SettingsFolder() {
-    std::string Template = (fs::temp_directory_path() / "cbXXXXXX").string();
-    Folder_ = ::mkdtemp(Template.data());
     for (const char *Name : {"operator.token", "peer.key", "tenant.secret"})
       BOOST_REQUIRE(writeSecretFile(path(Name), "secret\n").has_value());
   }
-  ~SettingsFolder() { fs::remove_all(Folder_); }
-
-  std::string path(const std::string &Name) const {
-    return (Folder_ / Name).string();
-  }
 
   LoadedSettings parse(const std::string &Text) const {
     return parseSettings(path("celerybeamd.toml"), Text);
   }
-
-private:
-  fs::path Folder_;
 };
 
 std::string exampleText() {
-  std::ifstream In(CELERYBEAM_EXAMPLES "/celerybeamd.toml");
-  return {std::istreambuf_iterator<char>(In), {}};
+  return testing::readFile(CELERYBEAM_EXAMPLES "/celerybeamd.toml");
 }
 
 std::string replaced(std::string Text, const std::string &Old,
--- a/tests/support/virtualtime.cpp
+++ b/tests/support/virtualtime.cpp
@@ -1,5 +1,7 @@
 #include "support/virtualtime.h"
 
+#include <algorithm>
+
 namespace celerybeam::testing {
 
 namespace {
@@ -33,7 +35,7 @@
   TimePoint End = Now_ + Span;
   while (!Tasks_.empty() && Tasks_.begin()->first.first <= End)
     step();
-  Now_ = End;
+  Now_ = std::max(Now_, End);
 }
 
 bool VirtualTime::runUntil(const std::function<bool()> &Holds, Duration Limit) {
--- a/tests/support/virtualtime.h
+++ b/tests/support/virtualtime.h
@@ -26,6 +26,7 @@
 
   /// Runs the next task; false when there is none.
   bool step();
+  /// Runs all that falls due within the span; tasks may call it.
   void runFor(Duration Span);
   /// Runs until the predicate holds or the limit has passed; returns whether
   /// it holds.
