Refuse at once when a share was answered before its waiter was noted

Cause: a grant may arrive between the question and the noting of the request that waits for it; with nothing granted such a request waited 2.3 s. Change: the tick retries the waiters of every limit without an open question. Tests for waiting, an empty grant and a silent keeper.

--- a/src/admission/internal/admissioncontroller.cpp
+++ b/src/admission/internal/admissioncontroller.cpp
@@ -218,8 +218,8 @@
       passLimits(Id, MayAsk);
   }
 
-  /// Refuses those that waited too long, and retries the others: a share may
-  /// have been granted by this host itself.
+  /// Refuses those that waited too long, and retries those whose question was
+  /// answered before they began to wait for it.
   void retryShareWaiters() {
     TimePoint Now = Runtime_.Now();
     std::vector<std::string> Limits;
@@ -229,7 +229,7 @@
     for (const std::string &Limit : Limits) {
       refuseOverdueWaiters(Limit, Now);
       std::optional<LimitKey> Key = LimitKey::parse(Limit);
-      if (Key && Limits_.held(*Key) > 0)
+      if (Key && !Limits_.asking(*Key))
         retryWaitersOf(Limit, false);
     }
   }
--- a/src/admission/internal/limitshares.cpp
+++ b/src/admission/internal/limitshares.cpp
@@ -258,4 +258,9 @@
   return S && Runtime_.Now() < S->ValidUntil ? S->Amount : 0;
 }
 
+bool LimitShares::asking(const LimitKey &Key) const {
+  std::optional<Share> S = Shares_.find(Key.str());
+  return S && S->AskedAt;
+}
+
 } // namespace celerybeam::detail
--- a/src/admission/internal/limitshares.h
+++ b/src/admission/internal/limitshares.h
@@ -58,6 +58,8 @@
 
   /// The share held now; 0 when it has expired.
   double held(const LimitKey &Key) const;
+  /// Whether a question to the keeper is open.
+  bool asking(const LimitKey &Key) const;
   std::size_t limits() const { return Shares_.size(); }
 
 private:
--- a/src/admission/tests/admissiontest.cpp
+++ b/src/admission/tests/admissiontest.cpp
@@ -34,8 +34,38 @@
     return Self;
   }
 
-  static PeerHooks hooks() {
-    return {[](const HostId &, const messages::Envelope &) {}};
+  PeerHooks hooks() {
+    return {[this](const HostId &, const messages::Envelope &Message) {
+      Sent.push_back(Message);
+    }};
+  }
+
+  void addPeer() {
+    PeerRecord Peer;
+    Peer.Id = HostId("h2");
+    Peer.Region = RegionId("huye");
+    Board.peers().set(Peer.Id, Peer);
+  }
+
+  /// Submits as tenant after tenant until the keeper of the limit is the
+  /// other host.
+  RequestId submitWithRemoteKeeper() {
+    while (true) {
+      RequestId Id =
+          submit(RequestClass::Short, "tenant" + std::to_string(Submitted));
+      if (waits(Id))
+        return Id;
+    }
+  }
+
+  /// Grants the share that was asked for last.
+  void grant(double Amount) {
+    BOOST_REQUIRE(!Sent.empty());
+    messages::Envelope Reply = Sent.back();
+    Reply.set_from("h2");
+    Reply.mutable_share_transfer()->set_acknowledged(true);
+    Reply.mutable_share_transfer()->set_amount(Amount);
+    Admission.handle(Reply);
   }
 
   void publish() {
@@ -92,6 +122,7 @@
   }
 
   testing::VirtualTime Time{3};
+  std::vector<messages::Envelope> Sent;
   RouteRow Route;
   PoolRow Pool;
   Blackboard Board;
@@ -115,10 +146,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(hostsOfARegionShareTheSlots) {
-  PeerRecord Peer;
-  Peer.Id = HostId("h2");
-  Peer.Region = RegionId("huye");
-  Board.peers().set(Peer.Id, Peer);
+  addPeer();
   Board.endpoints().update(EndpointId("m1"),
                            [](EndpointRecord &E) { E.Report.Running = 8; });
   run(1s);
@@ -128,10 +156,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(freeSlotsOfOtherHostsAreBorrowed) {
-  PeerRecord Peer;
-  Peer.Id = HostId("h2");
-  Peer.Region = RegionId("huye");
-  Board.peers().set(Peer.Id, Peer);
+  addPeer();
   run(1s);
   auto Ids = fill(7);
   BOOST_TEST(waits(Ids[6]));
@@ -238,6 +263,42 @@
   BOOST_TEST((*error(Second).RetryAfter > 3s));
 }
 
+BOOST_AUTO_TEST_CASE(aRequestWaitsForTheShareOfAnotherHost) {
+  addPeer();
+  Route.Limits.TenantConcurrency = 4;
+  publish();
+  run(3s);
+  RequestId Id = submitWithRemoteKeeper();
+  BOOST_TEST(waits(Id));
+  grant(0.25);
+  BOOST_TEST(admitted(Id));
+}
+
+BOOST_AUTO_TEST_CASE(withoutAShareLeftItIsRefusedAtOnce) {
+  addPeer();
+  Route.Limits.TenantConcurrency = 4;
+  publish();
+  run(3s);
+  RequestId Id = submitWithRemoteKeeper();
+  grant(0);
+  BOOST_TEST((error(Id).Kind == ErrorKind::RateLimited));
+}
+
+BOOST_AUTO_TEST_CASE(aSilentKeeperIsNotWaitedForWithoutEnd) {
+  addPeer();
+  Route.Limits.TenantConcurrency = 4;
+  publish();
+  run(3s);
+  RequestId Id = submitWithRemoteKeeper();
+  std::size_t Questions = Sent.size();
+  run(1s);
+  BOOST_TEST(waits(Id));
+  BOOST_TEST(Sent.size() > Questions + 5);
+  run(2s);
+  BOOST_TEST((error(Id).Kind == ErrorKind::RateLimited));
+  BOOST_TEST(error(Id).RetryAfter.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(requestsThatGoAwayTakeNoPlace) {
   fill(8);
   AdmissionRequest Ask{
