Tell waiters that ran out of time when they would be served

Cause: a request that waited and was then refused got 50 ms to come back, the bare minimum, although the queue was as long as before. Change: its RetryAfter is the predicted wait of a request like it; the test now asks for it (the minimum of 50 ms failed it). Conclusion: test_admission passes.

--- a/src/admission/internal/poolqueue.cpp
+++ b/src/admission/internal/poolqueue.cpp
@@ -180,7 +180,8 @@
     Duration Spare = Next.Deadline - Now - minService(*Class);
     bool HasWaited = Next.EnqueuedAt < Now;
     if (HasWaited && Spare < Duration(0))
-      Verdicts.Refused.push_back({Next.Request, lateError(-Spare)});
+      Verdicts.Refused.push_back(
+          {Next.Request, lateError(predictedWait(*Class, Next.Tenant))});
     else
       admit(Next.Request, *Class, Now, Verdicts);
   }
@@ -210,15 +211,15 @@
   Duration Needed = minService(Class);
   for (WaitingRequest &W : state(Class).Waiting.removeDueBefore(Now + Needed))
     Verdicts.Refused.push_back(
-        {W.Request, lateError(Now + Needed - W.Deadline)});
+        {W.Request, lateError(predictedWait(Class, W.Tenant))});
 }
 
-Error PoolQueue::lateError(Duration Late) const {
+Error PoolQueue::lateError(Duration Wait) const {
   return {ErrorKind::NoCapacityInTime,
           "Pool " + Pool_.str() +
               " cannot serve the request within its deadline; try again after "
               "the stated time, or allow more time.",
-          retryAfter(Late)};
+          retryAfter(Wait)};
 }
 
 Error PoolQueue::shedError(RequestClass Class) {
--- a/src/admission/internal/poolqueue.h
+++ b/src/admission/internal/poolqueue.h
@@ -93,7 +93,8 @@
   void shedOverflow(QueueVerdicts &Verdicts);
   void refuseLate(RequestClass Class, TimePoint Now, QueueVerdicts &Verdicts);
   void release(const RequestId &Request, TimePoint Now, bool Served);
-  Error lateError(Duration Late) const;
+  /// \param Wait  until a request like this one would be served.
+  Error lateError(Duration Wait) const;
   Error shedError(RequestClass Class);
 
   PoolName Pool_;
--- a/src/admission/tests/admissiontest.cpp
+++ b/src/admission/tests/admissiontest.cpp
@@ -198,8 +198,11 @@
   fill(8);
   RequestId Waiter = submit(RequestClass::Short, "u", 1500ms);
   BOOST_TEST(waits(Waiter));
+  fill(24);
   run(900ms);
   BOOST_TEST((error(Waiter).Kind == ErrorKind::NoCapacityInTime));
+  // As long as one with the same time would wait now, not at once.
+  BOOST_TEST((*error(Waiter).RetryAfter >= 200ms));
 }
 
 BOOST_AUTO_TEST_CASE(aFullQueueShedsLongThenTheNewestOfTheLargestTenant) {
