Notice an unreachable region within half a second and hold off from it

Change: the serving host says at once that a request arrived; without that word in 500 ms the exchange ends as not connected, is tried here and the region gets nothing for 5 s; loads older than 20 s count for nothing; a request that would wait here asks Router::chooseAway before admission.

--- a/src/requests/internal/exchange.cpp
+++ b/src/requests/internal/exchange.cpp
@@ -107,6 +107,26 @@
     });
   });
 
+  post([](Exchange &E) { E.chooseSide(); });
+}
+
+// A request that would wait here goes to another region at once if that pays;
+// its limits are then charged there.
+void Exchange::chooseSide() {
+  if (MayLeaveRegion_) {
+    RouteQuery Query = makeQuery();
+    Query.QueueWait = Services_.Admission->predictedWait(
+        Start_.Pool.Name, Start_.Class, Start_.Tenant);
+    if (std::optional<SendAway> Away = Services_.Routes->chooseAway(Query)) {
+      startAway(*Away);
+      return;
+    }
+  }
+  askAdmission();
+}
+
+void Exchange::askAdmission() {
+  std::weak_ptr<Exchange> Weak = weak_from_this();
   AdmissionRequest Ask;
   Ask.Request = Start_.Id;
   Ask.Route = Start_.Route.Name;
@@ -466,10 +486,13 @@
   Attempt Failed = std::move(It->second);
   Attempts_.erase(It);
   reportEnd(Failed, tl::unexpected(Why));
-  if (Failed.remote())
+  if (Failed.remote()) {
     MayLeaveRegion_ = false;
-  else
+    if (Why.Kind == ErrorKind::ConnectFailed)
+      Services_.Routes->awayFailed(Failed.RemoteRegion);
+  } else {
     Excluded_.push_back(Failed.Endpoint);
+  }
   if (!Attempts_.empty())
     return;
   Winner_.reset();
@@ -482,7 +505,10 @@
     finish(tl::unexpected(Why));
     return;
   }
-  startAttempt();
+  if (Admitted_)
+    startAttempt();
+  else
+    askAdmission();
 }
 
 bool Exchange::mayRetry(const Attempt &Failed, const Error &Why) const {
--- a/src/requests/internal/exchange.h
+++ b/src/requests/internal/exchange.h
@@ -72,6 +72,8 @@
     bool remote() const { return !RemoteHost.empty(); }
   };
 
+  void chooseSide();
+  void askAdmission();
   void onAdmitted(const Result<void> &Admitted);
   void startAttempt();
   void startHere(const ServeHere &Choice);
--- a/src/requests/internal/forwardclient.cpp
+++ b/src/requests/internal/forwardclient.cpp
@@ -25,17 +25,29 @@
 
 } // namespace
 
-ForwardClient::ForwardClient(PeerHooks Peers) : Peers_(std::move(Peers)) {}
+ForwardClient::ForwardClient(PeerHooks Peers, Runtime R)
+    : Peers_(std::move(Peers)), Time_(std::move(R)) {}
 
 void ForwardClient::start(const HostId &Host, messages::ForwardRequest Request,
                           CallObserver Observer) {
   Call Fresh;
   Fresh.Host = Host;
   Fresh.Observer = std::move(Observer);
-  Calls_.set(idOf(Request), std::move(Fresh));
+  AttemptId Id = idOf(Request);
+  Calls_.set(Id, std::move(Fresh));
   messages::Envelope Out;
   *Out.mutable_forward_request() = std::move(Request);
   Peers_.Send(Host, std::move(Out));
+  watchAcceptance(Id);
+}
+
+void ForwardClient::watchAcceptance(const AttemptId &Id) {
+  Time_.After(AcceptTimeout, [this, Id] {
+    bool Waits = false;
+    Calls_.update(Id, [&](Call &C) { Waits = !C.Accepted; });
+    if (Waits)
+      breakOff(Id, ErrorKind::ConnectFailed);
+  });
 }
 
 void ForwardClient::cancel(const AttemptId &Id) {
@@ -58,7 +70,10 @@
 
 void ForwardClient::handle(const messages::Envelope &Message) {
   HostId From(Message.from());
-  if (Message.has_forward_head())
+  if (Message.has_forward_accepted())
+    Calls_.update(idOf(Message.forward_accepted()),
+                  [](Call &C) { C.Accepted = true; });
+  else if (Message.has_forward_head())
     handleHead(From, Message.forward_head());
   else if (Message.has_forward_chunk())
     handleChunk(From, Message.forward_chunk());
@@ -72,6 +87,7 @@
   Calls_.update(idOf(Head), [&](Call &C) {
     if (C.Host != From || std::exchange(C.HeadSeen, true))
       return;
+    C.Accepted = true;
     Notify = C.Observer.OnHead;
   });
   if (!Notify)
@@ -99,7 +115,7 @@
     Notify = C.Observer.OnData;
   });
   if (Gap)
-    return breakOff(Id);
+    return breakOff(Id, ErrorKind::ConnectionLost);
   if (!Notify)
     return;
   bool Pause = Notify(Chunk.data()) == Flow::Pause;
@@ -125,7 +141,7 @@
   if (!Ours)
     return;
   if (!Whole)
-    return breakOff(Id);
+    return breakOff(Id, ErrorKind::ConnectionLost);
   std::optional<Call> Ended = Calls_.take(Id);
   if (!Ended)
     return;
@@ -145,15 +161,14 @@
   Peers_.Send(Host, std::move(Out));
 }
 
-void ForwardClient::breakOff(const AttemptId &Id) {
+void ForwardClient::breakOff(const AttemptId &Id, ErrorKind Kind) {
   std::optional<Call> Ended = Calls_.take(Id);
   if (!Ended)
     return;
   sendCancel(Peers_, Ended->Host, Id);
   Ended->Observer.OnEnd(
-      makeError(ErrorKind::ConnectionLost,
-                "frames from entry host " + Ended->Host.str() +
-                    " were lost; the request is tried elsewhere"));
+      makeError(Kind, "frames from entry host " + Ended->Host.str() +
+                          " are missing; the request is tried elsewhere"));
 }
 
 } // namespace celerybeam::detail
--- a/src/requests/internal/forwardclient.h
+++ b/src/requests/internal/forwardclient.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "blackboard/calltypes.h"
+#include "framework/runtime.h"
 #include "framework/shardedmap.h"
 #include "messages/peerhooks.h"
 
@@ -19,7 +20,11 @@
 /// ConnectionLost, a repeated frame is dropped. Thread-safe.
 class ForwardClient {
 public:
-  explicit ForwardClient(PeerHooks Peers);
+  ForwardClient(PeerHooks Peers, Runtime R);
+
+  /// Time for the serving host to say that the request arrived; after it the
+  /// exchange ends with ConnectFailed.
+  static constexpr Duration AcceptTimeout = std::chrono::milliseconds(500);
 
   /// Sends the request; the observer hears as from EndpointHooks::Start.
   void start(const HostId &Host, messages::ForwardRequest Request,
@@ -31,7 +36,8 @@
   /// The observer takes data again after it asked for a pause.
   void resume(const AttemptId &Id);
 
-  /// Takes ForwardHead, ForwardChunk and ForwardEnd; ignores other bodies.
+  /// Takes ForwardAccepted, ForwardHead, ForwardChunk and ForwardEnd; ignores
+  /// other bodies.
   void handle(const messages::Envelope &Message);
 
 private:
@@ -40,6 +46,7 @@
     CallObserver Observer;
     std::uint64_t NextChunk = 0;
     std::uint32_t UnreportedChunks = 0;
+    bool Accepted = false;
     bool HeadSeen = false;
     bool Paused = false;
   };
@@ -47,11 +54,13 @@
   void handleHead(const HostId &From, const messages::ForwardHead &Head);
   void handleChunk(const HostId &From, const messages::ForwardChunk &Chunk);
   void handleEnd(const HostId &From, const messages::ForwardEnd &End);
+  void watchAcceptance(const AttemptId &Id);
   void giveCredit(const HostId &Host, const AttemptId &Id,
                   std::uint32_t Chunks);
-  void breakOff(const AttemptId &Id);
+  void breakOff(const AttemptId &Id, ErrorKind Kind);
 
   PeerHooks Peers_;
+  Runtime Time_;
   ShardedMap<AttemptId, Call> Calls_;
 };
 
--- a/src/requests/internal/forwardserver.cpp
+++ b/src/requests/internal/forwardserver.cpp
@@ -21,9 +21,8 @@
 
 } // namespace
 
-ForwardServer::ForwardServer(PeerHooks Peers, Runtime R, ForwardRunner Runner)
-    : Peers_(std::move(Peers)), Time_(std::move(R)),
-      Runner_(std::move(Runner)) {}
+ForwardServer::ForwardServer(PeerHooks Peers, ForwardRunner Runner)
+    : Peers_(std::move(Peers)), Runner_(std::move(Runner)) {}
 
 void ForwardServer::handle(const messages::Envelope &Message) {
   if (Message.has_forward_request()) {
@@ -51,8 +50,11 @@
   if (!remember(Id))
     return;
   Replies_.set(Id, Reply{Origin, 0, ForwardWindowChunks});
+  messages::Envelope Accepted;
+  setId(*Accepted.mutable_forward_accepted(), Id);
+  Peers_.Send(Origin, std::move(Accepted));
   if (Request.hops() == AllowedHops) {
-    Runner_.Start(Request, replyHooks(Origin, Id));
+    Runner_.Start(Request, replyHooks(Id));
     return;
   }
   sendEnd(Id, makeError(ErrorKind::LoopRefused,
@@ -60,7 +62,7 @@
                         "entry host of its own region"));
 }
 
-ResponseHooks ForwardServer::replyHooks(const HostId &, const AttemptId &Id) {
+ResponseHooks ForwardServer::replyHooks(const AttemptId &Id) {
   ResponseHooks Hooks;
   Hooks.Head = [this, Id](const ResponseHead &Head) { sendHead(Id, Head); };
   Hooks.Chunk = [this, Id](std::string Data) {
--- a/src/requests/internal/forwardserver.h
+++ b/src/requests/internal/forwardserver.h
@@ -9,7 +9,6 @@
 #include <unordered_set>
 
 #include "blackboard/calltypes.h"
-#include "framework/runtime.h"
 #include "framework/shardedmap.h"
 #include "messages/peerhooks.h"
 
@@ -32,7 +31,7 @@
 /// so that no answer is produced twice. Thread-safe.
 class ForwardServer {
 public:
-  ForwardServer(PeerHooks Peers, Runtime R, ForwardRunner Runner);
+  ForwardServer(PeerHooks Peers, ForwardRunner Runner);
 
   /// Takes ForwardRequest, ForwardCancel and ForwardCredit; ignores other
   /// bodies.
@@ -51,7 +50,7 @@
   };
 
   void serve(const HostId &Origin, const messages::ForwardRequest &Request);
-  ResponseHooks replyHooks(const HostId &Origin, const AttemptId &Id);
+  ResponseHooks replyHooks(const AttemptId &Id);
   void sendHead(const AttemptId &Id, const ResponseHead &Head);
   Flow sendChunk(const AttemptId &Id, std::string Data);
   void sendEnd(const AttemptId &Id, const Result<void> &Outcome);
@@ -59,7 +58,6 @@
   bool remember(const AttemptId &Id);
 
   PeerHooks Peers_;
-  Runtime Time_;
   ForwardRunner Runner_;
   ShardedMap<AttemptId, Reply> Replies_;
   std::mutex SeenMutex_;
--- a/src/requests/internal/requestcontroller.cpp
+++ b/src/requests/internal/requestcontroller.cpp
@@ -47,8 +47,8 @@
 public:
   explicit Impl(RequestServices Services)
       : Services_(std::move(Services)), Checker_(Services_),
-        Forwards_(Services_.Peers),
-        Server_(Services_.Peers, Services_.Time, forwardRunner()) {}
+        Forwards_(Services_.Peers, Services_.Time),
+        Server_(Services_.Peers, forwardRunner()) {}
 
   RequestId start(const AcceptedHead &Accepted, std::string Body,
                   ResponseHooks Answer) {
--- a/src/requests/tests/forwardtest.cpp
+++ b/src/requests/tests/forwardtest.cpp
@@ -1,5 +1,6 @@
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -55,6 +56,20 @@
     Client.start(HostId("server"), Request, Observer);
   }
 
+  Runtime runtime() {
+    Runtime R;
+    R.After = [this](Duration, Task Work) {
+      Timers.push_back(std::move(Work));
+    };
+    return R;
+  }
+
+  void passTime() {
+    for (Task &Work : std::exchange(Timers, {}))
+      Work();
+  }
+
+  std::vector<Task> Timers;
   std::deque<messages::Envelope> Wire;
   ResponseHooks Answer;
   unsigned Started = 0;
@@ -63,10 +78,9 @@
   int Status = 0;
   std::string Body;
   std::vector<Result<void>> Ends;
-  ForwardClient Client{from("client")};
+  ForwardClient Client{from("client"), runtime()};
   ForwardServer Server{
       from("server"),
-      Runtime(),
       {[this](const messages::ForwardRequest &, ResponseHooks Hooks) {
          ++Started;
          Answer = std::move(Hooks);
@@ -122,6 +136,21 @@
   BOOST_TEST(Body.empty());
 }
 
+BOOST_AUTO_TEST_CASE(unreachableRegionIsNoticedAtOnce) {
+  start(1);
+  Wire.clear();
+  passTime();
+  BOOST_REQUIRE_EQUAL(Ends.size(), 1U);
+  BOOST_TEST((Ends[0].error().Kind == ErrorKind::ConnectFailed));
+}
+
+BOOST_AUTO_TEST_CASE(acceptedRequestMayTakeItsTime) {
+  start(1);
+  deliverAll();
+  passTime();
+  BOOST_TEST(Ends.empty());
+}
+
 BOOST_AUTO_TEST_CASE(secondHopIsRefused) {
   start(2);
   deliverAll();
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -127,6 +127,8 @@
     }
   }
 
+  void awayFailed(const RegionId &Region) { SendAway_.failed(Region); }
+
   void sentAway(const RegionId &Region, std::uint64_t Bytes) {
     SendAway_.sent(Region, Bytes);
   }
@@ -393,6 +395,8 @@
 
 void Router::tick() { Impl_->tick(); }
 
+void Router::awayFailed(const RegionId &Region) { Impl_->awayFailed(Region); }
+
 void Router::sentAway(const RegionId &Region, std::uint64_t Bytes) {
   Impl_->sentAway(Region, Bytes);
 }
--- a/src/routing/internal/sendawaypolicy.cpp
+++ b/src/routing/internal/sendawaypolicy.cpp
@@ -19,6 +19,9 @@
 constexpr double LinkBurstSeconds = 0.25;
 /// Share of another region's slots that guests may fill.
 constexpr double MaxRemoteLoad = 0.85;
+/// Age at which the load that a host of another region told says nothing;
+/// digests come every 7.5 s at 25 zones.
+constexpr Duration LoadLifetime = std::chrono::seconds(20);
 /// Time constant over which own sends show up in the other region's load.
 constexpr double SentDecaySeconds = 1;
 constexpr double MicrosPerSecond = 1e6;
@@ -31,8 +34,10 @@
   return Duration(static_cast<Duration::rep>(Seconds * MicrosPerSecond));
 }
 
-bool takesGuests(const PeerRecord &Peer, const PoolName &Pool) {
-  return Peer.State == PeerState::Alive && Peer.Pools.contains(Pool);
+// A load that is no longer told is of a region that may be cut off.
+bool takesGuests(const PeerRecord &Peer, const PoolName &Pool, TimePoint Now) {
+  return Peer.State == PeerState::Alive && Peer.Pools.contains(Pool) &&
+         Now - Peer.LastHeard <= LoadLifetime;
 }
 
 void addPeer(std::map<RegionId, RemotePool> &Regions, const PeerRecord &Peer,
@@ -103,6 +108,8 @@
 Duration SendAwayPolicy::remoteScore(const RemotePool &Remote,
                                      const SendAwayCase &Case,
                                      double OwnHosts) {
+  if (heldOff(Remote.Region))
+    return Duration::max();
   double Guests = recentlySent(Remote.Region) * OwnHosts;
   if (Remote.Busy + Guests >= MaxRemoteLoad * Remote.Slots)
     return Duration::max();
@@ -114,6 +121,16 @@
          fromSeconds(Case.Route->Weights.CostWeight * Case.Pool->SlotCost);
 }
 
+void SendAwayPolicy::failed(const RegionId &Region) {
+  std::lock_guard Lock(Mutex_);
+  FailedAt_[Region] = Runtime_.Now();
+}
+
+bool SendAwayPolicy::heldOff(const RegionId &Region) const {
+  auto It = FailedAt_.find(Region);
+  return It != FailedAt_.end() && Runtime_.Now() - It->second < HoldOff;
+}
+
 double SendAwayPolicy::recentlySent(const RegionId &Region) {
   SentState &S = Sent_[Region];
   TimePoint Now = Runtime_.Now();
@@ -172,7 +189,7 @@
       return;
     if (Peer.Region == Self.Region)
       Fresh->OwnHosts += 1;
-    else if (takesGuests(Peer, Pool))
+    else if (takesGuests(Peer, Pool, Now))
       addPeer(Regions, Peer, Peer.Pools.at(Pool));
   });
   for (auto &[Region, Remote] : Regions)
--- a/src/routing/internal/sendawaypolicy.h
+++ b/src/routing/internal/sendawaypolicy.h
@@ -45,6 +45,10 @@
 
   std::optional<SendAway> choose(const SendAwayCase &Case);
 
+  /// Nobody answered in the region; it gets nothing for HoldOff.
+  void failed(const RegionId &Region);
+  static constexpr Duration HoldOff = std::chrono::seconds(5);
+
   /// Accounts for bytes on the link beyond those of the query.
   void sent(const RegionId &Region, std::uint64_t Bytes);
 
@@ -81,6 +85,7 @@
   bool takeBytes(const RegionId &Region, double Bytes, double OwnHosts);
   void refill(LinkState &Link, double OwnHosts) const;
   double recentlySent(const RegionId &Region);
+  bool heldOff(const RegionId &Region) const;
 
   Blackboard &Board_;
   Runtime Runtime_;
@@ -89,6 +94,7 @@
   std::map<RouteName, RouteState> Routes_;
   std::map<RegionId, LinkState> Links_;
   std::map<RegionId, SentState> Sent_;
+  std::map<RegionId, TimePoint> FailedAt_;
   std::map<PoolName, std::shared_ptr<const Remotes>> Remotes_;
 };
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -43,6 +43,10 @@
   void tick();
   static constexpr Duration TickInterval = std::chrono::milliseconds(50);
 
+  /// A request sent to another region found nobody there; for a while none is
+  /// sent.
+  void awayFailed(const RegionId &Region);
+
   /// Accounts for bytes that went over the link to another region.
   void sentAway(const RegionId &Region, std::uint64_t Bytes);
 
--- a/tests/scenario/expectations.cpp
+++ b/tests/scenario/expectations.cpp
@@ -35,6 +35,18 @@
   return Sorted[Index];
 }
 
+// "of 80: 12 overloaded, 3 deadline_expired"
+std::string failuresOf(const std::vector<const CallRecord *> &Calls) {
+  std::map<std::string, unsigned> Counts;
+  for (const CallRecord *R : Calls)
+    if (R->Failure)
+      ++Counts[std::string(errorKindName(R->Failure->Kind))];
+  std::string Text = "of " + std::to_string(Calls.size()) + ":";
+  for (const auto &[Kind, Count] : Counts)
+    Text += " " + std::to_string(Count) + " " + Kind;
+  return Text;
+}
+
 std::string word(const Step &S, std::size_t Index) {
   return Index < S.Words.size() ? S.Words[Index] : "";
 }
@@ -135,8 +147,10 @@
     Total.push_back(R->EndedAt - R->StartedAt);
   }
   auto Count = static_cast<double>(Calls.size());
-  if (What == "whole-share")
-    return failIf(checkBounds(S, Whole / Count));
+  if (What == "whole-share") {
+    std::string Seen = checkBounds(S, Whole / Count);
+    return failIf(Seen.empty() ? Seen : Seen + "; " + failuresOf(Calls));
+  }
   if (What == "unended")
     return failIf(checkBounds(S, Unended));
   if (What == "p99-first")
--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -136,6 +136,10 @@
     Texts_.Pools = S.Block;
     return StepResult();
   };
+  Verbs_["add-routes"] = [this](const Step &S) {
+    Texts_.Routes += S.Block;
+    return StepResult();
+  };
   Verbs_["apply"] = [this](const Step &S) { return applyTables(S); };
   Verbs_["start"] = [this](const Step &S) {
     return eachHost(S, [this](const HostId &Id) { World_->startHost(Id); });
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -207,6 +207,15 @@
       return makeError(ErrorKind::Unauthorized, "send a tenant key");
     return TenantId(std::string(Given));
   };
+  Hooks.Events.Ended = [this](const RequestSummary &S) {
+    if (S.Failure)
+      note("ended " + std::string(errorKindName(*S.Failure)) + " after " +
+           std::to_string(S.Total.count() / 1000) + "ms, queued " +
+           std::to_string(S.QueueWait.count() / 1000) + "ms, first token " +
+           std::to_string(S.FirstToken.count() / 1000) + "ms, attempts " +
+           std::to_string(S.Attempts) + ", tokens " + std::to_string(S.Tokens) +
+           ", last " + S.LastEndpoint.str());
+  };
   return Hooks;
 }
 
