Keep the cache use of load pages; follow the linter

Cause: a response header's load replaced the page's cache use by zero. Change: headers keep it; tests for that and for the bound of load polls.

--- a/src/booking/internal/bookingcontroller.cpp
+++ b/src/booking/internal/bookingcontroller.cpp
@@ -48,7 +48,7 @@
 /// The controller's state under its lock, kept alive by no callback.
 class BookingController::Impl {
 public:
-  Impl(Blackboard &Board, const Runtime &R, StoreHooks Store, PeerHooks Peers,
+  Impl(Blackboard &Board, Runtime R, StoreHooks Store, PeerHooks Peers,
        EndpointHooks Calls, RunnerPicker Pick);
 
   void enter(const std::function<void(Effects &)> &Step);
@@ -99,11 +99,11 @@
   }
 };
 
-BookingController::Impl::Impl(Blackboard &Board, const Runtime &R,
-                              StoreHooks Store, PeerHooks Peers,
-                              EndpointHooks Calls, RunnerPicker Pick)
+BookingController::Impl::Impl(Blackboard &Board, Runtime R, StoreHooks Store,
+                              PeerHooks Peers, EndpointHooks Calls,
+                              RunnerPicker Pick)
     : Context_{Board,
-               R,
+               std::move(R),
                std::move(Store),
                std::move(Peers),
                std::move(Calls),
@@ -112,11 +112,12 @@
                Board.self().Id.str() + "#" +
                    std::to_string(Board.self().Number),
                {},
-               detail::CopyHolder(R.Now())},
+               detail::CopyHolder(TimePoint())},
       Forwarder_(Context_, [this](const detail::BookingForwarder::Request &Q,
                                   BookingWaiter Waiter, Effects &Out) {
         serve(Q, std::move(Waiter), Out);
       }) {
+  Context_.Copies = detail::CopyHolder(Context_.Time.Now());
   Gate_->Owner = this;
   Context_.Enter = [Weak = std::weak_ptr<Gate>(Gate_)](
                        const std::function<void(Effects &)> &Step) {
@@ -382,8 +383,9 @@
 BookingController::BookingController(Blackboard &Board, Runtime R,
                                      StoreHooks Store, PeerHooks Peers,
                                      EndpointHooks Calls, RunnerPicker Pick)
-    : Impl_(std::make_unique<Impl>(Board, R, std::move(Store), std::move(Peers),
-                                   std::move(Calls), std::move(Pick))) {}
+    : Impl_(std::make_unique<Impl>(Board, std::move(R), std::move(Store),
+                                   std::move(Peers), std::move(Calls),
+                                   std::move(Pick))) {}
 BookingController::~BookingController() = default;
 
 void BookingController::book(BookingOrder Order,
--- a/src/booking/internal/ledgerwriter.cpp
+++ b/src/booking/internal/ledgerwriter.cpp
@@ -77,7 +77,8 @@
   Busy_ = true;
   Record.set_nonce(makeNonce());
   Attempted_ = std::max(Attempted_, Change);
-  auto Take = [=, this](const Result<StoreVersion> &Answer, Effects &Next) {
+  auto Take = [=, this, Done = std::move(Done)](
+                  const Result<StoreVersion> &Answer, Effects &Next) {
     Busy_ = false;
     if (!Answer) {
       if (storeIsAway(Answer.error()))
--- a/src/membership/internal/endpointmonitor.cpp
+++ b/src/membership/internal/endpointmonitor.cpp
@@ -89,7 +89,8 @@
   void firstToken(const AttemptId &Attempt);
   void progressed(const AttemptId &Attempt);
   void ended(const AttemptId &Attempt, const Result<void> &Outcome);
-  void takeReport(const EndpointId &Endpoint, const LoadReport &Report);
+  void takeReport(const EndpointId &Endpoint, const LoadReport &Report,
+                  bool FromHeaders);
   void takeLoaded(const EndpointId &Endpoint, const LoadAnswer &Answer);
   void markLeaving(const EndpointId &Endpoint);
   void tick();
@@ -208,7 +209,8 @@
 }
 
 void EndpointMonitor::Impl::takeReport(const EndpointId &Endpoint,
-                                       const LoadReport &Report) {
+                                       const LoadReport &Report,
+                                       bool FromHeaders) {
   std::uint32_t SentSince = 0;
   Health_.upsert(Endpoint, [&](Health &H) {
     SentSince = static_cast<std::uint32_t>(
@@ -218,7 +220,10 @@
   Board_.endpoints().update(Endpoint, [&](EndpointRecord &R) {
     if (Report.MeasuredAt < R.Report.MeasuredAt)
       return;
+    // Response headers do not tell the use of the cache.
+    double CacheUse = FromHeaders ? R.Report.CacheUse : Report.CacheUse;
     R.Report = Report;
+    R.Report.CacheUse = CacheUse;
     R.Observed.SentSinceReport = SentSince;
   });
 }
@@ -387,7 +392,7 @@
                  [this, Id = Next->first](const Result<LoadAnswer> &Answer) {
                    if (!Answer)
                      return;
-                   takeReport(Id, Answer->Report);
+                   takeReport(Id, Answer->Report, false);
                    takeLoaded(Id, *Answer);
                  });
 }
@@ -434,12 +439,12 @@
   Report.MeasuredAt = Impl_->Runtime_.Now() - std::chrono::milliseconds(Lag);
   Report.Running = *Running;
   Report.Waiting = *Waiting;
-  Impl_->takeReport(Endpoint, Report);
+  Impl_->takeReport(Endpoint, Report, true);
 }
 
 void EndpointMonitor::reported(const EndpointId &Endpoint,
                                const LoadAnswer &Answer) {
-  Impl_->takeReport(Endpoint, Answer.Report);
+  Impl_->takeReport(Endpoint, Answer.Report, false);
   Impl_->takeLoaded(Endpoint, Answer);
 }
 
--- a/src/membership/tests/endpointmonitortest.cpp
+++ b/src/membership/tests/endpointmonitortest.cpp
@@ -16,7 +16,7 @@
 class MonitorFixture {
 public:
   explicit MonitorFixture(int Engines, double EjectionCap = 0.3)
-      : Time(1), Board(self()), Monitor(Board, Time.runtime(), {}) {
+      : Time(1), Board(self()), Monitor(Board, Time.runtime(), loadPages()) {
     auto T = std::make_shared<Tables>();
     T->Number = 1;
     PoolRow Pool;
@@ -42,6 +42,24 @@
     return Self;
   }
 
+  /// Load pages that answer at once.
+  EndpointHooks loadPages() {
+    EndpointHooks Hooks;
+    Hooks.AskLoad =
+        [this](const EndpointId &, const Address &,
+               const std::function<void(Result<LoadAnswer>)> &Done) {
+          ++Polls;
+          Time.after(1ms, [this, Done] {
+            LoadAnswer Answer;
+            Answer.Report.MeasuredAt = Time.now();
+            Answer.Report.CacheUse = 0.5;
+            Answer.Loaded = {ModelName("cedar-7b@3")};
+            Done(Answer);
+          });
+        };
+    return Hooks;
+  }
+
   static EndpointId engine(int I) {
     return EndpointId("m" + std::to_string(I));
   }
@@ -68,8 +86,9 @@
 
   VirtualTime Time;
   Blackboard Board;
-  EndpointMonitor Monitor;
   int Requests = 0;
+  int Polls = 0;
+  EndpointMonitor Monitor;
 
 private:
   void tickOn() {
@@ -176,6 +195,29 @@
   BOOST_TEST((F.record(1).State == EndpointState::Leaving));
 }
 
+BOOST_AUTO_TEST_CASE(pollsAreBoundedHoweverManyEndpoints) {
+  for (int Engines : {4, 224}) {
+    MonitorFixture F(Engines);
+    F.Time.runFor(60s);
+    BOOST_TEST_MESSAGE(Engines << " endpoints: " << F.Polls
+                               << " load pages asked for in 60 s");
+    BOOST_TEST(F.Polls <= 60 * 4);
+    int Known = 0;
+    for (int I = 0; I < Engines; ++I)
+      Known += F.record(I).Loaded.empty() ? 0 : 1;
+    BOOST_TEST(Known == Engines);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(headersKeepTheUseOfTheCache) {
+  MonitorFixture F(1);
+  F.Time.runFor(1s);
+  F.Monitor.responseHead(
+      F.engine(0), {200, {{"x-load-running", "3"}, {"x-load-waiting", "1"}}});
+  BOOST_TEST(F.record(0).Report.Waiting == 1U);
+  BOOST_TEST(F.record(0).Report.CacheUse == 0.5);
+}
+
 BOOST_AUTO_TEST_CASE(laggedReportIsCorrectedByOwnDispatches) {
   MonitorFixture F(1);
   F.run(0, 50, 100ms, 100ms);
