--- a/bench/decisions/report.h
+++ b/bench/decisions/report.h
@@ -31,12 +31,16 @@
   Latencies LongTotal;
   std::uint64_t Arrived = 0;
   std::uint64_t InTime = 0;
+  /// Answer tokens of the answers in time.
+  std::uint64_t TokensInTime = 0;
   std::uint64_t Late = 0;
   std::uint64_t Refused = 0;
   /// Time from arrival to refusal.
   Latencies Refusal;
   std::uint64_t SentAway = 0;
   std::uint64_t Hedges = 0;
+  /// Streams resumed elsewhere since they were slow.
+  std::uint64_t Moves = 0;
   double EgressBytes = 0;
   double SlotSeconds = 0;
   std::uint64_t CachedTokens = 0;
--- a/src/configuration/tests/tableparsertest.cpp
+++ b/src/configuration/tests/tableparsertest.cpp
@@ -1,12 +1,13 @@
 #include "configuration/tableparser.h"
 
 #include <algorithm>
-#include <fstream>
-#include <iterator>
 
 #include <boost/test/unit_test.hpp>
 
+#include "support/temporaryfolder.h"
+
 using namespace celerybeam;
+using celerybeam::testing::readFile;
 
 namespace {
 
@@ -39,11 +40,6 @@
   });
 }
 
-std::string readFile(const std::string &Path) {
-  std::ifstream In(Path);
-  return {std::istreambuf_iterator<char>(In), {}};
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TableParserTests)
--- a/src/configuration/tests/tableswritertest.cpp
+++ b/src/configuration/tests/tableswritertest.cpp
@@ -14,16 +14,16 @@
 namespace {
 
 struct Editors {
-  VirtualTime Time;
+  VirtualTime Time{7};
   FakeStore Store{Time};
-  TablesWriter Writer{Store.hooks(), Time.runtime(7)};
+  TablesWriter Writer{Store.hooks(), Time.runtime()};
 
   Result<ApplyOutcome> apply(const TableRows &Base, const TableRows &Next,
                              const std::string &Author = "ann") {
     std::optional<Result<ApplyOutcome>> Outcome;
     Writer.apply({Base, Next, Author},
                  [&](Result<ApplyOutcome> R) { Outcome = std::move(R); });
-    Time.run(120s);
+    Time.runFor(120s);
     BOOST_REQUIRE(Outcome.has_value());
     return std::move(*Outcome);
   }
@@ -34,7 +34,7 @@
       BOOST_REQUIRE(R.has_value());
       Stored = std::move(*R);
     });
-    Time.run(10s);
+    Time.runFor(10s);
     BOOST_REQUIRE(Stored.has_value());
     return std::move(*Stored);
   }
@@ -47,11 +47,11 @@
       if (std::exchange(Done, true))
         return;
       Other.apply(Request, [](const Result<ApplyOutcome> &) {});
-      Time.run(5s);
+      Time.runFor(5s);
     };
   }
 
-  TablesWriter Other{Store.hooks(), Time.runtime(8)};
+  TablesWriter Other{Store.hooks(), Time.runtime()};
 };
 
 } // namespace
@@ -202,6 +202,26 @@
   BOOST_TEST(E.read().Mark.Number == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(aRevisionCanBeNumberedAboveThoseThatTheStoreLost) {
+  Editors E;
+  TableRows Rows = someRows(3);
+  BOOST_REQUIRE(E.apply({}, Rows).has_value());
+  ApplyRequest Request{Rows, Rows, "ann", 40};
+  E.Writer.apply(Request, [](const Result<ApplyOutcome> &) {});
+  E.Time.runFor(10s);
+  BOOST_TEST(E.read().Mark.Number == 41U);
+}
+
+BOOST_AUTO_TEST_CASE(aMalformedHeadIsReportedAndLeftAlone) {
+  Editors E;
+  E.Store.hooks().Put({headKey(), "{\"current\":7}"}, [](const auto &) {});
+  E.Time.runFor(1s);
+  Result<ApplyOutcome> Outcome = E.apply({}, someRows(1));
+  BOOST_REQUIRE(!Outcome.has_value());
+  BOOST_TEST((Outcome.error().Kind == ErrorKind::InvalidTable));
+  BOOST_TEST(E.Store.data(headKey()) == "{\"current\":7}");
+}
+
 BOOST_AUTO_TEST_CASE(rollbackIsANewRevisionWithTheOlderRows) {
   Editors E;
   TableRows Rows = someRows(3);
@@ -215,13 +235,13 @@
   // Revision 2 has left the head's history by now.
   std::optional<Result<ApplyOutcome>> Outcome;
   E.Writer.rollback(2, "ann", [&](auto R) { Outcome = std::move(R); });
-  E.Time.run(60s);
+  E.Time.runFor(60s);
   BOOST_REQUIRE((Outcome && Outcome->has_value()));
   BOOST_TEST((*Outcome)->Mark.Number == Edits + 2U);
   BOOST_TEST((E.read().Content.Rows == withDeadline(Rows, "r0", 1)));
 
   E.Writer.rollback(99, "ann", [&](auto R) { Outcome = std::move(R); });
-  E.Time.run(60s);
+  E.Time.runFor(60s);
   BOOST_TEST((Outcome->error().Kind == ErrorKind::NotFound));
 }
 
@@ -236,7 +256,7 @@
   }
   std::vector<RevisionMark> Marks;
   E.Writer.history(1000, [&](const auto &R) { Marks = R.value(); });
-  E.Time.run(60s);
+  E.Time.runFor(60s);
   BOOST_REQUIRE(Marks.size() == Edits);
   for (unsigned I = 0; I < Edits; ++I)
     BOOST_TEST(Marks[I].Number == Edits - I);
--- a/src/ctl/servers.h
+++ b/src/ctl/servers.h
@@ -18,6 +18,9 @@
 /// Adds --platform and what goes with it.
 void addPlatformOptions(po::options_description &Options);
 
+/// The name that goes into the history: --author, else the user's.
+std::string authorOf(const Invocation &I);
+
 /// An entry host's operators' interface (docs/operations/admin-api.md).
 class OperatorClient {
 public:
--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -94,9 +94,10 @@
   Framing_ = {};
   Accepted_.reset();
   BookingKey_.reset();
+  Deferred_.reset();
   Body_.clear();
   HeadSeen_ = false;
-  TooLarge_ = false;
+  Discarded_ = 0;
   InFlight_ = false;
   Started_ = false;
   Queued_ = false;
@@ -110,6 +111,8 @@
     HeadSeen_ = true;
     return onHead(Method);
   }
+  if (Deferred_)
+    return queueNow(*std::exchange(Deferred_, std::nullopt));
   if (*Size > 0)
     return onBody(Data, Size);
   return Started_ ? continueAnswer() : onWhole();
@@ -234,7 +237,16 @@
   return Answer;
 }
 
-MHD_Result CallerConnection::queue(const CallerAnswer &Answer) {
+MHD_Result CallerConnection::queue(CallerAnswer Answer) {
+  if (Framing_.hasBody())
+    return queueNow(Answer);
+  // The library closes connections that are answered before it has called
+  // for the end of the request.
+  Deferred_ = std::move(Answer);
+  return MHD_YES;
+}
+
+MHD_Result CallerConnection::queueNow(const CallerAnswer &Answer) {
   auto *Data = const_cast<char *>(Answer.Body.data());
   MHD_Response *Response = MHD_create_response_from_buffer(
       Answer.Body.size(), Data, MHD_RESPMEM_MUST_COPY);
@@ -256,21 +268,21 @@
 MHD_Result CallerConnection::onBody(const char *Data, std::size_t *Size) {
   std::size_t Count = std::exchange(*Size, 0);
   std::size_t Limit = Context_.Options.BodyLimit;
-  std::size_t Room = Limit - Body_.size();
-  if (!TooLarge_ && Count <= Room) {
+  std::size_t Room = Discarded_ > 0 ? 0 : Limit - Body_.size();
+  if (Count <= Room) {
     Body_.append(Data, Count);
     return MHD_YES;
   }
-  // The library answers only after the whole body, so the rest of a chunked
-  // body is discarded.
-  TooLarge_ = true;
+  // The library takes no answer inside a body, so the rest of a chunked body
+  // that is too large is discarded, up to the same size again.
   Body_ = {};
-  return MHD_YES;
+  Discarded_ += Count - Room;
+  return Discarded_ <= Limit ? MHD_YES : MHD_NO;
 }
 
 MHD_Result CallerConnection::onWhole() {
   Started_ = true;
-  if (TooLarge_)
+  if (Discarded_ > 0)
     return refuse(bodyTooLarge(Context_.Options.BodyLimit));
   enterFlight(Phase::Answering, exchangeHooks());
   auto Running = exchange();
--- a/src/gateway/internal/callerserver.cpp
+++ b/src/gateway/internal/callerserver.cpp
@@ -18,7 +18,7 @@
 /// Connections above the limit that still get an answer which says so.
 constexpr unsigned ConnectionsToRefuse = 64;
 /// Room for the library's bookkeeping beside a head of the greatest size.
-constexpr std::size_t PoolOverhead = 32 * 1024;
+constexpr std::size_t PoolOverhead = std::size_t{32} * 1024;
 constexpr unsigned ListenBacklog = 1024;
 constexpr std::chrono::milliseconds CutOffInterval{20};
 constexpr std::chrono::milliseconds ConnectionRetryAfter{1000};
@@ -100,8 +100,7 @@
 std::vector<MHD_OptionItem> CallerServer::Impl::options() {
   const CallerServerOptions &O = Context_.Options;
   auto Pool = static_cast<std::intptr_t>(2 * O.HeaderLimit + PoolOverhead);
-  auto Limit =
-      static_cast<std::intptr_t>(O.ConnectionLimit + ConnectionsToRefuse);
+  std::intptr_t Limit = std::intptr_t{O.ConnectionLimit} + ConnectionsToRefuse;
   auto Timeout = static_cast<std::intptr_t>(O.SendTimeout.count());
   return {
       {MHD_OPTION_SOCK_ADDR, 0, &Where_.Storage},
@@ -198,6 +197,10 @@
   int Descriptor = Socket->connect_fd;
   const auto *Peer =
       MHD_get_connection_info(Raw, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  // The kernel's buffer would otherwise grow to megabytes for a slow caller.
+  auto SendBuffer = static_cast<int>(Context_.Options.AnswerBuffer);
+  ::setsockopt(Descriptor, SOL_SOCKET, SO_SNDBUF, &SendBuffer,
+               sizeof(SendBuffer));
   std::string Ip = ipOf(Peer->client_addr);
   auto Refusal = refusalFor(Ip);
   Context_.Connections.fetch_add(1, std::memory_order_relaxed);
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -22,7 +22,7 @@
 
 /// Prompt blocks whose hash places a prompt on the same endpoints from every
 /// host.
-constexpr std::size_t PlacementBlocks[] = {4, 12};
+constexpr std::size_t PlacementBlocks[] = {4, 8, 16};
 /// How much of a placement's prefix is taken to be cached when this host has
 /// not sent it there itself.
 constexpr double AssumedCached = 0.5;
@@ -110,6 +110,23 @@
     return Views;
   }
 
+  void tick() {
+    TimePoint Now = Runtime_.Now();
+    std::vector<PoolName> Old;
+    Views_.forEach([&](const PoolName &Name, const PoolViewPtr &View) {
+      if (Now - View->MadeAt >= Settings_.ViewAge / 2)
+        Old.push_back(Name);
+    });
+    TablesSnapshot T = Board_.tables();
+    for (const PoolName &Name : Old) {
+      const PoolRow *Pool = T->findPool(Name);
+      if (Pool)
+        Views_.set(Name, detail::makePoolView(Board_, *Pool, Now, Settings_));
+      else
+        Views_.erase(Name);
+    }
+  }
+
   void sentAway(const RegionId &Region, std::uint64_t Bytes) {
     SendAway_.sent(Region, Bytes);
   }
@@ -235,7 +252,10 @@
       return false;
     if (E.Probation == ProbationState::Ejected && !View.AllOnProbation)
       return false;
-    if (E.Probation == ProbationState::Returning && !drawn(E.ReturnShare))
+    // An endpoint that returns stands idle and would win nearly every draw;
+    // its share counts over all the draws of a decision.
+    if (E.Probation == ProbationState::Returning &&
+        !drawn(E.ReturnShare / Settings_.RandomChoices))
       return false;
     double LongSlots = std::max(1., Pool.LongShare * E.Descriptor.Slots);
     return Query.Class == RequestClass::Short ||
@@ -371,6 +391,8 @@
   return Impl_->explain(Query);
 }
 
+void Router::tick() { Impl_->tick(); }
+
 void Router::sentAway(const RegionId &Region, std::uint64_t Bytes) {
   Impl_->sentAway(Region, Bytes);
 }
