Tell the daemon of adopted and refused revisions

The controller is pure and logs nothing; two optional hooks say which revision came into force and why one did not, so that an operator can see a host that is too old for a row.

--- a/src/configuration/configurationcontroller.h
+++ b/src/configuration/configurationcontroller.h
@@ -11,6 +11,14 @@
 
 namespace celerybeam {
 
+/// What the daemon may want to log. Unset hooks are not called.
+struct ConfigurationEvents {
+  /// A revision is in force on this host now.
+  std::function<void(Revision)> Adopted;
+  /// A revision was found and not put in force.
+  std::function<void(const Error &)> Refused;
+};
+
 /// Brings accepted changes of the tables into force on this host and passes
 /// them on.
 ///
@@ -25,7 +33,7 @@
 class ConfigurationController {
 public:
   ConfigurationController(Blackboard &Board, Runtime R, StoreHooks Store,
-                          PeerHooks Peers);
+                          PeerHooks Peers, ConfigurationEvents Events = {});
   ~ConfigurationController();
 
   /// Takes RevisionRequest, RevisionReply and the revisions in Gossip;
--- a/src/configuration/internal/configurationcontroller.cpp
+++ b/src/configuration/internal/configurationcontroller.cpp
@@ -55,9 +55,11 @@
 
 class ConfigurationController::Impl {
 public:
-  Impl(Blackboard &Board, Runtime R, StoreHooks Store, const PeerHooks &Peers)
-      : Board_(Board), Runtime_(R), Peers_(Peers), Keep_(Board),
-        Fetch_(Board, R, Peers, Keep_),
+  Impl(Blackboard &Board, Runtime R, StoreHooks Store, PeerHooks Peers,
+       ConfigurationEvents Events)
+      : Board_(Board), Runtime_(R), Peers_(std::move(Peers)),
+        Events_(std::move(Events)), Keep_(Board),
+        Fetch_(Board, R, Peers_, Keep_),
         Watch_(std::make_shared<detail::HeadWatch>(
             std::move(Store), std::move(R),
             [&Board] { return Board.tables()->Number; },
@@ -75,8 +77,7 @@
       answer(From, Message.revision_request());
     if (Message.has_revision_reply()) {
       Fetch_.hear(From, Message.revision_reply().revision());
-      if (Fetch_.take(From, Message.revision_reply()))
-        notifyPeers();
+      finishAdoption(Fetch_.take(From, Message.revision_reply()));
     }
   }
 
@@ -120,11 +121,22 @@
   }
 
   void takeFromStore(TablesRevision Next) {
-    // A revision that fails its check stays out; the next read or a peer may
-    // bring a sound one.
-    Result<bool> Adopted = Keep_.adopt(std::move(Next));
-    if (Adopted && *Adopted)
-      notifyPeers();
+    finishAdoption(Keep_.adopt(std::move(Next)));
+  }
+
+  /// A revision that fails its check stays out; the next read or another peer
+  /// may bring a sound one.
+  void finishAdoption(const Result<bool> &Adopted) {
+    if (!Adopted) {
+      if (Events_.Refused)
+        Events_.Refused(Adopted.error());
+      return;
+    }
+    if (!*Adopted)
+      return;
+    if (Events_.Adopted)
+      Events_.Adopted(Board_.tables()->Number);
+    notifyPeers();
   }
 
   /// Tells some peers at once; the others hear by their gossip.
@@ -151,6 +163,7 @@
   Blackboard &Board_;
   Runtime Runtime_;
   PeerHooks Peers_;
+  ConfigurationEvents Events_;
   detail::RevisionKeep Keep_;
   detail::PeerFetch Fetch_;
   /// Shared with its store calls, which may end after this controller.
@@ -159,9 +172,10 @@
 
 ConfigurationController::ConfigurationController(Blackboard &Board, Runtime R,
                                                  StoreHooks Store,
-                                                 PeerHooks Peers)
+                                                 PeerHooks Peers,
+                                                 ConfigurationEvents Events)
     : Impl_(std::make_unique<Impl>(Board, std::move(R), std::move(Store),
-                                   Peers)) {}
+                                   std::move(Peers), std::move(Events))) {}
 ConfigurationController::~ConfigurationController() = default;
 
 void ConfigurationController::handle(const messages::Envelope &Message) {
--- a/src/configuration/internal/peerfetch.cpp
+++ b/src/configuration/internal/peerfetch.cpp
@@ -111,7 +111,8 @@
   return Live;
 }
 
-bool PeerFetch::take(const HostId &From, const messages::RevisionReply &Reply) {
+Result<bool> PeerFetch::take(const HostId &From,
+                             const messages::RevisionReply &Reply) {
   Result<bool> Adopted = false;
   if (Reply.revision() > Board_.tables()->Number) {
     Result<TablesRevision> Read = Keep_.revisionIn(Reply);
@@ -126,20 +127,20 @@
     WantsWhole_ = false;
     Asked_.reset();
     NextAt_ = Runtime_.Now();
-    return true;
+    return Adopted;
   }
   if (!WasAsked)
-    return false;
+    return Adopted;
   if (!Adopted && Reply.base_revision() != 0) {
     WantsWhole_ = true;
     Asked_.reset();
     NextAt_ = Runtime_.Now();
-    return false;
+    return Adopted;
   }
   failLocked();
   if (Reply.revision() == 0)
     NextAt_ = std::max(NextAt_, Runtime_.Now() + NothingKnownWait);
-  return false;
+  return Adopted;
 }
 
 void PeerFetch::failLocked() {
--- a/src/configuration/internal/peerfetch.h
+++ b/src/configuration/internal/peerfetch.h
@@ -26,8 +26,9 @@
   /// Starts the next request when one is due.
   void tick();
 
-  /// Takes a reply. True when it put a revision in force.
-  bool take(const HostId &From, const messages::RevisionReply &Reply);
+  /// Takes a reply. True when it put a revision in force; false when its
+  /// revision is not higher. Fails with InvalidTable.
+  Result<bool> take(const HostId &From, const messages::RevisionReply &Reply);
 
   /// Whether at least one live peer was heard of and none has tables; also
   /// when there is no live peer.
--- a/src/configuration/tests/configurationcontrollertest.cpp
+++ b/src/configuration/tests/configurationcontrollertest.cpp
@@ -206,6 +206,8 @@
   edit(F, Rows, 7);
   F.Time.runFor(2 * InForceLimit);
   BOOST_TEST(F["ma1"].inForce() == 1U);
+  BOOST_TEST(F["ma1"].Adoptions == 1);
+  BOOST_TEST(F["ma1"].Refusals > 0);
   BOOST_TEST(F["ka1"].inForce() == 2U);
 }
 
--- a/src/configuration/tests/fleet.h
+++ b/src/configuration/tests/fleet.h
@@ -25,6 +25,8 @@
     std::unique_ptr<ConfigurationController> Controller;
     bool Paused = false;
     bool StoreCut = false;
+    int Adoptions = 0;
+    int Refusals = 0;
 
     Revision inForce() const { return Board.tables()->Number; }
   };
@@ -59,7 +61,9 @@
       send(From, To, std::move(Message));
     };
     H.Controller = std::make_unique<ConfigurationController>(
-        H.Board, Time.runtime(), hooksOf(H), Peers);
+        H.Board, Time.runtime(), hooksOf(H), Peers,
+        ConfigurationEvents{[&H](Revision) { ++H.Adoptions; },
+                            [&H](const Error &) { ++H.Refusals; }});
     tickLater(Self.Id);
     gossipLater(Self.Id);
     return H;
--- a/src/ctl/internal/output.cpp
+++ b/src/ctl/internal/output.cpp
@@ -49,6 +49,7 @@
     Lines[0].push_back(C.Title);
   for (const Json &Row : Rows) {
     std::vector<std::string> Cells;
+    Cells.reserve(Columns.size());
     for (const Column &C : Columns)
       Cells.push_back(cellText(fieldOf(Row, C.Field)));
     Lines.push_back(std::move(Cells));
--- a/src/ctl/internal/platformstore.cpp
+++ b/src/ctl/internal/platformstore.cpp
@@ -70,7 +70,8 @@
 
 } // namespace
 
-StoreHooks platformStore(std::shared_ptr<HttpClient> Client, TaskLoop &Loop) {
+StoreHooks platformStore(const std::shared_ptr<HttpClient> &Client,
+                         TaskLoop &Loop) {
   StoreHooks Hooks;
   Hooks.Get = [Client, &Loop](const StoreKey &Key,
                               const Completion<StoreValue> &Done) {
--- a/src/ctl/platformstore.h
+++ b/src/ctl/platformstore.h
@@ -11,7 +11,8 @@
 
 /// The platform's key-value service as the commands use it: Get and Put only.
 /// The loop must outlive the hooks.
-StoreHooks platformStore(std::shared_ptr<HttpClient> Client, TaskLoop &Loop);
+StoreHooks platformStore(const std::shared_ptr<HttpClient> &Client,
+                         TaskLoop &Loop);
 
 } // namespace celerybeam::ctl
 
