Make stops of the callers' listener safe

Three faults, each found by a test run under load: - The process aborted ("Failed to remove listen FD from epoll set"): the listening socket was closed before the library's threads had let go of it. It is shut down first and closed after them.

--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -56,7 +56,7 @@
   std::uint64_t RefusedFromHead = 0;
   std::uint64_t CallersGone = 0;
   std::uint64_t TimedOut = 0;
-  /// Requests accepted and not yet answered in full, at this moment.
+  /// Requests not yet answered in full, at this moment.
   std::uint64_t InFlight = 0;
 };
 
--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -153,6 +153,16 @@
 
 MHD_Result CallerConnection::accept(CallerTarget Target) {
   Target_ = Target;
+  // Counted before the look at Stopping, so that a stop either waits for the
+  // request or makes it be refused.
+  enterFlight(Phase::ReadingBody, std::nullopt);
+  bool Runs =
+      Target == CallerTarget::Request || Target == CallerTarget::BookingStatus;
+  if (Runs && Context_.Stopping)
+    return refuse({ErrorKind::ShuttingDown,
+                   "This entry host is shutting down; use another one from "
+                   "/v1/entries.",
+                   std::chrono::milliseconds(0)});
   if (Target == CallerTarget::Request)
     return acceptRequest();
   if (Framing_.hasBody())
@@ -164,18 +174,12 @@
 }
 
 MHD_Result CallerConnection::acceptRequest() {
-  if (Context_.Stopping)
-    return refuse({ErrorKind::ShuttingDown,
-                   "This entry host is shutting down; use another one from "
-                   "/v1/entries.",
-                   std::chrono::milliseconds(0)});
   auto Accepted = Context_.Handler->AcceptHead(Head_);
   if (!Accepted)
     return refuse(Accepted.error());
   Accepted_ = std::move(*Accepted);
   Body_.reserve(std::min<std::uint64_t>(Framing_.Length.value_or(0),
                                         Context_.Options.BodyLimit));
-  enterFlight(Phase::ReadingBody, std::nullopt);
   return MHD_YES;
 }
 
@@ -190,7 +194,6 @@
     return refuse(Key.error());
   Tenant_ = *Tenant;
   BookingKey_ = *Key;
-  enterFlight(Phase::ReadingBody, std::nullopt);
   return MHD_YES;
 }
 
@@ -421,12 +424,18 @@
     std::lock_guard Lock(Mutex_);
     PeerClosed_ = true;
   }
-  cutOff();
+  if (auto Running = exchange())
+    Running->cutOff();
 }
 
 void CallerConnection::cutOff() {
   if (auto Running = exchange())
     Running->cutOff();
+  // Also ends a body that is still being sent and an answer that its caller
+  // does not take.
+  std::lock_guard Lock(Mutex_);
+  if (SocketOpen_)
+    ::shutdown(Socket_, SHUT_RDWR);
 }
 
 bool CallerConnection::forgetSocket() {
--- a/src/gateway/internal/callerconnection.h
+++ b/src/gateway/internal/callerconnection.h
@@ -47,7 +47,7 @@
   /// The caller closed its side.
   void peerClosed();
 
-  /// Ends a request in flight without its answer.
+  /// Ends a request in flight without its answer and closes the connection.
   void cutOff();
 
   /// The socket is about to be closed and must not be used any more.
--- a/src/gateway/internal/callerserver.cpp
+++ b/src/gateway/internal/callerserver.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "gateway/internal/connectionwatch.h"
@@ -86,7 +87,8 @@
   std::optional<Error> refusalFor(const std::string &Ip) const;
   std::vector<MHD_OptionItem> options();
   Result<unsigned> addTls(std::vector<MHD_OptionItem> &Items);
-  void stopListening();
+  /// Returns the socket, to be closed once the library has stopped.
+  int stopListening();
   std::size_t cutOffRest();
 
   ServerContext Context_;
@@ -219,10 +221,13 @@
     Watch_.remove(*Owner);
 }
 
-void CallerServer::Impl::stopListening() {
+int CallerServer::Impl::stopListening() {
+  // The library's threads abort the process when the socket is closed before
+  // they have let go of it, so it is only shut down here.
   int Listening = MHD_quiesce_daemon(Daemon_);
   if (Listening >= 0)
-    ::close(Listening);
+    ::shutdown(Listening, SHUT_RDWR);
+  return Listening;
 }
 
 std::size_t CallerServer::Impl::cutOffRest() {
@@ -236,10 +241,12 @@
   if (Daemon_ == nullptr)
     return 0;
   Context_.Stopping = true;
-  stopListening();
+  int Listening = stopListening();
   Context_.awaitIdle(Grace);
   std::size_t Left = cutOffRest();
   MHD_stop_daemon(std::exchange(Daemon_, nullptr));
+  if (Listening >= 0)
+    ::close(Listening);
   return Left;
 }
 
--- a/src/gateway/tests/callerfaultstest.cpp
+++ b/src/gateway/tests/callerfaultstest.cpp
@@ -53,9 +53,7 @@
   serve();
   for (bool Reset : {false, true}) {
     TestClient Client(Server->port());
-    Client.send(post("/v1/completions", "", "{}"));
-    ResponseHooks Answer = Controller.awaitStarted();
-    Answer.Head(EventStream);
+    ResponseHooks Answer = openStream(Client);
     Answer.Chunk("data: 1\n\n");
     Client.readUntil("data: 1\n\n");
     Reset ? Client.reset() : Client.close();
@@ -218,9 +216,7 @@
 BOOST_AUTO_TEST_CASE(BrokenAnswersEndWithoutTheLastChunk) {
   serve();
   TestClient Client(Server->port());
-  Client.send(post("/v1/completions", "", "{}"));
-  ResponseHooks Answer = Controller.awaitStarted();
-  Answer.Head(EventStream);
+  ResponseHooks Answer = openStream(Client);
   Answer.Chunk("data: 1\n\n");
   Answer.End(makeError(ErrorKind::ConnectionLost, "The engine has gone."));
   std::string Read = Client.readAll();
@@ -239,9 +235,7 @@
   Options.KeepAliveInterval = std::chrono::milliseconds(50);
   serve();
   TestClient Client(Server->port());
-  Client.send(post("/v1/completions", "", "{}"));
-  ResponseHooks Answer = Controller.awaitStarted();
-  Answer.Head(EventStream);
+  ResponseHooks Answer = openStream(Client);
   Client.readUntil(": keep-alive\n\n");
   Answer.Chunk("data: 1\n\n");
   Client.readUntil(": keep-alive\n\n");
@@ -255,9 +249,7 @@
   Idle.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n");
   Idle.readUntil("}");
   TestClient Client(Server->port());
-  Client.send(post("/v1/completions", "", "{}"));
-  ResponseHooks Answer = Controller.awaitStarted();
-  Answer.Head(EventStream);
+  ResponseHooks Answer = openStream(Client);
   Answer.Chunk("data: 1\n\n");
   Client.readUntil("data: 1\n\n");
   std::size_t CutOff = 99;
@@ -275,6 +267,13 @@
   BOOST_TEST(CutOff == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(ManyStartsAndStopsLeaveTheProcessAlive) {
+  Options.Threads = 16;
+  for (int I = 0; I < 200; ++I)
+    serve().stop(LongGrace);
+  BOOST_TEST(Server->counts().InFlight == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(StopWithoutGraceCutsOffAndTellsTheProducer) {
   serve();
   TestClient Client(Server->port());
@@ -288,4 +287,22 @@
   Answer.End({});
 }
 
+BOOST_AUTO_TEST_CASE(StopWithoutGraceEndsBodiesAndAnswersThatStandStill) {
+  Options.BodyTimeout = std::chrono::hours(1);
+  Options.SendTimeout = std::chrono::hours(1);
+  serve();
+  TestClient Half(Server->port());
+  Half.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+            "Content-Length: 10\r\n\r\nhalf");
+  while (Server->counts().InFlight < 1)
+    std::this_thread::yield();
+  TestClient Slow(Server->port(), 4096);
+  ResponseHooks Answer = openStream(Slow);
+  // More than the kernel holds.
+  Answer.Chunk(std::string(4 << 20, 'x'));
+  Answer.End({});
+  BOOST_TEST(Server->stop(NoGrace) == 2U);
+  BOOST_TEST(Server->counts().InFlight == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/callerfixture.h
+++ b/src/gateway/tests/callerfixture.h
@@ -136,6 +136,14 @@
            std::string(Body);
   }
 
+  /// Asks for a stream and answers with the head of one.
+  ResponseHooks openStream(const TestClient &Client) {
+    Client.send(post("/v1/completions", "", "{}"));
+    ResponseHooks Answer = Controller.awaitStarted();
+    Answer.Head({200, {{"content-type", "text/event-stream"}}});
+    return Answer;
+  }
+
   FakeController Controller;
   CallerServerOptions Options;
   std::optional<CallerServer> Server;
--- a/src/gateway/tests/callerservertest.cpp
+++ b/src/gateway/tests/callerservertest.cpp
@@ -29,9 +29,7 @@
 
 BOOST_AUTO_TEST_CASE(StreamsChunksAsTheyCome) {
   TestClient Client(serve().port());
-  Client.send(post("/v1/chat/completions", "", "{}"));
-  ResponseHooks Answer = Controller.awaitStarted();
-  Answer.Head({200, {{"content-type", "text/event-stream"}}});
+  ResponseHooks Answer = openStream(Client);
   Answer.Chunk("data: a\n\n");
   BOOST_TEST(contains(Client.readUntil("data: a\n\n"), "chunked"));
   Answer.Chunk("data: b\n\n");
@@ -69,9 +67,7 @@
   std::vector<ResponseHooks> Answers;
   for (int I = 0; I < StreamCount; ++I) {
     Clients.push_back(std::make_unique<TestClient>(Server->port()));
-    Clients.back()->send(post("/v1/completions", "", "{}"));
-    Answers.push_back(Controller.awaitStarted());
-    Answers.back().Head({200, {{"content-type", "text/event-stream"}}});
+    Answers.push_back(openStream(*Clients.back()));
   }
   BOOST_TEST(Server->counts().InFlight == StreamCount);
   auto EventOf = [](int Stream, int Event) {
--- a/src/peers/tests/silentrelay.cpp
+++ b/src/peers/tests/silentrelay.cpp
@@ -1,6 +1,7 @@
 #include "peers/tests/silentrelay.h"
 
 #include <array>
+#include <stdexcept>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -28,9 +29,10 @@
   sockaddr_in Where = loopback(0);
   socklen_t Size = sizeof(Where);
   auto *Raw = reinterpret_cast<sockaddr *>(&Where);
-  ::bind(Listening_, Raw, Size);
-  ::listen(Listening_, SOMAXCONN);
-  ::getsockname(Listening_, Raw, &Size);
+  if (::bind(Listening_, Raw, Size) != 0 ||
+      ::listen(Listening_, SOMAXCONN) != 0 ||
+      ::getsockname(Listening_, Raw, &Size) != 0)
+    throw std::runtime_error("The relay cannot listen.");
   Port_ = ntohs(Where.sin_port);
   Accepting_ = std::thread([this] { acceptAll(); });
 }
@@ -54,7 +56,12 @@
       return;
     int Far = makeSocket();
     sockaddr_in Where = loopback(Target_);
-    ::connect(Far, reinterpret_cast<sockaddr *>(&Where), sizeof(Where));
+    if (::connect(Far, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) !=
+        0) {
+      ::close(Far);
+      ::close(Near);
+      continue;
+    }
     int Generation = Generation_;
     std::lock_guard Lock(Mutex_);
     Sockets_.insert(Sockets_.end(), {Near, Far});
