Stop the callers' listener without MHD_quiesce_daemon

Change: the listener keeps the socket and refuses new requests with 503 shutting_down until the daemon stops.

--- a/src/gateway/callerserver.h
+++ b/src/gateway/callerserver.h
@@ -78,7 +78,7 @@
   /// The port that is listened on; 0 before start.
   std::uint16_t port() const;
 
-  /// Stops taking connections and refuses new requests, waits until those in
+  /// Refuses new requests, also on new connections, waits until those in
   /// flight are answered or the grace period ends, then closes the rest.
   /// \returns the number of requests that were cut off.
   std::size_t stop(std::chrono::milliseconds Grace);
--- a/src/gateway/internal/callerserver.cpp
+++ b/src/gateway/internal/callerserver.cpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "gateway/internal/connectionwatch.h"
 #include "gateway/internal/servercontext.h"
@@ -87,8 +86,6 @@
   std::optional<Error> refusalFor(const std::string &Ip) const;
   std::vector<MHD_OptionItem> options();
   Result<unsigned> addTls(std::vector<MHD_OptionItem> &Items);
-  /// Returns the socket, to be closed once the library has stopped.
-  int stopListening();
   std::size_t cutOffRest();
 
   ServerContext Context_;
@@ -221,15 +218,6 @@
     Watch_.remove(*Owner);
 }
 
-int CallerServer::Impl::stopListening() {
-  // The library's threads abort the process when the socket is closed before
-  // they have let go of it, so it is only shut down here.
-  int Listening = MHD_quiesce_daemon(Daemon_);
-  if (Listening >= 0)
-    ::shutdown(Listening, SHUT_RDWR);
-  return Listening;
-}
-
 std::size_t CallerServer::Impl::cutOffRest() {
   std::size_t Left = Context_.inFlight();
   while (Context_.awaitIdle(CutOffInterval) > 0)
@@ -240,13 +228,12 @@
 std::size_t CallerServer::Impl::stop(std::chrono::milliseconds Grace) {
   if (Daemon_ == nullptr)
     return 0;
+  // MHD_quiesce_daemon is not used: with epoll its caller and the library's
+  // threads race to remove the socket, and the loser aborts the process.
   Context_.Stopping = true;
-  int Listening = stopListening();
   Context_.awaitIdle(Grace);
   std::size_t Left = cutOffRest();
   MHD_stop_daemon(std::exchange(Daemon_, nullptr));
-  if (Listening >= 0)
-    ::close(Listening);
   return Left;
 }
 
