--- a/src/gateway/internal/callerserver.cpp
+++ b/src/gateway/internal/callerserver.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include <unistd.h>
+#include <sys/socket.h>
 
 #include "gateway/internal/connectionwatch.h"
 #include "gateway/internal/servercontext.h"
@@ -86,7 +86,6 @@
   std::optional<Error> refusalFor(const std::string &Ip) const;
   std::vector<MHD_OptionItem> options();
   Result<unsigned> addTls(std::vector<MHD_OptionItem> &Items);
-  void stopListening();
   std::size_t cutOffRest();
 
   ServerContext Context_;
@@ -219,12 +218,6 @@
     Watch_.remove(*Owner);
 }
 
-void CallerServer::Impl::stopListening() {
-  int Listening = MHD_quiesce_daemon(Daemon_);
-  if (Listening >= 0)
-    ::close(Listening);
-}
-
 std::size_t CallerServer::Impl::cutOffRest() {
   std::size_t Left = Context_.inFlight();
   while (Context_.awaitIdle(CutOffInterval) > 0)
@@ -235,8 +228,9 @@
 std::size_t CallerServer::Impl::stop(std::chrono::milliseconds Grace) {
   if (Daemon_ == nullptr)
     return 0;
+  // MHD_quiesce_daemon is not used: with epoll its caller and the library's
+  // threads race to remove the socket, and the loser aborts the process.
   Context_.Stopping = true;
-  stopListening();
   Context_.awaitIdle(Grace);
   std::size_t Left = cutOffRest();
   MHD_stop_daemon(std::exchange(Daemon_, nullptr));
