--- a/bench/decisions/entryhost.cpp
+++ b/bench/decisions/entryhost.cpp
@@ -82,7 +82,7 @@
 
 BenchHost::BenchHost(testing::VirtualTime &Time, HostIdentity Self,
                      const UserProfile &User, Policy Rule,
-                     std::vector<Engine *> RegionEngines)
+                     const std::vector<Engine *> &RegionEngines)
     : Board(std::move(Self)),
       Monitor(Board, Time.runtime(), loadHooks(Time, RegionEngines)),
       Admission(Board, Time.runtime(),
--- a/bench/decisions/entryhost.h
+++ b/bench/decisions/entryhost.h
@@ -40,7 +40,7 @@
 public:
   BenchHost(testing::VirtualTime &Time, HostIdentity Self,
             const UserProfile &User, Policy Rule,
-            std::vector<Engine *> RegionEngines);
+            const std::vector<Engine *> &RegionEngines);
 
   /// Runs the periodic work of the host's controllers.
   void start();
--- a/bench/decisions/fleet.cpp
+++ b/bench/decisions/fleet.cpp
@@ -104,6 +104,7 @@
       PeerRecord Peer;
       Peer.Id = From->Board.self().Id;
       Peer.Region = From->Board.self().Region;
+      Peer.LastHeard = Time_.now();
       Peer.Pools = From->Admission.poolLoads();
       for (const auto &To : Hosts_)
         if (To != From)
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -256,6 +256,13 @@
     Hooks.Authenticate = [this](std::string_view Authorization) {
       return Keys_->verify(Authorization, Time_.hooks().WallNow());
     };
+    Hooks.Tables.Adopted = [this](Revision Number) {
+      Log_.info("Tables are in force.", {{"revision", Number}});
+    };
+    Hooks.Tables.Refused = [this](const Error &Why) {
+      Log_.warning("A revision of the tables was refused.",
+                   {{"error", Why.Message}});
+    };
     Hooks.Events.Ended = [this](const RequestSummary &S) { requestEnded(S); };
     Core_ = std::make_unique<EntryHost>(std::move(Self), std::move(Hooks));
     Links_->setBoard(&Core_->board());
@@ -271,9 +278,9 @@
         return tl::unexpected(notStarted());
       return Core->requests().acceptHead(Head);
     };
-    H.Start = [this](AcceptedHead Accepted, std::string Body,
+    H.Start = [this](const AcceptedHead &Accepted, std::string Body,
                      ResponseHooks Answer) {
-      return Core_->requests().start(std::move(Accepted), std::move(Body),
+      return Core_->requests().start(Accepted, std::move(Body),
                                      std::move(Answer));
     };
     H.CallerReady = [this](const RequestId &Id) {
--- a/src/core/entryhost.h
+++ b/src/core/entryhost.h
@@ -7,6 +7,7 @@
 #include "blackboard/blackboard.h"
 #include "blackboard/calltypes.h"
 #include "booking/bookingcontroller.h"
+#include "configuration/configurationcontroller.h"
 #include "framework/runtime.h"
 #include "framework/storehooks.h"
 #include "membership/membershipcontroller.h"
@@ -23,6 +24,7 @@
   EndpointHooks Endpoints;
   Authenticator Authenticate;
   RequestEvents Events;
+  ConfigurationEvents Tables;
 };
 
 /// All decisions of one entry host: the blackboard and its controllers, wired
@@ -44,7 +46,7 @@
 
   /// Leaves gracefully: takes no new requests, tells peers, finishes what is
   /// in flight, hands bookings over. Completes when nothing is left.
-  void leave(Task Done);
+  void leave(const Task &Done);
 
   /// Whether this host can serve requests.
   bool ready() const;
--- a/src/core/internal/entryhost.cpp
+++ b/src/core/internal/entryhost.cpp
@@ -6,13 +6,18 @@
 #include <utility>
 
 #include "configuration/configurationcontroller.h"
+#include "core/internal/ordersender.h"
+#include "core/internal/readiness.h"
 #include "core/internal/runnerpicker.h"
+#include "placement/placementcontroller.h"
 
 namespace celerybeam {
 
 namespace {
 
 constexpr Duration LeavePollInterval = std::chrono::milliseconds(50);
+/// A host whose endpoints do not answer becomes ready all the same.
+constexpr Duration LongestWarmUp = std::chrono::seconds(5);
 constexpr Duration ForgetInterval = std::chrono::seconds(10);
 
 } // namespace
@@ -26,10 +31,13 @@
         Poison_(Board_, Hooks_.Time, Hooks_.Peers),
         Monitor_(Board_, Hooks_.Time, Hooks_.Endpoints),
         Membership_(Board_, Hooks_.Time, Hooks_.Peers, {}),
-        Configuration_(Board_, Hooks_.Time, Hooks_.Store, Hooks_.Peers),
+        Configuration_(Board_, Hooks_.Time, Hooks_.Store, Hooks_.Peers,
+                       Hooks_.Tables),
         Bookings_(Board_, Hooks_.Time, Hooks_.Store, Hooks_.Peers,
                   Hooks_.Endpoints,
                   detail::makeRunnerPicker(Board_, Hooks_.Time)),
+        Placement_(Board_, Hooks_.Time, Hooks_.Store,
+                   detail::makeOrderSender(Hooks_.Endpoints, Hooks_.Time)),
         Requests_(makeServices()) {}
 
   ~Impl() { *Alive_ = false; }
@@ -42,6 +50,8 @@
     every(ConfigurationController::TickInterval,
           [this] { Configuration_.tick(); });
     every(BookingController::TickInterval, [this] { Bookings_.tick(); });
+    every(Router::TickInterval, [this] { Router_.tick(); });
+    every(PlacementController::TickInterval, [this] { Placement_.tick(); });
     every(ForgetInterval, [this] { Poison_.tick(); });
   }
 
@@ -72,7 +82,16 @@
     Bookings_.leave([Done](const Result<void> &) { Done(); });
   }
 
+  bool ready() const {
+    if (!Configuration_.ready() || Board_.tables()->Number == 0 ||
+        Board_.leaving())
+      return false;
+    bool WaitedLongEnough = Hooks_.Time.Now() - CreatedAt_ >= LongestWarmUp;
+    return WaitedLongEnough || detail::poolsAreKnown(Board_);
+  }
+
   EntryHostHooks Hooks_;
+  const TimePoint CreatedAt_ = Hooks_.Time.Now();
   Blackboard Board_;
   Router Router_;
   AdmissionController Admission_;
@@ -84,6 +103,7 @@
   MembershipController Membership_;
   ConfigurationController Configuration_;
   BookingController Bookings_;
+  PlacementController Placement_;
   RequestController Requests_;
 
 private:
@@ -141,11 +161,8 @@
 void EntryHost::platformListed(const PlatformList &List) {
   Impl_->Membership_.platformListed(List);
 }
-void EntryHost::leave(Task Done) { Impl_->leave(Done); }
-bool EntryHost::ready() const {
-  return Impl_->Configuration_.ready() && Impl_->Board_.tables()->Number > 0 &&
-         !Impl_->Board_.leaving();
-}
+void EntryHost::leave(const Task &Done) { Impl_->leave(Done); }
+bool EntryHost::ready() const { return Impl_->ready(); }
 Blackboard &EntryHost::board() { return Impl_->Board_; }
 RequestController &EntryHost::requests() { return Impl_->Requests_; }
 BookingController &EntryHost::bookings() { return Impl_->Bookings_; }
--- /dev/null
+++ b/src/core/internal/ordersender.h
@@ -0,0 +1,15 @@
+#ifndef CELERYBEAM_CORE_INTERNAL_ORDERSENDER_H
+#define CELERYBEAM_CORE_INTERNAL_ORDERSENDER_H
+
+#include "blackboard/calltypes.h"
+#include "framework/runtime.h"
+#include "placement/placementcontroller.h"
+
+namespace celerybeam::detail {
+
+/// Sends orders to engines as `POST /v1/orders` (docs/CONTRACTS.md).
+SendEngineOrder makeOrderSender(EndpointHooks Calls, Runtime R);
+
+} // namespace celerybeam::detail
+
+#endif
--- a/src/requests/internal/exchange.cpp
+++ b/src/requests/internal/exchange.cpp
@@ -118,14 +118,14 @@
     Query.QueueWait = Services_.Admission->predictedWait(
         Start_.Pool.Name, Start_.Class, Start_.Tenant);
     if (std::optional<SendAway> Away = Services_.Routes->chooseAway(Query)) {
-      startAway(*Away);
+      askAdmission(Away);
       return;
     }
   }
-  askAdmission();
+  askAdmission(std::nullopt);
 }
 
-void Exchange::askAdmission() {
+void Exchange::askAdmission(const std::optional<SendAway> &Away) {
   std::weak_ptr<Exchange> Weak = weak_from_this();
   AdmissionRequest Ask;
   Ask.Request = Start_.Id;
@@ -135,10 +135,12 @@
   Ask.Class = Start_.Class;
   Ask.Tokens = Start_.Asked.PromptTokens + Start_.Asked.MaxTokens;
   Ask.Deadline = Start_.Deadline;
+  Ask.GoesAway = Away.has_value();
   Services_.Admission->submit(
-      std::move(Ask), [Weak](const Result<void> &Admitted) {
+      std::move(Ask), [Weak, Away](const Result<void> &Admitted) {
         if (std::shared_ptr<Exchange> Self = Weak.lock())
-          Self->post([Admitted](Exchange &E) { E.onAdmitted(Admitted); });
+          Self->post(
+              [Admitted, Away](Exchange &E) { E.onAdmitted(Admitted, Away); });
       });
 }
 
@@ -172,14 +174,19 @@
   });
 }
 
-void Exchange::onAdmitted(const Result<void> &Admitted) {
+void Exchange::onAdmitted(const Result<void> &Admitted,
+                          const std::optional<SendAway> &Away) {
   if (!Admitted) {
     finish(tl::unexpected(Admitted.error()));
     return;
   }
   Admitted_ = true;
   AdmittedAt_ = Services_.Time.Now();
-  startAttempt();
+  HasPlaceHere_ = !Away;
+  if (Away)
+    startAway(*Away);
+  else
+    startAttempt();
 }
 
 void Exchange::startAttempt() {
@@ -210,6 +217,8 @@
             RegionId(),
             Now,
             Now,
+            TimePoint(),
+            Assembler_.nextIndex(),
             false,
             ReplyCollector(Assembler_, LastAttempt_)};
   return Attempts_.emplace(LastAttempt_, std::move(A)).first->second;
@@ -256,6 +265,7 @@
   Query.Deadline = Start_.Deadline;
   Query.MayLeaveRegion = MayLeaveRegion_;
   Query.WireBytes = Start_.Body->size();
+  Query.AwayConsidered = HasPlaceHere_;
   Query.Excluded = Excluded_;
   for (const auto &[Number, A] : Attempts_)
     if (!A.remote())
@@ -390,6 +400,7 @@
     Services_.Monitor->progressed(A.Endpoint, A.Id);
     return;
   }
+  A.FirstTokenAt = Now;
   Duration Waited = Now - A.StartedAt;
   Services_.Progress->observeFirstToken(Pool.Name, Start_.Class, Waited);
   if (Start_.Class == RequestClass::Short)
@@ -415,6 +426,7 @@
   chooseWinner(A.Id.Number);
   if (!HeadSent_) {
     HeadSent_ = true;
+    AnswerIsStream_ = A.Reply.isStream();
     FirstTokenAt_ = Services_.Time.Now();
     ResponseHead Head = A.Reply.responseHead();
     std::erase_if(Head.Headers, [](const HeaderField &Field) {
@@ -496,7 +508,7 @@
   if (!Attempts_.empty())
     return;
   Winner_.reset();
-  if (HeadSent_ && !Failed.Reply.isStream()) {
+  if (HeadSent_ && !AnswerIsStream_) {
     // Bytes of a reply without token numbers cannot be continued elsewhere.
     finish(tl::unexpected(Why));
     return;
@@ -505,14 +517,19 @@
     finish(tl::unexpected(Why));
     return;
   }
-  if (Admitted_)
+  if (HasPlaceHere_) {
     startAttempt();
-  else
-    askAdmission();
+    return;
+  }
+  // It was admitted to leave; now it needs a place in this region.
+  Services_.Admission->finished(Start_.Id, tokensDelivered());
+  Admitted_ = false;
+  askAdmission(std::nullopt);
 }
 
-bool Exchange::mayRetry(const Attempt &Failed, const Error &Why) const {
-  if (Start_.Forwarded || LastAttempt_ >= MaxAttempts)
+bool Exchange::mayRetry(const Attempt &Failed, const Error &Why) {
+  if (Start_.Forwarded || WorkAttempts_ >= MaxAttempts ||
+      LastAttempt_ >= MaxContacts)
     return false;
   if (Services_.Time.Now() >= Start_.Deadline)
     return false;
@@ -521,6 +538,11 @@
   bool RefusedAway = Failed.remote() && isCapacityRefusal(Why.Kind);
   if (NoWorkDone || RefusedAway)
     return true;
+  // An attempt that brought the answer forward was not in vain.
+  if (!Failed.FirstToken)
+    ++WorkAttempts_;
+  if (std::exchange(RetryPaid_, false))
+    return true;
   return Services_.Retries->take(Start_.Pool.Name).has_value();
 }
 
@@ -550,7 +572,7 @@
     // A caller that does not read holds its endpoint back; that is no stall.
     if (CallerPaused_.load())
       A.LastProgress = Now;
-    if (Now - A.LastProgress > progressLimit(A))
+    if (Now - A.LastProgress > progressLimit(A) || givesUpSlow(A, Now))
       Stalled.push_back(Number);
   }
   for (AttemptNumber Number : Stalled) {
@@ -564,7 +586,26 @@
   }
 }
 
+// A stream that moves on, but so slowly that its rest comes sooner from
+// another endpoint.
+bool Exchange::givesUpSlow(const Attempt &A, TimePoint Now) {
+  bool Resumable = Start_.Asked.Stream && A.FirstToken && !A.remote() &&
+                   !Start_.Forwarded && !CallerPaused_.load();
+  if (!Resumable || WorkAttempts_ + 1 >= MaxAttempts)
+    return false;
+  auto Tokens =
+      static_cast<std::uint32_t>(Assembler_.nextIndex() - A.FirstIndex);
+  if (!Services_.Progress->isSlow(Start_.Pool.Name, Tokens,
+                                  Now - A.FirstTokenAt))
+    return false;
+  RetryPaid_ = Services_.Retries->take(Start_.Pool.Name).has_value();
+  return RetryPaid_;
+}
+
 void Exchange::maybeHedge() {
+  // With requests waiting, a second attempt takes a place from one of them.
+  if (Services_.Admission->view(Start_.Pool.Name).Waiting > 0)
+    return;
   bool Allowed = Start_.Route.Hedge && Start_.Class == RequestClass::Short &&
                  !Start_.Forwarded && !Hedged_ && !Winner_ && !HeadSent_;
   if (!Allowed || Attempts_.size() != 1)
--- a/src/requests/internal/exchange.h
+++ b/src/requests/internal/exchange.h
@@ -55,7 +55,10 @@
   /// Looks for stalled attempts and starts a hedge when it is due.
   void tick();
 
+  /// Attempts that may have done work and gave no token.
   static constexpr unsigned MaxAttempts = 4;
+  /// Attempts in all, those that found nobody included.
+  static constexpr unsigned MaxContacts = 16;
 
 private:
   struct Attempt {
@@ -66,6 +69,9 @@
     RegionId RemoteRegion;
     TimePoint StartedAt{};
     TimePoint LastProgress{};
+    TimePoint FirstTokenAt{};
+    /// Index of the first token that the attempt was asked for.
+    std::uint64_t FirstIndex = 0;
     bool FirstToken = false;
     ReplyCollector Reply;
 
@@ -73,8 +79,9 @@
   };
 
   void chooseSide();
-  void askAdmission();
-  void onAdmitted(const Result<void> &Admitted);
+  void askAdmission(const std::optional<SendAway> &Away);
+  void onAdmitted(const Result<void> &Admitted,
+                  const std::optional<SendAway> &Away);
   void startAttempt();
   void startHere(const ServeHere &Choice);
   void startAway(const SendAway &Choice);
@@ -94,10 +101,11 @@
   void chooseWinner(AttemptNumber Number);
   void attemptSucceeded(Attempt &A);
   void attemptFailed(AttemptNumber Number, const Error &Why);
-  bool mayRetry(const Attempt &Failed, const Error &Why) const;
+  bool mayRetry(const Attempt &Failed, const Error &Why);
   void reportEnd(const Attempt &A, const Result<void> &Outcome);
   void cancelAttempt(const Attempt &A);
   void checkStalls();
+  bool givesUpSlow(const Attempt &A, TimePoint Now);
   void maybeHedge();
 
   void finish(const Result<void> &Outcome);
@@ -119,8 +127,15 @@
   bool Finished_ = false;
   bool Admitted_ = false;
   bool HeadSent_ = false;
+  /// Whether the answer that the caller gets has numbered tokens.
+  bool AnswerIsStream_ = false;
   bool MayLeaveRegion_ = false;
   bool Hedged_ = false;
+  /// Whether admission has given a place in this region's pool.
+  bool HasPlaceHere_ = false;
+  /// Whether the next retry's token has been taken.
+  bool RetryPaid_ = false;
+  unsigned WorkAttempts_ = 0;
   std::map<AttemptNumber, Attempt> Attempts_;
   std::vector<EndpointId> Excluded_;
   AttemptNumber LastAttempt_ = 0;
--- a/src/requests/internal/requestcontroller.cpp
+++ b/src/requests/internal/requestcontroller.cpp
@@ -290,8 +290,8 @@
   return Impl_->Checker_.check(Head);
 }
 
-RequestId RequestController::start(AcceptedHead Accepted, std::string Body,
-                                   ResponseHooks Answer) {
+RequestId RequestController::start(const AcceptedHead &Accepted,
+                                   std::string Body, ResponseHooks Answer) {
   return Impl_->start(Accepted, std::move(Body), std::move(Answer));
 }
 
--- a/src/requests/requestcontroller.h
+++ b/src/requests/requestcontroller.h
@@ -31,7 +31,7 @@
 
   /// Runs an accepted request with its whole body. The hooks get the whole
   /// answer or a JSON error.
-  RequestId start(AcceptedHead Accepted, std::string Body,
+  RequestId start(const AcceptedHead &Accepted, std::string Body,
                   ResponseHooks Answer);
 
   /// The caller takes more data after its hooks asked for a pause.
--- a/src/routing/tests/routingfixture.h
+++ b/src/routing/tests/routingfixture.h
@@ -70,6 +70,7 @@
     Peer.Id = HostId(Host);
     Peer.Region = RegionId("huye");
     Peer.State = PeerState::Alive;
+    Peer.LastHeard = Time.now();
     Peer.Pools[Pool.Name] = Load;
     Board.peers().set(Peer.Id, Peer);
   }
--- a/tests/scenario/expectations.cpp
+++ b/tests/scenario/expectations.cpp
@@ -72,6 +72,10 @@
       Count += E->crashes();
     return failIf(checkBounds(S, Count));
   };
+  Expectations_["orders"] = [this](const Step &S) {
+    FakeEndpoint *E = World_->endpoint(EndpointId(word(S, 2)));
+    return E ? failIf(checkBounds(S, E->orders())) : fail("no such endpoint");
+  };
   Expectations_["forwarded"] = [this](const Step &S) {
     return failIf(checkBounds(S, World_->forwarded()));
   };
--- a/tests/scenario/fakeendpoint.cpp
+++ b/tests/scenario/fakeendpoint.cpp
@@ -103,6 +103,10 @@
     endJob(J, {});
     return;
   }
+  if (J->Call.Head.Path == "/v1/orders") {
+    takeOrder(J);
+    return;
+  }
   readBody(*J);
   if (!CrashWord_.empty() && J->Prompt.find(CrashWord_) != std::string::npos) {
     Time_.after(Options_.FirstToken / 2, [this, Life = Life_] {
@@ -115,6 +119,18 @@
   schedule();
 }
 
+void FakeEndpoint::takeOrder(const JobPtr &J) {
+  ++Orders_;
+  auto Body = nlohmann::json::parse(*J->Call.Body);
+  ModelName Model(Body["model"].get<std::string>());
+  Time_.after(Options_.LoadTime, [this, Model, Life = Life_] {
+    if (Life == Life_)
+      Options_.Loaded.push_back(Model);
+  });
+  sendHead(J, 202, {});
+  endJob(J, {});
+}
+
 void FakeEndpoint::readBody(Job &J) const {
   J.High = findHeader(J.Call.Head.Headers, "x-priority") == "1";
   std::string_view Resume = findHeader(J.Call.Head.Headers, "x-resume-from");
--- a/tests/scenario/fakeendpoint.h
+++ b/tests/scenario/fakeendpoint.h
@@ -22,6 +22,8 @@
   /// Engines: time to the first token and between tokens, on a free slot.
   Duration FirstToken = std::chrono::milliseconds(100);
   Duration TokenGap = std::chrono::milliseconds(20);
+  /// Engines: time to load a model.
+  Duration LoadTime = std::chrono::seconds(5);
   /// Runners and services: time of one call.
   Duration Work = std::chrono::milliseconds(50);
   RunnerCheck Checks = RunnerCheck::None;
@@ -73,6 +75,7 @@
     return Executions_;
   }
   unsigned arrivals() const { return Arrivals_; }
+  unsigned orders() const { return Orders_; }
   unsigned crashes() const { return Crashes_; }
   std::uint64_t busyMicros() const { return BusyMicros_; }
 
@@ -104,6 +107,7 @@
   using JobPtr = std::shared_ptr<Job>;
 
   void arrive(const JobPtr &J);
+  void takeOrder(const JobPtr &J);
   void readBody(Job &J) const;
   void schedule();
   void beginJob(const JobPtr &J);
@@ -136,6 +140,7 @@
   std::vector<JobPtr> StalledJobs_;
   unsigned Running_ = 0;
   unsigned Arrivals_ = 0;
+  unsigned Orders_ = 0;
   unsigned Crashes_ = 0;
   std::uint64_t BusyMicros_ = 0;
   std::map<std::string, unsigned> Executions_;
