Test that a silent or unreachable region gets no requests

Cause: one test let 22 s pass without gossip and asked for guests all the same. Change: the test tells the load again, as gossip does; two new tests hold the lifetime of loads and the hold-off.

--- a/src/routing/tests/sendawaytest.cpp
+++ b/src/routing/tests/sendawaytest.cpp
@@ -88,9 +88,24 @@
   Routes.sentAway(RegionId("huye"), 100'000'000);
   BOOST_TEST(away(200) == 0U);
   Time.runFor(20s);
+  // The region has gone on telling its load.
+  addRemote("h1", {100, 10, 0ms});
   BOOST_TEST(away(50) > 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aRegionThatFellSilentGetsNothing) {
+  loadLocally();
+  Time.runFor(30s);
+  BOOST_TEST(away(100) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aRegionThatDidNotAnswerIsHeldOff) {
+  loadLocally();
+  away(100);
+  Routes.awayFailed(RegionId("huye"));
+  BOOST_TEST(away(100) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(aBriefStallDoesNotMoveTraffic) {
   away(100);
   loadLocally();
