--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -58,15 +58,18 @@
   endif()
 endfunction()
 
+# The main function of all Boost.Test programs, compiled once.
+add_library(celerybeam_testmain OBJECT ${PROJECT_SOURCE_DIR}/tests/testmain.cpp)
+target_link_libraries(celerybeam_testmain PUBLIC Boost::unit_test_framework)
+target_compile_definitions(celerybeam_testmain PUBLIC BOOST_TEST_DYN_LINK)
+celerybeam_flags(celerybeam_testmain)
+
 # celerybeam_test(NAME SOURCES ... LINK ...): one Boost.Test program.
 function(celerybeam_test Name)
   cmake_parse_arguments(Arg "" "" "SOURCES;LINK" ${ARGN})
   set(Target test_${Name})
-  add_executable(${Target} ${Arg_SOURCES}
-                 ${PROJECT_SOURCE_DIR}/tests/testmain.cpp)
-  target_link_libraries(${Target} PRIVATE ${Arg_LINK}
-                                          Boost::unit_test_framework)
-  target_compile_definitions(${Target} PRIVATE BOOST_TEST_DYN_LINK)
+  add_executable(${Target} ${Arg_SOURCES})
+  target_link_libraries(${Target} PRIVATE ${Arg_LINK} celerybeam_testmain)
   celerybeam_flags(${Target})
   add_test(NAME ${Name} COMMAND ${Target})
   set_tests_properties(${Name} PROPERTIES TIMEOUT 240)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,6 +4,7 @@
 # `scripts/cluster.sh stop DIR` to stop one that was left running.
 
 BIN_DIR=${BUILD_DIR:-build}
+ENGINE_OPTIONS="--slots 4 --first-token-ms 20 --token-ms 5"
 declare -A CALLERS OPERATORS PEERS ENDPOINTS PIDS
 
 # Writes the id of a process so that it can be stopped later.
@@ -115,7 +116,8 @@
   start_fake platform platform
   PLATFORM=${ENDPOINTS[platform]}
   for name in ke1 ke2 me1 me2; do
-    start_fake "$name" engine --slots 4 --first-token-ms 20 --token-ms 5 --model cedar-7b@3
+    # shellcheck disable=SC2086
+    start_fake "$name" engine $ENGINE_OPTIONS --model cedar-7b@3
   done
   start_fake r1 runner --slots 4 --work-ms 20
   for name in k1 k2 u1 u2; do
