Ask the store before a peer's word stops an owner

Change: a peer that believes in the store probes it when a copy arrives and says nothing until the probe is answered; the owner sends copies again after 300 ms as before. Ruled out: the age of the last contact alone (400 ms; still red, the outage was younger). Conclusion: in a true cut the owner still stops within two sendings.

--- a/src/booking/internal/bookingcontext.cpp
+++ b/src/booking/internal/bookingcontext.cpp
@@ -39,6 +39,11 @@
          Now - LastOk < ReachedWithin;
 }
 
+StoreKey ledgerKey(const Blackboard &Board, std::uint32_t Shard) {
+  return StoreKey("ledger/" + Board.self().Region.str() + "/" +
+                  std::to_string(Shard));
+}
+
 HostId hostOfOwner(const std::string &OwnerName) {
   return HostId(OwnerName.substr(0, OwnerName.rfind('#')));
 }
--- a/src/booking/internal/bookingcontext.h
+++ b/src/booking/internal/bookingcontext.h
@@ -42,6 +42,9 @@
   CopyHolder Copies;
 };
 
+/// The store's key of a ledger shard of this host's region.
+StoreKey ledgerKey(const Blackboard &Board, std::uint32_t Shard);
+
 /// The host in an owner's name.
 HostId hostOfOwner(const std::string &OwnerName);
 
--- a/src/booking/internal/bookingcontroller.cpp
+++ b/src/booking/internal/bookingcontroller.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint32_t ShardCount = 8;
 /// A key this far in the future is refused.
 constexpr UnixMillis FutureLimit = std::chrono::minutes(5);
+/// How long the answer to a probe of the store counts against an owner; longer
+/// than the pause between two sendings of a copy.
+constexpr Duration FreshContact = std::chrono::milliseconds(400);
 /// A refused request stays refused when a copy of it arrives late.
 constexpr Duration RefusalMemory = std::chrono::minutes(2);
 
@@ -69,6 +72,7 @@
                  Effects &Out);
   void takeCopy(const HostId &From, const messages::IntentCopy &Copy,
                 Effects &Out);
+  void probeStore(std::uint32_t Shard, Effects &Out);
   void takeCopyQuery(const HostId &From, const messages::IntentCopyQuery &Query,
                      Effects &Out);
   BookingWaiter remoteWaiter(const HostId &To, const std::string &RequestName,
@@ -91,6 +95,10 @@
   detail::BookingForwarder Forwarder_;
   std::map<std::string, TimePoint> RefusedRequests_;
   Completion<void> LeaveDone_;
+  /// Whether a probe of the store is under way.
+  bool Probing_ = false;
+  /// When the latest probe that was answered began.
+  TimePoint ProbeOkAt_{};
 
 public:
   ~Impl() {
@@ -294,7 +302,14 @@
   TimePoint Now = Context_.Time.Now();
   ShardOwner &Shard = *Shards_[Copy.shard()];
   Shard.outcomesTold(Copy);
-  bool StoreReached = Context_.Contact.reached(Now) || Shard.owned();
+  // At the start of an outage this host may not have noticed it yet; its word
+  // would stop an owner who has. The owner sends the copy again.
+  bool Believed = Context_.Contact.reached(Now);
+  if (Believed && !Shard.owned() && Now - ProbeOkAt_ > FreshContact) {
+    probeStore(Copy.shard(), Out);
+    return;
+  }
+  bool StoreReached = Believed || Shard.owned();
   std::optional<messages::IntentCopyAck> Ack =
       Context_.Copies.keep(From, Copy, StoreReached, Now);
   if (!Ack)
@@ -304,6 +319,28 @@
   sendTo(From, std::move(Message), Out);
 }
 
+void BookingController::Impl::probeStore(std::uint32_t Shard, Effects &Out) {
+  if (std::exchange(Probing_, true))
+    return;
+  StoreKey Key(detail::ledgerKey(Context_.Board, Shard));
+  TimePoint Began = Context_.Time.Now();
+  auto Take = [this, Began](const Result<StoreValue> &Value) {
+    Probing_ = false;
+    bool Answered = Value || Value.error().Kind == ErrorKind::NotFound;
+    if (Answered) {
+      ProbeOkAt_ = Began;
+      Context_.Contact.succeeded(Context_.Time.Now());
+    } else {
+      Context_.Contact.failed(Context_.Time.Now());
+    }
+  };
+  Out.add([Get = Context_.Store.Get, Enter = Context_.Enter, Key, Take] {
+    Get(Key, [Enter, Take](const Result<StoreValue> &Value) {
+      Enter([&](Effects &) { Take(Value); });
+    });
+  });
+}
+
 void BookingController::Impl::takeCopyQuery(
     const HostId &From, const messages::IntentCopyQuery &Query, Effects &Out) {
   if (Query.shard() >= ShardCount)
--- a/src/booking/internal/ledgerwriter.cpp
+++ b/src/booking/internal/ledgerwriter.cpp
@@ -19,8 +19,7 @@
 } // namespace
 
 LedgerWriter::LedgerWriter(BookingContext &Context, std::uint32_t Shard)
-    : Context_(Context), Key_("ledger/" + Context.Board.self().Region.str() +
-                              "/" + std::to_string(Shard)),
+    : Context_(Context), Key_(ledgerKey(Context.Board, Shard)),
       Tokens_(WriteBurst) {}
 
 std::string LedgerWriter::makeNonce() {
