Refuse tables that let a booking's key run in two regions

Cause: a booking route without a home region passed the check and was refused only when called; an edit could move a route's home, where its keys would run again. Change: the joined check asks for residence = "region" on routes with repeatable = false; apply refuses to move the home of such a route. Conclusion: removing a route and adding it elsewhere under the same name in two edits still passes; an open matter.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -18,7 +18,8 @@
   cmake --build "$build" --target bench_overhead celerybeamd celerybeamctl \
     celerybeam-fakes >/dev/null
   source scripts/cluster.sh
-  ENGINE_OPTIONS="--slots 1000 --queue 10000 --first-token-ms 0 --token-ms 0"
+  SLOTS=1000
+  ENGINE_OPTIONS="--queue 10000 --first-token-ms 0 --token-ms 0"
   trap cluster_stop EXIT
   cluster_start >/dev/null
   cp examples/quickstart/*.toml "$CLUSTER_DIR/"
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,7 +4,8 @@
 # `scripts/cluster.sh stop DIR` to stop one that was left running.
 
 BIN_DIR=${BUILD_DIR:-build}
-ENGINE_OPTIONS="--slots 4 --first-token-ms 20 --token-ms 5"
+SLOTS=4
+ENGINE_OPTIONS="--first-token-ms 20 --token-ms 5"
 declare -A CALLERS OPERATORS PEERS ENDPOINTS PIDS
 
 # Writes the id of a process so that it can be stopped later.
@@ -94,7 +95,7 @@
     [[ $name == me* ]] && region=musanze
     rows+="${rows:+,}{\"id\":\"$name\",\"address\":\"${ENDPOINTS[$name]}\",
       \"region\":\"$region\",\"zone\":\"$region-a\",\"kind\":\"$kind\",
-      \"label\":\"$label\",\"slots\":4,\"leaving\":false}"
+      \"label\":\"$label\",\"slots\":$SLOTS,\"leaving\":false}"
   done
   curl -sS -X PUT "http://$PLATFORM/control/hosts" -o /dev/null \
     -d "{\"entry_hosts\":[$hosts],\"endpoints\":[$rows]}"
@@ -117,7 +118,7 @@
   PLATFORM=${ENDPOINTS[platform]}
   for name in ke1 ke2 me1 me2; do
     # shellcheck disable=SC2086
-    start_fake "$name" engine $ENGINE_OPTIONS --model cedar-7b@3
+    start_fake "$name" engine --slots $SLOTS $ENGINE_OPTIONS --model cedar-7b@3
   done
   start_fake r1 runner --slots 4 --work-ms 20
   for name in k1 k2 u1 u2; do
--- a/src/configuration/internal/applyrun.cpp
+++ b/src/configuration/internal/applyrun.cpp
@@ -1,6 +1,7 @@
 #include "configuration/internal/applyrun.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace celerybeam::detail {
@@ -51,6 +52,21 @@
       New.push_back(Each);
 }
 
+// A route of bookings whose home region differs between the tables.
+std::optional<RouteName> movedHome(const TableRows &Before,
+                                   const Tables &After) {
+  CheckedTables Old = parseTables(textsOf(Before));
+  if (!Old)
+    return std::nullopt;
+  for (const RouteRow &Route : After.Routes) {
+    const RouteRow *Earlier = Old->findRoute(Route.Name);
+    bool Books = Earlier && !Earlier->Repeatable && !Route.Repeatable;
+    if (Books && Earlier->ResidenceRegion != Route.ResidenceRegion)
+      return Route.Name;
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 ApplyRun::ApplyRun(StoreRetry Store, ApplyRequest Request,
@@ -97,6 +113,12 @@
                  "the check: " +
                      formatProblem(Checked.error().front()) +
                      ". Get the tables again, mend this and apply."});
+  if (std::optional<RouteName> Moved = movedHome(Theirs.Content.Rows, *Checked))
+    return fail({ErrorKind::InvalidTable,
+                 "Route \"" + Moved->str() +
+                     "\" takes bookings and would move to another region, "
+                     "where a key could run again. Add a route with a new name "
+                     "there and let the old one run out."});
   writeRevision(Merged, Theirs);
 }
 
--- a/src/configuration/internal/tableparser.cpp
+++ b/src/configuration/internal/tableparser.cpp
@@ -48,6 +48,12 @@
     Reader.problem("residence_region",
                    "`residence_region` needs `residence` = \"region\"; add "
                    "that or remove this key");
+  // A key that two regions may take could run in both.
+  if (!Row.Repeatable && Row.Residence != ResidenceRule::Region)
+    Reader.problem("repeatable",
+                   "bookings need one home region; set `residence` = "
+                   "\"region\" and `residence_region`, with a route for each "
+                   "region that takes bookings");
   if (!Row.Repeatable && Row.Hedge)
     Reader.problem("hedge", "a route with `repeatable` = false is never "
                             "hedged; remove `hedge`");
--- a/src/configuration/tests/tableparsertest.cpp
+++ b/src/configuration/tests/tableparsertest.cpp
@@ -123,6 +123,7 @@
   BOOST_TEST(mentions(Problems, 7, "home region"));
   BOOST_TEST(mentions(Problems, 10, "needs a pool of kind \"runner\""));
   BOOST_TEST(mentions(Problems, 10, "add `models`"));
+  BOOST_TEST(mentions(Problems, 12, "one home region"));
   BOOST_TEST(mentions(Problems, 18, "residence_region"));
 }
 
