Let the last host of a region leave without the store

Change: an owner is released in an outage also when the record in the store is up to date. Conclusion: nothing is lost, the next owner reads the record.

--- a/src/booking/internal/shardowner.cpp
+++ b/src/booking/internal/shardowner.cpp
@@ -51,9 +51,10 @@
 bool ShardOwner::released() const {
   if (!Releasing_ || !Live_.empty() || Phase_ == Phase::Claiming)
     return false;
-  // Without the store the next owner learns the outcomes from the others.
+  // Without the store the next owner learns the outcomes from the others, or
+  // finds them in the record if all of them went there before.
   return Phase_ != Phase::Owned ||
-         (InOutage_ && Copies_.holds(Table_.lastChange()));
+         (InOutage_ && isSafe(Table_.lastChange()));
 }
 
 void ShardOwner::tick(Effects &Out) {
