--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -139,6 +139,9 @@
     TimePoint Started = Time_.hooks().Now();
     Core_->leave([this] { signal(Left_); });
     bool Whole = waitFor(Left_, Settings_.Shutdown.Grace);
+    if (!Whole)
+      Log_.warning("The grace period ended before all was handed over; raise "
+                   "`grace` in [shutdown] or check the platform's store.");
     std::size_t InFlight = Whole ? 0 : Core_->requests().inFlight();
     Duration Used = Time_.hooks().Now() - Started;
     Duration Rest = std::max(Settings_.Shutdown.Grace - Used, FarewellTime);
--- a/src/booking/internal/shardowner.cpp
+++ b/src/booking/internal/shardowner.cpp
@@ -53,8 +53,7 @@
     return false;
   // Without the store the next owner learns the outcomes from the others, or
   // finds them in the record if all of them went there before.
-  return Phase_ != Phase::Owned ||
-         (InOutage_ && isSafe(Table_.lastChange()));
+  return Phase_ != Phase::Owned || (InOutage_ && isSafe(Table_.lastChange()));
 }
 
 void ShardOwner::tick(Effects &Out) {
--- a/src/endpoints/internal/endpointclient.cpp
+++ b/src/endpoints/internal/endpointclient.cpp
@@ -145,7 +145,7 @@
   HttpCall httpCall(const EndpointCall &Call) const {
     HttpCall Http;
     Http.Method = Call.Head.Method;
-    Http.Url = baseUrl(Call.Where) + encodeUrlPath(Call.Head.Path);
+    Http.Url = baseUrl(Call.Where) + Call.Head.Path;
     if (!Call.Head.Query.empty())
       Http.Url += "?" + Call.Head.Query;
     Http.Headers = requestHeaders(Call);
--- a/src/framework/httptypes.h
+++ b/src/framework/httptypes.h
@@ -34,7 +34,7 @@
 /// All of a request but its body.
 struct RequestHead {
   std::string Method;
-  /// Path without the query, decoded as the library gives it.
+  /// Path without the query, percent-encoded as it was sent.
   std::string Path;
   /// Query without the question mark; empty when there is none.
   std::string Query;
