Hold requests at the host, pace prefills, copy shared prompt beginnings

Cause: long quotes were late although their first event came after 0.28 s in the median: an engine reads one chunk of 4,096 tokens a step and an event holds 8 steps, so a run of full steps makes every stream there pause for over 600 ms.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "dispatch/descriptor.h"
 #include "dispatch/endpointhealth.h"
 #include "dispatch/executionknowledge.h"
+#include "dispatch/holdqueue.h"
 #include "dispatch/loadbook.h"
 #include "dispatch/predictor.h"
 #include "dispatch/regionoutlook.h"
@@ -34,6 +35,9 @@
   /// A request is refused when its first output is predicted later than this
   /// multiple of its latency target.
   double AdmitUpTo = 1.0;
+  /// A request that waits already is refused only beyond this multiple: those
+  /// that came later stand behind it.
+  double HoldUpTo = 1.6;
   /// Share of an uncached prompt's reading time that counts against an
   /// endpoint although the request itself would not wait for it: the work
   /// delays those that follow.
@@ -58,6 +62,11 @@
   /// Sends of any kind.
   unsigned Sends = 0;
   ExecutionKnowledge Known = ExecutionKnowledge::NotSent;
+  /// When it arrived; set by the first choice.
+  TimePoint Arrived{};
+  /// Whether it waits in the hold queue, so that nobody there is ahead of it
+  /// but those that are offered to before it.
+  bool Held = false;
 };
 
 /// Send to an endpoint of this region.
@@ -66,6 +75,8 @@
   Prediction Expected;
   /// Whether it is cold and takes part of its allowance.
   bool Cold = false;
+  /// Where it copies the prompt's beginning from; empty: nowhere.
+  Address CopyFrom;
 };
 
 /// Pass on to a host of another region.
@@ -81,7 +92,12 @@
   std::string Reason;
 };
 
-using DispatchDecision = std::variant<ServeAt, PassOn, Refusal>;
+/// Wait at this host: every endpoint that suits has enough to do.
+struct Hold {
+  Duration Expected{};
+};
+
+using DispatchDecision = std::variant<ServeAt, PassOn, Hold, Refusal>;
 
 /// Decides where each request goes, whether it may go again, or that it is
 /// refused at once. Not thread-safe.
@@ -100,6 +116,10 @@
   bool mayTryAgain(const RequestDescriptor &Request, const FleetRoute &Route,
                    const AttemptLog &Log);
 
+  /// On how many endpoints the request may still run.
+  static unsigned runsLeft(const RequestDescriptor &Request,
+                           const FleetRoute &Route, const AttemptLog &Log);
+
   /// An attempt begins. The endpoint's load grows until it has ended.
   WorkId begin(const RequestDescriptor &Request, const FleetRoute &Route,
                const ServeAt &Choice, AttemptLog &Log);
@@ -111,6 +131,17 @@
   void passedOn(const RequestDescriptor &Request, const PassOn &Choice,
                 AttemptLog &Log);
 
+  /// Requests that wait at this host.
+  HoldQueue &held();
+  /// Offers places to those that wait. Call after an endpoint's load fell and
+  /// every OfferInterval.
+  void offerPlaces();
+  static constexpr Duration OfferInterval = std::chrono::milliseconds(10);
+
+  /// What waits at another host of the region, by hash of the pool's name.
+  void peerQueued(const HostId &Host,
+                  const std::map<std::uint64_t, QueuedWork> &Queued);
+
   /// Means of this region's pools, for the other regions.
   std::vector<PoolOutlook> outlook() const;
 
--- a/src/dispatch/executionknowledge.h
+++ b/src/dispatch/executionknowledge.h
@@ -39,7 +39,7 @@
   constexpr unsigned NotRun = 503;
   constexpr unsigned Failed = 502;
   constexpr unsigned Late = 504;
-  if (provenNotRun(K) && !TimedOut)
+  if (provenNotRun(K))
     return NotRun;
   return TimedOut ? Late : Failed;
 }
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -12,6 +12,8 @@
 /// Sends beyond the endpoints that a request may run on: those that said that
 /// they did not run it.
 constexpr unsigned MaxRefusedSends = 2;
+/// What other hosts say that waits there counts for this long.
+constexpr Duration PeerQueueAge = std::chrono::milliseconds(1500);
 /// No request is sent that has less time left than this.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(20);
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
@@ -22,6 +24,7 @@
   Prediction Expected;
   Duration Score{};
   bool Cold = false;
+  Address CopyFrom;
 };
 
 struct AwayChoice {
@@ -96,6 +99,9 @@
       return std::nullopt;
     auto Usable = Fleet_.usable(Pool.Name, Here);
     auto Levels = prefixLevelsOf(Request);
+    PrefixSource Source = Predictor_.sourceAmong(Usable, Pool, Request);
+    if (Source.Endpoint != nullptr && !Health_.isTrusted(Source.Endpoint->Key))
+      Source = {};
     std::vector<HostId> Others;
     std::optional<Candidate> Best;
     for (const FleetEndpoint *E : Usable) {
@@ -109,9 +115,9 @@
       if (C.Cold &&
           !Cold_.wouldTake(E->Key, Pool.ColdRequestsPerSecond, Others))
         continue;
-      C.Expected = Predictor_.predict(*E, Pool, Request, Route.Rank);
-      if (!C.Expected.Fits)
-        continue;
+      C.Expected = Predictor_.predict(*E, Pool, Request, Route.Rank, Source);
+      if (C.Expected.CopiedTokens > 0)
+        C.CopyFrom = Source.Endpoint->Where;
       Duration Uncached = Predictor_.ownTime(Pool, C.Expected.UncachedTokens);
       C.Score = C.Expected.ToFirstOutput +
                 scaled(Uncached, Pool.Engine ? Settings_.UncachedCost : 0) +
@@ -162,6 +168,7 @@
   DispatchDecision choose(const RequestDescriptor &Request,
                           const FleetRoute &Route, AttemptLog &Log) {
     if (Log.Pool.empty()) {
+      Log.Arrived = Runtime_.Now();
       Log.Pool = drawPool(Route);
       if (!Request.Forwarded)
         Budget_.request(Log.Pool);
@@ -177,30 +184,67 @@
       return refuse("no_time_left", LeastRetryAfter);
     auto Here = bestHere(Request, Route, *Pool, Log);
     auto Away = bestAway(Request, Route, *Pool, Log);
-    Duration AwayFrom = scaled(Route.LatencyTarget, Settings_.AwayFrom);
-    bool GoAway = Away && (!Here || (Here->Expected.ToFirstOutput > AwayFrom &&
-                                     Away->Expected + Settings_.AwayGain <
-                                         Here->Expected.ToFirstOutput));
     if (!Here && !Away)
       return refuse("no_endpoint", Settings_.DefaultRetryAfter);
-    Duration Expected = GoAway ? Away->Expected : Here->Expected.ToFirstOutput;
-    Duration Limit = std::min(Left, admitLimit(Route));
-    if (Expected > Limit)
-      return refuse("too_late", Expected - Limit);
+    Duration AwayFrom = scaled(Route.LatencyTarget, Settings_.AwayFrom);
+    bool MustWait =
+        Here && (!Here->Expected.Ready ||
+                 (!Log.Held && Held_.hasAhead(Log.Pool, Route.Rank)));
+    Duration HereIn = Here ? Here->Expected.ToFirstOutput : Duration::zero();
+    if (MustWait && !Log.Held)
+      HereIn += queueWait(*Pool, Route.Rank);
+    bool GoAway = Away && (!Here || (HereIn > AwayFrom &&
+                                     Away->Expected + Settings_.AwayGain <
+                                         HereIn));
+    Duration Expected = GoAway ? Away->Expected : HereIn;
+    Duration Waited = Runtime_.Now() - Log.Arrived;
+    Duration Limit = admitLimit(Route, Log.Held);
+    if (Expected > Left || Waited + Expected > Limit)
+      return refuse("too_late", Waited + Expected - std::min(Left, Limit));
     if (GoAway)
       return PassOn{Away->Host, Away->Expected};
+    if (MustWait)
+      return Hold{HereIn};
     if (Here->Cold && !Cold_.take(Here->Endpoint->Key,
                                   Pool->ColdRequestsPerSecond, regionHosts()))
       return refuse("cold", Settings_.DefaultRetryAfter);
-    return ServeAt{*Here->Endpoint, Here->Expected, Here->Cold};
+    return ServeAt{*Here->Endpoint, Here->Expected, Here->Cold,
+                   Here->CopyFrom};
   }
 
   /// Plain services wait as long as they may: an answer soon after the target
   /// is still of use there and costs the endpoint no more.
-  Duration admitLimit(const FleetRoute &Route) const {
-    return isStream(Route.Kind)
-               ? scaled(Route.LatencyTarget, Settings_.AdmitUpTo)
-               : Route.Timeout;
+  Duration admitLimit(const FleetRoute &Route, bool Waits) const {
+    if (!isStream(Route.Kind))
+      return Route.Timeout;
+    return scaled(Route.LatencyTarget,
+                  Waits ? Settings_.HoldUpTo : Settings_.AdmitUpTo);
+  }
+
+  /// Time until the region's endpoints have worked off what waits at its hosts
+  /// ahead of a request of this rank.
+  Duration queueWait(const FleetPool &Pool, unsigned Rank) const {
+    auto Usable = Fleet_.usable(Pool.Name, Hosts_.self().Region);
+    if (Usable.empty())
+      return Duration::zero();
+    QueuedWork Sum = Held_.queued(Pool.Name);
+    TimePoint Now = Runtime_.Now();
+    for (const auto &[Host, Peer] : PeerQueues_) {
+      auto Found = Peer.Queued.find(poolHash(Pool.Name));
+      if (Found == Peer.Queued.end() || Now - Peer.Heard > PeerQueueAge)
+        continue;
+      Sum.Urgent += Found->second.Urgent;
+      Sum.All += Found->second.All;
+    }
+    std::uint32_t Ahead = Rank == 0 ? Sum.Urgent : Sum.All;
+    Duration Work = Pool.Engine
+                        ? Predictor_.ownTime(Pool, Ahead) -
+                              Predictor::EngineOverhead
+                        : Predictor_.ownTime(Pool, 0) * Ahead;
+    std::size_t Places = Usable.size();
+    if (!Pool.Engine)
+      Places *= std::max(1U, Usable.front()->Slots);
+    return Work / static_cast<Duration::rep>(Places);
   }
 
   static Duration scaled(Duration D, double Factor) {
@@ -221,6 +265,12 @@
   SharedRetryBudget Budget_;
   ColdAllowance Cold_;
   std::vector<SentPrompt> Sent_;
+  HoldQueue Held_;
+  struct PeerQueue {
+    std::map<std::uint64_t, QueuedWork> Queued;
+    TimePoint Heard{};
+  };
+  std::map<HostId, PeerQueue> PeerQueues_;
 };
 
 Dispatcher::Dispatcher(Runtime R, FleetView &Fleet, HostRegistry &Hosts,
@@ -236,13 +286,21 @@
 
 bool Dispatcher::mayTryAgain(const RequestDescriptor &Request,
                              const FleetRoute &Route, const AttemptLog &Log) {
-  if (!maySend(Log.Known, Route.Kind) || Log.Runs >= Route.MaxEndpoints ||
+  if (!maySend(Log.Known, Route.Kind) || runsLeft(Request, Route, Log) == 0 ||
       Log.Sends >= Route.MaxEndpoints + MaxRefusedSends ||
       Request.Deadline - Impl_->Runtime_.Now() < LeastTimeLeft)
     return false;
   return Impl_->Budget_.take(Log.Pool, Impl_->Hosts_.knownHosts());
 }
 
+unsigned Dispatcher::runsLeft(const RequestDescriptor &Request,
+                              const FleetRoute &Route, const AttemptLog &Log) {
+  unsigned Most =
+      std::min(Route.MaxEndpoints,
+               Request.RunsLeft.value_or(Route.MaxEndpoints));
+  return Most - std::min(Most, Log.Runs);
+}
+
 WorkId Dispatcher::begin(const RequestDescriptor &Request,
                          const FleetRoute &Route, const ServeAt &Choice,
                          AttemptLog &Log) {
@@ -286,6 +344,14 @@
         Impl_->Predictor_.ownTime(*Pool, Request.PromptTokens));
 }
 
+HoldQueue &Dispatcher::held() { return Impl_->Held_; }
+void Dispatcher::offerPlaces() { Impl_->Held_.offer(); }
+
+void Dispatcher::peerQueued(
+    const HostId &Host, const std::map<std::uint64_t, QueuedWork> &Queued) {
+  Impl_->PeerQueues_[Host] = {Queued, Impl_->Runtime_.Now()};
+}
+
 std::vector<PoolOutlook> Dispatcher::outlook() const {
   std::vector<PoolOutlook> All;
   const FleetTablesPtr &Tables = Impl_->Fleet_.tables();
@@ -303,13 +369,12 @@
       if (Cold || !Impl_->Health_.isTrusted(E->Key))
         continue;
       Prediction P = Impl_->Predictor_.predict(*E, Pool, {}, AnyRank);
-      if (!P.Fits)
-        continue;
       Sum += P.Wait;
       ++Outlook.Endpoints;
     }
     if (Outlook.Endpoints > 0)
-      Outlook.Wait = Sum / Outlook.Endpoints;
+      Outlook.Wait =
+          Sum / Outlook.Endpoints + Impl_->queueWait(Pool, AnyRank);
     All.push_back(Outlook);
   }
   return All;
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -22,8 +22,6 @@
 constexpr Duration LeastPrediction = std::chrono::milliseconds(25);
 /// What an endpoint says of its slowness holds for about this long.
 constexpr Duration SaidHolds = std::chrono::milliseconds(700);
-/// Places beyond an endpoint's slots that it may queue for.
-constexpr double PlainQueueShare = 0.5;
 
 double millis(Duration D) { return static_cast<double>(D.count()) / UsPerMs; }
 Duration fromMillis(double Ms) {
@@ -57,21 +55,50 @@
   return Speed.ServiceMs > 0 ? fromMillis(Speed.ServiceMs) : AssumedService;
 }
 
+std::uint32_t
+Predictor::cachedTokens(const FleetEndpoint &Endpoint, const FleetPool &Pool,
+                        const RequestDescriptor &Request) const {
+  std::uint64_t Used = Loads_.total(Endpoint.Key).MemoryTokens;
+  std::uint64_t Capacity = Pool.Engine ? Pool.Engine->CacheTokens : 0;
+  return std::min(Prefixes_.cachedTokens(Endpoint.Key, prefixLevelsOf(Request),
+                                         Capacity - std::min(Used, Capacity)),
+                  Request.PromptTokens);
+}
+
+PrefixSource
+Predictor::sourceAmong(const std::vector<const FleetEndpoint *> &Endpoints,
+                       const FleetPool &Pool,
+                       const RequestDescriptor &Request) const {
+  PrefixSource Best;
+  if (!Pool.Engine || Pool.Engine->CopyMsPerToken <= 0)
+    return Best;
+  for (const FleetEndpoint *E : Endpoints) {
+    std::uint32_t Tokens = cachedTokens(*E, Pool, Request);
+    if (Tokens > Best.Tokens)
+      Best = {E, Tokens};
+  }
+  return Best;
+}
+
 Prediction Predictor::predictEngine(const FleetEndpoint &Endpoint,
                                     const FleetPool &Pool,
                                     const RequestDescriptor &Request,
-                                    unsigned Rank) const {
+                                    unsigned Rank,
+                                    const PrefixSource &Source) const {
   EndpointLoad Load = Loads_.total(Endpoint.Key);
   std::uint64_t Capacity = Pool.Engine->CacheTokens;
-  std::uint64_t Free =
-      Capacity > Load.MemoryTokens ? Capacity - Load.MemoryTokens : 0;
   std::uint32_t Needed = Request.PromptTokens + Request.MaxOutputTokens;
-  std::uint32_t Cached = std::min(
-      Prefixes_.cachedTokens(Endpoint.Key, prefixLevelsOf(Request), Free),
-      Request.PromptTokens);
+  std::uint32_t Cached = cachedTokens(Endpoint, Pool, Request);
   Prediction P;
-  P.UncachedTokens = Request.PromptTokens - Cached;
-  P.Fits = Load.InFlight < Endpoint.Slots && Needed <= Free;
+  if (Source.Tokens >= Cached + LeastCopy)
+    P.CopiedTokens = Source.Tokens - Cached;
+  P.UncachedTokens = Request.PromptTokens - Cached - P.CopiedTokens;
+  bool Fits = Load.InFlight < Endpoint.Slots &&
+              Needed + Load.MemoryTokens <=
+                  static_cast<double>(Capacity) * MemoryShare;
+  bool Paced = Load.AllPrefill == 0 ||
+               Load.AllPrefill + P.UncachedTokens <= MostPrefill;
+  P.Ready = Fits && Paced;
   std::uint32_t Others =
       Load.AllPrefill - std::min(Load.AllPrefill, Load.UrgentPrefill);
   double Ahead = Rank == 0 ? Load.UrgentPrefill + std::min(Others, PrefillChunk)
@@ -84,6 +111,9 @@
   P.Wait = fromMillis(WaitMs);
   P.ToFirstOutput =
       P.Wait + EngineOverhead + fromMillis(P.UncachedTokens * PerToken);
+  if (P.CopiedTokens > 0)
+    P.ToFirstOutput +=
+        CopySetUp + fromMillis(P.CopiedTokens * Pool.Engine->CopyMsPerToken);
   return P;
 }
 
@@ -96,15 +126,15 @@
   Prediction P;
   P.Wait = fromMillis(Service * Beyond / Slots);
   P.ToFirstOutput = P.Wait + fromMillis(Service);
-  P.Fits = Beyond <= std::ceil(Slots * PlainQueueShare);
+  P.Ready = Beyond <= 0;
   return P;
 }
 
 Prediction Predictor::predict(const FleetEndpoint &Endpoint,
                               const FleetPool &Pool,
-                              const RequestDescriptor &Request,
-                              unsigned Rank) const {
-  return Pool.Engine ? predictEngine(Endpoint, Pool, Request, Rank)
+                              const RequestDescriptor &Request, unsigned Rank,
+                              const PrefixSource &Source) const {
+  return Pool.Engine ? predictEngine(Endpoint, Pool, Request, Rank, Source)
                      : predictPlain(Endpoint, Pool);
 }
 
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -2,6 +2,7 @@
 #define CELERYBEAM_DISPATCH_PREDICTOR_H
 
 #include <unordered_map>
+#include <vector>
 
 #include "dispatch/descriptor.h"
 #include "dispatch/loadbook.h"
@@ -11,15 +12,26 @@
 
 namespace celerybeam {
 
+/// The endpoint of a region that is thought to hold most of a prompt's
+/// beginning.
+struct PrefixSource {
+  const FleetEndpoint *Endpoint = nullptr;
+  std::uint32_t Tokens = 0;
+};
+
 /// What sending a request to an endpoint now would bring.
 struct Prediction {
   /// From sending to the answer, or to a stream's first event.
   Duration ToFirstOutput{};
   /// Part of it spent behind work that is there already.
   Duration Wait{};
+  /// Prompt tokens that it has to read.
   std::uint32_t UncachedTokens = 0;
-  /// Whether the endpoint has a place and memory for it.
-  bool Fits = true;
+  /// Prompt tokens that it is to copy from another endpoint first.
+  std::uint32_t CopiedTokens = 0;
+  /// Whether it may be sent now: the endpoint has a place and memory for it,
+  /// and its other streams would not pause for too long.
+  bool Ready = true;
 };
 
 /// Predicts how soon an endpoint answers, from the work in flight, the cached
@@ -33,7 +45,12 @@
   Predictor(Runtime R, LoadBook &Loads, PrefixBook &Prefixes);
 
   Prediction predict(const FleetEndpoint &Endpoint, const FleetPool &Pool,
-                     const RequestDescriptor &Request, unsigned Rank) const;
+                     const RequestDescriptor &Request, unsigned Rank,
+                     const PrefixSource &Source = {}) const;
+  /// Of some endpoints, the one with most of the prompt's beginning.
+  PrefixSource sourceAmong(const std::vector<const FleetEndpoint *> &Endpoints,
+                           const FleetPool &Pool,
+                           const RequestDescriptor &Request) const;
   /// Time that an endpoint of the pool takes to read a prompt of this length,
   /// or to answer a plain request.
   Duration ownTime(const FleetPool &Pool, std::uint32_t Tokens) const;
@@ -49,11 +66,22 @@
   static constexpr double AssumedMsPerToken = 0.016;
   /// Time of a plain request before any was observed.
   static constexpr Duration AssumedService = std::chrono::milliseconds(60);
+  /// Prompt tokens that may wait at an engine together. A step reads one chunk
+  /// and makes one token of each stream, and an event holds several tokens: a
+  /// longer run of full steps makes the streams there pause for too long.
+  static constexpr std::uint32_t MostPrefill = 6144;
+  /// Share of an engine's memory that is given out; beyond it, running
+  /// requests are preempted.
+  static constexpr double MemoryShare = 0.92;
   /// From sending to first output beside the prefill: connection, scheduling
   /// and one decoding step of an engine.
   static constexpr Duration EngineOverhead = std::chrono::milliseconds(15);
   /// Tokens of one prefill step, which an urgent prompt cannot interrupt.
   static constexpr std::uint32_t PrefillChunk = 4096;
+  /// Copying a beginning pays from this length on; its set-up takes a few
+  /// milliseconds.
+  static constexpr std::uint32_t LeastCopy = 512;
+  static constexpr Duration CopySetUp = std::chrono::milliseconds(4);
 
 private:
   struct Speed {
@@ -70,8 +98,11 @@
 
   double slowness(const EndpointKey &Endpoint) const;
   Prediction predictEngine(const FleetEndpoint &Endpoint, const FleetPool &Pool,
-                           const RequestDescriptor &Request,
-                           unsigned Rank) const;
+                           const RequestDescriptor &Request, unsigned Rank,
+                           const PrefixSource &Source) const;
+  std::uint32_t cachedTokens(const FleetEndpoint &Endpoint,
+                             const FleetPool &Pool,
+                             const RequestDescriptor &Request) const;
   Prediction predictPlain(const FleetEndpoint &Endpoint,
                           const FleetPool &Pool) const;
   const PoolSpeed &speedOf(const PoolName &Pool) const;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -60,6 +60,9 @@
   std::uint32_t Slots = 1;
   /// Tokens that running requests and cached prompts share.
   std::uint32_t CacheTokens = 0;
+  /// Time to copy one cached token from another engine; zero when engines
+  /// cannot copy from each other.
+  double CopyMsPerToken = 0;
 };
 
 /// One row of the operator's pools.
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -84,6 +84,7 @@
         Operator_(Time_, mirrorHooks(MirrorPart::OperatorTables)),
         Endpoints_(Time_, mirrorHooks(MirrorPart::Endpoints)) {
     Context_.Hooks.TablesCurrent = [this] { return Operator_.isCurrent(); };
+    Context_.Hooks.LoadChanged = [this] { loadChanged(); };
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
     Announcer_ = std::make_shared<detail::HostAnnouncer>(
         Time_, Hooks_.Store, Hooks_.HostPrefix,
@@ -109,6 +110,7 @@
       refreshSelf();
       News_.tick();
     });
+    every(Dispatcher::OfferInterval, [this] { Decisions_.offerPlaces(); });
     every(FleetView::TickInterval, [this] { Fleet_.tick(); });
     every(HealthTick, [this] { checkHealth(); });
     every(SlowTick, [this] {
@@ -290,6 +292,17 @@
     Callers_.setLimits(Limits);
   }
 
+  void loadChanged() {
+    News_.loadChanged();
+    if (OfferDue_ || Decisions_.held().size() == 0)
+      return;
+    OfferDue_ = true;
+    Time_.After(Duration::zero(), [this] {
+      OfferDue_ = false;
+      Decisions_.offerPlaces();
+    });
+  }
+
   void checkHealth() {
     for (const EndpointKey &Key : Decisions_.health().dueForCheck())
       checkOne(Key);
@@ -400,6 +413,7 @@
   StoreMirror Operator_;
   StoreMirror Endpoints_;
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
+  bool OfferDue_ = false;
   bool Draining_ = false;
   TimePoint DrainStarted_{};
 };
--- a/src/fleethost/internal/newsexchange.cpp
+++ b/src/fleethost/internal/newsexchange.cpp
@@ -77,6 +77,12 @@
     for (const PrefixLevel &Level : Prompt.Levels)
       Sent->add_levels(Level.Hash);
   }
+  for (const auto &[Pool, Queued] : Decisions_.held().allQueued()) {
+    auto *Told = News.add_queued();
+    Told->set_pool(poolHash(Pool));
+    Told->set_urgent(Queued.Urgent);
+    Told->set_all(Queued.All);
+  }
   for (std::uint64_t Fingerprint : Decisions_.crashes().takeReports())
     News.add_crashed(Fingerprint);
   for (const std::string &Ip : Hosts_.contacts(false))
@@ -125,14 +131,23 @@
   sendFar();
 }
 
+void NewsExchange::loadChanged() {
+  if (NearDue_)
+    return;
+  NearDue_ = true;
+  Runtime_.After(LeastInterval, [this] {
+    NearDue_ = false;
+    NextNear_ = Runtime_.Now() + RegionInterval;
+    sendNear();
+  });
+}
+
 void NewsExchange::tick() {
   TimePoint Now = Runtime_.Now();
-  bool HasWork = !Decisions_.loads().own().empty();
-  if (HasWork || HadWork_ || Now >= NextNear_) {
+  if (Now >= NextNear_) {
     sendNear();
     NextNear_ = Now + RegionInterval;
   }
-  HadWork_ = HasWork;
   if (Now >= NextFar_) {
     sendFar();
     NextFar_ = Now + FarInterval;
@@ -175,6 +190,12 @@
                      Work.urgent_prefill(), Work.all_prefill(),
                      Work.memory_tokens()});
   Decisions_.loads().peerSaid(Host.Id, Loads);
+  std::map<std::uint64_t, QueuedWork> Queued;
+  for (const auto &Told : News.queued())
+    Queued[Told.pool()] = {Told.urgent(), Told.all()};
+  Decisions_.peerQueued(Host.Id, Queued);
+  if (Decisions_.held().size() > 0)
+    Decisions_.offerPlaces();
   for (const auto &Sent : News.sent()) {
     Dispatcher::SentPrompt Prompt{
         EndpointKey{Sent.endpoint()}, {}, Sent.read_tokens()};
--- a/src/fleethost/internal/newsexchange.h
+++ b/src/fleethost/internal/newsexchange.h
@@ -30,10 +30,15 @@
   void receive(std::string_view Bytes);
   /// Sends what is due. Call every TickInterval.
   void tick();
+  /// Own work in flight or waiting has changed; the region's hosts are told
+  /// soon.
+  void loadChanged();
   /// Tells all hosts at once, as on leaving.
   void tellAll();
 
   static constexpr Duration TickInterval = std::chrono::milliseconds(40);
+  /// Changes within this time go into one message.
+  static constexpr Duration LeastInterval = std::chrono::milliseconds(2);
   /// Messages within the region when nothing changes.
   static constexpr Duration RegionInterval = std::chrono::milliseconds(200);
   static constexpr Duration FarInterval = std::chrono::milliseconds(500);
@@ -54,7 +59,7 @@
   TimePoint NextNear_{};
   TimePoint NextFar_{};
   TimePoint NextSilent_{};
-  bool HadWork_ = false;
+  bool NearDue_ = false;
 };
 
 } // namespace celerybeam::detail
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <utility>
 
@@ -50,6 +51,13 @@
   return Text.data();
 }
 
+/// A whole number at the start of a text; 0 when there is none.
+unsigned numberIn(std::string_view Text) {
+  unsigned Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Number;
+}
+
 class Relay : public std::enable_shared_from_this<Relay> {
 public:
   Relay(RelayContext &Context, HttpServerRequest Request,
@@ -63,6 +71,8 @@
       return refuseCaller(BadRequest, Decoded.error().Message);
     Descriptor_ = std::move(*Decoded);
     Descriptor_.Forwarded = FromHost_;
+    if (FromHost_)
+      takeHostFields();
     Record_.Id = Descriptor_.Id;
     Record_.Forwarded = FromHost_;
     Tables_ = Context_.Fleet.tables();
@@ -93,6 +103,14 @@
         });
   }
 
+  /// What another entry host says of the request that it passes on.
+  void takeHostFields() {
+    HttpFields &Fields = Request_.Head.Fields;
+    if (auto Runs = findField(Fields, RunsField))
+      Descriptor_.RunsLeft = numberIn(*Runs);
+    removeField(Fields, RunsField);
+  }
+
   void noRoute() {
     if (!Context_.Hooks.TablesCurrent())
       return refuse({NewTablesWait, "tables_may_be_old"});
@@ -117,6 +135,9 @@
   void giveUp(bool TimedOut, const std::string &Why) {
     if (Streaming_)
       return breakStream(Why);
+    if (Failure_)
+      return finishWith(std::move(Failure_->first), Failure_->second,
+                        "endpoint_failed");
     if (provenNotRun(Log_.Known) && !TimedOut)
       return refuse(
           {Context_.Time.Now() < TimeoutAt_ ? TablesWait : Duration::zero(),
@@ -129,6 +150,9 @@
   void attempt() {
     auto Decision = Context_.Decisions.choose(Descriptor_, *Route_, Log_);
     Record_.Pool = Log_.Pool;
+    if (auto *Wait = std::get_if<Hold>(&Decision))
+      return hold(*Wait);
+    stopHolding();
     if (auto *Here = std::get_if<ServeAt>(&Decision))
       return serveAt(std::move(*Here));
     if (auto *Away = std::get_if<PassOn>(&Decision))
@@ -139,6 +163,32 @@
     giveUp(false, Why.Reason);
   }
 
+  void hold(const Hold &Wait) {
+    if (Log_.Held)
+      return;
+    Log_.Held = true;
+    Record_.Attempts += "held expected_ms=" +
+                        std::to_string(millisOf(Wait.Expected)) + "; ";
+    HeldRequest Held;
+    Held.Pool = Log_.Pool;
+    Held.Rank = Route_->Rank;
+    Held.Arrived = Request_.Arrived;
+    Held.Tokens = std::max(1U, Descriptor_.PromptTokens);
+    Held.Offer = [Self = shared_from_this()] {
+      Self->attempt();
+      return !Self->Log_.Held;
+    };
+    HoldId_ = Context_.Decisions.held().add(std::move(Held));
+    Context_.Hooks.LoadChanged();
+  }
+
+  void stopHolding() {
+    if (!Log_.Held)
+      return;
+    Log_.Held = false;
+    Context_.Decisions.held().remove(HoldId_);
+  }
+
   HttpCallRequest callTo(const Address &To) {
     HttpCallRequest Call;
     Call.To = To;
@@ -158,6 +208,7 @@
   void serveAt(ServeAt Choice) {
     Here_ = std::move(Choice);
     Work_ = Context_.Decisions.begin(Descriptor_, *Route_, *Here_, Log_);
+    Context_.Hooks.LoadChanged();
     const WireNames &Names = Context_.Names;
     HttpCallRequest Call = callTo(Here_->Endpoint.Where);
     setField(Call.Head.Fields, Names.ExpectedEndpoint,
@@ -165,6 +216,8 @@
     if (Descriptor_.PromptTokens > 0)
       setField(Call.Head.Fields, Names.Priority,
                std::to_string(std::min(Route_->Rank, LowestPriority)));
+    if (!Here_->CopyFrom.empty())
+      setField(Call.Head.Fields, Names.CopyFrom, Here_->CopyFrom.str());
     if (!Cutter_.lastId().empty())
       setField(Call.Head.Fields, Names.LastEventId, Cutter_.lastId());
     Call.ConnectTimeout = NearConnectTimeout;
@@ -185,6 +238,8 @@
         callTo(Address(Choice.Host.Ip + ":" + Context_.HostPort));
     if (!Cutter_.lastId().empty())
       setField(Call.Head.Fields, Context_.Names.LastEventId, Cutter_.lastId());
+    Allotted_ = Dispatcher::runsLeft(Descriptor_, *Route_, Log_);
+    setField(Call.Head.Fields, RunsField, std::to_string(Allotted_));
     Call.ConnectTimeout = FarConnectTimeout;
     Call.ReuseIdleAtMost = HttpCaller::MaxIdleTime;
     note("via " + Choice.Host.Id.str(), Choice.Expected, 0);
@@ -289,8 +344,10 @@
     Duration Took = Context_.Time.Now() - Sent_;
     if (Record_.FirstOutput == Duration::zero())
       Record_.FirstOutput = Context_.Time.Now() - Request_.Arrived;
-    if (Here_)
-      Context_.Decisions.firstOutput(*Here_, Work_, Took);
+    if (!Here_)
+      return;
+    Context_.Decisions.firstOutput(*Here_, Work_, Took);
+    Context_.Hooks.LoadChanged();
   }
 
   void takeBody(std::string_view Data) {
@@ -315,6 +372,7 @@
   HttpResponseHead callerHead() {
     HttpResponseHead Head = Head_;
     removeConnectionFields(Head.Fields);
+    removeField(Head.Fields, RunsField);
     // What endpoints say of themselves is of use to entry hosts only.
     if (!FromHost_)
       removeField(Head.Fields, Context_.Names.Load);
@@ -326,6 +384,7 @@
       return;
     Context_.Decisions.end(*Here_, Work_, Outcome);
     Here_.reset();
+    Context_.Hooks.LoadChanged();
   }
 
   void callEnded(HttpCallEnd End) {
@@ -361,7 +420,7 @@
 
   void broken() {
     Log_.Known = combine(Log_.Known, ExecutionKnowledge::Unknown);
-    Log_.Runs += 1;
+    Log_.Runs += Here_ ? 1 : Allotted_;
     if (Here_)
       Context_.Decisions.crashes().crashed(Descriptor_.Fingerprint);
     endHere(AttemptOutcome::Broken);
@@ -371,8 +430,11 @@
   }
 
   void answered() {
-    Log_.Known = ExecutionKnowledge::Ran;
-    Log_.Runs += 1;
+    bool Stamped =
+        findField(Head_.Fields, Context_.Names.Signature).has_value();
+    Log_.Known = combine(Log_.Known, Stamped ? ExecutionKnowledge::Ran
+                                             : ExecutionKnowledge::Unknown);
+    Log_.Runs += Here_ ? 1 : runsThere();
     bool Failed = Head_.Status >= ServerFailure;
     if (Events_)
       return streamEnded();
@@ -382,12 +444,23 @@
     }
     endHere(Failed ? AttemptOutcome::Failed : AttemptOutcome::Answered);
     Record_.Attempts += " status=" + std::to_string(Head_.Status);
-    if (Failed && mayRepeat(Route_->Kind) &&
+    if (Streaming_ && !Failed)
+      return breakStream("endpoint_failed");
+    if (!Failed)
+      return finishWith(callerHead(), std::exchange(Body_, {}), "answered");
+    if (Stamped && !Streaming_)
+      Failure_ = {callerHead(), std::exchange(Body_, {})};
+    if (mayRepeat(Route_->Kind) &&
         Context_.Decisions.mayTryAgain(Descriptor_, *Route_, Log_))
       return attempt();
-    if (Streaming_)
-      return breakStream("endpoint_failed");
-    finishWith(callerHead(), std::exchange(Body_, {}), "answered");
+    giveUp(false, "endpoint_failed");
+  }
+
+  /// On how many endpoints the other entry host's answer says that the request
+  /// has run; all that it was allotted when it does not say.
+  unsigned runsThere() const {
+    auto Runs = findField(Head_.Fields, RunsField);
+    return Runs ? numberIn(*Runs) : Allotted_;
   }
 
   void streamEnded() {
@@ -410,6 +483,7 @@
   void timedOut() {
     if (Over_)
       return;
+    stopHolding();
     if (Call_) {
       Log_.Known = combine(Log_.Known, ExecutionKnowledge::Unknown);
       Call_->cancel();
@@ -422,6 +496,7 @@
   void callerLeft() {
     if (Over_)
       return;
+    stopHolding();
     if (Call_)
       Call_->cancel();
     Call_.reset();
@@ -435,6 +510,8 @@
     if (Status >= FirstFailure && !Descriptor_.Id.empty() &&
         !findField(Head.Fields, Context_.Names.RequestId))
       Head.Fields.push_back({Context_.Names.RequestId, Descriptor_.Id.str()});
+    if (FromHost_)
+      setField(Head.Fields, RunsField, std::to_string(Log_.Runs));
     Answer_->respond(std::move(Head), Body);
     done(Status, Outcome);
   }
@@ -465,7 +542,10 @@
   /// The attempt under way.
   std::optional<ServeAt> Here_;
   std::string PeerIp_;
+  /// Runs that the other entry host was allowed.
+  unsigned Allotted_ = 0;
   WorkId Work_;
+  HoldId HoldId_;
   std::shared_ptr<HttpCall> Call_;
   TimePoint Sent_{};
   bool Refused_ = false;
@@ -473,6 +553,9 @@
   bool Events_ = false;
   HttpResponseHead Head_;
   std::string Body_;
+  /// An endpoint's whole answer that was a failure, for the caller if no other
+  /// attempt does better.
+  std::optional<std::pair<HttpResponseHead, std::string>> Failure_;
   /// The answer to the caller.
   bool Streaming_ = false;
   EventCutter Cutter_;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -33,6 +33,8 @@
   std::string Load;
   std::string ColdFor;
   std::string EndpointId;
+  /// Address of another engine from which to copy the prompt's beginning.
+  std::string CopyFrom;
   /// Fields that only this system may set; a caller's are dropped.
   std::vector<std::string> Reserved;
 };
@@ -75,6 +77,8 @@
   /// route is truly missing.
   std::function<bool()> TablesCurrent;
   std::function<void(const RequestRecord &)> Done;
+  /// Own work in flight or waiting has changed.
+  std::function<void()> LoadChanged;
 };
 
 /// What all requests of a host work with.
@@ -92,8 +96,11 @@
   bool Refusing = false;
 };
 
-/// Says that a request passed on by another entry host has not run.
+/// Fields between entry hosts. In an answer: the request has not run.
 inline constexpr const char *NotRunField = "Celerybeam-Not-Run";
+/// In a request: on how many endpoints it may still run. In an answer: on how
+/// many it has run or may have run.
+inline constexpr const char *RunsField = "Celerybeam-Runs";
 
 } // namespace celerybeam
 
