Let hosts take turns at an engine that has become free

Cause: pauses over 600 ms in streams began with 2 to 5 prompts that several hosts sent to one engine within 5 ms, all having waited for the same moment. Change: HostTurn delays each host by its rank in a hash that changes with time; news of a dispatch leaves within 0.3 ms; LongLane keeps prompts whose reading alone exceeds the tolerable pause away from other streams.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include "dispatch/executionknowledge.h"
 #include "dispatch/holdqueue.h"
 #include "dispatch/loadbook.h"
+#include "dispatch/longlane.h"
 #include "dispatch/predictor.h"
 #include "dispatch/regionoutlook.h"
 #include "dispatch/sharedretrybudget.h"
@@ -47,6 +48,7 @@
   Duration PreferenceStep = std::chrono::milliseconds(8);
   /// Score of an endpoint that fails all its requests.
   Duration FailurePenalty = std::chrono::milliseconds(1500);
+  LongLaneSettings LongPrompts;
   /// When to come back if nothing else is known.
   Duration DefaultRetryAfter = std::chrono::milliseconds(600);
 };
@@ -136,7 +138,7 @@
   /// Offers places to those that wait. Call after an endpoint's load fell and
   /// every OfferInterval.
   void offerPlaces();
-  static constexpr Duration OfferInterval = std::chrono::milliseconds(10);
+  static constexpr Duration OfferInterval = std::chrono::milliseconds(5);
 
   /// What waits at another host of the region, by hash of the pool's name.
   void peerQueued(const HostId &Host,
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include "dispatch/hostturn.h"
+
 namespace celerybeam {
 
 namespace {
@@ -46,7 +48,12 @@
         Settings_(Settings), Loads_(Runtime_), Health_(Runtime_),
         Crashes_(Runtime_), Regions_(Runtime_),
         Predictor_(Runtime_, Loads_, Prefixes_), Budget_(Runtime_, RetryBounds),
-        Cold_(Runtime_, Hosts.self().Id) {}
+        Cold_(Runtime_, Hosts.self().Id), Lane_(Settings.LongPrompts) {
+    Predictor_.setTurn([this](const EndpointKey &Endpoint) {
+      return HostTurn::delay(Hosts_.self().Id, regionHosts(), Endpoint,
+                             Runtime_.Now());
+    });
+  }
 
   PoolName drawPool(const FleetRoute &Route) {
     double Sum = 0;
@@ -120,6 +127,9 @@
         C.CopyFrom = Source.Endpoint->Where;
       Duration Uncached = Predictor_.ownTime(Pool, C.Expected.UncachedTokens);
       C.Score = C.Expected.ToFirstOutput +
+                Lane_.score(*E, Usable, C.Expected.Wait + Uncached,
+                            Pool.Engine ? Route.EventGapTarget : Duration(),
+                            Loads_.total(E->Key).InFlight) +
                 scaled(Uncached, Pool.Engine ? Settings_.UncachedCost : 0) +
                 scaled(Settings_.FailurePenalty, Health_.failureShare(E->Key)) +
                 preference(*E, Usable, Levels);
@@ -193,9 +203,9 @@
     Duration HereIn = Here ? Here->Expected.ToFirstOutput : Duration::zero();
     if (MustWait && !Log.Held)
       HereIn += queueWait(*Pool, Route.Rank);
-    bool GoAway = Away && (!Here || (HereIn > AwayFrom &&
-                                     Away->Expected + Settings_.AwayGain <
-                                         HereIn));
+    bool GoAway =
+        Away && (!Here || (HereIn > AwayFrom &&
+                           Away->Expected + Settings_.AwayGain < HereIn));
     Duration Expected = GoAway ? Away->Expected : HereIn;
     Duration Waited = Runtime_.Now() - Log.Arrived;
     Duration Limit = admitLimit(Route, Log.Held);
@@ -208,8 +218,7 @@
     if (Here->Cold && !Cold_.take(Here->Endpoint->Key,
                                   Pool->ColdRequestsPerSecond, regionHosts()))
       return refuse("cold", Settings_.DefaultRetryAfter);
-    return ServeAt{*Here->Endpoint, Here->Expected, Here->Cold,
-                   Here->CopyFrom};
+    return ServeAt{*Here->Endpoint, Here->Expected, Here->Cold, Here->CopyFrom};
   }
 
   /// Plain services wait as long as they may: an answer soon after the target
@@ -237,10 +246,9 @@
       Sum.All += Found->second.All;
     }
     std::uint32_t Ahead = Rank == 0 ? Sum.Urgent : Sum.All;
-    Duration Work = Pool.Engine
-                        ? Predictor_.ownTime(Pool, Ahead) -
-                              Predictor::EngineOverhead
-                        : Predictor_.ownTime(Pool, 0) * Ahead;
+    Duration Work = Pool.Engine ? Predictor_.ownTime(Pool, Ahead) -
+                                      Predictor::EngineOverhead
+                                : Predictor_.ownTime(Pool, 0) * Ahead;
     std::size_t Places = Usable.size();
     if (!Pool.Engine)
       Places *= std::max(1U, Usable.front()->Slots);
@@ -264,6 +272,7 @@
   Predictor Predictor_;
   SharedRetryBudget Budget_;
   ColdAllowance Cold_;
+  LongLane Lane_;
   std::vector<SentPrompt> Sent_;
   HoldQueue Held_;
   struct PeerQueue {
@@ -295,9 +304,8 @@
 
 unsigned Dispatcher::runsLeft(const RequestDescriptor &Request,
                               const FleetRoute &Route, const AttemptLog &Log) {
-  unsigned Most =
-      std::min(Route.MaxEndpoints,
-               Request.RunsLeft.value_or(Route.MaxEndpoints));
+  unsigned Most = std::min(Route.MaxEndpoints,
+                           Request.RunsLeft.value_or(Route.MaxEndpoints));
   return Most - std::min(Most, Log.Runs);
 }
 
@@ -347,8 +355,8 @@
 HoldQueue &Dispatcher::held() { return Impl_->Held_; }
 void Dispatcher::offerPlaces() { Impl_->Held_.offer(); }
 
-void Dispatcher::peerQueued(
-    const HostId &Host, const std::map<std::uint64_t, QueuedWork> &Queued) {
+void Dispatcher::peerQueued(const HostId &Host,
+                            const std::map<std::uint64_t, QueuedWork> &Queued) {
   Impl_->PeerQueues_[Host] = {Queued, Impl_->Runtime_.Now()};
 }
 
@@ -373,8 +381,7 @@
       ++Outlook.Endpoints;
     }
     if (Outlook.Endpoints > 0)
-      Outlook.Wait =
-          Sum / Outlook.Endpoints + Impl_->queueWait(Pool, AnyRank);
+      Outlook.Wait = Sum / Outlook.Endpoints + Impl_->queueWait(Pool, AnyRank);
     All.push_back(Outlook);
   }
   return All;
--- /dev/null
+++ b/src/dispatch/internal/hostturn.cpp
@@ -0,0 +1,33 @@
+#include "dispatch/hostturn.h"
+
+#include <algorithm>
+#include <array>
+
+#include <xxhash.h>
+
+namespace celerybeam {
+
+namespace {
+
+std::uint64_t rankOf(const HostId &Host, const EndpointKey &Endpoint,
+                     std::uint64_t Epoch) {
+  std::array<std::uint64_t, 2> Seed = {Endpoint.Value, Epoch};
+  return XXH64(Host.str().data(), Host.str().size(),
+               XXH64(Seed.data(), sizeof(Seed), 0));
+}
+
+} // namespace
+
+Duration HostTurn::delay(const HostId &Self, const std::vector<HostId> &Others,
+                         const EndpointKey &Endpoint, TimePoint Now) {
+  auto Number = static_cast<std::uint64_t>(Now.time_since_epoch().count() /
+                                           Epoch.count());
+  std::uint64_t Own = rankOf(Self, Endpoint, Number);
+  auto Ahead =
+      std::count_if(Others.begin(), Others.end(), [&](const HostId &Host) {
+        return rankOf(Host, Endpoint, Number) > Own;
+      });
+  return Step * Ahead;
+}
+
+} // namespace celerybeam
--- a/src/dispatch/internal/loadbook.cpp
+++ b/src/dispatch/internal/loadbook.cpp
@@ -30,6 +30,7 @@
     if (!D.Waiting)
       return;
     D.Waiting = false;
+    LastRead_[D.Endpoint] = Runtime_.Now();
     EndpointLoad &Load = Own_[D.Endpoint];
     Load.AllPrefill -= D.Asked.UncachedTokens;
     if (D.Asked.Rank == 0)
@@ -42,6 +43,7 @@
   std::map<std::uint64_t, Dispatch> Dispatches_;
   std::unordered_map<EndpointKey, EndpointLoad> Own_;
   std::map<HostId, PeerLoads> Peers_;
+  std::unordered_map<EndpointKey, TimePoint> LastRead_;
 };
 
 LoadBook::LoadBook(Runtime R, Duration PeerAge)
@@ -85,9 +87,17 @@
                         const std::vector<EndpointLoad> &Loads) {
   PeerLoads &Peer = Impl_->Peers_[Host];
   Peer.Heard = Impl_->Runtime_.Now();
+  std::map<EndpointKey, EndpointLoad> Before = std::move(Peer.Loads);
   Peer.Loads.clear();
   for (const EndpointLoad &Load : Loads)
     Peer.Loads[Load.Endpoint] = Load;
+  for (const auto &[Key, Load] : Before) {
+    auto Still = Peer.Loads.find(Key);
+    std::uint32_t Left =
+        Still == Peer.Loads.end() ? 0 : Still->second.AllPrefill;
+    if (Left < Load.AllPrefill)
+      Impl_->LastRead_[Key] = Peer.Heard;
+  }
 }
 
 EndpointLoad LoadBook::total(const EndpointKey &Endpoint) const {
@@ -116,6 +126,11 @@
   return Loads;
 }
 
+TimePoint LoadBook::lastRead(const EndpointKey &Endpoint) const {
+  auto Found = Impl_->LastRead_.find(Endpoint);
+  return Found == Impl_->LastRead_.end() ? TimePoint() : Found->second;
+}
+
 std::optional<TimePoint>
 LoadBook::oldestWaiting(const EndpointKey &Endpoint) const {
   for (const auto &[Id, D] : Impl_->Dispatches_)
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -55,9 +55,9 @@
   return Speed.ServiceMs > 0 ? fromMillis(Speed.ServiceMs) : AssumedService;
 }
 
-std::uint32_t
-Predictor::cachedTokens(const FleetEndpoint &Endpoint, const FleetPool &Pool,
-                        const RequestDescriptor &Request) const {
+std::uint32_t Predictor::cachedTokens(const FleetEndpoint &Endpoint,
+                                      const FleetPool &Pool,
+                                      const RequestDescriptor &Request) const {
   std::uint64_t Used = Loads_.total(Endpoint.Key).MemoryTokens;
   std::uint64_t Capacity = Pool.Engine ? Pool.Engine->CacheTokens : 0;
   return std::min(Prefixes_.cachedTokens(Endpoint.Key, prefixLevelsOf(Request),
@@ -93,11 +93,12 @@
   if (Source.Tokens >= Cached + LeastCopy)
     P.CopiedTokens = Source.Tokens - Cached;
   P.UncachedTokens = Request.PromptTokens - Cached - P.CopiedTokens;
-  bool Fits = Load.InFlight < Endpoint.Slots &&
-              Needed + Load.MemoryTokens <=
-                  static_cast<double>(Capacity) * MemoryShare;
-  bool Paced = Load.AllPrefill == 0 ||
-               Load.AllPrefill + P.UncachedTokens <= MostPrefill;
+  bool Fits =
+      Load.InFlight < Endpoint.Slots &&
+      Needed + Load.MemoryTokens <= static_cast<double>(Capacity) * MemoryShare;
+  std::uint32_t Waiting = Rank == 0 ? Load.UrgentPrefill : Load.AllPrefill;
+  bool Paced = (Waiting == 0 && isSpaced(Endpoint.Key)) ||
+               Waiting + P.UncachedTokens <= MostPrefill;
   P.Ready = Fits && Paced;
   std::uint32_t Others =
       Load.AllPrefill - std::min(Load.AllPrefill, Load.UrgentPrefill);
@@ -117,6 +118,13 @@
   return P;
 }
 
+bool Predictor::isSpaced(const EndpointKey &Endpoint) const {
+  Duration Idle = Runtime_.Now() - Loads_.lastRead(Endpoint);
+  if (Idle < PrefillSpacing)
+    return false;
+  return !Turn_ || Idle >= PrefillSpacing + Turn_(Endpoint);
+}
+
 Prediction Predictor::predictPlain(const FleetEndpoint &Endpoint,
                                    const FleetPool &Pool) const {
   EndpointLoad Load = Loads_.total(Endpoint.Key);
--- a/src/dispatch/loadbook.h
+++ b/src/dispatch/loadbook.h
@@ -63,6 +63,9 @@
   EndpointLoad total(const EndpointKey &Endpoint) const;
   /// Own share at each endpoint with work, for the other hosts.
   std::vector<EndpointLoad> own() const;
+  /// When an endpoint was last heard to have finished reading a prompt; long
+  /// ago when never.
+  TimePoint lastRead(const EndpointKey &Endpoint) const;
   /// When own's oldest unanswered prompt was sent; unset when none waits.
   std::optional<TimePoint> oldestWaiting(const EndpointKey &Endpoint) const;
 
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -1,7 +1,9 @@
 #ifndef CELERYBEAM_DISPATCH_PREDICTOR_H
 #define CELERYBEAM_DISPATCH_PREDICTOR_H
 
+#include <functional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "dispatch/descriptor.h"
@@ -62,6 +64,12 @@
   void saidSlowness(const EndpointKey &Endpoint, double Factor);
   void forget(const EndpointKey &Endpoint) { Endpoints_.erase(Endpoint); }
 
+  /// How much longer than PrefillSpacing this host leaves an endpoint alone
+  /// that has become free; zero without a hook.
+  void setTurn(std::function<Duration(const EndpointKey &)> Turn) {
+    Turn_ = std::move(Turn);
+  }
+
   /// Prefill time of a token before any was observed.
   static constexpr double AssumedMsPerToken = 0.016;
   /// Time of a plain request before any was observed.
@@ -69,7 +77,10 @@
   /// Prompt tokens that may wait at an engine together. A step reads one chunk
   /// and makes one token of each stream, and an event holds several tokens: a
   /// longer run of full steps makes the streams there pause for too long.
-  static constexpr std::uint32_t MostPrefill = 6144;
+  static constexpr std::uint32_t MostPrefill = 4096;
+  /// Time between two prompts at an engine, for a few steps of the streams
+  /// there alone.
+  static constexpr Duration PrefillSpacing = std::chrono::milliseconds(16);
   /// Share of an engine's memory that is given out; beyond it, running
   /// requests are preempted.
   static constexpr double MemoryShare = 0.92;
@@ -97,6 +108,8 @@
   };
 
   double slowness(const EndpointKey &Endpoint) const;
+  /// Whether the streams at an engine had a few steps alone.
+  bool isSpaced(const EndpointKey &Endpoint) const;
   Prediction predictEngine(const FleetEndpoint &Endpoint, const FleetPool &Pool,
                            const RequestDescriptor &Request, unsigned Rank,
                            const PrefixSource &Source) const;
@@ -110,6 +123,7 @@
   Runtime Runtime_;
   LoadBook &Loads_;
   PrefixBook &Prefixes_;
+  std::function<Duration(const EndpointKey &)> Turn_;
   std::unordered_map<EndpointKey, Speed> Endpoints_;
   std::unordered_map<PoolName, PoolSpeed> Pools_;
 };
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -297,7 +297,7 @@
     if (OfferDue_ || Decisions_.held().size() == 0)
       return;
     OfferDue_ = true;
-    Time_.After(Duration::zero(), [this] {
+    Time_.After(Predictor::PrefillSpacing, [this] {
       OfferDue_ = false;
       Decisions_.offerPlaces();
     });
@@ -358,6 +358,7 @@
                                  {"known", static_cast<int>(R.Known)},
                                  {"attempts", R.Attempts},
                                  {"first_ms", Millis(R.FirstOutput)},
+                                 {"gap_ms", Millis(R.LongestGap)},
                                  {"total_ms", Millis(R.Total)},
                                  {"from_host", R.Forwarded}});
     RequestSample Sample;
--- a/src/fleethost/internal/newsexchange.h
+++ b/src/fleethost/internal/newsexchange.h
@@ -38,7 +38,7 @@
 
   static constexpr Duration TickInterval = std::chrono::milliseconds(40);
   /// Changes within this time go into one message.
-  static constexpr Duration LeastInterval = std::chrono::milliseconds(2);
+  static constexpr Duration LeastInterval = std::chrono::microseconds(300);
   /// Messages within the region when nothing changes.
   static constexpr Duration RegionInterval = std::chrono::milliseconds(200);
   static constexpr Duration FarInterval = std::chrono::milliseconds(500);
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -167,8 +167,8 @@
     if (Log_.Held)
       return;
     Log_.Held = true;
-    Record_.Attempts += "held expected_ms=" +
-                        std::to_string(millisOf(Wait.Expected)) + "; ";
+    Record_.Attempts +=
+        "held expected_ms=" + std::to_string(millisOf(Wait.Expected)) + "; ";
     HeldRequest Held;
     Held.Pool = Log_.Pool;
     Held.Rank = Route_->Rank;
@@ -361,6 +361,10 @@
     if (Whole.empty())
       return;
     firstOutput();
+    TimePoint Now = Context_.Time.Now();
+    if (Streaming_)
+      Record_.LongestGap = std::max(Record_.LongestGap, Now - LastPiece_);
+    LastPiece_ = Now;
     if (!Streaming_) {
       Streaming_ = true;
       Answer_->beginStream(callerHead());
@@ -548,6 +552,7 @@
   HoldId HoldId_;
   std::shared_ptr<HttpCall> Call_;
   TimePoint Sent_{};
+  TimePoint LastPiece_{};
   bool Refused_ = false;
   bool GotOutput_ = false;
   bool Events_ = false;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -63,6 +63,8 @@
   ExecutionKnowledge Known = ExecutionKnowledge::NotSent;
   Duration Expected{};
   Duration FirstOutput{};
+  /// Longest pause between two parts of a stream.
+  Duration LongestGap{};
   Duration Total{};
   unsigned Sends = 0;
   bool Forwarded = false;
