Test the view of the fleet, the dispatcher and the relay

Cause: the platform's path stood without tests of its own. Pure parts run on virtual time (src/fleet/tests, src/dispatch/tests); the relay runs on loopback against endpoints that answer with right and wrong bytes (src/relay/tests). Found while writing: nothing in the product; a dangling read in the test's own caller.

--- /dev/null
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -0,0 +1,202 @@
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch/tests/dispatchfixture.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+const FleetRoute Quotes =
+    testing::DispatchFixture::route(RepeatKind::Stream, 1);
+const FleetRoute Questions =
+    testing::DispatchFixture::route(RepeatKind::ResumableStream, 0);
+const FleetRoute Bookings =
+    testing::DispatchFixture::route(RepeatKind::AtMostOnce);
+const FleetRoute LookUps =
+    testing::DispatchFixture::route(RepeatKind::Idempotent);
+
+template <typename T> bool is(const DispatchDecision &D) {
+  return std::holds_alternative<T>(D);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DispatcherTests, testing::DispatchFixture)
+
+// A burst of prompts: one at a time at each engine, the rest waits here.
+BOOST_AUTO_TEST_CASE(burstWaitsAtTheHostAndNotAtTheEngines) {
+  addEndpoint("a");
+  addEndpoint("b");
+  BOOST_TEST(is<ServeAt>(send(request(8000, 1), Quotes)));
+  BOOST_TEST(is<ServeAt>(send(request(8000, 2), Quotes)));
+  BOOST_TEST(is<Hold>(send(request(8000, 3), Quotes)));
+}
+
+BOOST_AUTO_TEST_CASE(shortPromptsShareAStep) {
+  addEndpoint("a");
+  BOOST_TEST(is<ServeAt>(send(request(1500), Quotes)));
+  BOOST_TEST(is<ServeAt>(send(request(1500), Quotes)));
+  BOOST_TEST(is<Hold>(send(request(1500), Quotes)));
+}
+
+// Short questions behind long drafts: urgent prompts do not wait for others.
+BOOST_AUTO_TEST_CASE(urgentPromptPassesLongOnes) {
+  addEndpoint("a");
+  send(request(20000), Quotes);
+  BOOST_TEST(is<ServeAt>(send(request(1500), Questions)));
+}
+
+BOOST_AUTO_TEST_CASE(streamsGetAFewStepsBetweenPrompts) {
+  addEndpoint("a");
+  send(request(8000, 1), Quotes);
+  Time.runFor(150ms);
+  Decisions.loads().firstOutput(Last);
+  BOOST_TEST(is<Hold>(send(request(8000, 2), Quotes)));
+  Time.runFor(Predictor::PrefillSpacing);
+  BOOST_TEST(is<ServeAt>(send(request(8000, 3), Quotes)));
+}
+
+// Overload: what cannot be served in time is refused on arrival, with the time
+// after which it could be.
+BOOST_AUTO_TEST_CASE(hopelessRequestIsRefusedAtOnce) {
+  addEndpoint("a");
+  send(request(50000), Quotes);
+  auto D = send(request(50000), Quotes);
+  BOOST_REQUIRE(is<Refusal>(D));
+  BOOST_TEST(std::get<Refusal>(D).Reason == "too_late");
+  BOOST_TEST((std::get<Refusal>(D).RetryAfter > 100ms));
+}
+
+BOOST_AUTO_TEST_CASE(nothingToServeItIsRefusedAtOnce) {
+  auto D = send(request(1000), Quotes);
+  BOOST_REQUIRE(is<Refusal>(D));
+  BOOST_TEST(std::get<Refusal>(D).Reason == "no_endpoint");
+}
+
+// Regions peak in turn: the one with room takes what is late here.
+BOOST_AUTO_TEST_CASE(overflowGoesToARegionWithRoom) {
+  addEndpoint("a");
+  hearNeighbour(0ms);
+  send(request(50000), Quotes);
+  BOOST_TEST(is<PassOn>(send(request(9000), Quotes)));
+}
+
+BOOST_AUTO_TEST_CASE(calmRequestStaysHome) {
+  addEndpoint("a");
+  hearNeighbour(0ms);
+  BOOST_TEST(is<ServeAt>(send(request(9000), Quotes)));
+}
+
+BOOST_AUTO_TEST_CASE(forwardedRequestIsNotPassedOn) {
+  hearNeighbour(0ms);
+  RequestDescriptor R = request(9000);
+  R.Forwarded = true;
+  BOOST_TEST(is<Refusal>(send(R, Quotes)));
+}
+
+BOOST_AUTO_TEST_CASE(onlyHomesHandleARequest) {
+  addEndpoint("a");
+  hearNeighbour(0ms);
+  FleetRoute Route = Quotes;
+  Route.Homes = {RegionId("musanze")};
+  BOOST_TEST(is<PassOn>(send(request(2000), Route)));
+  Route.Homes = {RegionId("huye")};
+  BOOST_TEST(is<Refusal>(send(request(2000), Route)));
+}
+
+BOOST_AUTO_TEST_CASE(sharedBeginningsStayTogether) {
+  addEndpoint("a");
+  addEndpoint("b");
+  addEndpoint("c");
+  auto First = std::get<ServeAt>(send(request(9000, 42), Quotes));
+  Time.runFor(300ms);
+  Decisions.firstOutput(First, Last, 200ms);
+  Time.runFor(1s);
+  auto Second = std::get<ServeAt>(send(request(9000, 42), Quotes));
+  BOOST_TEST((Second.Endpoint.Id == First.Endpoint.Id));
+  BOOST_TEST(Second.Expected.UncachedTokens == 4000U);
+}
+
+BOOST_AUTO_TEST_CASE(beginningIsCopiedFromABusyEngine) {
+  addEndpoint("a");
+  auto First = std::get<ServeAt>(send(request(9000, 42), Quotes));
+  Decisions.loads().firstOutput(Last);
+  Time.runFor(100ms);
+  send(request(40000, 1), Quotes);
+  addEndpoint("b");
+  auto D = send(request(9000, 42), Quotes);
+  BOOST_REQUIRE(is<ServeAt>(D));
+  auto Second = std::get<ServeAt>(D);
+  BOOST_TEST((Second.Endpoint.Id != First.Endpoint.Id));
+  BOOST_TEST(Second.Expected.CopiedTokens == 5000U);
+  BOOST_TEST(!Second.CopyFrom.empty());
+}
+
+BOOST_AUTO_TEST_CASE(brokenEndpointGetsNothingUntilChecked) {
+  FleetEndpoint E = addEndpoint("a");
+  auto D = std::get<ServeAt>(send(request(1000), Quotes));
+  Decisions.end(D, Last, AttemptOutcome::Broken);
+  BOOST_TEST(is<Refusal>(send(request(1000), Quotes)));
+  BOOST_TEST(Decisions.health().dueForCheck().size() == 1U);
+  Decisions.health().checked(E.Key, true);
+  Time.runFor(1s);
+  BOOST_TEST(is<ServeAt>(send(request(1000), Quotes)));
+}
+
+BOOST_AUTO_TEST_CASE(mayRunOnceOnlyIfNotRepeatable) {
+  RequestDescriptor R = request(0);
+  AttemptLog Log;
+  Log.Pool = PoolName("plain");
+  Log.Runs = 1;
+  Log.Known = ExecutionKnowledge::Unknown;
+  for (int I = 0; I < 100; ++I) {
+    AttemptLog Fresh;
+    Decisions.choose(R, LookUps, Fresh);
+  }
+  BOOST_TEST(!Decisions.mayTryAgain(R, Bookings, Log));
+  BOOST_TEST(Decisions.mayTryAgain(R, LookUps, Log));
+}
+
+BOOST_AUTO_TEST_CASE(refusedBookingMayGoElsewhere) {
+  RequestDescriptor R = request(0);
+  for (int I = 0; I < 100; ++I) {
+    AttemptLog Fresh;
+    Decisions.choose(R, LookUps, Fresh);
+  }
+  AttemptLog Log;
+  Log.Pool = PoolName("plain");
+  Log.Sends = 1;
+  Log.Known = ExecutionKnowledge::RefusedByEndpoint;
+  BOOST_TEST(Decisions.mayTryAgain(R, Bookings, Log));
+}
+
+BOOST_AUTO_TEST_CASE(runsOfTheHostThatPassedItOnCount) {
+  RequestDescriptor R = request(0);
+  R.RunsLeft = 1;
+  AttemptLog Log;
+  BOOST_TEST(Dispatcher::runsLeft(R, LookUps, Log) == 1U);
+  Log.Runs = 1;
+  BOOST_TEST(Dispatcher::runsLeft(R, LookUps, Log) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(crashingRequestIsRefused) {
+  addEndpoint("a");
+  RequestDescriptor R = request(1000);
+  for (unsigned I = 0; I < CrashedRequests::Limit; ++I)
+    Decisions.crashes().peerSaw(R.Fingerprint);
+  auto D = send(R, Quotes);
+  BOOST_REQUIRE(is<Refusal>(D));
+  BOOST_TEST(std::get<Refusal>(D).Reason == "crashes_endpoints");
+  Decisions.crashes().succeeded(R.Fingerprint);
+  BOOST_TEST(is<ServeAt>(send(R, Quotes)));
+}
+
+BOOST_AUTO_TEST_CASE(plainServiceTakesAsManyAsItsSlots) {
+  addEndpoint("a", "plain");
+  BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
+  BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
+  BOOST_TEST(is<Hold>(send(request(0), Bookings)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/dispatch/tests/dispatchfixture.h
@@ -0,0 +1,107 @@
+#ifndef CELERYBEAM_DISPATCH_TESTS_DISPATCHFIXTURE_H
+#define CELERYBEAM_DISPATCH_TESTS_DISPATCHFIXTURE_H
+
+#include <string>
+
+#include "dispatch/dispatcher.h"
+#include "support/virtualtime.h"
+
+namespace celerybeam::testing {
+
+/// One host of kigali with engines, a plain service and a neighbour region.
+struct DispatchFixture {
+  DispatchFixture() {
+    FleetTables T;
+    T.Version = 1;
+    FleetPool Engines;
+    Engines.Name = PoolName("engines");
+    Engines.ColdSpan = std::chrono::seconds(3);
+    Engines.ColdRequestsPerSecond = 2;
+    Engines.Engine = EngineRule{64, 450000, 0.005};
+    T.Pools[Engines.Name] = Engines;
+    FleetPool Plain;
+    Plain.Name = PoolName("plain");
+    T.Pools[Plain.Name] = Plain;
+    View.adoptTables(T);
+  }
+
+  static HostState self() {
+    HostState H;
+    H.Id = HostId("k1");
+    H.Ip = "10.0.0.1";
+    H.Region = RegionId("kigali");
+    H.Ready = true;
+    return H;
+  }
+
+  void hearNeighbour(Duration Wait) {
+    HostState H;
+    H.Id = HostId("m1");
+    H.Ip = "10.1.0.1";
+    H.Region = RegionId("musanze");
+    H.Ready = true;
+    Hosts.heard(H);
+    Decisions.regions().heard(H.Region,
+                              {poolHash(PoolName("engines")), Wait, 6});
+  }
+
+  FleetEndpoint addEndpoint(const std::string &Id, const char *Pool = "engines",
+                            Duration ColdFor = {}) {
+    FleetEndpoint E;
+    E.Id = EndpointId(Id);
+    E.Key = endpointKeyOf(E.Id, 1);
+    E.Pool = PoolName(Pool);
+    E.Where = Address("10.0.1.1:80");
+    E.Zone = ZoneId("kigali-a");
+    E.Region = RegionId("kigali");
+    E.Slots = E.Pool.str() == "plain" ? 2 : 64;
+    E.ColdUntil = Time.now() + ColdFor;
+    View.putEndpoint(E);
+    return E;
+  }
+
+  static FleetRoute route(RepeatKind Kind, unsigned Rank = 1) {
+    FleetRoute R;
+    R.Name = RouteName("r");
+    R.Kind = Kind;
+    R.Rank = Rank;
+    R.Timeout = std::chrono::seconds(12);
+    R.LatencyTarget = std::chrono::milliseconds(1200);
+    R.EventGapTarget = std::chrono::milliseconds(600);
+    R.MaxEndpoints = mayRepeat(Kind) ? 2 : 1;
+    R.Pools = {{PoolName(isStream(Kind) ? "engines" : "plain"), 1}};
+    return R;
+  }
+
+  RequestDescriptor request(std::uint32_t Tokens, std::uint64_t Prefix = 7) {
+    RequestDescriptor R;
+    R.Id = RequestId("q" + std::to_string(++Requests));
+    R.Deadline = Time.now() + std::chrono::seconds(12);
+    R.PromptTokens = Tokens;
+    R.MaxOutputTokens = 100;
+    R.Fingerprint = Requests;
+    if (Tokens > 5000)
+      R.Parts = {{Prefix, 5000}, {Requests, Tokens - 5000}};
+    return R;
+  }
+
+  /// Chooses and, if served here, begins.
+  DispatchDecision send(const RequestDescriptor &R, const FleetRoute &Route) {
+    AttemptLog Log;
+    DispatchDecision D = Decisions.choose(R, Route, Log);
+    if (auto *Here = std::get_if<ServeAt>(&D))
+      Last = Decisions.begin(R, Route, *Here, Log);
+    return D;
+  }
+
+  VirtualTime Time{1};
+  FleetView View{Time.runtime(), {}};
+  HostRegistry Hosts{Time.runtime(), self()};
+  Dispatcher Decisions{Time.runtime(), View, Hosts, {}};
+  std::uint64_t Requests = 0;
+  WorkId Last;
+};
+
+} // namespace celerybeam::testing
+
+#endif
--- /dev/null
+++ b/src/dispatch/tests/partstest.cpp
@@ -0,0 +1,152 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "dispatch/coldallowance.h"
+#include "dispatch/executionknowledge.h"
+#include "dispatch/holdqueue.h"
+#include "dispatch/hostturn.h"
+#include "dispatch/longlane.h"
+#include "dispatch/prefixbook.h"
+#include "dispatch/sharedretrybudget.h"
+#include "support/virtualtime.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolName Pool("plain");
+
+std::vector<HostId> hostsBut(unsigned Self, unsigned Count) {
+  std::vector<HostId> Ids;
+  for (unsigned I = 0; I < Count; ++I)
+    if (I != Self)
+      Ids.emplace_back("h" + std::to_string(I));
+  return Ids;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DispatchPartsTests)
+
+BOOST_AUTO_TEST_CASE(onlyProvenRequestsAreSaidNotToHaveRun) {
+  using enum ExecutionKnowledge;
+  BOOST_TEST(failureStatus(NotSent, false) == 503U);
+  BOOST_TEST(failureStatus(RefusedByEndpoint, true) == 503U);
+  BOOST_TEST(failureStatus(Unknown, false) == 502U);
+  BOOST_TEST(failureStatus(Unknown, true) == 504U);
+  BOOST_TEST(failureStatus(Ran, false) == 502U);
+  BOOST_TEST((combine(Unknown, RefusedByEndpoint) == Unknown));
+}
+
+// All hosts retry at once: their shares add up to the bound.
+BOOST_AUTO_TEST_CASE(retriesOfAllHostsStayWithinTheBound) {
+  testing::VirtualTime Time(1);
+  constexpr std::size_t Hosts = 15;
+  unsigned Taken = 0;
+  for (std::size_t H = 0; H < Hosts; ++H) {
+    SharedRetryBudget Budget(Time.runtime(), {0.2, 10s, 116});
+    for (int I = 0; I < 100; ++I)
+      Budget.request(Pool);
+    while (Budget.take(Pool, Hosts))
+      ++Taken;
+  }
+  BOOST_TEST(Taken <= 0.2 * 1500 + 116);
+  BOOST_TEST(Taken > 300U);
+}
+
+BOOST_AUTO_TEST_CASE(retryBudgetRefillsWithTime) {
+  testing::VirtualTime Time(1);
+  SharedRetryBudget Budget(Time.runtime(), {0.2, 10s, 10});
+  while (Budget.take(Pool, 1))
+    ;
+  Time.runFor(11s);
+  BOOST_TEST(Budget.take(Pool, 1));
+}
+
+// Cold endpoints return while every host has work waiting.
+BOOST_AUTO_TEST_CASE(coldEndpointGetsNoMoreThanItBears) {
+  testing::VirtualTime Time(1);
+  constexpr unsigned Hosts = 7;
+  constexpr double PerSecond = 2;
+  const EndpointKey Endpoint{42};
+  std::vector<ColdAllowance> All;
+  for (unsigned H = 0; H < Hosts; ++H)
+    All.emplace_back(Time.runtime(), HostId("h" + std::to_string(H)));
+  std::vector<TimePoint> Sent;
+  for (int Step = 0; Step < 600; ++Step) {
+    for (unsigned H = 0; H < Hosts; ++H)
+      if (All[H].take(Endpoint, PerSecond, hostsBut(H, Hosts)))
+        Sent.push_back(Time.now());
+    Time.runFor(10ms);
+  }
+  BOOST_TEST(Sent.size() >= 8U);
+  for (std::size_t I = 0; I < Sent.size(); ++I) {
+    auto Within = std::count_if(Sent.begin(), Sent.end(), [&](TimePoint T) {
+      return T >= Sent[I] && T - Sent[I] < 1s;
+    });
+    BOOST_TEST(Within <= 6); // 2 a second * 1.5 + 3
+  }
+}
+
+BOOST_AUTO_TEST_CASE(hostsTakeTurnsAtAnEndpoint) {
+  constexpr unsigned Hosts = 7;
+  const EndpointKey Endpoint{42};
+  std::vector<Duration> Delays;
+  for (unsigned H = 0; H < Hosts; ++H)
+    Delays.push_back(HostTurn::delay(HostId("h" + std::to_string(H)),
+                                     hostsBut(H, Hosts), Endpoint,
+                                     TimePoint(7s)));
+  std::sort(Delays.begin(), Delays.end());
+  for (unsigned I = 0; I < Hosts; ++I)
+    BOOST_TEST((Delays[I] == HostTurn::Step * I));
+}
+
+BOOST_AUTO_TEST_CASE(longPromptsAvoidStreams) {
+  LongLane Lane;
+  FleetEndpoint E;
+  std::vector<const FleetEndpoint *> Region = {&E};
+  BOOST_TEST((Lane.score(E, Region, 900ms, 600ms, 5) == 600ms));
+  BOOST_TEST((Lane.score(E, Region, 900ms, 600ms, 0) == 0ms));
+  BOOST_TEST(Lane.disturbance(100ms, 600ms) == 0);
+  BOOST_TEST(Lane.disturbance(900ms, 0ms) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(readTokensEvictOldBeginnings) {
+  PrefixBook Book;
+  const EndpointKey E{1};
+  const std::vector<PrefixLevel> Levels = {{11, 500}, {12, 5500}};
+  Book.sent(E, Levels, 5500);
+  BOOST_TEST(Book.cachedTokens(E, Levels, 10000) == 5500U);
+  Book.sent(E, {{11, 500}, {13, 4000}}, 9000);
+  BOOST_TEST(Book.cachedTokens(E, Levels, 10000) == 5500U);
+  Book.sent(E, {{11, 500}}, 2000);
+  BOOST_TEST(Book.cachedTokens(E, Levels, 10000) == 500U);
+  Book.forget(E);
+  BOOST_TEST(Book.cachedTokens(E, Levels, 10000) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(urgentAndOldRequestsAreOfferedFirst) {
+  HoldQueue Queue;
+  std::vector<int> Order;
+  auto Add = [&](int Name, unsigned Rank, TimePoint Arrived) {
+    auto Id = std::make_shared<HoldId>();
+    *Id = Queue.add({Pool, Rank, Arrived, 10, [&Queue, &Order, Name, Id] {
+                       Order.push_back(Name);
+                       Queue.remove(*Id);
+                       return true;
+                     }});
+  };
+  Add(1, 1, TimePoint(2s));
+  Add(2, 1, TimePoint(1s));
+  Add(3, 0, TimePoint(3s));
+  BOOST_TEST(Queue.hasAhead(Pool, 0));
+  BOOST_TEST(Queue.queued(Pool).All == 30U);
+  BOOST_TEST(Queue.queued(Pool).Urgent == 10U);
+  Queue.offer();
+  BOOST_TEST((Order == std::vector<int>{3, 2, 1}));
+  BOOST_TEST(Queue.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/fleet/tests/fleetviewtest.cpp
@@ -0,0 +1,123 @@
+#include <boost/test/unit_test.hpp>
+
+#include "fleet/fleetview.h"
+#include "support/virtualtime.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+  testing::VirtualTime Time{1};
+  std::vector<EndpointKey> Ended;
+  FleetView View{Time.runtime(), {nullptr, [this](const EndpointKey &Key) {
+                                    Ended.push_back(Key);
+                                  }}};
+
+  static FleetTables tables(std::uint64_t Version) {
+    FleetTables T;
+    T.Version = Version;
+    FleetPool Pool;
+    Pool.Name = PoolName("quotes");
+    Pool.ColdSpan = 3s;
+    Pool.ColdRequestsPerSecond = 2;
+    T.Pools[Pool.Name] = Pool;
+    return T;
+  }
+
+  static FleetEndpoint endpoint(const std::string &Id, std::int64_t Start = 1) {
+    FleetEndpoint E;
+    E.Id = EndpointId(Id);
+    E.StartedAt = Start;
+    E.Key = endpointKeyOf(E.Id, Start);
+    E.Pool = PoolName("quotes");
+    E.Zone = ZoneId("kigali-a");
+    E.Region = RegionId("kigali");
+    return E;
+  }
+
+  std::size_t usable() const {
+    return View.usable(PoolName("quotes"), RegionId("kigali")).size();
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FleetViewTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(tablesNeverGoBack) {
+  BOOST_TEST(View.adoptTables(tables(7)));
+  BOOST_TEST(!View.adoptTables(tables(3)));
+  BOOST_TEST(!View.adoptTables(tables(7)));
+  BOOST_TEST(View.tables()->Version == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(leavingGoneAndEvacuatedEndpointsAreNotUsable) {
+  View.putEndpoint(endpoint("a"));
+  View.putEndpoint(endpoint("b"));
+  View.putEndpoint(endpoint("c"));
+  BOOST_TEST(usable() == 3U);
+  FleetEndpoint Leaving = endpoint("a");
+  Leaving.Leaving = true;
+  View.putEndpoint(Leaving);
+  View.removeEndpoint(EndpointId("b"), 0s);
+  BOOST_TEST(usable() == 1U);
+  View.setEvacuated(ZoneId("kigali-a"), true);
+  BOOST_TEST(usable() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(endpointsComeBackColdFromAnEvacuation) {
+  View.adoptTables(tables(1));
+  View.putEndpoint(endpoint("a"));
+  View.setEvacuated(ZoneId("kigali-a"), true);
+  View.setEvacuated(ZoneId("kigali-a"), false);
+  BOOST_TEST((View.endpoint(EndpointId("a"))->ColdUntil == Time.now() + 3s));
+}
+
+BOOST_AUTO_TEST_CASE(entryThatLapsedInAnOutageMayComeBack) {
+  View.putEndpoint(endpoint("a"));
+  View.removeEndpoint(EndpointId("a"), 2s);
+  Time.runFor(1s);
+  View.tick();
+  BOOST_TEST(usable() == 1U);
+  View.putEndpoint(endpoint("a"));
+  Time.runFor(3s);
+  View.tick();
+  BOOST_TEST(usable() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(entryThatStaysAwayIsGone) {
+  View.putEndpoint(endpoint("a"));
+  View.removeEndpoint(EndpointId("a"), 2s);
+  Time.runFor(2100ms);
+  View.tick();
+  BOOST_TEST(usable() == 0U);
+  BOOST_TEST(Ended.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(sameIdWithAnotherStartIsAnotherEndpoint) {
+  View.putEndpoint(endpoint("a", 1));
+  View.noteLeaving(EndpointId("a"));
+  BOOST_TEST(usable() == 0U);
+  View.putEndpoint(endpoint("a", 2));
+  BOOST_TEST(usable() == 1U);
+  BOOST_TEST(
+      (Ended == std::vector<EndpointKey>{endpointKeyOf(EndpointId("a"), 1)}));
+}
+
+BOOST_AUTO_TEST_CASE(longestPrefixOfTheHostWins) {
+  FleetTables T;
+  for (const char *Prefix : {"/a/", "/a/b/", "/"}) {
+    FleetRoute Route;
+    Route.Name = RouteName(Prefix);
+    Route.Host = "x.example";
+    Route.PathPrefix = Prefix;
+    T.Routes.push_back(Route);
+  }
+  BOOST_TEST(T.find("x.example", "/a/b/c?d=/a/")->Name.str() == "/a/b/");
+  BOOST_TEST(T.find("x.example", "/a/bc")->Name.str() == "/a/");
+  BOOST_TEST((T.find("y.example", "/a/b/") == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -0,0 +1,190 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "fleet/storemirror.h"
+#include "support/virtualtime.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store whose answers the test withholds, refuses or ages.
+struct Fixture {
+  testing::VirtualTime Time{1};
+  std::map<std::string, StoreChange> Keys;
+  std::vector<StoreChange> History;
+  StoreRevision Now = 10;
+  bool Reachable = true;
+  bool HistoryGone = false;
+  unsigned Lists = 0;
+  StoreSnapshot PeerKnows;
+  std::vector<std::string> Heard;
+  std::vector<bool> HeardAfterOutage;
+  StoreMirror Mirror{Time.runtime(), hooks()};
+
+  void put(const std::string &Key, const std::string &Value) {
+    Keys[Key] = {Key, Value, ++Now, false};
+    History.push_back(Keys[Key]);
+  }
+  void remove(const std::string &Key) {
+    Keys.erase(Key);
+    History.push_back({Key, "", ++Now, true});
+  }
+
+  StoreMirrorHooks hooks() {
+    StoreMirrorHooks H;
+    H.List = [this](auto Answer) {
+      ++Lists;
+      answer(Answer, snapshot(Keys));
+    };
+    H.Watch = [this](StoreRevision After, Duration Wait, auto Answer) {
+      watch(After, Wait, Answer);
+    };
+    H.AskPeer = [this](auto Answer) {
+      Time.after(1ms, [this, Answer] { Answer(PeerKnows); });
+    };
+    H.Changed = [this](const StoreChange &C, bool AfterOutage) {
+      Heard.push_back((C.Removed ? "-" : "+") + C.Key + C.Value);
+      HeardAfterOutage.push_back(AfterOutage);
+    };
+    H.Reachability = [](bool, const std::string &) {};
+    return H;
+  }
+
+  StoreSnapshot snapshot(const std::map<std::string, StoreChange> &From) const {
+    StoreSnapshot S;
+    S.AsOf = Now;
+    for (const auto &[Key, Item] : From)
+      S.Items.push_back(Item);
+    return S;
+  }
+
+  void answer(const StoreMirrorHooks::Answer &Answer, StoreSnapshot S) {
+    bool Ok = Reachable;
+    Time.after(4ms, [Answer, S, Ok] {
+      if (Ok)
+        return Answer(S);
+      Answer(makeError(ErrorKind::StoreUnreachable, "down"));
+    });
+  }
+
+  void watch(StoreRevision After, Duration Left,
+             const StoreMirrorHooks::Answer &Answer) {
+    StoreSnapshot S;
+    S.AsOf = Now;
+    for (const StoreChange &C : History)
+      if (C.At > After)
+        S.Items.push_back(C);
+    if (Reachable && HistoryGone) {
+      HistoryGone = false;
+      return Time.after(1ms, [Answer] {
+        Answer(makeError(ErrorKind::StoreConflict, "compacted"));
+      });
+    }
+    if (!S.Items.empty() || !Reachable || Left <= 0ms)
+      return answer(Answer, S);
+    Time.after(50ms, [this, After, Left, Answer] {
+      watch(After, Left - 50ms, Answer);
+    });
+  }
+
+  std::map<std::string, std::string> held() const {
+    std::map<std::string, std::string> All;
+    for (const StoreChange &C : Mirror.snapshot().Items)
+      All[C.Key] = C.Value;
+    return All;
+  }
+  using Map = std::map<std::string, std::string>;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StoreMirrorTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(listsThenFollowsChanges) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  put("b", "2");
+  remove("a");
+  Time.runFor(200ms);
+  BOOST_TEST((held() == Map{{"b", "2"}}));
+  BOOST_TEST((Heard == std::vector<std::string>{"+a1", "+b2", "-a"}));
+  BOOST_TEST(Lists == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lostHistoryIsMadeGoodByAList) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Reachable = false;
+  Time.runFor(5s);
+  put("b", "2");
+  remove("a");
+  History.clear();
+  HistoryGone = true;
+  Reachable = true;
+  Time.runFor(3s);
+  BOOST_TEST((held() == Map{{"b", "2"}}));
+}
+
+BOOST_AUTO_TEST_CASE(removalsAfterAnOutageAreMarked) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Reachable = false;
+  Time.runFor(7s);
+  remove("a");
+  Reachable = true;
+  Time.runFor(2s);
+  BOOST_REQUIRE(Heard.back() == "-a");
+  BOOST_TEST(HeardAfterOutage.back());
+}
+
+BOOST_AUTO_TEST_CASE(removalsInQuietTimesAreNot) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(10s);
+  remove("a");
+  Time.runFor(1s);
+  BOOST_REQUIRE(Heard.back() == "-a");
+  BOOST_TEST(!HeardAfterOutage.back());
+}
+
+BOOST_AUTO_TEST_CASE(whatAPeerHasAppliedIsFetchedFromIt) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Reachable = false;
+  PeerKnows.AsOf = Now + 5;
+  PeerKnows.Items = {{"a", "2", Now + 5, false}};
+  Mirror.heardOf(Now + 5);
+  Time.runFor(1s);
+  BOOST_TEST((held() == Map{{"a", "2"}}));
+}
+
+BOOST_AUTO_TEST_CASE(anOlderSnapshotOfAPeerChangesNothing) {
+  put("a", "1");
+  put("a", "2");
+  Mirror.start();
+  Time.runFor(100ms);
+  PeerKnows.AsOf = Now - 1;
+  PeerKnows.Items = {{"a", "1", Now - 1, false}};
+  // The peer said that it knew more and was restarted before it was asked.
+  Mirror.heardOf(Now + 5);
+  Time.runFor(1s);
+  BOOST_TEST((held() == Map{{"a", "2"}}));
+}
+
+BOOST_AUTO_TEST_CASE(knowsWhenItMayBeBehind) {
+  Mirror.start();
+  Time.runFor(100ms);
+  BOOST_TEST(Mirror.isCurrent());
+  Reachable = false;
+  Time.runFor(6s);
+  BOOST_TEST(!Mirror.isCurrent());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/httpserver.h
+++ b/src/relay/httpserver.h
@@ -66,6 +66,8 @@
 
   /// Errors: InvalidSettings when the address cannot be bound.
   Result<void> listen(const Address &Where);
+  /// Where it listens, with the port that was chosen if port 0 was asked.
+  Address address() const;
   void setLimits(const HttpServerLimits &Limits);
 
   /// From now on each answer ends its connection.
--- a/src/relay/internal/httpserver.cpp
+++ b/src/relay/internal/httpserver.cpp
@@ -106,6 +106,13 @@
 Result<void> HttpServer::listen(const Address &Where) {
   return Impl_->listen(Where);
 }
+Address HttpServer::address() const {
+  detail::ErrorCode Error;
+  auto Where = Impl_->Acceptor_.local_endpoint(Error);
+  return Error ? Address()
+               : Address(Where.address().to_string() + ":" +
+                         std::to_string(Where.port()));
+}
 void HttpServer::setLimits(const HttpServerLimits &Limits) {
   Impl_->Shared_->Limits = Limits;
 }
--- /dev/null
+++ b/src/relay/tests/relayfixture.cpp
@@ -0,0 +1,158 @@
+#include "relay/tests/relayfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace celerybeam::testing {
+
+namespace {
+
+FleetRoute route(const std::string &Name, RepeatKind Kind,
+                 const std::string &Pool) {
+  FleetRoute R;
+  R.Name = RouteName(Name);
+  R.Host = "x.example";
+  R.PathPrefix = "/" + Name + "/";
+  R.Kind = Kind;
+  R.Timeout = std::chrono::seconds(10);
+  R.LatencyTarget = std::chrono::seconds(5);
+  R.EventGapTarget = std::chrono::seconds(1);
+  R.Rank = 1;
+  R.MaxEndpoints = mayRepeat(Kind) ? 2 : 1;
+  R.Pools = {{PoolName(Pool), 1}};
+  return R;
+}
+
+} // namespace
+
+RelayFixture::RelayFixture()
+    : Hosts(Time, self()),
+      Decisions(Time, Fleet, Hosts, {1, std::chrono::seconds(10), 100}),
+      Context(makeContext()),
+      Front(Loop, [this](HttpServerRequest Request, auto Answer) {
+        relayRequest(Context, std::move(Request), std::move(Answer), false);
+      }) {
+  Fleet.adoptTables(tables());
+  BOOST_REQUIRE(Front.listen(Address("127.0.0.1:0")));
+}
+
+HostState RelayFixture::self() {
+  HostState H;
+  H.Id = HostId("k1");
+  H.Ip = "127.0.0.1";
+  H.Region = RegionId("kigali");
+  H.Ready = true;
+  return H;
+}
+
+FleetTables RelayFixture::tables() {
+  FleetTables T;
+  T.Version = 1;
+  for (const char *Name : {"plain", "engines"}) {
+    FleetPool Pool;
+    Pool.Name = PoolName(Name);
+    Pool.HealthPath = "/healthz";
+    T.Pools[Pool.Name] = Pool;
+  }
+  T.Pools[PoolName("engines")].Engine = EngineRule{64, 450000, 0};
+  T.Routes = {route("book", RepeatKind::AtMostOnce, "plain"),
+              route("look", RepeatKind::Idempotent, "plain"),
+              route("draft", RepeatKind::Stream, "engines"),
+              route("ask", RepeatKind::ResumableStream, "engines")};
+  return T;
+}
+
+RelayContext RelayFixture::makeContext() {
+  WireNames Names;
+  Names.RequestId = "Request-Id";
+  Names.Signature = "Signature";
+  Names.NotExecuted = "Not-Executed";
+  Names.ExpectedEndpoint = "Expected-Endpoint";
+  Names.TimeLeft = "Time-Left";
+  Names.Priority = "Priority";
+  Names.LastEventId = "Last-Event-Id";
+  Names.Load = "Load";
+  Names.Reserved = {"Priority", "Reserve"};
+  RelayHooks Hooks;
+  Hooks.Decode = [this](const HttpServerRequest &R) {
+    RequestDescriptor D;
+    D.Id = RequestId(
+        std::string(findField(R.Head.Fields, "Request-Id").value_or("")));
+    D.Host = std::string(findField(R.Head.Fields, "Host").value_or(""));
+    D.Target = R.Head.Target;
+    D.Deadline = Time.Now() + std::chrono::seconds(10);
+    return Result<RequestDescriptor>(D);
+  };
+  Hooks.DecodeLoad = [](std::string_view) { return std::optional<SaidLoad>(); };
+  Hooks.TablesCurrent = [this] { return TablesCurrent; };
+  Hooks.Done = [this](const RequestRecord &R) { Done.push_back(R); };
+  Hooks.LoadChanged = [this] { Decisions.offerPlaces(); };
+  return {Time, Fleet, Hosts, Decisions, Caller, Names, Hooks, "1", false};
+}
+
+RawServer &RelayFixture::addEndpoint(const std::string &Id,
+                                     const std::string &Pool,
+                                     RawServer::Script Script) {
+  Servers_.push_back(std::make_unique<RawServer>(Loop, std::move(Script)));
+  FleetEndpoint E;
+  E.Id = EndpointId(Id);
+  E.Key = endpointKeyOf(E.Id, 1);
+  E.Pool = PoolName(Pool);
+  E.Where = Address(Servers_.back()->address());
+  E.Region = RegionId("kigali");
+  E.Slots = 8;
+  Fleet.putEndpoint(E);
+  return *Servers_.back();
+}
+
+std::string RelayFixture::field(const std::string &Head,
+                                const std::string &Name) {
+  auto At = Head.find("\r\n" + Name + ": ");
+  if (At == std::string::npos)
+    return {};
+  At += Name.size() + 4;
+  return Head.substr(At, Head.find("\r\n", At) - At);
+}
+
+RawServer::Answer RelayFixture::ran(const std::string &Request,
+                                    const std::string &Body) {
+  return {"HTTP/1.1 200 OK\r\nRequest-Id: " + field(Request, "Request-Id") +
+              "\r\nSignature: s\r\nContent-Length: " +
+              std::to_string(Body.size()) + "\r\n\r\n" + Body,
+          false, false};
+}
+
+std::string RelayFixture::streamHead(const std::string &Request) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + field(Request, "Request-Id") +
+         "\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string RelayFixture::event(unsigned Id) {
+  return renderChunk("id: " + std::to_string(Id) + "\ndata: t\n\n");
+}
+
+std::string RelayFixture::request(const std::string &Route,
+                                  const std::string &Extra,
+                                  const std::string &Body) {
+  return "POST /" + Route + "/a HTTP/1.1\r\nHost: x.example\r\nRequest-Id: q" +
+         std::to_string(++Requests_) + "\r\n" + Extra +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+std::string RelayFixture::ask(const std::string &Request) {
+  RawCaller C(Loop, Front.address().str(), Request);
+  runUntil(Loop, [&] {
+    auto End = C.received().find("\r\n\r\n");
+    if (C.closed())
+      return true;
+    if (End == std::string::npos)
+      return false;
+    std::string Length = field(C.received(), "Content-Length");
+    if (!Length.empty())
+      return C.received().size() >= End + 4 + std::stoul(Length);
+    return C.received().ends_with(LastChunk);
+  });
+  C.close();
+  return C.received();
+}
+
+} // namespace celerybeam::testing
--- /dev/null
+++ b/src/relay/tests/relaytest.cpp
@@ -0,0 +1,273 @@
+#include <boost/test/unit_test.hpp>
+
+#include "relay/tests/relayfixture.h"
+
+using namespace celerybeam;
+using testing::RawServer;
+
+namespace {
+
+bool says(const std::string &Answer, const char *Status) {
+  return Answer.starts_with(std::string("HTTP/1.1 ") + Status);
+}
+
+bool has(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RelayTests, testing::RelayFixture)
+
+BOOST_AUTO_TEST_CASE(passesRequestAndAnswerOnUnchanged) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  std::string Answer = ask(request("book",
+                                   "Colour: red\r\nPriority: 0\r\n"
+                                   "Reserve: 1\r\n",
+                                   "body"));
+  BOOST_TEST(says(Answer, "200"));
+  BOOST_TEST(Answer.ends_with("\r\n\r\ndone"));
+  BOOST_REQUIRE(E.Requests.size() == 1U);
+  BOOST_TEST(E.Requests[0].starts_with("POST /book/a HTTP/1.1\r\n"));
+  BOOST_TEST(field(E.Requests[0], "Colour") == "red");
+  BOOST_TEST(field(E.Requests[0], "Expected-Endpoint") == "a");
+  BOOST_TEST(field(E.Requests[0], "Reserve").empty());
+  BOOST_TEST(E.Requests[0].ends_with("\r\n\r\nbody"));
+}
+
+// The one that must never happen: a booking that runs twice.
+BOOST_AUTO_TEST_CASE(brokenBookingIsNeverSentAgain) {
+  RawServer &A = addEndpoint("a", "plain", [](const std::string &) {
+    return RawServer::Answer{"", false, true};
+  });
+  RawServer &B = addEndpoint("b", "plain", [](const std::string &) {
+    return RawServer::Answer{"", false, true};
+  });
+  BOOST_TEST(says(ask(request("book")), "502"));
+  BOOST_TEST(A.Requests.size() + B.Requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(refusedBookingGoesToAnotherEndpoint) {
+  unsigned Refusals = 0;
+  auto Refuse = [&](const std::string &R) {
+    if (Refusals++ == 0)
+      return RawServer::Answer{"HTTP/1.1 503 No\r\nNot-Executed: 1\r\n"
+                               "Content-Length: 0\r\n\r\n",
+                               false, false};
+    return ran(R, "done");
+  };
+  addEndpoint("a", "plain", Refuse);
+  addEndpoint("b", "plain", Refuse);
+  BOOST_TEST(says(ask(request("book")), "200"));
+}
+
+BOOST_AUTO_TEST_CASE(bookingRefusedEverywhereHasNotRun) {
+  auto Refuse = [](const std::string &) {
+    return RawServer::Answer{"HTTP/1.1 503 No\r\nNot-Executed: 1\r\n"
+                             "Content-Length: 0\r\n\r\n",
+                             false, false};
+  };
+  addEndpoint("a", "plain", Refuse);
+  std::string Answer = ask(request("book"));
+  BOOST_TEST(says(Answer, "503"));
+  BOOST_TEST(!field(Answer, "Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(unreachableEndpointHasNotRunIt) {
+  FleetEndpoint E;
+  E.Id = EndpointId("dead");
+  E.Pool = PoolName("plain");
+  E.Where = Address("127.0.0.1:1");
+  E.Region = RegionId("kigali");
+  Fleet.putEndpoint(E);
+  BOOST_TEST(says(ask(request("book")), "503"));
+}
+
+BOOST_AUTO_TEST_CASE(lookUpIsRepeatedElsewhere) {
+  unsigned Sent = 0;
+  auto FailOnce = [&](const std::string &R) {
+    return Sent++ == 0 ? RawServer::Answer{"", false, true} : ran(R, "done");
+  };
+  addEndpoint("a", "plain", FailOnce);
+  addEndpoint("b", "plain", FailOnce);
+  BOOST_TEST(says(ask(request("look")), "200"));
+}
+
+BOOST_AUTO_TEST_CASE(endpointsOwnFailureReachesTheCaller) {
+  auto Fail = [](const std::string &R) {
+    return RawServer::Answer{
+        "HTTP/1.1 500 Oops\r\nRequest-Id: " + field(R, "Request-Id") +
+            "\r\nSignature: s\r\nContent-Length: 3\r\n"
+            "\r\nbad",
+        false, false};
+  };
+  addEndpoint("a", "plain", Fail);
+  addEndpoint("b", "plain", Fail);
+  std::string Answer = ask(request("look"));
+  BOOST_TEST(says(Answer, "500"));
+  BOOST_TEST(field(Answer, "Signature") == "s");
+  BOOST_TEST(Answer.ends_with("bad"));
+}
+
+BOOST_AUTO_TEST_CASE(truncatedAnswerIsNoAnswer) {
+  addEndpoint("a", "plain", [](const std::string &R) {
+    auto Whole = ran(R, "0123456789");
+    Whole.Bytes.resize(Whole.Bytes.size() - 4);
+    Whole.Close = true;
+    return Whole;
+  });
+  BOOST_TEST(says(ask(request("book")), "502"));
+}
+
+BOOST_AUTO_TEST_CASE(unsignedSuccessIsNoAnswer) {
+  addEndpoint("a", "plain", [](const std::string &R) {
+    return RawServer::Answer{
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + field(R, "Request-Id") +
+            "\r\nContent-Length: 2\r\n\r\nhi",
+        false, false};
+  });
+  BOOST_TEST(says(ask(request("book")), "502"));
+}
+
+BOOST_AUTO_TEST_CASE(answerOfAnEarlierRequestIsPassedOver) {
+  addEndpoint("a", "plain", [](const std::string &R) {
+    auto Own = ran(R, "own");
+    Own.Bytes = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSignature: s\r\n"
+                "Content-Length: 5\r\n\r\nother" +
+                Own.Bytes;
+    return Own;
+  });
+  std::string Answer = ask(request("book"));
+  BOOST_TEST(says(Answer, "200"));
+  BOOST_TEST(Answer.ends_with("\r\n\r\nown"));
+}
+
+BOOST_AUTO_TEST_CASE(bytesAfterAnAnswerSpoilTheConnection) {
+  RawServer &E = addEndpoint("a", "plain", [](const std::string &R) {
+    auto Own = ran(R, "own");
+    Own.Bytes += "HTTP/1.1 200 OK\r\nRequest-Id: q2\r\nSignature: s\r\n"
+                 "Content-Length: 4\r\n\r\nevil";
+    return Own;
+  });
+  BOOST_TEST(ask(request("look")).ends_with("own"));
+  BOOST_TEST(ask(request("look")).ends_with("own"));
+  BOOST_TEST(E.Requests.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(streamArrivesWholeAndInOrder) {
+  addEndpoint("a", "engines", [](const std::string &R) {
+    return RawServer::Answer{streamHead(R) + event(1) + event(2) + "0\r\n\r\n",
+                             false, false};
+  });
+  std::string Answer = ask(request("draft"));
+  BOOST_TEST(says(Answer, "200"));
+  BOOST_TEST(has(Answer, "id: 1"));
+  BOOST_TEST(has(Answer, "id: 2"));
+  BOOST_TEST(Answer.ends_with(LastChunk));
+}
+
+BOOST_AUTO_TEST_CASE(brokenStreamDoesNotLookComplete) {
+  RawServer &A = addEndpoint("a", "engines", [](const std::string &R) {
+    return RawServer::Answer{streamHead(R) + event(1) + "9\r\nid: 2\n", false,
+                             true};
+  });
+  RawServer &B = addEndpoint("b", "engines", [](const std::string &R) {
+    return RawServer::Answer{streamHead(R) + event(1) + "9\r\nid: 2\n", false,
+                             true};
+  });
+  std::string Answer = ask(request("draft"));
+  BOOST_TEST(!Answer.ends_with(LastChunk));
+  BOOST_TEST(A.Requests.size() + B.Requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(resumableStreamGoesOnElsewhere) {
+  unsigned Sent = 0;
+  auto Script = [&](const std::string &R) {
+    if (Sent++ == 0)
+      return RawServer::Answer{
+          streamHead(R) + event(1) + event(2) + "9\r\nid: 3\n", false, true};
+    return RawServer::Answer{streamHead(R) + event(3) + event(4) + "0\r\n\r\n",
+                             false, false};
+  };
+  RawServer &A = addEndpoint("a", "engines", Script);
+  RawServer &B = addEndpoint("b", "engines", Script);
+  std::string Answer = ask(request("ask"));
+  BOOST_TEST(Answer.ends_with(LastChunk));
+  for (const char *Id : {"id: 1", "id: 2", "id: 3", "id: 4"})
+    BOOST_TEST(has(Answer, Id));
+  BOOST_REQUIRE(A.Requests.size() + B.Requests.size() == 2U);
+  const RawServer &Second =
+      field(A.Requests[0], "Last-Event-Id").empty() ? B : A;
+  BOOST_TEST(field(Second.Requests[0], "Last-Event-Id") == "2");
+}
+
+BOOST_AUTO_TEST_CASE(callerThatLeavesEndsItsRun) {
+  RawServer &E = addEndpoint("a", "engines", [](const std::string &R) {
+    return RawServer::Answer{streamHead(R) + event(1), false, false};
+  });
+  testing::RawCaller C(Loop, Front.address().str(), request("draft"));
+  testing::runUntil(Loop, [&] { return has(C.received(), "id: 1"); });
+  C.close();
+  testing::runUntil(Loop, [&] { return E.ClosedByPeer == 1; });
+  BOOST_REQUIRE(Done.size() == 1U);
+  BOOST_TEST(Done[0].Outcome == "caller_left");
+}
+
+BOOST_AUTO_TEST_CASE(missingRouteIsOnlySaidOnCurrentTables) {
+  std::string Unknown = "GET /nowhere/ HTTP/1.1\r\nHost: x.example\r\n"
+                        "Request-Id: q\r\n\r\n";
+  BOOST_TEST(says(ask(Unknown), "404"));
+  TablesCurrent = false;
+  BOOST_TEST(says(ask(Unknown), "503"));
+}
+
+BOOST_AUTO_TEST_CASE(ambiguousFramingIsRefused) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  for (const char *Framing :
+       {"Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n", "Content-Length: 3 3\r\n",
+        "Content-Length : 3\r\n", "Host: y.example\r\nContent-Length: 3\r\n"}) {
+    std::string Answer = ask("POST /book/a HTTP/1.1\r\nHost: x.example\r\n"
+                             "Request-Id: q\r\n" +
+                             std::string(Framing) + "\r\nabc");
+    BOOST_TEST(says(Answer, "400"), Framing << Answer);
+  }
+  BOOST_TEST(E.Requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(tooLongHeadsAndBodiesAreRefused) {
+  HttpServerLimits Limits;
+  Limits.HeaderBytes = 1000;
+  Limits.BodyBytes = 100;
+  Front.setLimits(Limits);
+  BOOST_TEST(says(
+      ask(request("book", "Long: " + std::string(2000, 'x') + "\r\n")), "431"));
+  BOOST_TEST(says(ask(request("book", "", std::string(200, 'x'))), "413"));
+}
+
+BOOST_AUTO_TEST_CASE(smuggledRequestIsNotRun) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  std::string Inner = "POST /book/evil HTTP/1.1\r\nHost: x.example\r\n"
+                      "Request-Id: evil\r\nContent-Length: 0\r\n\r\n";
+  BOOST_TEST(says(ask(request("book", "", Inner)), "200"));
+  BOOST_REQUIRE(E.Requests.size() == 1U);
+  BOOST_TEST(field(E.Requests[0], "Request-Id") != "evil");
+}
+
+BOOST_AUTO_TEST_CASE(leavingHostRefusesTruly) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  Context.Refusing = true;
+  Front.closeAfterAnswers();
+  std::string Answer = ask(request("book"));
+  BOOST_TEST(says(Answer, "503"));
+  BOOST_TEST(field(Answer, "Connection") == "close");
+  BOOST_TEST(E.Requests.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
