--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -97,6 +97,8 @@
 /// Wait at this host: every endpoint that suits has enough to do.
 struct Hold {
   Duration Expected{};
+  /// Sent later than this, its first output misses the latency target.
+  TimePoint BestBefore{};
 };
 
 using DispatchDecision = std::variant<ServeAt, PassOn, Hold, Refusal>;
--- a/src/dispatch/endpointhealth.h
+++ b/src/dispatch/endpointhealth.h
@@ -31,6 +31,8 @@
   explicit EndpointHealth(Runtime R) : Runtime_(std::move(R)) {}
 
   void ended(const EndpointKey &Endpoint, AttemptOutcome Outcome);
+  /// Gives it nothing until a health check has succeeded.
+  void distrust(const EndpointKey &Endpoint);
   /// A health check ended.
   void checked(const EndpointKey &Endpoint, bool Healthy);
 
--- a/src/dispatch/holdqueue.h
+++ b/src/dispatch/holdqueue.h
@@ -23,6 +23,8 @@
   PoolName Pool;
   unsigned Rank = 0;
   TimePoint Arrived{};
+  /// Sent later than this, its first output misses the latency target.
+  TimePoint BestBefore{};
   std::uint32_t Tokens = 1;
   /// Tries to go on. \return whether the request no longer waits.
   std::function<bool()> Offer;
@@ -33,12 +35,13 @@
   std::uint64_t Value = 0;
 };
 
-/// Requests that wait at this host, the most urgent first and, within a rank,
-/// the oldest.
+/// Requests that wait at this host: first those that can still be on time, the
+/// most urgent and then the oldest first; after them the others.
 ///
 /// Answers to "bursts fill the endpoints' own queues": a request that waits
 /// here can still go to whichever endpoint is free first, be passed on, be
-/// refused, and let a more urgent one pass. Not thread-safe.
+/// refused, and let a more urgent one pass. One that is late
+/// already does not make all those behind it late. Not thread-safe.
 class HoldQueue {
 public:
   HoldId add(HeldRequest Request);
@@ -46,7 +49,7 @@
 
   /// Offers to the first requests of each pool, in order. An offer may add
   /// and remove requests.
-  void offer();
+  void offer(TimePoint Now);
 
   /// Whether a request of the pool that is at least as urgent waits.
   bool hasAhead(const PoolName &Pool, unsigned Rank) const;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -122,7 +122,7 @@
       if (C.Cold &&
           !Cold_.wouldTake(E->Key, Pool.ColdRequestsPerSecond, Others))
         continue;
-      C.Expected = Predictor_.predict(*E, Pool, Request, Route.Rank, Source);
+      C.Expected = Predictor_.predict(*E, Pool, Request, Route, Source);
       if (C.Expected.CopiedTokens > 0)
         C.CopyFrom = Source.Endpoint->Where;
       Duration Uncached = Predictor_.ownTime(Pool, C.Expected.UncachedTokens);
@@ -208,13 +208,17 @@
                            Away->Expected + Settings_.AwayGain < HereIn));
     Duration Expected = GoAway ? Away->Expected : HereIn;
     Duration Waited = Runtime_.Now() - Log.Arrived;
-    Duration Limit = admitLimit(Route, Log.Held);
+    // What has begun is finished, if late: giving it up would waste the work.
+    Duration Limit =
+        Log.Runs > 0 ? Route.Timeout : admitLimit(Route, Log.Held);
     if (Expected > Left || Waited + Expected > Limit)
       return refuse("too_late", Waited + Expected - std::min(Left, Limit));
     if (GoAway)
       return PassOn{Away->Host, Away->Expected};
     if (MustWait)
-      return Hold{HereIn};
+      return Hold{HereIn,
+                  Log.Arrived + Route.LatencyTarget -
+                      (Here->Expected.ToFirstOutput - Here->Expected.Wait)};
     if (Here->Cold && !Cold_.take(Here->Endpoint->Key,
                                   Pool->ColdRequestsPerSecond, regionHosts()))
       return refuse("cold", Settings_.DefaultRetryAfter);
@@ -353,7 +357,7 @@
 }
 
 HoldQueue &Dispatcher::held() { return Impl_->Held_; }
-void Dispatcher::offerPlaces() { Impl_->Held_.offer(); }
+void Dispatcher::offerPlaces() { Impl_->Held_.offer(Impl_->Runtime_.Now()); }
 
 void Dispatcher::peerQueued(const HostId &Host,
                             const std::map<std::uint64_t, QueuedWork> &Queued) {
@@ -365,7 +369,9 @@
   const FleetTablesPtr &Tables = Impl_->Fleet_.tables();
   if (!Tables)
     return All;
-  constexpr unsigned AnyRank = 1;
+  // A request of no urgency, whose prompt is not counted.
+  FleetRoute Ordinary;
+  Ordinary.Rank = 1;
   for (const auto &[Name, Pool] : Tables->Pools) {
     PoolOutlook Outlook;
     Outlook.Pool = poolHash(Name);
@@ -376,12 +382,13 @@
                   Pool.ColdRequestsPerSecond > 0;
       if (Cold || !Impl_->Health_.isTrusted(E->Key))
         continue;
-      Prediction P = Impl_->Predictor_.predict(*E, Pool, {}, AnyRank);
+      Prediction P = Impl_->Predictor_.predict(*E, Pool, {}, Ordinary);
       Sum += P.Wait;
       ++Outlook.Endpoints;
     }
     if (Outlook.Endpoints > 0)
-      Outlook.Wait = Sum / Outlook.Endpoints + Impl_->queueWait(Pool, AnyRank);
+      Outlook.Wait =
+          Sum / Outlook.Endpoints + Impl_->queueWait(Pool, Ordinary.Rank);
     All.push_back(Outlook);
   }
   return All;
--- a/src/dispatch/internal/endpointhealth.cpp
+++ b/src/dispatch/internal/endpointhealth.cpp
@@ -11,7 +11,13 @@
     S.BrokenInRow = 0;
     return;
   }
-  if (++S.BrokenInRow < BrokenLimit || S.Suspect)
+  if (++S.BrokenInRow >= BrokenLimit)
+    distrust(Endpoint);
+}
+
+void EndpointHealth::distrust(const EndpointKey &Endpoint) {
+  State &S = States_[Endpoint];
+  if (S.Suspect)
     return;
   S.Suspect = true;
   S.NextCheck = Runtime_.Now();
--- a/src/dispatch/internal/holdqueue.cpp
+++ b/src/dispatch/internal/holdqueue.cpp
@@ -18,13 +18,14 @@
   Positions_.erase(Found);
 }
 
-void HoldQueue::offer() {
+void HoldQueue::offer(TimePoint Now) {
   // Offers change the queue, so the order is taken first.
   std::map<PoolName, std::size_t> Refused;
   std::vector<Position> Order;
-  Order.reserve(Requests_.size());
+  std::vector<Position> Late;
   for (const auto &[At, Request] : Requests_)
-    Order.push_back(At);
+    (Request.BestBefore >= Now ? Order : Late).push_back(At);
+  Order.insert(Order.end(), Late.begin(), Late.end());
   for (const Position &At : Order) {
     auto Found = Requests_.find(At);
     if (Found == Requests_.end() ||
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -83,7 +83,7 @@
 Prediction Predictor::predictEngine(const FleetEndpoint &Endpoint,
                                     const FleetPool &Pool,
                                     const RequestDescriptor &Request,
-                                    unsigned Rank,
+                                    const FleetRoute &Route,
                                     const PrefixSource &Source) const {
   EndpointLoad Load = Loads_.total(Endpoint.Key);
   std::uint64_t Capacity = Pool.Engine->CacheTokens;
@@ -96,14 +96,14 @@
   bool Fits =
       Load.InFlight < Endpoint.Slots &&
       Needed + Load.MemoryTokens <= static_cast<double>(Capacity) * MemoryShare;
-  std::uint32_t Waiting = Rank == 0 ? Load.UrgentPrefill : Load.AllPrefill;
-  bool Paced = (Waiting == 0 && isSpaced(Endpoint.Key)) ||
-               Waiting + P.UncachedTokens <= MostPrefill;
-  P.Ready = Fits && Paced;
+  std::uint32_t Waiting =
+      Route.Rank == 0 ? Load.UrgentPrefill : Load.AllPrefill;
+  P.Ready = Fits && isPaced(Endpoint, Pool, Route, Waiting, P.UncachedTokens);
   std::uint32_t Others =
       Load.AllPrefill - std::min(Load.AllPrefill, Load.UrgentPrefill);
-  double Ahead = Rank == 0 ? Load.UrgentPrefill + std::min(Others, PrefillChunk)
-                           : Load.AllPrefill;
+  double Ahead = Route.Rank == 0
+                     ? Load.UrgentPrefill + std::min(Others, PrefillChunk)
+                     : Load.AllPrefill;
   double PerToken = speedOf(Pool.Name).MsPerToken * slowness(Endpoint.Key);
   double WaitMs = Ahead * PerToken;
   // The oldest prompt in flight has been read in part.
@@ -118,6 +118,18 @@
   return P;
 }
 
+bool Predictor::isPaced(const FleetEndpoint &Endpoint, const FleetPool &Pool,
+                        const FleetRoute &Route, std::uint32_t Waiting,
+                        std::uint32_t Own) const {
+  double PerToken = speedOf(Pool.Name).MsPerToken;
+  double PauseMs = millis(Route.EventGapTarget);
+  if ((Waiting + Own) * PerToken <= PauseMs * PrefillShare)
+    return true;
+  double EventMs = PrefillChunk * PerToken * Pool.Engine->StepsPerEvent;
+  return Waiting == 0 &&
+         (EventMs <= PauseMs * HarmlessShare || isSpaced(Endpoint.Key));
+}
+
 bool Predictor::isSpaced(const EndpointKey &Endpoint) const {
   Duration Idle = Runtime_.Now() - Loads_.lastRead(Endpoint);
   if (Idle < PrefillSpacing)
@@ -140,9 +152,10 @@
 
 Prediction Predictor::predict(const FleetEndpoint &Endpoint,
                               const FleetPool &Pool,
-                              const RequestDescriptor &Request, unsigned Rank,
+                              const RequestDescriptor &Request,
+                              const FleetRoute &Route,
                               const PrefixSource &Source) const {
-  return Pool.Engine ? predictEngine(Endpoint, Pool, Request, Rank, Source)
+  return Pool.Engine ? predictEngine(Endpoint, Pool, Request, Route, Source)
                      : predictPlain(Endpoint, Pool);
 }
 
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -47,7 +47,7 @@
   Predictor(Runtime R, LoadBook &Loads, PrefixBook &Prefixes);
 
   Prediction predict(const FleetEndpoint &Endpoint, const FleetPool &Pool,
-                     const RequestDescriptor &Request, unsigned Rank,
+                     const RequestDescriptor &Request, const FleetRoute &Route,
                      const PrefixSource &Source = {}) const;
   /// Of some endpoints, the one with most of the prompt's beginning.
   PrefixSource sourceAmong(const std::vector<const FleetEndpoint *> &Endpoints,
@@ -74,10 +74,14 @@
   static constexpr double AssumedMsPerToken = 0.016;
   /// Time of a plain request before any was observed.
   static constexpr Duration AssumedService = std::chrono::milliseconds(60);
-  /// Prompt tokens that may wait at an engine together. A step reads one chunk
-  /// and makes one token of each stream, and an event holds several tokens: a
-  /// longer run of full steps makes the streams there pause for too long.
-  static constexpr std::uint32_t MostPrefill = 4096;
+  /// Prompts may be read together for this share of the longest tolerable
+  /// pause. A step reads one chunk and makes one token of each stream, and an
+  /// event holds several tokens: a longer run of full steps makes the streams
+  /// there pause for too long.
+  static constexpr double PrefillShare = 0.15;
+  /// If the steps of one event, all of them full, take less than this share of
+  /// the longest tolerable pause, prompts need no time between them.
+  static constexpr double HarmlessShare = 0.6;
   /// Time between two prompts at an engine, for a few steps of the streams
   /// there alone.
   static constexpr Duration PrefillSpacing = std::chrono::milliseconds(16);
@@ -111,8 +115,14 @@
   /// Whether the streams at an engine had a few steps alone.
   bool isSpaced(const EndpointKey &Endpoint) const;
   Prediction predictEngine(const FleetEndpoint &Endpoint, const FleetPool &Pool,
-                           const RequestDescriptor &Request, unsigned Rank,
+                           const RequestDescriptor &Request,
+                           const FleetRoute &Route,
                            const PrefixSource &Source) const;
+  /// Whether a prompt may join what an engine reads already without making
+  /// its streams pause for too long.
+  bool isPaced(const FleetEndpoint &Endpoint, const FleetPool &Pool,
+               const FleetRoute &Route, std::uint32_t Waiting,
+               std::uint32_t Own) const;
   std::uint32_t cachedTokens(const FleetEndpoint &Endpoint,
                              const FleetPool &Pool,
                              const RequestDescriptor &Request) const;
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -68,6 +68,16 @@
   BOOST_TEST((std::get<Refusal>(D).RetryAfter > 100ms));
 }
 
+BOOST_AUTO_TEST_CASE(streamThatHasBegunIsNotGivenUpForBeingLate) {
+  addEndpoint("a");
+  send(request(50000), Quotes);
+  AttemptLog Log;
+  Log.Pool = PoolName("engines");
+  Log.Arrived = Time.now() - 3s;
+  Log.Runs = 1;
+  BOOST_TEST(is<Hold>(Decisions.choose(request(9000), Questions, Log)));
+}
+
 BOOST_AUTO_TEST_CASE(nothingToServeItIsRefusedAtOnce) {
   auto D = send(request(1000), Quotes);
   BOOST_REQUIRE(is<Refusal>(D));
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -63,6 +63,8 @@
   /// Time to copy one cached token from another engine; zero when engines
   /// cannot copy from each other.
   double CopyMsPerToken = 0;
+  /// Decoding steps, and so tokens, in one event of a stream.
+  std::uint32_t StepsPerEvent = 1;
 };
 
 /// One row of the operator's pools.
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -22,7 +22,7 @@
 ///
 /// Answers to the load pattern "the store goes away and comes back": tables
 /// never go back, endpoints whose entries lapsed during an outage get a grace,
-/// and a zone that was evacuated comes back cold. Not thread-safe: one event
+/// and a zone that was evacuated may come back cold. Not thread-safe: one event
 /// loop drives it.
 class FleetView {
 public:
@@ -31,6 +31,9 @@
     std::function<void(const BeliefChange &)> Changed;
     /// An endpoint's start is over: it is gone or has started anew.
     std::function<void(const EndpointKey &)> Ended;
+    /// An endpoint may have become cold; it must be asked before it gets
+    /// requests.
+    std::function<void(const EndpointKey &)> MayBeCold;
   };
 
   FleetView(Runtime R, Hooks H);
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -29,15 +29,12 @@
       Hooks_.Ended(Key);
   }
 
-  /// Endpoints of a zone come back cold when its evacuation ends, until their
-  /// entries say otherwise.
-  void coolDown(const ZoneId &Zone) {
-    for (auto &[Id, Entry] : Endpoints_) {
-      FleetEndpoint &E = Entry.Endpoint;
-      const FleetPool *Pool = Tables_ ? Tables_->pool(E.Pool) : nullptr;
-      if (E.Zone == Zone && Pool != nullptr)
-        E.ColdUntil = std::max(E.ColdUntil, Runtime_.Now() + Pool->ColdSpan);
-    }
+  /// Endpoints of a zone may come back cold from its evacuation, before their
+  /// entries say so.
+  void doubtZone(const ZoneId &Zone) {
+    for (const auto &[Id, Entry] : Endpoints_)
+      if (Entry.Endpoint.Zone == Zone && Hooks_.MayBeCold)
+        Hooks_.MayBeCold(Entry.Endpoint.Key);
   }
 
   Runtime Runtime_;
@@ -72,7 +69,7 @@
     return;
   }
   Impl_->Evacuated_.erase(Zone);
-  Impl_->coolDown(Zone);
+  Impl_->doubtZone(Zone);
 }
 
 bool FleetView::isEvacuated(const ZoneId &Zone) const {
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -163,12 +163,14 @@
 
 private:
   FleetView::Hooks viewHooks() {
-    return {[this](const BeliefChange &Change) {
-              Log_.info("Belief changed.", {{"what", Change.What},
-                                            {"subject", Change.Subject},
-                                            {"detail", Change.Detail}});
-            },
-            [this](const EndpointKey &Key) { Decisions_.forget(Key); }};
+    return {
+        [this](const BeliefChange &Change) {
+          Log_.info("Belief changed.", {{"what", Change.What},
+                                        {"subject", Change.Subject},
+                                        {"detail", Change.Detail}});
+        },
+        [this](const EndpointKey &Key) { Decisions_.forget(Key); },
+        [this](const EndpointKey &Key) { Decisions_.health().distrust(Key); }};
   }
 
   detail::NewsExchange::Hooks newsHooks() {
@@ -324,8 +326,9 @@
     Hooks.Head = [this, Healthy, Id = E->Id](const HttpResponseHead &Head) {
       auto Said = findField(Head.Fields, Hooks_.Names.EndpointId);
       *Healthy = Head.Status == Ok && Said && *Said == Id.str();
-      if (auto Cold = findField(Head.Fields, Hooks_.Names.ColdFor))
-        noteCold(Id, std::string(*Cold));
+      auto Cold = findField(Head.Fields, Hooks_.Names.ColdFor);
+      if (*Healthy)
+        noteCold(Id, std::string(Cold.value_or("0")));
       return HeadVerdict::Take;
     };
     Hooks.End = [this, Key, Healthy, Id = E->Id](HttpCallEnd End) {
@@ -341,8 +344,7 @@
   void noteCold(const EndpointId &Id, const std::string &Millis) {
     constexpr int Decimal = 10;
     long Remaining = std::strtol(Millis.c_str(), nullptr, Decimal);
-    if (Remaining > 0)
-      Fleet_.noteCold(Id, std::chrono::milliseconds(Remaining));
+    Fleet_.noteCold(Id, std::chrono::milliseconds(Remaining));
   }
 
   void record(const RequestRecord &R) {
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -173,6 +173,7 @@
     Held.Pool = Log_.Pool;
     Held.Rank = Route_->Rank;
     Held.Arrived = Request_.Arrived;
+    Held.BestBefore = Wait.BestBefore;
     Held.Tokens = std::max(1U, Descriptor_.PromptTokens);
     Held.Offer = [Self = shared_from_this()] {
       Self->attempt();
