Lead callers to homes only; stay for a shorter time after the request to stop

Ruled out: a stale directory answer (the hosts named were ready). Change: the fallback keeps to the homes of the name asked for; a host stays 1.5 s instead of 3 s after the request to stop; what waits hopelessly is refused wherever it stands; engines read prompts for at most 0.8 of their time while they have streams; a request that meets a host just started waits up to 0.5 s for the tables.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -99,6 +99,8 @@
   Duration Expected{};
   /// Sent later than this, its first output misses the latency target.
   TimePoint BestBefore{};
+  /// Sent later than this, it would be refused.
+  TimePoint GiveUpAt{};
 };
 
 using DispatchDecision = std::variant<ServeAt, PassOn, Hold, Refusal>;
--- a/src/dispatch/holdqueue.h
+++ b/src/dispatch/holdqueue.h
@@ -25,6 +25,8 @@
   TimePoint Arrived{};
   /// Sent later than this, its first output misses the latency target.
   TimePoint BestBefore{};
+  /// Sent later than this, it is not worth sending; it is then refused.
+  TimePoint GiveUpAt{};
   std::uint32_t Tokens = 1;
   /// Tries to go on. \return whether the request no longer waits.
   std::function<bool()> Offer;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -209,22 +209,28 @@
     Duration Expected = GoAway ? Away->Expected : HereIn;
     Duration Waited = Runtime_.Now() - Log.Arrived;
     // What has begun is finished, if late: giving it up would waste the work.
-    Duration Limit =
-        Log.Runs > 0 ? Route.Timeout : admitLimit(Route, Log.Held);
+    Duration Limit = Log.Runs > 0 ? Route.Timeout : admitLimit(Route, Log.Held);
     if (Expected > Left || Waited + Expected > Limit)
       return refuse("too_late", Waited + Expected - std::min(Left, Limit));
     if (GoAway)
       return PassOn{Away->Host, Away->Expected};
     if (MustWait)
-      return Hold{HereIn,
-                  Log.Arrived + Route.LatencyTarget -
-                      (Here->Expected.ToFirstOutput - Here->Expected.Wait)};
+      return holdFor(Request, Route, Log, *Here, HereIn);
     if (Here->Cold && !Cold_.take(Here->Endpoint->Key,
                                   Pool->ColdRequestsPerSecond, regionHosts()))
       return refuse("cold", Settings_.DefaultRetryAfter);
     return ServeAt{*Here->Endpoint, Here->Expected, Here->Cold, Here->CopyFrom};
   }
 
+  Hold holdFor(const RequestDescriptor &Request, const FleetRoute &Route,
+               const AttemptLog &Log, const Candidate &Here,
+               Duration Expected) const {
+    Duration Own = Here.Expected.ToFirstOutput - Here.Expected.Wait;
+    Duration Most = Log.Runs > 0 ? Route.Timeout : admitLimit(Route, true);
+    return {Expected, Log.Arrived + Route.LatencyTarget - Own,
+            std::min(Log.Arrived + Most, Request.Deadline) - Own};
+  }
+
   /// Plain services wait as long as they may: an answer soon after the target
   /// is still of use there and costs the endpoint no more.
   Duration admitLimit(const FleetRoute &Route, bool Waits) const {
--- a/src/dispatch/internal/holdqueue.cpp
+++ b/src/dispatch/internal/holdqueue.cpp
@@ -28,8 +28,10 @@
   Order.insert(Order.end(), Late.begin(), Late.end());
   for (const Position &At : Order) {
     auto Found = Requests_.find(At);
-    if (Found == Requests_.end() ||
-        Refused[Found->second.Pool] >= OffersPerPool)
+    if (Found == Requests_.end())
+      continue;
+    bool Hopeless = Found->second.GiveUpAt < Now;
+    if (!Hopeless && Refused[Found->second.Pool] >= OffersPerPool)
       continue;
     PoolName Pool = Found->second.Pool;
     auto Offer = Found->second.Offer;
--- a/src/dispatch/internal/loadbook.cpp
+++ b/src/dispatch/internal/loadbook.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/loadbook.h"
 
+#include "dispatch/readingduty.h"
+
 #include <optional>
 #include <unordered_map>
 
@@ -37,6 +39,29 @@
       Load.UrgentPrefill -= D.Asked.UncachedTokens;
   }
 
+  EndpointLoad total(const EndpointKey &Endpoint) const {
+    EndpointLoad Sum;
+    auto Mine = Own_.find(Endpoint);
+    if (Mine != Own_.end())
+      Sum = Mine->second;
+    Sum.Endpoint = Endpoint;
+    TimePoint Now = Runtime_.Now();
+    for (const auto &[Host, Peer] : Peers_) {
+      auto Found = Peer.Loads.find(Endpoint);
+      if (Found == Peer.Loads.end() || Now - Peer.Heard > PeerAge_)
+        continue;
+      Sum.InFlight += Found->second.InFlight;
+      Sum.UrgentPrefill += Found->second.UrgentPrefill;
+      Sum.AllPrefill += Found->second.AllPrefill;
+      Sum.MemoryTokens += Found->second.MemoryTokens;
+    }
+    return Sum;
+  }
+
+  void noteReading(const EndpointKey &Endpoint) {
+    Duties_[Endpoint].set(total(Endpoint).AllPrefill > 0, Runtime_.Now());
+  }
+
   Runtime Runtime_;
   Duration PeerAge_;
   std::uint64_t LastId_ = 0;
@@ -44,6 +69,7 @@
   std::unordered_map<EndpointKey, EndpointLoad> Own_;
   std::map<HostId, PeerLoads> Peers_;
   std::unordered_map<EndpointKey, TimePoint> LastRead_;
+  std::unordered_map<EndpointKey, ReadingDuty> Duties_;
 };
 
 LoadBook::LoadBook(Runtime R, Duration PeerAge)
@@ -60,13 +86,16 @@
   if (W.Rank == 0)
     Load.UrgentPrefill += W.UncachedTokens;
   Load.MemoryTokens += W.MemoryTokens;
+  Impl_->noteReading(Endpoint);
   return Id;
 }
 
 void LoadBook::firstOutput(WorkId Id) {
   auto Found = Impl_->Dispatches_.find(Id.Value);
-  if (Found != Impl_->Dispatches_.end())
-    Impl_->endWait(Found->second);
+  if (Found == Impl_->Dispatches_.end())
+    return;
+  Impl_->endWait(Found->second);
+  Impl_->noteReading(Found->second.Endpoint);
 }
 
 void LoadBook::ended(WorkId Id) {
@@ -78,9 +107,11 @@
   EndpointLoad &Load = Impl_->Own_[D.Endpoint];
   Load.InFlight -= 1;
   Load.MemoryTokens -= D.Asked.MemoryTokens;
+  EndpointKey Key = D.Endpoint;
   if (Load.InFlight == 0)
-    Impl_->Own_.erase(D.Endpoint);
+    Impl_->Own_.erase(Key);
   Impl_->Dispatches_.erase(Found);
+  Impl_->noteReading(Key);
 }
 
 void LoadBook::peerSaid(const HostId &Host,
@@ -97,26 +128,21 @@
         Still == Peer.Loads.end() ? 0 : Still->second.AllPrefill;
     if (Left < Load.AllPrefill)
       Impl_->LastRead_[Key] = Peer.Heard;
+    Impl_->noteReading(Key);
   }
+  for (const EndpointLoad &Load : Loads)
+    Impl_->noteReading(Load.Endpoint);
 }
 
 EndpointLoad LoadBook::total(const EndpointKey &Endpoint) const {
-  EndpointLoad Sum;
-  auto Mine = Impl_->Own_.find(Endpoint);
-  if (Mine != Impl_->Own_.end())
-    Sum = Mine->second;
-  Sum.Endpoint = Endpoint;
-  TimePoint Now = Impl_->Runtime_.Now();
-  for (const auto &[Host, Peer] : Impl_->Peers_) {
-    auto Found = Peer.Loads.find(Endpoint);
-    if (Found == Peer.Loads.end() || Now - Peer.Heard > Impl_->PeerAge_)
-      continue;
-    Sum.InFlight += Found->second.InFlight;
-    Sum.UrgentPrefill += Found->second.UrgentPrefill;
-    Sum.AllPrefill += Found->second.AllPrefill;
-    Sum.MemoryTokens += Found->second.MemoryTokens;
-  }
-  return Sum;
+  return Impl_->total(Endpoint);
+}
+
+double LoadBook::readingShare(const EndpointKey &Endpoint) const {
+  auto Found = Impl_->Duties_.find(Endpoint);
+  return Found == Impl_->Duties_.end()
+             ? 0
+             : Found->second.share(Impl_->Runtime_.Now());
 }
 
 std::vector<EndpointLoad> LoadBook::own() const {
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -121,6 +121,9 @@
 bool Predictor::isPaced(const FleetEndpoint &Endpoint, const FleetPool &Pool,
                         const FleetRoute &Route, std::uint32_t Waiting,
                         std::uint32_t Own) const {
+  if (Loads_.total(Endpoint.Key).InFlight > 0 &&
+      Loads_.readingShare(Endpoint.Key) > MostReading)
+    return false;
   double PerToken = speedOf(Pool.Name).MsPerToken;
   double PauseMs = millis(Route.EventGapTarget);
   if ((Waiting + Own) * PerToken <= PauseMs * PrefillShare)
--- a/src/dispatch/loadbook.h
+++ b/src/dispatch/loadbook.h
@@ -63,6 +63,9 @@
   EndpointLoad total(const EndpointKey &Endpoint) const;
   /// Own share at each endpoint with work, for the other hosts.
   std::vector<EndpointLoad> own() const;
+  /// Share of the last seconds in which some host had a prompt there that
+  /// waited for its first output.
+  double readingShare(const EndpointKey &Endpoint) const;
   /// When an endpoint was last heard to have finished reading a prompt; long
   /// ago when never.
   TimePoint lastRead(const EndpointKey &Endpoint) const;
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -82,6 +82,8 @@
   /// If the steps of one event, all of them full, take less than this share of
   /// the longest tolerable pause, prompts need no time between them.
   static constexpr double HarmlessShare = 0.6;
+  /// Share of its time that an engine with streams may read prompts.
+  static constexpr double MostReading = 0.8;
   /// Time between two prompts at an engine, for a few steps of the streams
   /// there alone.
   static constexpr Duration PrefillSpacing = std::chrono::milliseconds(16);
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -8,6 +8,7 @@
 #include "dispatch/hostturn.h"
 #include "dispatch/longlane.h"
 #include "dispatch/prefixbook.h"
+#include "dispatch/readingduty.h"
 #include "dispatch/sharedretrybudget.h"
 #include "support/virtualtime.h"
 
@@ -113,6 +114,22 @@
   BOOST_TEST(Lane.disturbance(900ms, 0ms) == 0);
 }
 
+// Sustained overload: an engine that always reads starves its streams.
+BOOST_AUTO_TEST_CASE(readingDutyFollowsTheLastSeconds) {
+  ReadingDuty Duty;
+  TimePoint Now(100s);
+  Duty.set(false, Now);
+  for (int I = 0; I < 100; ++I) {
+    Duty.set(true, Now);
+    Now += 75ms;
+    Duty.set(false, Now);
+    Now += 25ms;
+  }
+  BOOST_TEST(Duty.share(Now) > 0.65);
+  BOOST_TEST(Duty.share(Now) < 0.85);
+  BOOST_TEST(Duty.share(Now + 10s) < 0.01);
+}
+
 BOOST_AUTO_TEST_CASE(readTokensEvictOldBeginnings) {
   PrefixBook Book;
   const EndpointKey E{1};
@@ -132,12 +149,12 @@
   std::vector<int> Order;
   auto Add = [&](int Name, unsigned Rank, TimePoint Arrived) {
     auto Id = std::make_shared<HoldId>();
-    *Id = Queue.add(
-        {Pool, Rank, Arrived, Arrived + 5s, 10, [&Queue, &Order, Name, Id] {
-           Order.push_back(Name);
-           Queue.remove(*Id);
-           return true;
-         }});
+    *Id = Queue.add({Pool, Rank, Arrived, Arrived + 5s, Arrived + 9s, 10,
+                     [&Queue, &Order, Name, Id] {
+                       Order.push_back(Name);
+                       Queue.remove(*Id);
+                       return true;
+                     }});
   };
   Add(1, 1, TimePoint(2s));
   Add(2, 1, TimePoint(1s));
@@ -156,10 +173,11 @@
   HoldQueue Queue;
   std::vector<int> Order;
   auto Add = [&](int Name, TimePoint Arrived) {
-    Queue.add({Pool, 1, Arrived, Arrived + 1s, 10, [&Order, Name] {
-                 Order.push_back(Name);
-                 return false;
-               }});
+    Queue.add(
+        {Pool, 1, Arrived, Arrived + 1s, Arrived + 9s, 10, [&Order, Name] {
+           Order.push_back(Name);
+           return false;
+         }});
   };
   Add(1, TimePoint(1s));
   Add(2, TimePoint(2s));
@@ -168,4 +186,20 @@
   BOOST_TEST((Order == std::vector<int>{2, 3, 1}));
 }
 
+// A long queue: those far behind are refused on time, too.
+BOOST_AUTO_TEST_CASE(hopelessRequestsAreOfferedWhereverTheyStand) {
+  HoldQueue Queue;
+  unsigned Offers = 0;
+  for (int I = 0; I < 50; ++I)
+    Queue.add({Pool, 1, TimePoint(1s), TimePoint(2s), TimePoint(3s), 10, [&] {
+                 ++Offers;
+                 return false;
+               }});
+  Queue.offer(TimePoint(2500ms));
+  BOOST_TEST(Offers == HoldQueue::OffersPerPool);
+  Offers = 0;
+  Queue.offer(TimePoint(3500ms));
+  BOOST_TEST(Offers == 50U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -100,6 +100,9 @@
   /// \param Path  as the caller wrote it, with or without a query.
   const FleetRoute *find(std::string_view Host, std::string_view Path) const;
   const FleetPool *pool(const PoolName &Name) const;
+  /// Regions that every route of a host allows; empty: all, also when no
+  /// region suits them all.
+  std::set<RegionId> homesOf(std::string_view Host) const;
 };
 
 using FleetTablesPtr = std::shared_ptr<const FleetTables>;
--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,8 +64,10 @@
   std::vector<std::string> contacts(bool Silent) const;
 
   /// Addresses for a caller in a region: the ready hosts of the caller's
-  /// region, or of the nearest other region when there are none.
-  std::vector<std::string> entriesFor(const RegionId &Region) const;
+  /// region or, when there are none, of another one: of own region first.
+  /// \param Homes  regions to which a caller elsewhere may be led; empty: all.
+  std::vector<std::string> entriesFor(const RegionId &Region,
+                                      const std::set<RegionId> &Homes) const;
 
   /// Silence after which a host of own region is not named to callers.
   static constexpr Duration RegionSilence = std::chrono::milliseconds(1300);
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -1,7 +1,6 @@
 #include "fleet/hostregistry.h"
 
 #include <algorithm>
-#include <set>
 
 namespace celerybeam {
 
@@ -110,31 +109,24 @@
 }
 
 std::vector<std::string>
-HostRegistry::entriesFor(const RegionId &Region) const {
+HostRegistry::entriesFor(const RegionId &Region,
+                         const std::set<RegionId> &Homes) const {
   const HostState &Self = Impl_->Self_;
-  auto NamedIn = [&](const RegionId &Where) {
+  std::vector<RegionId> Order = {Region, Self.Region};
+  for (const HostState &Host : alive())
+    Order.push_back(Host.Region);
+  for (const RegionId &Where : Order) {
+    if (Where != Region && !Homes.empty() && !Homes.contains(Where))
+      continue;
     std::vector<std::string> Ips;
     if (Self.Region == Where && Self.Ready && !Self.Leaving)
       Ips.push_back(Self.Ip);
     for (const HostState &Host : serving(Where))
       Ips.push_back(Host.Ip);
-    return Ips;
-  };
-  std::vector<std::string> Ips = NamedIn(Region);
-  if (!Ips.empty())
-    return Ips;
-  Ips = NamedIn(Self.Region);
-  if (!Ips.empty())
-    return Ips;
-  std::set<RegionId> Others;
-  for (const HostState &Host : alive())
-    Others.insert(Host.Region);
-  for (const RegionId &Other : Others) {
-    Ips = NamedIn(Other);
     if (!Ips.empty())
       return Ips;
   }
-  return Ips;
+  return {};
 }
 
 } // namespace celerybeam
--- a/src/fleet/tests/hostregistrytest.cpp
+++ b/src/fleet/tests/hostregistrytest.cpp
@@ -31,10 +31,10 @@
 
 BOOST_AUTO_TEST_CASE(silentHostIsNotNamedButWrittenTo) {
   Hosts.heard(host("10.0.0.2", "kigali"));
-  BOOST_TEST(
-      (Hosts.entriesFor(RegionId("kigali")) == Ips{"10.0.0.1", "10.0.0.2"}));
+  BOOST_TEST((Hosts.entriesFor(RegionId("kigali"), {}) ==
+              Ips{"10.0.0.1", "10.0.0.2"}));
   Time.runFor(HostRegistry::RegionSilence + 1ms);
-  BOOST_TEST((Hosts.entriesFor(RegionId("kigali")) == Ips{"10.0.0.1"}));
+  BOOST_TEST((Hosts.entriesFor(RegionId("kigali"), {}) == Ips{"10.0.0.1"}));
   BOOST_TEST((Hosts.contacts(true) == Ips{"10.0.0.2"}));
 }
 
@@ -42,7 +42,7 @@
   HostState Other = host("10.0.0.2", "kigali");
   Other.Leaving = true;
   Hosts.heard(Other);
-  BOOST_TEST((Hosts.entriesFor(RegionId("kigali")) == Ips{"10.0.0.1"}));
+  BOOST_TEST((Hosts.entriesFor(RegionId("kigali"), {}) == Ips{"10.0.0.1"}));
 }
 
 BOOST_AUTO_TEST_CASE(messageOfAnEarlierStartIsIgnored) {
@@ -52,9 +52,18 @@
 
 BOOST_AUTO_TEST_CASE(callersOfALostRegionAreSentElsewhere) {
   Hosts.heard(host("10.1.0.1", "huye"));
-  BOOST_TEST((Hosts.entriesFor(RegionId("huye")) == Ips{"10.1.0.1"}));
+  BOOST_TEST((Hosts.entriesFor(RegionId("huye"), {}) == Ips{"10.1.0.1"}));
   Time.runFor(HostRegistry::FarSilence + 1ms);
-  BOOST_TEST((Hosts.entriesFor(RegionId("huye")) == Ips{"10.0.0.1"}));
+  BOOST_TEST((Hosts.entriesFor(RegionId("huye"), {}) == Ips{"10.0.0.1"}));
+}
+
+// All hosts of a region are restarted at once: callers whose requests have
+// homes are led to one of these only.
+BOOST_AUTO_TEST_CASE(callersAreLedToHomesOnly) {
+  Hosts.heard(host("10.1.0.1", "musanze"));
+  const std::set<RegionId> Homes = {RegionId("musanze"), RegionId("huye")};
+  BOOST_TEST((Hosts.entriesFor(RegionId("huye"), Homes) == Ips{"10.1.0.1"}));
+  BOOST_TEST((Hosts.entriesFor(RegionId("huye"), {RegionId("huye")}).empty()));
 }
 
 BOOST_AUTO_TEST_CASE(unreachableHostGetsNoRequestsForAWhile) {
--- a/src/fleethost/fleethost.h
+++ b/src/fleethost/fleethost.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dispatch/dispatcher.h"
@@ -68,8 +69,9 @@
 
   /// Whether callers may be sent here.
   bool isReady() const;
-  /// Addresses of callers' listeners for a caller in a region.
-  std::vector<std::string> entriesFor(const RegionId &Region) const;
+  /// IP numbers of the hosts that a caller in a region should use for a name.
+  std::vector<std::string> entriesFor(const RegionId &Region,
+                                      std::string_view Name) const;
   /// All metrics as text.
   std::string metricsText() const;
 
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -22,8 +22,10 @@
 constexpr unsigned NotFound = 404;
 
 /// After the request to stop, callers may still come for this long, since they
-/// hold earlier answers of the directory.
-constexpr Duration LateCallers = std::chrono::seconds(3);
+/// hold earlier answers of the directory. Later ones find the port closed and
+/// go to another host at once; a longer stay would leave a region without hosts
+/// when they are restarted one after the other.
+constexpr Duration LateCallers = std::chrono::milliseconds(1500);
 /// What is in flight is cut this long before the process would be killed.
 constexpr Duration KillMargin = std::chrono::milliseconds(400);
 constexpr Duration DrainPoll = std::chrono::milliseconds(50);
@@ -84,6 +86,7 @@
         Operator_(Time_, mirrorHooks(MirrorPart::OperatorTables)),
         Endpoints_(Time_, mirrorHooks(MirrorPart::Endpoints)) {
     Context_.Hooks.TablesCurrent = [this] { return Operator_.isCurrent(); };
+    Context_.Hooks.IsInformed = [this] { return isInformed(); };
     Context_.Hooks.LoadChanged = [this] { loadChanged(); };
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
     Announcer_ = std::make_shared<detail::HostAnnouncer>(
@@ -126,8 +129,10 @@
     return {};
   }
 
-  bool isReady() const {
-    return !Draining_ && Fleet_.tables() != nullptr && Endpoints_.isFilled();
+  bool isReady() const { return !Draining_ && isInformed(); }
+
+  bool isInformed() const {
+    return Fleet_.tables() != nullptr && Endpoints_.isFilled();
   }
 
   void drain(std::function<void()> Done) {
@@ -151,7 +156,12 @@
 
   std::string metricsText() const { return Metrics_.text(); }
 
-  HostRegistry &hosts() { return Hosts_; }
+  std::vector<std::string> entriesFor(const RegionId &Region,
+                                      std::string_view Name) const {
+    const FleetTablesPtr &Tables = Fleet_.tables();
+    return Hosts_.entriesFor(Region, Tables ? Tables->homesOf(Name)
+                                            : std::set<RegionId>());
+  }
 
   void reload(const FleetHostSettings &Settings) {
     for (const std::string &Contact : Settings.Contacts)
@@ -432,8 +442,9 @@
   Impl_->drain(std::move(Done));
 }
 bool FleetHost::isReady() const { return Impl_->isReady(); }
-std::vector<std::string> FleetHost::entriesFor(const RegionId &Region) const {
-  return Impl_->hosts().entriesFor(Region);
+std::vector<std::string> FleetHost::entriesFor(const RegionId &Region,
+                                               std::string_view Name) const {
+  return Impl_->entriesFor(Region, Name);
 }
 std::string FleetHost::metricsText() const { return Impl_->metricsText(); }
 void FleetHost::reload(const FleetHostSettings &Settings) {
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -23,6 +23,10 @@
 /// When to come back while no tables are known: a host that has just started
 /// has them within this time.
 constexpr Duration TablesWait = std::chrono::milliseconds(300);
+/// A request waits for the tables of a host that has just started for this
+/// long: two round trips to a store in another region, and some.
+constexpr Duration MostTablesWait = std::chrono::milliseconds(500);
+constexpr Duration TablesPoll = std::chrono::milliseconds(20);
 /// A route that is missing may only be new, and the tables here old.
 constexpr Duration NewTablesWait = std::chrono::milliseconds(500);
 /// A repeatable request is tried elsewhere when its first output is later than
@@ -75,9 +79,10 @@
       takeHostFields();
     Record_.Id = Descriptor_.Id;
     Record_.Forwarded = FromHost_;
+    // A host that has just started learns within moments.
+    if (!Context_.Hooks.IsInformed())
+      return waitForTables();
     Tables_ = Context_.Fleet.tables();
-    if (!Tables_)
-      return refuse({TablesWait, "no_tables"});
     Record_.TablesVersion = Tables_->Version;
     Route_ = Tables_->find(Descriptor_.Host, Descriptor_.Target);
     if (Route_ == nullptr)
@@ -94,6 +99,13 @@
   }
 
 private:
+  void waitForTables() {
+    if (Context_.Time.Now() - Request_.Arrived >= MostTablesWait)
+      return refuse({TablesWait, "no_tables"});
+    Context_.Time.After(TablesPoll,
+                        [Self = shared_from_this()] { Self->start(); });
+  }
+
   void startTimer() {
     Context_.Time.After(
         std::max(Duration::zero(), TimeoutAt_ - Context_.Time.Now()),
@@ -174,6 +186,7 @@
     Held.Rank = Route_->Rank;
     Held.Arrived = Request_.Arrived;
     Held.BestBefore = Wait.BestBefore;
+    Held.GiveUpAt = Wait.GiveUpAt;
     Held.Tokens = std::max(1U, Descriptor_.PromptTokens);
     Held.Offer = [Self = shared_from_this()] {
       Self->attempt();
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -75,6 +75,8 @@
   /// Reads a caller's request. Errors: BadRequest.
   std::function<Result<RequestDescriptor>(const HttpServerRequest &)> Decode;
   std::function<std::optional<SaidLoad>(std::string_view)> DecodeLoad;
+  /// Whether tables and endpoints are known at all.
+  std::function<bool()> IsInformed;
   /// Whether the tables held are known to be the newest, so that a missing
   /// route is truly missing.
   std::function<bool()> TablesCurrent;
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -83,6 +83,7 @@
     return Result<RequestDescriptor>(D);
   };
   Hooks.DecodeLoad = [](std::string_view) { return std::optional<SaidLoad>(); };
+  Hooks.IsInformed = [this] { return Fleet.tables() != nullptr; };
   Hooks.TablesCurrent = [this] { return TablesCurrent; };
   Hooks.Done = [this](const RequestRecord &R) { Done.push_back(R); };
   Hooks.LoadChanged = [this] { Decisions.offerPlaces(); };
