--- a/bench/decisions/fleet.cpp
+++ b/bench/decisions/fleet.cpp
@@ -143,7 +143,7 @@
       return;
     }
     Duration Wait = Host.Admission.predictedWait(
-        PoolName("cedar"), F->Request->Class, TenantId(F->Request->Tenant));
+        PoolName("cedar"), F->Request->Class, CustomerId(F->Request->Customer));
     RouteQuery Query = queryOf(*F);
     Query.QueueWait = Wait;
     std::optional<SendAway> Away = Host.Routes.chooseAway(Query);
@@ -166,7 +166,7 @@
     AdmissionRequest Ask{F->Id,
                          benchRoute(*Host.Board.tables()).Name,
                          benchPool(*Host.Board.tables()).Name,
-                         TenantId(F->Request->Tenant),
+                         CustomerId(F->Request->Customer),
                          F->Request->Class,
                          F->Request->promptTokens() + F->Request->AnswerTokens,
                          F->Deadline};
@@ -199,7 +199,7 @@
     RouteQuery Query;
     Query.Route = benchRoute(*T).Name;
     Query.Pool = benchPool(*T).Name;
-    Query.Tenant = TenantId(F.Request->Tenant);
+    Query.Customer = CustomerId(F.Request->Customer);
     Query.Model = benchPool(*T).Model;
     Query.Class = F.Request->Class;
     Query.Prefix = F.Request->Blocks;
--- a/bench/decisions/workload.cpp
+++ b/bench/decisions/workload.cpp
@@ -6,15 +6,15 @@
 #include <map>
 #include <random>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam::bench {
 
 namespace {
 
-constexpr std::size_t TenantCount = 300;
+constexpr std::size_t CustomerCount = 300;
 constexpr std::uint32_t RouteBlocks = 3;
-constexpr std::uint32_t TenantBlocks = 2;
+constexpr std::uint32_t CustomerBlocks = 2;
 constexpr double ContinueChance = 0.6;
 constexpr std::size_t OpenConversations = 3;
 constexpr Duration ShortDeadline = std::chrono::seconds(10);
@@ -67,10 +67,10 @@
   Arrival next(Duration At) {
     Arrival A;
     A.At = At;
-    // Squared, so that few tenants send much of the traffic.
+    // Squared, so that few customers send much of the traffic.
     double Draw = uniform();
-    auto Tenant = static_cast<std::size_t>(Draw * Draw * TenantCount);
-    A.Tenant = "t" + std::to_string(Tenant);
+    auto Customer = static_cast<std::size_t>(Draw * Draw * CustomerCount);
+    A.Customer = "t" + std::to_string(Customer);
     std::discrete_distribution<std::size_t> Regions(Plan_.RegionWeights.begin(),
                                                     Plan_.RegionWeights.end());
     A.Region = Regions(Random_);
@@ -84,7 +84,8 @@
   }
 
   PrefixBlocks nextTurn(const Arrival &A, const ClassShape &Shape) {
-    std::string Key = A.Tenant + (A.Class == RequestClass::Long ? "/l" : "/s") +
+    std::string Key = A.Customer +
+                      (A.Class == RequestClass::Long ? "/l" : "/s") +
                       std::to_string(A.Region);
     std::deque<Conversation> &Open = Open_[Key];
     bool Continues = !Open.empty() && uniform() < ContinueChance;
@@ -106,8 +107,9 @@
     std::string Route = A.Class == RequestClass::Long ? "plans" : "questions";
     for (std::uint32_t I = 0; I < RouteBlocks; ++I)
       Blocks.push_back(stableHash(Route + std::to_string(I)));
-    for (std::uint32_t I = 0; I < TenantBlocks; ++I)
-      Blocks.push_back(stableHash(A.Tenant + std::to_string(I), Blocks.back()));
+    for (std::uint32_t I = 0; I < CustomerBlocks; ++I)
+      Blocks.push_back(
+          stableHash(A.Customer + std::to_string(I), Blocks.back()));
     return Blocks;
   }
 
--- a/bench/decisions/workload.h
+++ b/bench/decisions/workload.h
@@ -19,7 +19,7 @@
   Duration At{};
   /// Index of the caller's region.
   std::size_t Region = 0;
-  std::string Tenant;
+  std::string Customer;
   RequestClass Class = RequestClass::Short;
   PrefixBlocks Blocks;
   std::uint32_t AnswerTokens = 0;
@@ -44,8 +44,8 @@
   bool ShortOnly = false;
 };
 
-/// Poisson arrivals of conversations: tenants of unequal activity, prompts
-/// that start with the route's and the tenant's blocks and grow with each
+/// Poisson arrivals of conversations: customers of unequal activity, prompts
+/// that start with the route's and the customer's blocks and grow with each
 /// turn.
 std::vector<Arrival> makeArrivals(const WorkloadPlan &Plan);
 
--- a/bench/micro/decisioncost.cpp
+++ b/bench/micro/decisioncost.cpp
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "admission/admissioncontroller.h"
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 #include "routing/router.h"
 
 using namespace celerybeam;
@@ -121,7 +121,7 @@
     Ask.Request = Id;
     Ask.Route = RouteName("plans");
     Ask.Pool = PoolName("steppe");
-    Ask.Tenant = TenantId("t" + std::to_string(Next % 1000));
+    Ask.Customer = CustomerId("t" + std::to_string(Next % 1000));
     Ask.Deadline = Time.Now() + RequestDeadline;
     Admission.submit(Ask, [](const Result<void> &) {});
     Admission.finished(Id, 100);
--- a/bench/overhead/main.cpp
+++ b/bench/overhead/main.cpp
@@ -31,7 +31,7 @@
 struct Target {
   std::string Name;
   std::string Url;
-  std::string TenantKey;
+  std::string CustomerKey;
 };
 
 struct Figures {
@@ -70,7 +70,7 @@
     Call.Method = "POST";
     Call.Url = Where_.Url;
     Call.Headers = {{"content-type", "application/json"},
-                    {"authorization", "Bearer " + Where_.TenantKey}};
+                    {"authorization", "Bearer " + Where_.CustomerKey}};
     Call.Body = std::make_shared<const std::string>(Body);
     auto Status = std::make_shared<int>(0);
     Clock::time_point Start = Clock::now();
@@ -142,7 +142,7 @@
                     "URL of the engine")(
       "gateway", options::value<std::string>()->required(),
       "URL of an entry host")("key", options::value<std::string>()->required(),
-                              "tenant key")(
+                              "customer key")(
       "requests", options::value<unsigned>()->default_value(20000),
       "requests for each target and number of connections");
   options::variables_map Given;
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -26,7 +26,7 @@
   ctl apply --routes "$CLUSTER_DIR/routes.toml" --pools "$CLUSTER_DIR/pools.toml" \
     --wait >/dev/null
   cluster_wait_ready
-  "$build/bench/bench_overhead" --key "$TENANT_KEY" \
+  "$build/bench/bench_overhead" --key "$CUSTOMER_KEY" \
     --direct "http://${ENDPOINTS[ke1]}/v1/chat/completions" \
     --gateway "http://${CALLERS[k1]}/v1/chat/completions" "$@"
   ;;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -56,8 +56,8 @@
 permitted_keys = [$CURVE_KEYS]
 [platform]
 addresses = ["$PLATFORM"]
-[tenants]
-key_secret_files = ["tenant.secret"]
+[customers]
+key_secret_files = ["customer.secret"]
 [log]
 format = "json"
 EOF
@@ -105,10 +105,10 @@
 cluster_start() {
   CLUSTER_DIR=${CLUSTER_DIR:-$(mktemp -d)}
   local name
-  "$BIN_DIR/src/ctl/celerybeamctl" keygen --tenant "$CLUSTER_DIR/tenant.secret" >/dev/null
+  "$BIN_DIR/src/ctl/celerybeamctl" keygen --customer "$CLUSTER_DIR/customer.secret" >/dev/null
   "$BIN_DIR/src/ctl/celerybeamctl" keygen --token "$CLUSTER_DIR/operator.token" >/dev/null
-  TENANT_KEY=$("$BIN_DIR/src/ctl/celerybeamctl" tenant-key umusozi \
-    --secret-file "$CLUSTER_DIR/tenant.secret")
+  CUSTOMER_KEY=$("$BIN_DIR/src/ctl/celerybeamctl" customer-key umusozi \
+    --secret-file "$CLUSTER_DIR/customer.secret")
   CURVE_KEYS=""
   for name in k1 k2 u1 u2; do
     CURVE_KEYS+="${CURVE_KEYS:+, }'$("$BIN_DIR/src/ctl/celerybeamctl" keygen \
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -28,14 +28,14 @@
 
 say "a streamed answer through k1"
 curl -sS -N "http://${CALLERS[k1]}/v1/chat/completions" \
-  -H "Authorization: Bearer $TENANT_KEY" -H 'Content-Type: application/json' \
+  -H "Authorization: Bearer $CUSTOMER_KEY" -H 'Content-Type: application/json' \
   -d '{"model":"cedar-7b@3","stream":true,"max_tokens":5,
        "messages":[{"role":"user","content":"Are cedar shingles in stock?"}]}'
 
 key=$(new_key)
 say "a booking with key $key through k1"
 book() {
-  curl -sS "http://${CALLERS[$1]}/services/slots/book" -H "Authorization: Bearer $TENANT_KEY" \
+  curl -sS "http://${CALLERS[$1]}/services/slots/book" -H "Authorization: Bearer $CUSTOMER_KEY" \
     -H "Idempotency-Key: $key" -H 'Content-Type: application/json' -d '{"street":"Abai 12"}'
   echo
 }
@@ -44,7 +44,7 @@
 book k2
 curl -sS "http://${ENDPOINTS[r1]}/control/executions"; echo
 say "its outcome"
-ctl booking "$key" --tenant umusozi
+ctl booking "$key" --customer umusozi
 
 say "status"
 ctl status
@@ -54,6 +54,6 @@
   for host in "${!CALLERS[@]}"; do
     echo "$host callers=${CALLERS[$host]} operators=${OPERATORS[$host]}"
   done | sort
-  echo "platform=$PLATFORM tenant key=$TENANT_KEY"
+  echo "platform=$PLATFORM customer key=$CUSTOMER_KEY"
   echo "operators' token file=$CLUSTER_DIR/operator.token"
 fi
--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -18,7 +18,7 @@
   RequestId Request;
   RouteName Route;
   PoolName Pool;
-  TenantId Tenant;
+  CustomerId Customer;
   RequestClass Class = RequestClass::Short;
   /// Prompt and answer tokens at most; counted against token limits.
   std::uint32_t Tokens = 0;
@@ -30,8 +30,8 @@
 
 /// Admits, queues or sheds requests before they are routed.
 ///
-/// Queues are ordered by deadline within a class and fair between tenants.
-/// Limits of tenants and routes are held in shares that one keeper of each
+/// Queues are ordered by deadline within a class and fair between customers.
+/// Limits of customers and routes are held in shares that one keeper of each
 /// limit, a host of the region, lends to the others on demand for a short
 /// time; the shares never add up to more than the limit.
 ///
@@ -66,7 +66,7 @@
 
   /// How long a new request would wait here before it is admitted.
   Duration predictedWait(const PoolName &Pool, RequestClass Class,
-                         const TenantId &Tenant) const;
+                         const CustomerId &Customer) const;
 
   /// Loads of the pools in this region as this host sees them, for gossip to
   /// other regions.
--- a/src/admission/internal/admissioncontroller.cpp
+++ b/src/admission/internal/admissioncontroller.cpp
@@ -41,7 +41,7 @@
   AdmissionRequest Ask;
   Completion<void> Done;
   TimePoint SubmittedAt{};
-  /// Limits taken so far, the tenant's first.
+  /// Limits taken so far, the customer's first.
   std::vector<LimitUse> Taken;
 };
 
@@ -58,7 +58,7 @@
 
 Error rateLimited(const LimitKey &Key, Duration RetryAfter) {
   std::string Whose =
-      Key.Tenant.empty() ? "all tenants" : "tenant " + Key.Tenant.str();
+      Key.Customer.empty() ? "all customers" : "customer " + Key.Customer.str();
   return {ErrorKind::RateLimited,
           "The limit of " + Whose + " on route " + Key.Route.str() +
               " is reached; try again after the stated time, or ask the "
@@ -142,9 +142,9 @@
   }
 
   Duration predictedWait(const PoolName &Pool, RequestClass Class,
-                         const TenantId &Tenant) const {
+                         const CustomerId &Customer) const {
     QueuePtr Queue = findQueue(Pool);
-    return Queue ? Queue->waitOf(Class, Tenant) : Duration(0);
+    return Queue ? Queue->waitOf(Class, Customer) : Duration(0);
   }
 
   std::map<PoolName, PoolLoad> poolLoads() const {
@@ -156,7 +156,7 @@
         continue;
       Loads[Pool.Name] = {
           Region.Slots, Region.Busy,
-          predictedWait(Pool.Name, RequestClass::Short, TenantId())};
+          predictedWait(Pool.Name, RequestClass::Short, CustomerId())};
     }
     return Loads;
   }
@@ -169,8 +169,8 @@
   std::vector<LimitUse> limitsOf(const AdmissionRequest &Ask) const {
     std::vector<LimitUse> Uses;
     TablesSnapshot T = Board_.tables();
-    for (const LimitKey &Key :
-         {LimitKey{Ask.Route, Ask.Tenant}, LimitKey{Ask.Route, TenantId()}}) {
+    for (const LimitKey &Key : {LimitKey{Ask.Route, Ask.Customer},
+                                LimitKey{Ask.Route, CustomerId()}}) {
       detail::LimitValues Values = detail::limitValues(*T, Key);
       if (Values.any())
         Uses.push_back({Key, Values, Ask.Tokens});
@@ -426,8 +426,8 @@
 }
 Duration AdmissionController::predictedWait(const PoolName &Pool,
                                             RequestClass Class,
-                                            const TenantId &Tenant) const {
-  return Impl_->predictedWait(Pool, Class, Tenant);
+                                            const CustomerId &Customer) const {
+  return Impl_->predictedWait(Pool, Class, Customer);
 }
 std::map<PoolName, PoolLoad> AdmissionController::poolLoads() const {
   return Impl_->poolLoads();
--- a/src/admission/internal/fairqueue.cpp
+++ b/src/admission/internal/fairqueue.cpp
@@ -5,45 +5,45 @@
 
 namespace celerybeam::detail {
 
-void FairQueue::addTurn(const TenantId &Tenant) {
-  const TenantQueue &Queue = Tenants_.at(Tenant);
-  Turns_.emplace(Queue.VirtualTime, Queue.Waiting.begin()->first, Tenant);
+void FairQueue::addTurn(const CustomerId &Customer) {
+  const CustomerQueue &Queue = Customers_.at(Customer);
+  Turns_.emplace(Queue.VirtualTime, Queue.Waiting.begin()->first, Customer);
 }
 
-void FairQueue::removeTurn(const TenantId &Tenant) {
-  const TenantQueue &Queue = Tenants_.at(Tenant);
-  Turns_.erase({Queue.VirtualTime, Queue.Waiting.begin()->first, Tenant});
+void FairQueue::removeTurn(const CustomerId &Customer) {
+  const CustomerQueue &Queue = Customers_.at(Customer);
+  Turns_.erase({Queue.VirtualTime, Queue.Waiting.begin()->first, Customer});
 }
 
 void FairQueue::push(WaitingRequest Request) {
-  TenantId Tenant = Request.Tenant;
-  TenantQueue &Queue = Tenants_[Tenant];
+  CustomerId Customer = Request.Customer;
+  CustomerQueue &Queue = Customers_[Customer];
   if (Queue.Waiting.empty())
-    // An idle tenant saves up no turns.
+    // An idle customer saves up no turns.
     Queue.VirtualTime = VirtualTime_;
   else
-    removeTurn(Tenant);
+    removeTurn(Customer);
   Order At(Request.Deadline, NextSerial_++);
-  Index_.insert_or_assign(Request.Request, Place{Tenant, At});
+  Index_.insert_or_assign(Request.Request, Place{Customer, At});
   Arrivals_.emplace(At.second, Request.EnqueuedAt);
   Queue.Waiting.emplace(At, std::move(Request));
-  addTurn(Tenant);
+  addTurn(Customer);
 }
 
 std::optional<WaitingRequest> FairQueue::pop() {
   if (Turns_.empty())
     return std::nullopt;
-  auto [Time, At, Tenant] = *Turns_.begin();
-  removeTurn(Tenant);
-  TenantQueue &Queue = Tenants_.at(Tenant);
+  auto [Time, At, Customer] = *Turns_.begin();
+  removeTurn(Customer);
+  CustomerQueue &Queue = Customers_.at(Customer);
   double Cost = Queue.Waiting.at(At).Cost;
-  // Moves on with the service that each waiting tenant was due; otherwise
-  // newcomers would overtake a tenant's second request without end.
+  // Moves on with the service that each waiting customer was due; otherwise
+  // newcomers would overtake a customer's second request without end.
   VirtualTime_ = std::max(VirtualTime_, Time) +
-                 Cost / static_cast<double>(Tenants_.size());
+                 Cost / static_cast<double>(Customers_.size());
   Queue.VirtualTime += Cost;
-  addTurn(Tenant);
-  return takeOut(Tenant, At);
+  addTurn(Customer);
+  return takeOut(Customer, At);
 }
 
 std::optional<WaitingRequest> FairQueue::remove(const RequestId &Request) {
@@ -51,56 +51,56 @@
   if (It == Index_.end())
     return std::nullopt;
   Place P = It->second;
-  return takeOut(P.Tenant, P.At);
+  return takeOut(P.Customer, P.At);
 }
 
-WaitingRequest FairQueue::takeOut(const TenantId &Tenant, const Order &At) {
-  removeTurn(Tenant);
-  auto It = Tenants_.find(Tenant);
+WaitingRequest FairQueue::takeOut(const CustomerId &Customer, const Order &At) {
+  removeTurn(Customer);
+  auto It = Customers_.find(Customer);
   auto Node = It->second.Waiting.extract(At);
   WaitingRequest Request = std::move(Node.mapped());
   Index_.erase(Request.Request);
   Arrivals_.erase(At.second);
   if (It->second.Waiting.empty())
-    Tenants_.erase(It);
+    Customers_.erase(It);
   else
-    addTurn(Tenant);
+    addTurn(Customer);
   return Request;
 }
 
 std::optional<WaitingRequest> FairQueue::shed() {
   auto Largest = std::max_element(
-      Tenants_.begin(), Tenants_.end(), [](const auto &L, const auto &R) {
+      Customers_.begin(), Customers_.end(), [](const auto &L, const auto &R) {
         return L.second.Waiting.size() < R.second.Waiting.size();
       });
-  if (Largest == Tenants_.end())
+  if (Largest == Customers_.end())
     return std::nullopt;
   const auto &Waiting = Largest->second.Waiting;
   auto Newest = std::max_element(Waiting.begin(), Waiting.end(),
                                  [](const auto &L, const auto &R) {
                                    return L.first.second < R.first.second;
                                  });
-  return takeOut(TenantId(Largest->first), Order(Newest->first));
+  return takeOut(CustomerId(Largest->first), Order(Newest->first));
 }
 
 std::vector<WaitingRequest> FairQueue::removeDueBefore(TimePoint Time) {
   std::vector<Place> Due;
-  for (const auto &[Tenant, Queue] : Tenants_)
+  for (const auto &[Customer, Queue] : Customers_)
     for (const auto &[At, Request] : Queue.Waiting) {
       if (At.first >= Time)
         break;
-      Due.push_back({Tenant, At});
+      Due.push_back({Customer, At});
     }
   std::vector<WaitingRequest> Removed;
   Removed.reserve(Due.size());
   for (const Place &P : Due)
-    Removed.push_back(takeOut(P.Tenant, P.At));
+    Removed.push_back(takeOut(P.Customer, P.At));
   return Removed;
 }
 
-std::size_t FairQueue::ahead(const TenantId &Tenant) const {
-  auto It = Tenants_.find(Tenant);
-  std::size_t Own = It == Tenants_.end() ? 0 : It->second.Waiting.size();
+std::size_t FairQueue::ahead(const CustomerId &Customer) const {
+  auto It = Customers_.find(Customer);
+  std::size_t Own = It == Customers_.end() ? 0 : It->second.Waiting.size();
   std::size_t Turns = (Own + 1) * (Turns_.size() + (Own == 0 ? 1 : 0));
   return std::min(size(), Turns - 1);
 }
--- a/src/admission/internal/fairqueue.h
+++ b/src/admission/internal/fairqueue.h
@@ -17,24 +17,24 @@
 /// A request that waits for its turn.
 struct WaitingRequest {
   RequestId Request;
-  TenantId Tenant;
+  CustomerId Customer;
   TimePoint Deadline{};
   TimePoint EnqueuedAt{};
   /// Share of the pool that the request takes, relative to others.
   double Cost = 1;
 };
 
-/// Requests of one class: tenants take turns in proportion to what they were
-/// served (virtual time), and each tenant's earliest deadline goes first.
+/// Requests of one class: customers take turns in proportion to what they were
+/// served (virtual time), and each customer's earliest deadline goes first.
 ///
-/// Holds state only for tenants that wait. Not thread-safe.
+/// Holds state only for customers that wait. Not thread-safe.
 class FairQueue {
 public:
   void push(WaitingRequest Request);
   std::optional<WaitingRequest> pop();
   std::optional<WaitingRequest> remove(const RequestId &Request);
 
-  /// Takes out the newest request of the tenant with the most waiting.
+  /// Takes out the newest request of the customer with the most waiting.
   std::optional<WaitingRequest> shed();
 
   /// Takes out all whose deadline lies before the time.
@@ -42,30 +42,30 @@
 
   std::size_t size() const { return Index_.size(); }
   bool empty() const { return Index_.empty(); }
-  /// How many are served before a new request of the tenant, at most.
-  std::size_t ahead(const TenantId &Tenant) const;
+  /// How many are served before a new request of the customer, at most.
+  std::size_t ahead(const CustomerId &Customer) const;
   /// When the request that waits longest came; empty without requests.
   std::optional<TimePoint> oldest() const;
 
 private:
   using Order = std::pair<TimePoint, std::uint64_t>;
-  struct TenantQueue {
+  struct CustomerQueue {
     double VirtualTime = 0;
     std::map<Order, WaitingRequest> Waiting;
   };
   struct Place {
-    TenantId Tenant;
+    CustomerId Customer;
     Order At;
   };
   /// Virtual time first; among equals the earliest deadline, then arrival.
-  using Turn = std::tuple<double, Order, TenantId>;
+  using Turn = std::tuple<double, Order, CustomerId>;
 
-  void addTurn(const TenantId &Tenant);
-  void removeTurn(const TenantId &Tenant);
-  WaitingRequest takeOut(const TenantId &Tenant, const Order &At);
+  void addTurn(const CustomerId &Customer);
+  void removeTurn(const CustomerId &Customer);
+  WaitingRequest takeOut(const CustomerId &Customer, const Order &At);
 
-  std::map<TenantId, TenantQueue> Tenants_;
-  /// Tenants that wait, the one to be served next first.
+  std::map<CustomerId, CustomerQueue> Customers_;
+  /// Customers that wait, the one to be served next first.
   std::set<Turn> Turns_;
   std::unordered_map<RequestId, Place> Index_;
   std::map<std::uint64_t, TimePoint> Arrivals_;
--- a/src/admission/internal/limitkeeper.cpp
+++ b/src/admission/internal/limitkeeper.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam::detail {
 
@@ -24,7 +24,7 @@
 } // namespace
 
 std::string LimitKey::str() const {
-  return Route.str() + KeySeparator + Tenant.str();
+  return Route.str() + KeySeparator + Customer.str();
 }
 
 std::optional<LimitKey> LimitKey::parse(const std::string &Text) {
@@ -32,7 +32,7 @@
   if (Cut == std::string::npos)
     return std::nullopt;
   return LimitKey{RouteName(Text.substr(0, Cut)),
-                  TenantId(Text.substr(Cut + 1))};
+                  CustomerId(Text.substr(Cut + 1))};
 }
 
 double LimitValues::quantum() const {
@@ -49,10 +49,10 @@
   if (!Route)
     return {};
   const RouteLimits &L = Route->Limits;
-  if (Key.Tenant.empty())
+  if (Key.Customer.empty())
     return {L.RouteRequestsPerSecond, 0, L.RouteConcurrency};
-  return {L.TenantRequestsPerSecond, L.TenantTokensPerSecond,
-          L.TenantConcurrency};
+  return {L.CustomerRequestsPerSecond, L.CustomerTokensPerSecond,
+          L.CustomerConcurrency};
 }
 
 LimitKeeper::LimitKeeper(Blackboard &Board, Runtime R)
--- a/src/admission/internal/limitkeeper.h
+++ b/src/admission/internal/limitkeeper.h
@@ -13,11 +13,11 @@
 
 namespace celerybeam::detail {
 
-/// Names the limits of a route, or of a tenant on a route.
+/// Names the limits of a route, or of a customer on a route.
 struct LimitKey {
   RouteName Route;
   /// Empty for the limits of the route as a whole.
-  TenantId Tenant;
+  CustomerId Customer;
 
   std::string str() const;
   static std::optional<LimitKey> parse(const std::string &Text);
--- a/src/admission/internal/poolqueue.cpp
+++ b/src/admission/internal/poolqueue.cpp
@@ -52,7 +52,7 @@
   QueueVerdicts Verdicts;
   if (Request.Class == RequestClass::Short)
     observeShort(Now);
-  Duration Wait = predictedWait(Request.Class, Request.Tenant);
+  Duration Wait = predictedWait(Request.Class, Request.Customer);
   // Predictions err: a wait that would take up most of the time there is ends
   // in a refusal too often, and late.
   Duration Spare =
@@ -64,7 +64,7 @@
     return Verdicts;
   }
   state(Request.Class)
-      .Waiting.push({Request.Request, Request.Tenant, Request.Deadline, Now,
+      .Waiting.push({Request.Request, Request.Customer, Request.Deadline, Now,
                      1. + Request.Tokens});
   admitWhileFree(Now, Verdicts);
   shedOverflow(Verdicts);
@@ -141,10 +141,10 @@
 }
 
 Duration PoolQueue::predictedWait(RequestClass Class,
-                                  const TenantId &Tenant) const {
+                                  const CustomerId &Customer) const {
   bool Free = Admitted_.size() < limit() &&
               (Class == RequestClass::Short || Long_.Admitted < longLimit());
-  std::size_t Ahead = state(Class).Waiting.ahead(Tenant);
+  std::size_t Ahead = state(Class).Waiting.ahead(Customer);
   if (Free && Ahead == 0)
     return Duration(0);
   return fromSeconds(static_cast<double>(Ahead + 1) / releasesPerSecond(Class));
@@ -181,7 +181,7 @@
     bool HasWaited = Next.EnqueuedAt < Now;
     if (HasWaited && Spare < Duration(0))
       Verdicts.Refused.push_back(
-          {Next.Request, lateError(predictedWait(*Class, Next.Tenant))});
+          {Next.Request, lateError(predictedWait(*Class, Next.Customer))});
     else
       admit(Next.Request, *Class, Now, Verdicts);
   }
@@ -211,7 +211,7 @@
   Duration Needed = minService(Class);
   for (WaitingRequest &W : state(Class).Waiting.removeDueBefore(Now + Needed))
     Verdicts.Refused.push_back(
-        {W.Request, lateError(predictedWait(Class, W.Tenant))});
+        {W.Request, lateError(predictedWait(Class, W.Customer))});
 }
 
 Error PoolQueue::lateError(Duration Wait) const {
@@ -230,9 +230,10 @@
           retryAfter(fromSeconds(Waiting / releasesPerSecond(Class)))};
 }
 
-Duration PoolQueue::waitOf(RequestClass Class, const TenantId &Tenant) const {
+Duration PoolQueue::waitOf(RequestClass Class,
+                           const CustomerId &Customer) const {
   std::lock_guard Lock(Mutex_);
-  return predictedWait(Class, Tenant);
+  return predictedWait(Class, Customer);
 }
 
 std::uint32_t PoolQueue::admitted() const {
--- a/src/admission/internal/poolqueue.h
+++ b/src/admission/internal/poolqueue.h
@@ -35,7 +35,7 @@
 /// The requests of one pool on this host: those admitted and those that wait.
 ///
 /// Short questions go first, but for a floor that long drafts keep; within a
-/// class tenants take turns. A request that cannot be served by its deadline
+/// class customers take turns. A request that cannot be served by its deadline
 /// is refused at once; a full queue sheds long drafts first and the newest
 /// first. Thread-safe; runs no hooks.
 class PoolQueue {
@@ -56,7 +56,7 @@
 
   std::uint32_t admitted() const;
   /// How long a new request would wait.
-  Duration waitOf(RequestClass Class, const TenantId &Tenant) const;
+  Duration waitOf(RequestClass Class, const CustomerId &Customer) const;
   AdmissionController::PoolView view(TimePoint Now) const;
   /// Mean time from admission to end of the class of late.
   Duration meanService(RequestClass Class) const;
@@ -83,7 +83,7 @@
   double longLimit() const;
   void observeShort(TimePoint Now);
   double releasesPerSecond(RequestClass Class) const;
-  Duration predictedWait(RequestClass Class, const TenantId &Tenant) const;
+  Duration predictedWait(RequestClass Class, const CustomerId &Customer) const;
   Duration minService(RequestClass Class);
   Duration floorInterval() const;
   std::optional<RequestClass> nextClass(TimePoint Now) const;
--- a/src/admission/tests/admissiontest.cpp
+++ b/src/admission/tests/admissiontest.cpp
@@ -47,12 +47,12 @@
     Board.peers().set(Peer.Id, Peer);
   }
 
-  /// Submits as tenant after tenant until the keeper of the limit is the
+  /// Submits as customer after customer until the keeper of the limit is the
   /// other host.
   RequestId submitWithRemoteKeeper() {
     while (true) {
       RequestId Id =
-          submit(RequestClass::Short, "tenant" + std::to_string(Submitted));
+          submit(RequestClass::Short, "customer" + std::to_string(Submitted));
       if (waits(Id))
         return Id;
     }
@@ -84,11 +84,11 @@
     }
   }
 
-  RequestId submit(RequestClass Class, const std::string &Tenant = "t",
+  RequestId submit(RequestClass Class, const std::string &Customer = "t",
                    Duration Deadline = 60s) {
     RequestId Id("r" + std::to_string(++Submitted));
     AdmissionRequest Ask{
-        Id, Route.Name,           Pool.Name, TenantId(Tenant), Class,
+        Id, Route.Name,           Pool.Name, CustomerId(Customer), Class,
         10, Time.now() + Deadline};
     Admission.submit(Ask, [this, Id](Result<void> R) {
       Order.push_back(Id);
@@ -99,12 +99,12 @@
 
   std::vector<RequestId> fill(unsigned Count,
                               RequestClass Class = RequestClass::Short,
-                              const std::string &Tenant = "t",
+                              const std::string &Customer = "t",
                               Duration Deadline = 60s) {
     std::vector<RequestId> Ids;
     Ids.reserve(Count);
     for (unsigned I = 0; I < Count; ++I)
-      Ids.push_back(submit(Class, Tenant, Deadline));
+      Ids.push_back(submit(Class, Customer, Deadline));
     return Ids;
   }
 
@@ -205,7 +205,7 @@
   BOOST_TEST((*error(Waiter).RetryAfter >= 200ms));
 }
 
-BOOST_AUTO_TEST_CASE(aFullQueueShedsLongThenTheNewestOfTheLargestTenant) {
+BOOST_AUTO_TEST_CASE(aFullQueueShedsLongThenTheNewestOfTheLargestCustomer) {
   fill(8);
   RequestId Draft = submit(RequestClass::Long, "polite", 1h);
   auto Flood = fill(63, RequestClass::Short, "flood", 1h);
@@ -231,7 +231,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(limitsRefuseWithTheTimeToTheNextToken) {
-  Route.Limits.TenantRequestsPerSecond = 2;
+  Route.Limits.CustomerRequestsPerSecond = 2;
   publish();
   auto Ids = fill(3);
   BOOST_TEST(admitted(Ids[1]));
@@ -244,7 +244,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(concurrencyIsGivenBackWhateverTheEnd) {
-  Route.Limits.TenantConcurrency = 2;
+  Route.Limits.CustomerConcurrency = 2;
   publish();
   auto Ids = fill(3);
   BOOST_TEST((error(Ids[2]).Kind == ErrorKind::RateLimited));
@@ -256,7 +256,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(tokensUsedAreCountedInPlaceOfThoseAsked) {
-  Route.Limits.TenantTokensPerSecond = 100;
+  Route.Limits.CustomerTokensPerSecond = 100;
   publish();
   RequestId First = submit(RequestClass::Short);
   BOOST_TEST(admitted(First));
@@ -268,7 +268,7 @@
 
 BOOST_AUTO_TEST_CASE(aRequestWaitsForTheShareOfAnotherHost) {
   addPeer();
-  Route.Limits.TenantConcurrency = 4;
+  Route.Limits.CustomerConcurrency = 4;
   publish();
   run(3s);
   RequestId Id = submitWithRemoteKeeper();
@@ -279,7 +279,7 @@
 
 BOOST_AUTO_TEST_CASE(withoutAShareLeftItIsRefusedAtOnce) {
   addPeer();
-  Route.Limits.TenantConcurrency = 4;
+  Route.Limits.CustomerConcurrency = 4;
   publish();
   run(3s);
   RequestId Id = submitWithRemoteKeeper();
@@ -289,7 +289,7 @@
 
 BOOST_AUTO_TEST_CASE(aSilentKeeperIsNotWaitedForWithoutEnd) {
   addPeer();
-  Route.Limits.TenantConcurrency = 4;
+  Route.Limits.CustomerConcurrency = 4;
   publish();
   run(3s);
   RequestId Id = submitWithRemoteKeeper();
@@ -305,7 +305,7 @@
 BOOST_AUTO_TEST_CASE(requestsThatGoAwayTakeNoPlace) {
   fill(8);
   AdmissionRequest Ask{
-      RequestId("away"),   Route.Name, Pool.Name,       TenantId("t"),
+      RequestId("away"),   Route.Name, Pool.Name,       CustomerId("t"),
       RequestClass::Short, 10,         Time.now() + 9s, true};
   bool Done = false;
   Admission.submit(Ask, [&](const Result<void> &R) { Done = R.has_value(); });
--- a/src/admission/tests/fairqueuetest.cpp
+++ b/src/admission/tests/fairqueuetest.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 void push(FairQueue &Queue, const std::string &Request,
-          const std::string &Tenant, Duration Deadline, double Cost = 1) {
-  Queue.push({RequestId(Request), TenantId(Tenant), TimePoint(Deadline),
+          const std::string &Customer, Duration Deadline, double Cost = 1) {
+  Queue.push({RequestId(Request), CustomerId(Customer), TimePoint(Deadline),
               TimePoint(), Cost});
 }
 
@@ -25,7 +25,7 @@
 
 BOOST_AUTO_TEST_SUITE(FairQueueTests)
 
-BOOST_AUTO_TEST_CASE(earliestDeadlineGoesFirstWithinATenant) {
+BOOST_AUTO_TEST_CASE(earliestDeadlineGoesFirstWithinACustomer) {
   FairQueue Queue;
   push(Queue, "a", "t", 3s);
   push(Queue, "b", "t", 1s);
@@ -33,7 +33,7 @@
   BOOST_TEST(popAll(Queue) == "b c a ");
 }
 
-BOOST_AUTO_TEST_CASE(tenantsTakeTurnsHoweverMuchOneSends) {
+BOOST_AUTO_TEST_CASE(customersTakeTurnsHoweverMuchOneSends) {
   FairQueue Queue;
   for (int I = 0; I < 4; ++I)
     push(Queue, "f" + std::to_string(I), "flood", I * 1s);
@@ -42,7 +42,7 @@
   BOOST_TEST(popAll(Queue) == "f0 p0 f1 p1 f2 f3 ");
 }
 
-BOOST_AUTO_TEST_CASE(costlyRequestsTakeMoreOfATenantsTurns) {
+BOOST_AUTO_TEST_CASE(costlyRequestsTakeMoreOfACustomersTurns) {
   FairQueue Queue;
   for (int I = 0; I < 2; ++I)
     push(Queue, "h" + std::to_string(I), "heavy", I * 1s, 3);
@@ -51,14 +51,14 @@
   BOOST_TEST(popAll(Queue) == "h0 l0 l1 l2 h1 l3 ");
 }
 
-BOOST_AUTO_TEST_CASE(amongTenantsWithEqualTurnsTheEarliestDeadlineGoesFirst) {
+BOOST_AUTO_TEST_CASE(amongCustomersWithEqualTurnsTheEarliestDeadlineGoesFirst) {
   FairQueue Queue;
   push(Queue, "late", "a", 9s);
   push(Queue, "early", "z", 1s);
   BOOST_TEST(popAll(Queue) == "early late ");
 }
 
-BOOST_AUTO_TEST_CASE(newTenantsDoNotOvertakeThoseThatWait) {
+BOOST_AUTO_TEST_CASE(newCustomersDoNotOvertakeThoseThatWait) {
   FairQueue Queue;
   push(Queue, "first", "zz", 1s);
   for (int I = 0; I < 5; ++I) {
@@ -69,7 +69,7 @@
   BOOST_TEST(popAll(Queue) == "n0 n1 n2 n3 n4 ");
 }
 
-BOOST_AUTO_TEST_CASE(aSecondRequestIsServedThoughNewTenantsKeepComing) {
+BOOST_AUTO_TEST_CASE(aSecondRequestIsServedThoughNewCustomersKeepComing) {
   FairQueue Queue;
   push(Queue, "b0", "busy", 1s);
   push(Queue, "b1", "busy", 2s);
@@ -84,7 +84,7 @@
   BOOST_TEST(Pops <= 8U);
 }
 
-BOOST_AUTO_TEST_CASE(theNewestOfTheLargestTenantIsShed) {
+BOOST_AUTO_TEST_CASE(theNewestOfTheLargestCustomerIsShed) {
   FairQueue Queue;
   push(Queue, "p", "polite", 9s);
   push(Queue, "f0", "flood", 5s);
@@ -107,12 +107,12 @@
   FairQueue Queue;
   for (int I = 0; I < 50; ++I)
     push(Queue, "f" + std::to_string(I), "flood", 1s);
-  BOOST_TEST(Queue.ahead(TenantId("polite")) == 1U);
-  BOOST_TEST(Queue.ahead(TenantId("flood")) == 50U);
-  BOOST_TEST(FairQueue().ahead(TenantId("polite")) == 0U);
+  BOOST_TEST(Queue.ahead(CustomerId("polite")) == 1U);
+  BOOST_TEST(Queue.ahead(CustomerId("flood")) == 50U);
+  BOOST_TEST(FairQueue().ahead(CustomerId("polite")) == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(removalForgetsTheTenant) {
+BOOST_AUTO_TEST_CASE(removalForgetsTheCustomer) {
   FairQueue Queue;
   push(Queue, "a", "t", 1s);
   BOOST_TEST(Queue.remove(RequestId("a")).has_value());
--- a/src/admission/tests/limitsharestest.cpp
+++ b/src/admission/tests/limitsharestest.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-const LimitKey Key{RouteName("quotes"), TenantId("acme")};
+const LimitKey Key{RouteName("quotes"), CustomerId("acme")};
 
-/// Entry hosts of one region that share the limits of one tenant.
+/// Entry hosts of one region that share the limits of one customer.
 class Region {
 public:
   Region(unsigned HostCount, RouteLimits Limits, std::uint64_t Seed = 1)
@@ -124,13 +124,13 @@
 
 RouteLimits rate(double PerSecond) {
   RouteLimits L;
-  L.TenantRequestsPerSecond = PerSecond;
+  L.CustomerRequestsPerSecond = PerSecond;
   return L;
 }
 
 RouteLimits concurrency(std::uint32_t Count) {
   RouteLimits L;
-  L.TenantConcurrency = Count;
+  L.CustomerConcurrency = Count;
   return L;
 }
 
@@ -234,7 +234,7 @@
   BOOST_TEST(R.Largest <= Whole);
 }
 
-BOOST_AUTO_TEST_CASE(idleTenantsAreForgotten) {
+BOOST_AUTO_TEST_CASE(idleCustomersAreForgotten) {
   Region R(2, rate(20));
   R.flood(1s);
   R.run(10s);
--- a/src/app/internal/adminpages.cpp
+++ b/src/app/internal/adminpages.cpp
@@ -349,7 +349,7 @@
   RouteQuery Query;
   Query.Route = Route->Name;
   Query.Pool = Route->Pool;
-  Query.Tenant = Asked.Tenant;
+  Query.Customer = Asked.Customer;
   if (!Route->Models.empty())
     Query.Model = Asked.Model.empty() ? Route->Models.front() : Asked.Model;
   Prompt P = promptOfText(Query.Model, Asked.Prompt, ExplainMaxTokens);
--- a/src/app/internal/adminpages.h
+++ b/src/app/internal/adminpages.h
@@ -29,7 +29,7 @@
 struct ExplainQuestion {
   RouteName Route;
   ModelName Model;
-  TenantId Tenant;
+  CustomerId Customer;
   RegionId Region;
   std::string Prompt;
   /// Empty: estimated.
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -17,7 +17,7 @@
 #include "core/entryhost.h"
 #include "core/listschedule.h"
 #include "endpoints/endpointclient.h"
-#include "framework/tenantkey.h"
+#include "framework/customerkey.h"
 #include "gateway/callerserver.h"
 #include "gateway/operatorserver.h"
 #include "httpclient/httpclient.h"
@@ -115,7 +115,7 @@
 
   Result<void> start() {
     StartedAt_ = Time_.hooks().Now();
-    auto Started = loadTenantKeys()
+    auto Started = loadCustomerKeys()
                        .and_then([this] { return startPeers(); })
                        .and_then([this] { return startCallers(); });
     if (!Started)
@@ -163,12 +163,12 @@
   std::unique_ptr<PeerTransport> Peers_;
 
 private:
-  Result<void> loadTenantKeys() {
+  Result<void> loadCustomerKeys() {
     Result<std::vector<std::string>> Secrets =
-        readSecrets(Settings_.Tenants.KeySecretFiles);
+        readSecrets(Settings_.Customers.KeySecretFiles);
     if (!Secrets)
       return tl::unexpected(Secrets.error());
-    Keys_ = std::make_unique<TenantKeys>(std::move(*Secrets));
+    Keys_ = std::make_unique<CustomerKeys>(std::move(*Secrets));
     return {};
   }
 
@@ -295,7 +295,7 @@
     H.Authenticate = [this](std::string_view Authorization) {
       return Keys_->verify(Authorization, Time_.hooks().WallNow());
     };
-    H.Models = [this](const TenantId &) {
+    H.Models = [this](const CustomerId &) {
       EntryHost *Core = Serving_.load();
       return Core ? modelsPage(Core->board()) : std::string("{}");
     };
@@ -309,7 +309,7 @@
       EntryHost *Core = Serving_.load();
       return Core ? entriesElsewhere(*Core, Head) : std::string();
     };
-    H.BookingStatus = [this](const TenantId &Tenant, const RequestHead &,
+    H.BookingStatus = [this](const CustomerId &Customer, const RequestHead &,
                              const Uuid7 &Key,
                              Completion<BookingOutcome> Done) {
       EntryHost *Core = Serving_.load();
@@ -317,7 +317,7 @@
         Done(tl::unexpected(notStarted()));
         return;
       }
-      Core->bookings().query(Tenant, Key,
+      Core->bookings().query(Customer, Key,
                              Time_.hooks().Now() + BookingQueryTimeout,
                              std::move(Done));
     };
@@ -344,7 +344,7 @@
     bool Whole = !S.Failure;
     (Whole ? Served_ : Refused_).fetch_add(1);
     RequestSample Sample;
-    Sample.Tenant = S.Tenant;
+    Sample.Customer = S.Customer;
     Sample.Route = S.Route;
     Sample.Class = S.Class;
     if (S.Failure)
@@ -361,7 +361,7 @@
       Rates_.count(Route->Pool, S.SentAway, Time_.hooks().Now());
     RequestLog_.info("Request ended.",
                      {{"request", S.Request},
-                      {"tenant", S.Tenant},
+                      {"customer", S.Customer},
                       {"route", S.Route},
                       {"outcome", Sample.Outcome},
                       {"endpoint", S.LastEndpoint},
@@ -452,7 +452,7 @@
   std::atomic<std::uint64_t> Refused_{0};
   std::atomic<TimePoint> LastPlatformAnswer_{TimePoint()};
   std::atomic<bool> PlatformReached_{true};
-  std::unique_ptr<TenantKeys> Keys_;
+  std::unique_ptr<CustomerKeys> Keys_;
   std::unique_ptr<PeerLinks> Links_;
   std::unique_ptr<AdminPages> Pages_;
   std::unique_ptr<EntryHost> Core_;
--- a/src/app/internal/operatorroutes.cpp
+++ b/src/app/internal/operatorroutes.cpp
@@ -35,7 +35,7 @@
   ExplainQuestion Asked;
   Asked.Route = RouteName(queryText(Request, "route"));
   Asked.Model = ModelName(queryText(Request, "model"));
-  Asked.Tenant = TenantId(queryText(Request, "tenant"));
+  Asked.Customer = CustomerId(queryText(Request, "customer"));
   Asked.Region = RegionId(queryText(Request, "region"));
   Asked.Class = queryText(Request, "class");
   Asked.Prompt = queryText(Request, "prompt");
@@ -43,10 +43,10 @@
   return Body ? page(std::move(*Body)) : operatorError(Body.error());
 }
 
-std::string bookingJson(const Uuid7 &Key, const std::string &Tenant,
+std::string bookingJson(const Uuid7 &Key, const std::string &Customer,
                         const BookingOutcome &Outcome) {
   nlohmann::json Body = {{"key", Key.str()},
-                         {"tenant", Tenant},
+                         {"customer", Customer},
                          {"outcome", bookingStateName(Outcome.State)}};
   if (Outcome.State == BookingState::Done) {
     Body["status"] = Outcome.Status;
@@ -62,16 +62,17 @@
   Result<Uuid7> Key = Uuid7::parse(Request.Rest);
   if (!Key)
     return operatorError(Key.error());
-  std::string Tenant = queryText(Request, "tenant");
+  std::string Customer = queryText(Request, "customer");
   auto Promise = std::make_shared<std::promise<Result<BookingOutcome>>>();
-  Host.bookings().query(TenantId(Tenant), *Key, R.Now() + BookingQueryTimeout,
+  Host.bookings().query(CustomerId(Customer), *Key,
+                        R.Now() + BookingQueryTimeout,
                         [Promise](Result<BookingOutcome> Outcome) {
                           Promise->set_value(std::move(Outcome));
                         });
   Result<BookingOutcome> Outcome = Promise->get_future().get();
   if (!Outcome)
     return operatorError(Outcome.error());
-  return page(bookingJson(*Key, Tenant, *Outcome));
+  return page(bookingJson(*Key, Customer, *Outcome));
 }
 
 } // namespace
--- a/src/blackboard/idtypes.h
+++ b/src/blackboard/idtypes.h
@@ -16,7 +16,7 @@
 using EndpointId = StrongId<struct EndpointTag>;
 using RouteName = StrongId<struct RouteTag>;
 using PoolName = StrongId<struct PoolTag>;
-using TenantId = StrongId<struct TenantTag>;
+using CustomerId = StrongId<struct CustomerTag>;
 /// A model with its version, as in "cedar-7b@3".
 using ModelName = StrongId<struct ModelTag>;
 /// Names one request of a caller, over all its attempts and hops.
--- a/src/blackboard/tabletypes.h
+++ b/src/blackboard/tabletypes.h
@@ -40,9 +40,9 @@
 
 /// Limits; 0 means no limit. Rates are in units a second over the region.
 struct RouteLimits {
-  double TenantRequestsPerSecond = 0;
-  std::uint32_t TenantConcurrency = 0;
-  double TenantTokensPerSecond = 0;
+  double CustomerRequestsPerSecond = 0;
+  std::uint32_t CustomerConcurrency = 0;
+  double CustomerTokensPerSecond = 0;
   double RouteRequestsPerSecond = 0;
   std::uint32_t RouteConcurrency = 0;
 };
--- a/src/booking/bookingcontroller.h
+++ b/src/booking/bookingcontroller.h
@@ -17,7 +17,7 @@
 struct BookingOrder {
   RequestId Request;
   Uuid7 Key;
-  TenantId Tenant;
+  CustomerId Customer;
   RouteName Route;
   PoolName Pool;
   /// As the runner gets it.
@@ -67,7 +67,7 @@
   /// Books, or tells the outcome of the earlier call with the same key.
   /// Completes by the deadline: with the outcome, or with an error:
   ///   OutcomeUnknown  it may run or have run,
-  ///   KeyReused       the key belongs to another payload or tenant,
+  ///   KeyReused       the key belongs to another payload or customer,
   ///   ExpiredKey      the key is older than the retention or too far in the
   ///                   future,
   ///   NotReady, NoEndpoint, Overloaded   it did not run (RetryAfter set).
@@ -75,7 +75,7 @@
 
   /// Tells the outcome of a key. Errors: NotFound, OutcomeUnknown when no
   /// owner can be asked.
-  void query(const TenantId &Tenant, const Uuid7 &Key, TimePoint Deadline,
+  void query(const CustomerId &Customer, const Uuid7 &Key, TimePoint Deadline,
              Completion<BookingOutcome> Done);
 
   /// Takes the booking and intent messages; ignores other bodies.
--- a/src/booking/internal/bookingcontext.cpp
+++ b/src/booking/internal/bookingcontext.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam::detail {
 
--- a/src/booking/internal/bookingcontroller.cpp
+++ b/src/booking/internal/bookingcontroller.cpp
@@ -9,6 +9,7 @@
 #include "booking/internal/bookingforwarder.h"
 #include "booking/internal/shardowner.h"
 #include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
@@ -56,7 +57,7 @@
 
   void enter(const std::function<void(Effects &)> &Step);
   void book(BookingOrder Order, Completion<BookingOutcome> Done);
-  void query(const TenantId &Tenant, const Uuid7 &Key, TimePoint Deadline,
+  void query(const CustomerId &Customer, const Uuid7 &Key, TimePoint Deadline,
              Completion<BookingOutcome> Done);
   void take(const messages::Envelope &Message, Effects &Out);
   void tick(Effects &Out);
@@ -165,13 +166,13 @@
   detail::BookingForwarder::Request Request;
   Request.Key = Order.Key.str();
   Request.Shard = shardOf(Request.Key);
-  Request.Tenant = Order.Tenant;
+  Request.Customer = Order.Customer;
   Request.Deadline = Order.Deadline;
   Request.Done = std::move(Done);
   OwnedOrder &Owned = Request.Order.emplace();
   Owned.Key = Request.Key;
   Owned.CreatedAt = Order.Key.createdAt();
-  Owned.Tenant = std::move(Order.Tenant);
+  Owned.Customer = std::move(Order.Customer);
   Owned.Route = std::move(Order.Route);
   Owned.Pool = std::move(Order.Pool);
   Owned.PayloadDigest =
@@ -181,13 +182,13 @@
   enter([&](Effects &Out) { Forwarder_.start(std::move(Request), Out); });
 }
 
-void BookingController::Impl::query(const TenantId &Tenant, const Uuid7 &Key,
-                                    TimePoint Deadline,
+void BookingController::Impl::query(const CustomerId &Customer,
+                                    const Uuid7 &Key, TimePoint Deadline,
                                     Completion<BookingOutcome> Done) {
   detail::BookingForwarder::Request Request;
   Request.Key = Key.str();
   Request.Shard = shardOf(Request.Key);
-  Request.Tenant = Tenant;
+  Request.Customer = Customer;
   Request.Deadline = Deadline;
   Request.Done = std::move(Done);
   enter([&](Effects &Out) { Forwarder_.start(std::move(Request), Out); });
@@ -197,7 +198,7 @@
                                     BookingWaiter Waiter, Effects &Out) {
   ShardOwner &Shard = *Shards_[R.Shard];
   if (!R.Order) {
-    Shard.query(R.Tenant, R.Key, Waiter, Out);
+    Shard.query(R.Customer, R.Key, Waiter, Out);
     return;
   }
   OwnedOrder Order = *R.Order;
@@ -268,7 +269,7 @@
   OwnedOrder Order;
   Order.Key = Key->str();
   Order.CreatedAt = Key->createdAt();
-  Order.Tenant = TenantId(Wire.tenant());
+  Order.Customer = CustomerId(Wire.customer());
   Order.Route = Route->Name;
   Order.Pool = Route->Pool;
   Order.PayloadDigest = Wire.payload_digest();
@@ -290,7 +291,7 @@
   if (!Key)
     return;
   Shards_[shardOf(Key->str())]->query(
-      TenantId(Wire.tenant()), Key->str(),
+      CustomerId(Wire.customer()), Key->str(),
       remoteWaiter(From, Wire.request_id(), Key->str(), TimePoint::max()), Out);
 }
 
@@ -430,10 +431,10 @@
   Impl_->book(std::move(Order), std::move(Done));
 }
 
-void BookingController::query(const TenantId &Tenant, const Uuid7 &Key,
+void BookingController::query(const CustomerId &Customer, const Uuid7 &Key,
                               TimePoint Deadline,
                               Completion<BookingOutcome> Done) {
-  Impl_->query(Tenant, Key, Deadline, std::move(Done));
+  Impl_->query(Customer, Key, Deadline, std::move(Done));
 }
 
 void BookingController::handle(const messages::Envelope &Message) {
--- a/src/booking/internal/bookingforwarder.cpp
+++ b/src/booking/internal/bookingforwarder.cpp
@@ -124,13 +124,13 @@
     messages::BookingQuery &Query = *Message.mutable_booking_query();
     Query.set_request_id(RequestName);
     Query.set_key(R.Key);
-    Query.set_tenant(R.Tenant.str());
+    Query.set_customer(R.Customer.str());
   } else {
     messages::BookingRequest &Wire = *Message.mutable_booking_request();
     Duration Left = R.Deadline - Context_.Time.Now() - OwnerReserve;
     Wire.set_request_id(RequestName);
     Wire.set_key(R.Key);
-    Wire.set_tenant(R.Tenant.str());
+    Wire.set_customer(R.Customer.str());
     Wire.set_route(R.Order->Route.str());
     Wire.set_method(R.Order->Head.Method);
     Wire.set_path(R.Order->Head.Path);
--- a/src/booking/internal/bookingforwarder.h
+++ b/src/booking/internal/bookingforwarder.h
@@ -21,7 +21,7 @@
   struct Request {
     std::uint32_t Shard = 0;
     std::string Key;
-    TenantId Tenant;
+    CustomerId Customer;
     /// Empty for a query.
     std::optional<OwnedOrder> Order;
     TimePoint Deadline{};
--- a/src/booking/internal/shardbookings.cpp
+++ b/src/booking/internal/shardbookings.cpp
@@ -40,7 +40,7 @@
 }
 
 bool sameBooking(const messages::LedgerEntry &Wire, const OwnedOrder &Order) {
-  return Wire.tenant() == Order.Tenant.str() &&
+  return Wire.customer() == Order.Customer.str() &&
          Wire.route() == Order.Route.str() &&
          Wire.payload_digest() == Order.PayloadDigest;
 }
@@ -148,7 +148,7 @@
   }
   messages::LedgerEntry Wire;
   Wire.set_key(Order.Key);
-  Wire.set_tenant(Order.Tenant.str());
+  Wire.set_customer(Order.Customer.str());
   Wire.set_route(Order.Route.str());
   Wire.set_payload_digest(Order.PayloadDigest);
   Wire.set_state(State::INTENT);
@@ -343,10 +343,10 @@
   }
 }
 
-void ShardOwner::query(const TenantId &Tenant, const std::string &Key,
+void ShardOwner::query(const CustomerId &Customer, const std::string &Key,
                        const BookingWaiter &Waiter, Effects &Out) {
   LedgerTable::Entry *E = Table_.find(Key);
-  bool Known = E != nullptr && E->Wire.tenant() == Tenant.str();
+  bool Known = E != nullptr && E->Wire.customer() == Customer.str();
   if (!Known && Phase_ != Phase::Owned) {
     Waiter.Reply(makeError(ErrorKind::NotReady,
                            "no host owns the ledger shard yet; ask again",
@@ -363,7 +363,7 @@
   if (!Known) {
     Waiter.Reply(
         makeError(ErrorKind::NotFound, "no booking with the key " + Key +
-                                           "; check the key and the tenant"),
+                                           "; check the key and the customer"),
         Out);
     return;
   }
--- a/src/booking/internal/shardowner.h
+++ b/src/booking/internal/shardowner.h
@@ -27,7 +27,7 @@
 struct OwnedOrder {
   std::string Key;
   UnixMillis CreatedAt{};
-  TenantId Tenant;
+  CustomerId Customer;
   RouteName Route;
   PoolName Pool;
   std::string PayloadDigest;
@@ -48,7 +48,7 @@
 
   void tick(Effects &Out);
   void book(OwnedOrder Order, Effects &Out);
-  void query(const TenantId &Tenant, const std::string &Key,
+  void query(const CustomerId &Customer, const std::string &Key,
              const BookingWaiter &Waiter, Effects &Out);
   void copyAcknowledged(const HostId &Peer, const messages::IntentCopyAck &Ack);
   void agreed(const HostId &Peer, const messages::IntentCopyReply &Reply);
--- a/src/booking/tests/bookingfleet.cpp
+++ b/src/booking/tests/bookingfleet.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam::testing {
 
@@ -202,7 +202,7 @@
   Answers.push_back(A);
   BookingOrder Order{RequestId("q" + std::to_string(Answers.size())),
                      Key,
-                     TenantId("karaganda"),
+                     CustomerId("karaganda"),
                      RouteName("slots"),
                      PoolName("crew"),
                      {"POST", "/book", "", {}},
@@ -227,7 +227,7 @@
   A->Deadline = Time.now() + 4s;
   Answers.push_back(A);
   Life &L = *Lives_.at(Host);
-  L.Controller.query(TenantId("karaganda"), Key, A->Deadline,
+  L.Controller.query(CustomerId("karaganda"), Key, A->Deadline,
                      [=, this](Result<BookingOutcome> R) {
                        A->Got = std::move(R);
                        A->GotAt = Time.now();
--- a/src/configuration/internal/configurationcontroller.cpp
+++ b/src/configuration/internal/configurationcontroller.cpp
@@ -8,7 +8,7 @@
 #include "configuration/internal/headwatch.h"
 #include "configuration/internal/peerfetch.h"
 #include "configuration/internal/revisionkeep.h"
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
--- a/src/configuration/internal/tablefields.h
+++ b/src/configuration/internal/tablefields.h
@@ -10,9 +10,9 @@
 // rows are both visitors of it.
 
 template <typename Visitor> void visitLimits(Visitor &V, RouteLimits &L) {
-  V.number("tenant_requests_per_second", L.TenantRequestsPerSecond, {});
-  V.count("tenant_concurrency", L.TenantConcurrency, {});
-  V.number("tenant_tokens_per_second", L.TenantTokensPerSecond, {});
+  V.number("customer_requests_per_second", L.CustomerRequestsPerSecond, {});
+  V.count("customer_concurrency", L.CustomerConcurrency, {});
+  V.number("customer_tokens_per_second", L.CustomerTokensPerSecond, {});
   V.number("route_requests_per_second", L.RouteRequestsPerSecond, {});
   V.count("route_concurrency", L.RouteConcurrency, {});
 }
--- a/src/core/internal/listschedule.cpp
+++ b/src/core/internal/listschedule.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -20,7 +20,7 @@
 Command keygenCommand();
 Command rollbackCommand();
 Command statusCommand();
-Command tenantKeyCommand();
+Command customerKeyCommand();
 Command topCommand();
 Command traceCommand();
 
--- a/src/ctl/internal/bookingcommand.cpp
+++ b/src/ctl/internal/bookingcommand.cpp
@@ -9,18 +9,18 @@
 
 ExitCode run(const Invocation &I) {
   std::string Key = I.text("key");
-  if (Key.empty() || I.text("tenant").empty())
-    return I.usage("booking needs a key and a tenant: booking KEY --tenant "
+  if (Key.empty() || I.text("customer").empty())
+    return I.usage("booking needs a key and a customer: booking KEY --customer "
                    "NAME");
   Result<Uuid7> Parsed = Uuid7::parse(Key);
   if (!Parsed)
     return I.usage(Parsed.error().Message);
   std::string Target = "/admin/bookings/" + Parsed->str() +
-                       "?tenant=" + encodeQueryValue(I.text("tenant"));
+                       "?customer=" + encodeQueryValue(I.text("customer"));
   return detail::showAnswer(I, "GET", Target, [&](const Json &Booking) {
     printFields(I.Out,
                 {{"key", "key"},
-                 {"tenant", "tenant"},
+                 {"customer", "customer"},
                  {"outcome", "outcome"},
                  {"status", "status"},
                  {"answer", "answer"}},
@@ -37,7 +37,8 @@
           [](po::options_description &Options) {
             Options.add_options()("key", po::value<std::string>(),
                                   "the booking's key (UUIDv7)")(
-                "tenant", po::value<std::string>(), "the tenant that booked");
+                "customer", po::value<std::string>(),
+                "the customer that booked");
             addOperatorOptions(Options);
           },
           run};
--- a/src/ctl/internal/command.cpp
+++ b/src/ctl/internal/command.cpp
@@ -101,12 +101,12 @@
 
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> Commands = {
-      checkCommand(),     applyCommand(),     getCommand(),
-      diffCommand(),      historyCommand(),   rollbackCommand(),
-      statusCommand(),    entriesCommand(),   endpointsCommand(),
-      bookingCommand(),   topCommand(),       explainCommand(),
-      traceCommand(),     drainCommand(),     keygenCommand(),
-      tenantKeyCommand(), completionCommand()};
+      checkCommand(),       applyCommand(),     getCommand(),
+      diffCommand(),        historyCommand(),   rollbackCommand(),
+      statusCommand(),      entriesCommand(),   endpointsCommand(),
+      bookingCommand(),     topCommand(),       explainCommand(),
+      traceCommand(),       drainCommand(),     keygenCommand(),
+      customerKeyCommand(), completionCommand()};
   return Commands;
 }
 
--- a/src/ctl/internal/tenantkeycommand.cpp
+++ b/src/ctl/internal/customerkeycommand.cpp
@@ -2,7 +2,7 @@
 
 #include "ctl/commands.h"
 #include "ctl/output.h"
-#include "framework/tenantkey.h"
+#include "framework/customerkey.h"
 #include "settings/secretfile.h"
 
 namespace celerybeam::ctl {
@@ -19,19 +19,20 @@
 }
 
 ExitCode run(const Invocation &I) {
-  if (I.text("tenant").empty() || I.text("secret-file").empty())
-    return I.usage("tenant-key needs a tenant and a secret: tenant-key TENANT "
-                   "--secret-file FILE");
+  if (I.text("customer").empty() || I.text("secret-file").empty())
+    return I.usage(
+        "customer-key needs a customer and a secret: customer-key CUSTOMER "
+        "--secret-file FILE");
   Result<std::string> Secret = readSecretFile(I.text("secret-file"));
   if (!Secret)
     return I.fail(Secret.error());
   std::chrono::seconds Expiry = expiryOf(I);
   Result<std::string> Key =
-      TenantKeys({*Secret}).mint(TenantId(I.text("tenant")), Expiry);
+      CustomerKeys({*Secret}).mint(CustomerId(I.text("customer")), Expiry);
   if (!Key)
     return I.fail(Key.error());
   if (I.wantsJson())
-    I.Out << Json{{"tenant", I.text("tenant")},
+    I.Out << Json{{"customer", I.text("customer")},
                   {"key", *Key},
                   {"expires_unix_s", Expiry.count()}}
                  .dump(2)
@@ -43,13 +44,13 @@
 
 } // namespace
 
-Command tenantKeyCommand() {
-  return {"tenant-key",
-          "Makes the key that a tenant's callers send",
-          {"tenant"},
+Command customerKeyCommand() {
+  return {"customer-key",
+          "Makes the key that a customer's callers send",
+          {"customer"},
           [](po::options_description &Options) {
-            Options.add_options()("tenant", po::value<std::string>(),
-                                  "the tenant's name")(
+            Options.add_options()("customer", po::value<std::string>(),
+                                  "the customer's name")(
                 "secret-file", po::value<std::string>(),
                 "file with the secret (the first of `key_secret_files`)")(
                 "days", po::value<std::uint32_t>()->default_value(0),
--- a/src/ctl/internal/explaincommand.cpp
+++ b/src/ctl/internal/explaincommand.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array Parameters = {"route", "model",  "tenant",
+constexpr std::array Parameters = {"route", "model",  "customer",
                                    "class", "prompt", "region"};
 
 void print(const Invocation &I, const Json &Answer) {
@@ -61,7 +61,7 @@
             Options.add_options()("route", po::value<std::string>(),
                                   "the route that the request names")(
                 "model", po::value<std::string>(), "or the model")(
-                "tenant", po::value<std::string>(), "the caller's tenant")(
+                "customer", po::value<std::string>(), "the caller's customer")(
                 "class", po::value<std::string>(),
                 "short or long (estimated)")("prompt", po::value<std::string>(),
                                              "the first part of the prompt")(
--- a/src/ctl/internal/keygencommand.cpp
+++ b/src/ctl/internal/keygencommand.cpp
@@ -66,15 +66,15 @@
 }
 
 ExitCode run(const Invocation &I) {
-  auto Given = I.Options.count("curve") + I.Options.count("tenant") +
+  auto Given = I.Options.count("curve") + I.Options.count("customer") +
                I.Options.count("token");
   if (Given != 1)
-    return I.usage("keygen needs one of --curve FILE, --tenant FILE, --token "
+    return I.usage("keygen needs one of --curve FILE, --customer FILE, --token "
                    "FILE");
   if (I.Options.count("curve") != 0)
     return makeCurveKey(I, I.text("curve"));
-  std::string Tenant = I.text("tenant");
-  return makeSecret(I, Tenant.empty() ? I.text("token") : Tenant);
+  std::string Customer = I.text("customer");
+  return makeSecret(I, Customer.empty() ? I.text("token") : Customer);
 }
 
 } // namespace
@@ -87,8 +87,8 @@
             Options.add_options()(
                 "curve", po::value<std::string>(),
                 "write a host's CURVE secret key to this new file and print "
-                "the public key")("tenant", po::value<std::string>(),
-                                  "write a secret for tenant keys to this "
+                "the public key")("customer", po::value<std::string>(),
+                                  "write a secret for customer keys to this "
                                   "new file")(
                 "token", po::value<std::string>(),
                 "write an operators' token to this new file");
--- a/src/ctl/tests/commandtest.cpp
+++ b/src/ctl/tests/commandtest.cpp
@@ -9,7 +9,7 @@
 
 #include "fakes/fakeplatform.h"
 #include "fakes/fakeserver.h"
-#include "framework/tenantkey.h"
+#include "framework/customerkey.h"
 #include "settings/secretfile.h"
 #include "support/temporaryfolder.h"
 
@@ -212,11 +212,11 @@
   BOOST_TEST((D.run({"keygen", "--curve", D.path("k")}) == ExitCode::Ok));
   BOOST_TEST(D.Out.size() == 41U);
   BOOST_TEST((D.run({"keygen", "--curve", D.path("k")}) == ExitCode::Failed));
-  BOOST_TEST((D.run({"keygen", "--tenant", D.path("t")}) == ExitCode::Ok));
-  BOOST_TEST((D.run({"tenant-key", "crew", "--secret-file", D.path("t")}) ==
+  BOOST_TEST((D.run({"keygen", "--customer", D.path("t")}) == ExitCode::Ok));
+  BOOST_TEST((D.run({"customer-key", "crew", "--secret-file", D.path("t")}) ==
               ExitCode::Ok));
   std::string Key = D.Out.substr(0, D.Out.size() - 1);
-  TenantKeys Keys({*readSecretFile(D.path("t"))});
+  CustomerKeys Keys({*readSecretFile(D.path("t"))});
   BOOST_TEST(Keys.verify("Bearer " + Key, UnixMillis(0)).has_value());
 }
 
--- a/src/dispatch/internal/coldallowance.cpp
+++ b/src/dispatch/internal/coldallowance.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/coldallowance.h"
 
-#include <xxhash.h>
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
@@ -9,7 +9,7 @@
 constexpr double UsPerSecond = 1e6;
 
 std::uint64_t rankOf(const HostId &Host, const EndpointKey &Endpoint) {
-  return XXH64(Host.str().data(), Host.str().size(), Endpoint.Value);
+  return stableHash(Host.str(), Endpoint.Value);
 }
 
 } // namespace
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <xxhash.h>
+#include "framework/stablehash.h"
 
 #include "dispatch/hostturn.h"
 
@@ -89,7 +89,7 @@
     if (Levels.empty())
       return Duration::zero();
     auto Rank = [&](const FleetEndpoint &E) {
-      return XXH64(&E.Key.Value, sizeof(E.Key.Value), Levels.back().Hash);
+      return stableHash(E.Key.Value, Levels.back().Hash);
     };
     std::uint64_t Own = Rank(Endpoint);
     auto Ahead = std::count_if(All.begin(), All.end(),
--- a/src/dispatch/internal/hostturn.cpp
+++ b/src/dispatch/internal/hostturn.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include <xxhash.h>
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
@@ -11,9 +11,7 @@
 
 std::uint64_t rankOf(const HostId &Host, const EndpointKey &Endpoint,
                      std::uint64_t Epoch) {
-  std::array<std::uint64_t, 2> Seed = {Endpoint.Value, Epoch};
-  return XXH64(Host.str().data(), Host.str().size(),
-               XXH64(Seed.data(), sizeof(Seed), 0));
+  return stableHash(Host.str(), stableHash(Endpoint.Value, Epoch));
 }
 
 } // namespace
--- a/src/dispatch/internal/regionoutlook.cpp
+++ b/src/dispatch/internal/regionoutlook.cpp
@@ -1,12 +1,10 @@
 #include "dispatch/regionoutlook.h"
 
-#include <xxhash.h>
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
-std::uint64_t poolHash(const PoolName &Pool) {
-  return XXH64(Pool.str().data(), Pool.str().size(), 0);
-}
+std::uint64_t poolHash(const PoolName &Pool) { return stableHash(Pool.str()); }
 
 void RegionOutlook::heard(const RegionId &Region, const PoolOutlook &Outlook) {
   Entries_[{Region, Outlook.Pool}] = {Outlook, Runtime_.Now(), {}};
--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -1,6 +1,6 @@
 #include "fleet/fleettypes.h"
 
-#include <xxhash.h>
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
@@ -38,8 +38,7 @@
 }
 
 EndpointKey endpointKeyOf(const EndpointId &Id, std::int64_t StartedAt) {
-  return {XXH64(Id.str().data(), Id.str().size(),
-                static_cast<XXH64_hash_t>(StartedAt))};
+  return {stableHash(Id.str(), static_cast<std::uint64_t>(StartedAt))};
 }
 
 } // namespace celerybeam
--- a/src/framework/httptypes.h
+++ b/src/framework/httptypes.h
@@ -27,7 +27,7 @@
 std::size_t countHeaders(const HeaderFields &Fields, std::string_view Name);
 
 /// The value of a name in a query such as "route=a&class=short", or an empty
-/// view. Values are taken as they stand: names of routes, models and tenants
+/// view. Values are taken as they stand: names of routes, models and customers
 /// need no percent-encoding.
 std::string_view findQueryValue(std::string_view Query, std::string_view Name);
 
--- a/src/framework/internal/tenantkey.cpp
+++ b/src/framework/internal/customerkey.cpp
@@ -1,4 +1,4 @@
-#include "framework/tenantkey.h"
+#include "framework/customerkey.h"
 
 #include <algorithm>
 #include <cctype>
@@ -14,18 +14,18 @@
 
 constexpr std::string_view Scheme = "Bearer ";
 constexpr std::string_view Prefix = "cbk1.";
-constexpr std::size_t GreatestTenantLength = 128;
+constexpr std::size_t GreatestCustomerLength = 128;
 
 struct KeyParts {
-  std::string_view Tenant;
+  std::string_view Customer;
   std::int64_t Expiry = 0;
   /// All before the signature and its dot.
   std::string_view Signed;
   std::string_view Signature;
 };
 
-bool isTenantName(std::string_view Name) {
-  return !Name.empty() && Name.size() <= GreatestTenantLength &&
+bool isCustomerName(std::string_view Name) {
+  return !Name.empty() && Name.size() <= GreatestCustomerLength &&
          std::all_of(Name.begin(), Name.end(), [](unsigned char C) {
            return std::isalnum(C) != 0 || C == '-' || C == '_';
          });
@@ -34,23 +34,23 @@
 std::optional<KeyParts> splitKey(std::string_view Key) {
   if (!Key.starts_with(Prefix))
     return std::nullopt;
-  std::size_t TenantEnd = Key.find('.', Prefix.size());
-  if (TenantEnd == std::string_view::npos)
+  std::size_t CustomerEnd = Key.find('.', Prefix.size());
+  if (CustomerEnd == std::string_view::npos)
     return std::nullopt;
-  std::size_t ExpiryEnd = Key.find('.', TenantEnd + 1);
+  std::size_t ExpiryEnd = Key.find('.', CustomerEnd + 1);
   if (ExpiryEnd == std::string_view::npos)
     return std::nullopt;
   KeyParts Parts;
-  Parts.Tenant = Key.substr(Prefix.size(), TenantEnd - Prefix.size());
+  Parts.Customer = Key.substr(Prefix.size(), CustomerEnd - Prefix.size());
   std::string_view Expiry =
-      Key.substr(TenantEnd + 1, ExpiryEnd - TenantEnd - 1);
+      Key.substr(CustomerEnd + 1, ExpiryEnd - CustomerEnd - 1);
   const char *End = Expiry.data() + Expiry.size();
   auto [Parsed, Code] = std::from_chars(Expiry.data(), End, Parts.Expiry);
   if (Code != std::errc() || Parsed != End || Parts.Expiry < 0)
     return std::nullopt;
   Parts.Signed = Key.substr(0, ExpiryEnd);
   Parts.Signature = Key.substr(ExpiryEnd + 1);
-  if (!isTenantName(Parts.Tenant))
+  if (!isCustomerName(Parts.Customer))
     return std::nullopt;
   return Parts;
 }
@@ -61,7 +61,7 @@
 
 } // namespace
 
-class TenantKeys::Impl {
+class CustomerKeys::Impl {
 public:
   bool isSigned(const KeyParts &Parts) const {
     bool Found = false;
@@ -75,41 +75,41 @@
   std::vector<std::string> Secrets_;
 };
 
-TenantKeys::TenantKeys(std::vector<std::string> Secrets)
+CustomerKeys::CustomerKeys(std::vector<std::string> Secrets)
     : Impl_(std::make_unique<Impl>()) {
   Impl_->Secrets_ = std::move(Secrets);
 }
-TenantKeys::~TenantKeys() = default;
-TenantKeys::TenantKeys(TenantKeys &&) noexcept = default;
-TenantKeys &TenantKeys::operator=(TenantKeys &&) noexcept = default;
+CustomerKeys::~CustomerKeys() = default;
+CustomerKeys::CustomerKeys(CustomerKeys &&) noexcept = default;
+CustomerKeys &CustomerKeys::operator=(CustomerKeys &&) noexcept = default;
 
-Result<TenantId> TenantKeys::verify(std::string_view Authorization,
-                                    UnixMillis Now) const {
+Result<CustomerId> CustomerKeys::verify(std::string_view Authorization,
+                                        UnixMillis Now) const {
   if (!Authorization.starts_with(Scheme))
-    return unauthorized("The request carries no tenant key; send the header "
+    return unauthorized("The request carries no customer key; send the header "
                         "\"Authorization: Bearer KEY\".");
   std::optional<KeyParts> Parts = splitKey(Authorization.substr(Scheme.size()));
   if (!Parts || !Impl_->isSigned(*Parts))
-    return unauthorized("The tenant key is not valid; ask the operators for "
-                        "a new one (celerybeamctl tenant-key).");
+    return unauthorized("The customer key is not valid; ask the operators for "
+                        "a new one (celerybeamctl customer-key).");
   if (Parts->Expiry != 0 && Now >= std::chrono::seconds(Parts->Expiry))
-    return unauthorized("The tenant key has expired; ask the operators for a "
-                        "new one (celerybeamctl tenant-key).");
-  return TenantId(std::string(Parts->Tenant));
+    return unauthorized("The customer key has expired; ask the operators for a "
+                        "new one (celerybeamctl customer-key).");
+  return CustomerId(std::string(Parts->Customer));
 }
 
-Result<std::string> TenantKeys::mint(const TenantId &Tenant,
-                                     std::chrono::seconds Expiry) const {
-  if (!isTenantName(Tenant.str()))
+Result<std::string> CustomerKeys::mint(const CustomerId &Customer,
+                                       std::chrono::seconds Expiry) const {
+  if (!isCustomerName(Customer.str()))
     return makeError(ErrorKind::BadRequest,
-                     "A tenant's name has 1 to 128 letters, digits, '-' and "
+                     "A customer's name has 1 to 128 letters, digits, '-' and "
                      "'_'; choose another name.");
   if (Impl_->Secrets_.empty())
     return makeError(ErrorKind::InvalidSettings,
-                     "No tenant key secret is given; make one with "
-                     "celerybeamctl keygen --tenant.");
-  std::string Signed =
-      std::string(Prefix) + Tenant.str() + "." + std::to_string(Expiry.count());
+                     "No customer key secret is given; make one with "
+                     "celerybeamctl keygen --customer.");
+  std::string Signed = std::string(Prefix) + Customer.str() + "." +
+                       std::to_string(Expiry.count());
   return Signed + "." + hmacSha256Hex(Impl_->Secrets_.front(), Signed);
 }
 
--- a/src/framework/internal/digest.cpp
+++ b/src/framework/internal/digest.cpp
@@ -44,19 +44,4 @@
   return gnutls_memcmp(Left.data(), Right.data(), Left.size()) == 0;
 }
 
-std::uint64_t stableHash(std::string_view Data, std::uint64_t Seed) {
-  // FNV-1a with a final mix, since FNV's high bits are weak on short input.
-  std::uint64_t Hash = 0xCBF29CE484222325ULL ^ Seed;
-  for (char C : Data) {
-    Hash ^= static_cast<unsigned char>(C);
-    Hash *= 0x100000001B3ULL;
-  }
-  Hash ^= Hash >> 33U;
-  Hash *= 0xFF51AFD7ED558CCDULL;
-  Hash ^= Hash >> 33U;
-  Hash *= 0xC4CEB9FE1A85EC53ULL;
-  Hash ^= Hash >> 33U;
-  return Hash;
-}
-
 } // namespace celerybeam
--- a/src/gateway/callerhandler.h
+++ b/src/gateway/callerhandler.h
@@ -24,17 +24,17 @@
   /// The connection ended before the answer did. Called at most once.
   std::function<void(const RequestId &)> CallerGone;
 
-  /// Tells the tenant of an Authorization header.
+  /// Tells the customer of an Authorization header.
   Authenticator Authenticate;
-  /// The JSON of GET /v1/models for a tenant.
-  std::function<std::string(const TenantId &)> Models;
+  /// The JSON of GET /v1/models for a customer.
+  std::function<std::string(const CustomerId &)> Models;
   /// The JSON of GET /v1/entries; the head's query may name a route.
   std::function<Result<std::string>(const RequestHead &)> Entries;
   /// JSON array of the entry hosts to use instead of this one, put as
   /// "entries" into a WrongRegion refusal. May be empty.
   std::function<std::string(const RequestHead &)> EntriesElsewhere;
   /// Tells the outcome of a booking.
-  std::function<void(const TenantId &, const RequestHead &, const Uuid7 &,
+  std::function<void(const CustomerId &, const RequestHead &, const Uuid7 &,
                      Completion<BookingOutcome>)>
       BookingStatus;
   /// Whether the host takes requests; the error goes to /readyz.
--- a/src/gateway/internal/callerconnection.cpp
+++ b/src/gateway/internal/callerconnection.cpp
@@ -184,15 +184,15 @@
 }
 
 MHD_Result CallerConnection::acceptBookingStatus() {
-  auto Tenant = Context_.Handler->Authenticate(
+  auto Customer = Context_.Handler->Authenticate(
       findHeader(Head_.Headers, "authorization"));
-  if (!Tenant)
-    return refuse(Tenant.error());
+  if (!Customer)
+    return refuse(Customer.error());
   auto Key =
       Uuid7::parse(std::string_view(Head_.Path).substr(BookingsPrefix.size()));
   if (!Key)
     return refuse(Key.error());
-  Tenant_ = *Tenant;
+  Customer_ = *Customer;
   BookingKey_ = *Key;
   return MHD_YES;
 }
@@ -213,11 +213,11 @@
       return refuse(Entries.error());
     return queue(jsonAnswer(OkStatus, std::move(*Entries)));
   }
-  auto Tenant =
+  auto Customer =
       Handler.Authenticate(findHeader(Head_.Headers, "authorization"));
-  if (!Tenant)
-    return refuse(Tenant.error());
-  return queue(jsonAnswer(OkStatus, Handler.Models(*Tenant)));
+  if (!Customer)
+    return refuse(Customer.error());
+  return queue(jsonAnswer(OkStatus, Handler.Models(*Customer)));
 }
 
 MHD_Result CallerConnection::refuse(const Error &Failure) {
@@ -310,7 +310,7 @@
   ResponseHooks Answer = exchange()->producer();
   Uuid7 Key = *BookingKey_;
   Context_.Handler->BookingStatus(
-      Tenant_, Head_, Key, [Answer, Key](const Result<BookingOutcome> &O) {
+      Customer_, Head_, Key, [Answer, Key](const Result<BookingOutcome> &O) {
         CallerAnswer Whole = bookingAnswer(Key, O);
         Answer.Head(std::move(Whole.Head));
         Answer.Chunk(std::move(Whole.Body));
--- a/src/gateway/internal/callerconnection.h
+++ b/src/gateway/internal/callerconnection.h
@@ -94,7 +94,7 @@
   std::optional<AcceptedHead> Accepted_;
   std::optional<Uuid7> BookingKey_;
   std::optional<CallerAnswer> Deferred_;
-  TenantId Tenant_;
+  CustomerId Customer_;
   std::string Body_;
   bool HeadSeen_ = false;
   /// Bytes of a body above the limit.
--- a/src/gateway/tests/callerfixture.h
+++ b/src/gateway/tests/callerfixture.h
@@ -27,17 +27,19 @@
     };
     H.CallerReady = [this](const RequestId &) { bump(Ready); };
     H.CallerGone = [this](const RequestId &) { bump(Gone); };
-    H.Authenticate = [](std::string_view Key) -> Result<TenantId> {
+    H.Authenticate = [](std::string_view Key) -> Result<CustomerId> {
       if (Key != "Bearer k")
-        return makeError(ErrorKind::Unauthorized, "Send the tenant's key.");
-      return TenantId("roofers");
+        return makeError(ErrorKind::Unauthorized, "Send the customer's key.");
+      return CustomerId("roofers");
+    };
+    H.Models = [](const CustomerId &T) {
+      return "{\"t\":\"" + T.str() + "\"}";
     };
-    H.Models = [](const TenantId &T) { return "{\"t\":\"" + T.str() + "\"}"; };
     H.Entries = [](const RequestHead &Head) -> Result<std::string> {
       return "{\"query\":\"" + Head.Query + "\"}";
     };
     H.EntriesElsewhere = [](const RequestHead &) { return "[\"huye-1\"]"; };
-    H.BookingStatus = [](const TenantId &, const RequestHead &, const Uuid7 &,
+    H.BookingStatus = [](const CustomerId &, const RequestHead &, const Uuid7 &,
                          const Completion<BookingOutcome> &Done) {
       Done(BookingOutcome{BookingState::Done, 201, "text/plain", "slot 4"});
     };
--- a/src/membership/internal/rendezvous.h
+++ b/src/membership/internal/rendezvous.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "blackboard/idtypes.h"
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam::detail {
 
--- a/src/metrics/internal/tenanttable.cpp
+++ b/src/metrics/internal/customertable.cpp
@@ -1,4 +1,4 @@
-#include "metrics/internal/tenanttable.h"
+#include "metrics/internal/customertable.h"
 
 #include <algorithm>
 
@@ -6,30 +6,30 @@
 
 namespace {
 
-/// Tenants counted for each one that has series.
+/// Customers counted for each one that has series.
 constexpr std::size_t CountsPerSeries = 4;
-/// How many times the requests of the least tenant another one must have
+/// How many times the requests of the least customer another one must have
 /// before it takes over the series.
 constexpr std::uint64_t TakeoverFactor = 2;
-/// Counts are halved after so many requests for each counted tenant, so that
-/// tenants of the past give way.
+/// Counts are halved after so many requests for each counted customer, so that
+/// customers of the past give way.
 constexpr std::uint64_t AgingRequestsPerCount = 100;
 
 } // namespace
 
-TenantTable::TenantTable(std::size_t SeriesLimit)
+CustomerTable::CustomerTable(std::size_t SeriesLimit)
     : SeriesLimit_(std::max<std::size_t>(SeriesLimit, 1)),
       CountLimit_(SeriesLimit_ * CountsPerSeries) {}
 
-void TenantTable::record(const RequestSample &Sample) {
-  const Estimate &Counted = count(Sample.Tenant);
-  seriesFor(Sample.Tenant, Counted).record(Sample);
+void CustomerTable::record(const RequestSample &Sample) {
+  const Estimate &Counted = count(Sample.Customer);
+  seriesFor(Sample.Customer, Counted).record(Sample);
   if (++SinceAging_ >= AgingRequestsPerCount * CountLimit_)
     age();
 }
 
-TenantTable::Estimate &TenantTable::count(const TenantId &Tenant) {
-  if (auto It = Counts_.find(Tenant); It != Counts_.end()) {
+CustomerTable::Estimate &CustomerTable::count(const CustomerId &Customer) {
+  if (auto It = Counts_.find(Customer); It != Counts_.end()) {
     ++It->second.Count;
     return It->second;
   }
@@ -42,16 +42,16 @@
     Start = {Least->second.Count + 1, Least->second.Count};
     Counts_.erase(Least);
   }
-  return Counts_.emplace(Tenant, Start).first->second;
+  return Counts_.emplace(Customer, Start).first->second;
 }
 
-TenantSeries &TenantTable::seriesFor(const TenantId &Tenant,
-                                     const Estimate &Counted) {
-  if (auto It = Series_.find(Tenant); It != Series_.end())
+CustomerSeries &CustomerTable::seriesFor(const CustomerId &Customer,
+                                         const Estimate &Counted) {
+  if (auto It = Series_.find(Customer); It != Series_.end())
     return It->second;
   if (Series_.size() < SeriesLimit_)
-    return Series_[Tenant];
-  const TenantId *Least = leastWithSeries();
+    return Series_[Customer];
+  const CustomerId *Least = leastWithSeries();
   auto LeastCounted = Counts_.find(*Least);
   std::uint64_t Bound =
       LeastCounted == Counts_.end() ? 0 : LeastCounted->second.Count;
@@ -59,12 +59,12 @@
     return Rest_;
   auto Node = Series_.extract(*Least);
   Rest_.merge(Node.mapped());
-  return Series_[Tenant];
+  return Series_[Customer];
 }
 
-const TenantId *TenantTable::leastWithSeries() const {
-  auto CountOf = [this](const TenantId &Tenant) {
-    auto It = Counts_.find(Tenant);
+const CustomerId *CustomerTable::leastWithSeries() const {
+  auto CountOf = [this](const CustomerId &Customer) {
+    auto It = Counts_.find(Customer);
     return It == Counts_.end() ? 0 : It->second.Count;
   };
   auto Least = std::min_element(Series_.begin(), Series_.end(),
@@ -74,17 +74,17 @@
   return &Least->first;
 }
 
-void TenantTable::age() {
+void CustomerTable::age() {
   SinceAging_ = 0;
-  for (auto &[Tenant, Counted] : Counts_) {
+  for (auto &[Customer, Counted] : Counts_) {
     Counted.Count /= 2;
     Counted.Error /= 2;
   }
 }
 
-void TenantTable::write(PrometheusText &Text, TenantSeries &Rest) const {
-  for (const auto &[Tenant, Series] : Series_)
-    Series.write(Text, {{"tenant", Tenant.str()}});
+void CustomerTable::write(PrometheusText &Text, CustomerSeries &Rest) const {
+  for (const auto &[Customer, Series] : Series_)
+    Series.write(Text, {{"customer", Customer.str()}});
   Rest.merge(Rest_);
 }
 
--- a/src/metrics/internal/metricsregistry.cpp
+++ b/src/metrics/internal/metricsregistry.cpp
@@ -6,9 +6,9 @@
 #include <mutex>
 #include <utility>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
+#include "metrics/internal/customertable.h"
 #include "metrics/internal/requestseries.h"
-#include "metrics/internal/tenanttable.h"
 
 namespace celerybeam {
 
@@ -35,11 +35,11 @@
   std::map<RouteKey, RouteSeries> Series;
 };
 
-struct TenantShard {
-  explicit TenantShard(std::size_t Limit) : Table(Limit) {}
+struct CustomerShard {
+  explicit CustomerShard(std::size_t Limit) : Table(Limit) {}
 
   std::mutex Mutex;
-  TenantTable Table;
+  CustomerTable Table;
 };
 
 struct ValueFamily {
@@ -76,14 +76,14 @@
 private:
   void recordRoute(const RequestSample &Sample);
   void writeRoutes(PrometheusText &Text);
-  void writeTenants(PrometheusText &Text);
+  void writeCustomers(PrometheusText &Text);
   void writeValues(PrometheusText &Text);
   void writeSources(PrometheusText &Text);
 
   const MetricsLimits Limits_;
   std::array<RouteShard, ShardCount> Routes_;
   std::atomic<std::size_t> RouteCount_ = 0;
-  std::vector<std::unique_ptr<TenantShard>> Tenants_;
+  std::vector<std::unique_ptr<CustomerShard>> Customers_;
   std::array<ValueShard, ShardCount> Values_;
   std::atomic<std::size_t> ValueCount_ = 0;
   std::atomic<std::uint64_t> Dropped_ = 0;
@@ -93,14 +93,16 @@
 
 MetricsRegistry::Impl::Impl(MetricsLimits Limits) : Limits_(Limits) {
   std::size_t Shards =
-      std::min(ShardCount, std::max<std::size_t>(Limits.Tenants, 1));
+      std::min(ShardCount, std::max<std::size_t>(Limits.Customers, 1));
   for (std::size_t I = 0; I < Shards; ++I)
-    Tenants_.push_back(std::make_unique<TenantShard>(Limits.Tenants / Shards));
+    Customers_.push_back(
+        std::make_unique<CustomerShard>(Limits.Customers / Shards));
 }
 
 void MetricsRegistry::Impl::record(const RequestSample &Sample) {
   recordRoute(Sample);
-  auto &Shard = *Tenants_[stableHash(Sample.Tenant.str()) % Tenants_.size()];
+  auto &Shard =
+      *Customers_[stableHash(Sample.Customer.str()) % Customers_.size()];
   std::lock_guard Lock(Shard.Mutex);
   Shard.Table.record(Sample);
 }
@@ -161,14 +163,14 @@
   }
 }
 
-void MetricsRegistry::Impl::writeTenants(PrometheusText &Text) {
-  TenantSeries::declare(Text);
-  TenantSeries Rest;
-  for (const auto &Shard : Tenants_) {
+void MetricsRegistry::Impl::writeCustomers(PrometheusText &Text) {
+  CustomerSeries::declare(Text);
+  CustomerSeries Rest;
+  for (const auto &Shard : Customers_) {
     std::lock_guard Lock(Shard->Mutex);
     Shard->Table.write(Text, Rest);
   }
-  Rest.write(Text, {{"tenant", RestName}});
+  Rest.write(Text, {{"customer", RestName}});
 }
 
 void MetricsRegistry::Impl::writeValues(PrometheusText &Text) {
@@ -201,7 +203,7 @@
 std::string MetricsRegistry::Impl::text() {
   PrometheusText Text;
   writeRoutes(Text);
-  writeTenants(Text);
+  writeCustomers(Text);
   writeValues(Text);
   writeSources(Text);
   Text.declare(DroppedName,
--- a/src/metrics/internal/requestseries.cpp
+++ b/src/metrics/internal/requestseries.cpp
@@ -9,7 +9,7 @@
 // Four buckets a decade from 1 ms to 1000 s.
 constexpr DistributionScale RouteSeconds{24, 0.001, 1000};
 // Two a decade.
-constexpr DistributionScale TenantSeconds{12, 0.001, 1000};
+constexpr DistributionScale CustomerSeconds{12, 0.001, 1000};
 // From 0.1 ms, since tokens follow each other fast.
 constexpr DistributionScale GapSeconds{20, 0.0001, 10};
 constexpr DistributionScale AttemptCounts{4, 1, 16};
@@ -26,12 +26,13 @@
 constexpr const char *TokensName = "celerybeam_request_tokens";
 constexpr const char *RequestsName = "celerybeam_requests_total";
 constexpr const char *SentAwayName = "celerybeam_requests_sent_away_total";
-constexpr const char *TenantFirstTokenName =
-    "celerybeam_tenant_first_token_seconds";
-constexpr const char *TenantQueueWaitName =
-    "celerybeam_tenant_queue_wait_seconds";
-constexpr const char *TenantTotalName = "celerybeam_tenant_request_seconds";
-constexpr const char *TenantRequestsName = "celerybeam_tenant_requests_total";
+constexpr const char *CustomerFirstTokenName =
+    "celerybeam_customer_first_token_seconds";
+constexpr const char *CustomerQueueWaitName =
+    "celerybeam_customer_queue_wait_seconds";
+constexpr const char *CustomerTotalName = "celerybeam_customer_request_seconds";
+constexpr const char *CustomerRequestsName =
+    "celerybeam_customer_requests_total";
 
 double seconds(Duration D) { return std::chrono::duration<double>(D).count(); }
 
@@ -92,11 +93,11 @@
                MetricType::Counter);
 }
 
-TenantSeries::TenantSeries()
-    : FirstToken_(TenantSeconds), QueueWait_(TenantSeconds),
-      Total_(TenantSeconds) {}
+CustomerSeries::CustomerSeries()
+    : FirstToken_(CustomerSeconds), QueueWait_(CustomerSeconds),
+      Total_(CustomerSeconds) {}
 
-void TenantSeries::record(const RequestSample &Sample) {
+void CustomerSeries::record(const RequestSample &Sample) {
   QueueWait_.add(seconds(Sample.QueueWait));
   Total_.add(seconds(Sample.Total));
   if (hasFirstToken(Sample))
@@ -104,7 +105,7 @@
   ++(Sample.Outcome == WholeOutcome ? Whole_ : Failed_);
 }
 
-void TenantSeries::merge(const TenantSeries &Other) {
+void CustomerSeries::merge(const CustomerSeries &Other) {
   FirstToken_.merge(Other.FirstToken_);
   QueueWait_.merge(Other.QueueWait_);
   Total_.merge(Other.Total_);
@@ -112,27 +113,28 @@
   Failed_ += Other.Failed_;
 }
 
-void TenantSeries::write(PrometheusText &Text,
-                         const MetricLabels &Labels) const {
-  FirstToken_.write(Text, TenantFirstTokenName, Labels);
-  QueueWait_.write(Text, TenantQueueWaitName, Labels);
-  Total_.write(Text, TenantTotalName, Labels);
+void CustomerSeries::write(PrometheusText &Text,
+                           const MetricLabels &Labels) const {
+  FirstToken_.write(Text, CustomerFirstTokenName, Labels);
+  QueueWait_.write(Text, CustomerQueueWaitName, Labels);
+  Total_.write(Text, CustomerTotalName, Labels);
   MetricLabels WithOutcome = Labels;
   WithOutcome.push_back({"outcome", WholeOutcome});
-  Text.addValue(TenantRequestsName, WithOutcome, static_cast<double>(Whole_));
+  Text.addValue(CustomerRequestsName, WithOutcome, static_cast<double>(Whole_));
   WithOutcome.back().Value = FailedOutcome;
-  Text.addValue(TenantRequestsName, WithOutcome, static_cast<double>(Failed_));
+  Text.addValue(CustomerRequestsName, WithOutcome,
+                static_cast<double>(Failed_));
 }
 
-void TenantSeries::declare(PrometheusText &Text) {
+void CustomerSeries::declare(PrometheusText &Text) {
   constexpr auto Histogram = MetricType::Histogram;
-  Text.declare(TenantFirstTokenName, "Time to the first token, by tenant.",
+  Text.declare(CustomerFirstTokenName, "Time to the first token, by customer.",
                Histogram);
-  Text.declare(TenantQueueWaitName, "Time in this host's queue, by tenant.",
+  Text.declare(CustomerQueueWaitName, "Time in this host's queue, by customer.",
                Histogram);
-  Text.declare(TenantTotalName, "Time to the end of the answer, by tenant.",
+  Text.declare(CustomerTotalName, "Time to the end of the answer, by customer.",
                Histogram);
-  Text.declare(TenantRequestsName, "Ended requests by tenant and outcome.",
+  Text.declare(CustomerRequestsName, "Ended requests by customer and outcome.",
                MetricType::Counter);
 }
 
--- a/src/metrics/internal/requestseries.h
+++ b/src/metrics/internal/requestseries.h
@@ -31,13 +31,13 @@
   std::uint64_t SentAway_ = 0;
 };
 
-/// The series of one tenant, coarser than those of a route.
-class TenantSeries {
+/// The series of one customer, coarser than those of a route.
+class CustomerSeries {
 public:
-  TenantSeries();
+  CustomerSeries();
 
   void record(const RequestSample &Sample);
-  void merge(const TenantSeries &Other);
+  void merge(const CustomerSeries &Other);
   void write(PrometheusText &Text, const MetricLabels &Labels) const;
   static void declare(PrometheusText &Text);
 
--- a/src/metrics/metricsregistry.h
+++ b/src/metrics/metricsregistry.h
@@ -16,7 +16,7 @@
 
 /// What is measured of one request that has ended.
 struct RequestSample {
-  TenantId Tenant;
+  CustomerId Customer;
   RouteName Route;
   RequestClass Class = RequestClass::Short;
   /// "ok" or the name of an error kind.
@@ -40,9 +40,9 @@
 
 /// Bounds of the number of series.
 struct MetricsLimits {
-  /// Tenants with series of their own, those with most requests; the others
-  /// are counted together as tenant "rest".
-  std::size_t Tenants = 200;
+  /// Customers with series of their own, those with most requests; the others
+  /// are counted together as customer "rest".
+  std::size_t Customers = 200;
   /// Pairs of route and class with series of their own; further ones are
   /// counted together as route "rest".
   std::size_t Routes = 400;
@@ -59,7 +59,7 @@
   ~MetricsRegistry();
 
   /// Counts a request in the histograms of its route and class and of its
-  /// tenant.
+  /// customer.
   void record(const RequestSample &Sample);
 
   /// Adds to a counter; by custom its name ends in "_total". A name keeps
--- a/src/metrics/tests/metricsregistrytest.cpp
+++ b/src/metrics/tests/metricsregistrytest.cpp
@@ -12,9 +12,9 @@
 
 using std::chrono::milliseconds;
 
-RequestSample sampleOf(const std::string &Tenant) {
+RequestSample sampleOf(const std::string &Customer) {
   RequestSample Sample;
-  Sample.Tenant = TenantId(Tenant);
+  Sample.Customer = CustomerId(Customer);
   Sample.Route = RouteName("quotes");
   Sample.QueueWait = milliseconds(2);
   Sample.FirstToken = milliseconds(50);
@@ -39,11 +39,11 @@
   return Sum;
 }
 
-std::size_t tenantsIn(const std::string &Text) {
+std::size_t customersIn(const std::string &Text) {
   std::istringstream In(Text);
   std::size_t Count = 0;
   for (std::string Line; std::getline(In, Line);)
-    Count += Line.starts_with("celerybeam_tenant_request_seconds_count");
+    Count += Line.starts_with("celerybeam_customer_request_seconds_count");
   return Count;
 }
 
@@ -77,7 +77,7 @@
       hasLine(Text, "celerybeam_requests_sent_away_total" + Labels + "} 1"));
   BOOST_TEST(hasLine(Text, "celerybeam_request_seconds_bucket" + Labels +
                                ",le=\"+Inf\"} 2"));
-  BOOST_TEST(hasLine(Text, "celerybeam_tenant_requests_total{tenant="
+  BOOST_TEST(hasLine(Text, "celerybeam_customer_requests_total{customer="
                            "\"roofers\",outcome=\"failed\"} 1"));
 }
 
@@ -97,9 +97,9 @@
   BOOST_TEST(Last == 5);
 }
 
-BOOST_AUTO_TEST_CASE(BoundsTenantsAndLosesNoRequest) {
+BOOST_AUTO_TEST_CASE(BoundsCustomersAndLosesNoRequest) {
   MetricsLimits Limits;
-  Limits.Tenants = 16;
+  Limits.Customers = 16;
   MetricsRegistry Registry(Limits);
   constexpr int Rounds = 20;
   constexpr int Small = 2000;
@@ -110,11 +110,11 @@
       Registry.record(sampleOf("large"));
   }
   std::string Text = Registry.text();
-  BOOST_TEST(tenantsIn(Text) == 17U);
-  BOOST_TEST(sumOf(Text, "celerybeam_tenant_request_seconds_count") ==
+  BOOST_TEST(customersIn(Text) == 17U);
+  BOOST_TEST(sumOf(Text, "celerybeam_customer_request_seconds_count") ==
              Small + Rounds * 50);
-  // The large tenant came after others had taken all series.
-  BOOST_TEST(sumOf(Text, "celerybeam_tenant_request_seconds_count{tenant="
+  // The large customer came after others had taken all series.
+  BOOST_TEST(sumOf(Text, "celerybeam_customer_request_seconds_count{customer="
                          "\"large\"}") > Rounds * 50 / 2);
 }
 
--- a/src/recovery/internal/poisonregistry.cpp
+++ b/src/recovery/internal/poisonregistry.cpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "framework/digest.h"
 #include "framework/shardedmap.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
@@ -58,9 +58,9 @@
 
 } // namespace
 
-Fingerprint fingerprintOf(const TenantId &Tenant, const ModelName &Model,
+Fingerprint fingerprintOf(const CustomerId &Customer, const ModelName &Model,
                           std::string_view Body) {
-  Fingerprint Print = stableHash(Tenant.str());
+  Fingerprint Print = stableHash(Customer.str());
   Print = stableHash(Model.str(), Print);
   return stableHash(Body, Print);
 }
--- a/src/recovery/poisonregistry.h
+++ b/src/recovery/poisonregistry.h
@@ -12,10 +12,10 @@
 
 namespace celerybeam {
 
-/// Hash of tenant, model and body; the same on every host.
+/// Hash of customer, model and body; the same on every host.
 using Fingerprint = std::uint64_t;
 
-Fingerprint fingerprintOf(const TenantId &Tenant, const ModelName &Model,
+Fingerprint fingerprintOf(const CustomerId &Customer, const ModelName &Model,
                           std::string_view Body);
 
 /// Refuses requests under which endpoints crashed, on every host of the
--- a/src/recovery/tests/poisonregistrytest.cpp
+++ b/src/recovery/tests/poisonregistrytest.cpp
@@ -173,11 +173,11 @@
   BOOST_TEST(R.at("h1").begin(Print).has_value());
 }
 
-BOOST_AUTO_TEST_CASE(fingerprintsTellTenantsModelsAndBodiesApart) {
-  Fingerprint Base = fingerprintOf(TenantId("t"), ModelName("m"), "body");
-  BOOST_TEST(Base != fingerprintOf(TenantId("u"), ModelName("m"), "body"));
-  BOOST_TEST(Base != fingerprintOf(TenantId("t"), ModelName("n"), "body"));
-  BOOST_TEST(Base != fingerprintOf(TenantId("t"), ModelName("m"), "bodz"));
+BOOST_AUTO_TEST_CASE(fingerprintsTellCustomersModelsAndBodiesApart) {
+  Fingerprint Base = fingerprintOf(CustomerId("t"), ModelName("m"), "body");
+  BOOST_TEST(Base != fingerprintOf(CustomerId("u"), ModelName("m"), "body"));
+  BOOST_TEST(Base != fingerprintOf(CustomerId("t"), ModelName("n"), "body"));
+  BOOST_TEST(Base != fingerprintOf(CustomerId("t"), ModelName("m"), "bodz"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/eventloop.h
+++ b/src/relay/eventloop.h
@@ -8,7 +8,7 @@
 
 namespace boost::asio {
 class io_context;
-}
+} // namespace boost::asio
 
 namespace celerybeam {
 
--- a/src/requests/internal/bookingexchange.cpp
+++ b/src/requests/internal/bookingexchange.cpp
@@ -21,7 +21,7 @@
     Ask.Request = Start_.Id;
     Ask.Route = Start_.Route.Name;
     Ask.Pool = Start_.Pool.Name;
-    Ask.Tenant = Start_.Tenant;
+    Ask.Customer = Start_.Customer;
     Ask.Class = RequestClass::Short;
     Ask.Deadline = Start_.Deadline;
     Services_.Admission->submit(
@@ -46,8 +46,9 @@
   }
 
   BookingOrder makeOrder() const {
-    BookingOrder Order{Start_.Id,        Key_, Start_.Tenant, Start_.Route.Name,
-                       Start_.Pool.Name, {},   Start_.Body,   Start_.Deadline};
+    BookingOrder Order{
+        Start_.Id,        Key_, Start_.Customer, Start_.Route.Name,
+        Start_.Pool.Name, {},   Start_.Body,     Start_.Deadline};
     Order.Head.Method = Start_.Head.Method;
     Order.Head.Path = Start_.EndpointPath;
     Order.Head.Query = Start_.Head.Query;
@@ -84,7 +85,7 @@
   RequestSummary summarize(const Result<void> &Outcome) const {
     RequestSummary S;
     S.Request = Start_.Id;
-    S.Tenant = Start_.Tenant;
+    S.Customer = Start_.Customer;
     S.Route = Start_.Route.Name;
     if (!Outcome)
       S.Failure = Outcome.error().Kind;
--- a/src/requests/internal/exchange.cpp
+++ b/src/requests/internal/exchange.cpp
@@ -79,7 +79,7 @@
                    ExchangeStart Start, ResponseHooks Answer,
                    std::function<void()> OnDone)
     : Services_(Services), Forwards_(Forwards), Start_(std::move(Start)),
-      Print_(fingerprintOf(Start_.Tenant, Start_.Asked.Model, *Start_.Body)),
+      Print_(fingerprintOf(Start_.Customer, Start_.Asked.Model, *Start_.Body)),
       Answer_(std::move(Answer)), OnDone_(std::move(OnDone)),
       MayLeaveRegion_(Start_.Route.MayLeaveRegion && !Start_.Forwarded &&
                       Start_.Route.Residence == ResidenceRule::None),
@@ -116,7 +116,7 @@
   if (MayLeaveRegion_) {
     RouteQuery Query = makeQuery();
     Query.QueueWait = Services_.Admission->predictedWait(
-        Start_.Pool.Name, Start_.Class, Start_.Tenant);
+        Start_.Pool.Name, Start_.Class, Start_.Customer);
     if (std::optional<SendAway> Away = Services_.Routes->chooseAway(Query)) {
       askAdmission(Away);
       return;
@@ -131,7 +131,7 @@
   Ask.Request = Start_.Id;
   Ask.Route = Start_.Route.Name;
   Ask.Pool = Start_.Pool.Name;
-  Ask.Tenant = Start_.Tenant;
+  Ask.Customer = Start_.Customer;
   Ask.Class = Start_.Class;
   Ask.Tokens = Start_.Asked.PromptTokens + Start_.Asked.MaxTokens;
   Ask.Deadline = Start_.Deadline;
@@ -256,7 +256,7 @@
   RouteQuery Query;
   Query.Route = Start_.Route.Name;
   Query.Pool = Start_.Pool.Name;
-  Query.Tenant = Start_.Tenant;
+  Query.Customer = Start_.Customer;
   Query.Model = Start_.Asked.Model;
   Query.Class = Start_.Class;
   Query.Prefix = Start_.Asked.Prefix;
@@ -303,7 +303,7 @@
   Out.set_attempt(A.Id.Number);
   Out.set_origin_region(Services_.Board->self().Region.str());
   Out.set_hops(1);
-  Out.set_tenant(Start_.Tenant.str());
+  Out.set_customer(Start_.Customer.str());
   Out.set_route(Start_.Route.Name.str());
   Out.set_method(Start_.Head.Method);
   Out.set_path(Start_.Head.Path);
@@ -640,7 +640,7 @@
 RequestSummary Exchange::summarize(const Result<void> &Outcome) const {
   RequestSummary S;
   S.Request = Start_.Id;
-  S.Tenant = Start_.Tenant;
+  S.Customer = Start_.Customer;
   S.Route = Start_.Route.Name;
   S.Class = Start_.Class;
   if (!Outcome)
--- a/src/requests/internal/exchange.h
+++ b/src/requests/internal/exchange.h
@@ -26,7 +26,7 @@
   /// Path that the endpoint gets.
   std::string EndpointPath;
   std::shared_ptr<const std::string> Body;
-  TenantId Tenant;
+  CustomerId Customer;
   RouteRow Route;
   PoolRow Pool;
   /// Empty fields for plain services.
--- a/src/requests/internal/headchecker.cpp
+++ b/src/requests/internal/headchecker.cpp
@@ -43,11 +43,11 @@
   AcceptedHead Accepted;
   Accepted.Head = Head;
   Accepted.ReceivedAt = Services_.Time.Now();
-  Result<TenantId> Tenant =
+  Result<CustomerId> Customer =
       Services_.Authenticate(findHeader(Head.Headers, "authorization"));
-  if (!Tenant)
-    return tl::unexpected(Tenant.error());
-  Accepted.Tenant = *Tenant;
+  if (!Customer)
+    return tl::unexpected(Customer.error());
+  Accepted.Customer = *Customer;
 
   TablesSnapshot T = Services_.Board->tables();
   Result<void> Checked = findTarget(*T, Accepted);
--- a/src/requests/internal/prompt.cpp
+++ b/src/requests/internal/prompt.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
--- a/src/requests/internal/requestcontroller.cpp
+++ b/src/requests/internal/requestcontroller.cpp
@@ -101,7 +101,7 @@
     Start.EndpointPath =
         isInference(Accepted.Kind) ? Accepted.Head.Path : Accepted.ServicePath;
     Start.Body = std::move(Body);
-    Start.Tenant = Accepted.Tenant;
+    Start.Customer = Accepted.Customer;
     Start.ReceivedAt = Accepted.ReceivedAt;
     TablesSnapshot T = Services_.Board->tables();
     Result<const RouteRow *> Route = findRoute(*T, Accepted, Start);
@@ -172,7 +172,7 @@
       return;
     RequestSummary S;
     S.Request = Id;
-    S.Tenant = Accepted.Tenant;
+    S.Customer = Accepted.Customer;
     S.Route = Accepted.Route;
     S.Failure = Why.Kind;
     S.Total = Services_.Time.Now() - Accepted.ReceivedAt;
@@ -234,7 +234,7 @@
     Accepted.Head.Query = Request.query();
     for (const messages::Header &H : Request.headers())
       Accepted.Head.Headers.push_back({H.name(), H.value()});
-    Accepted.Tenant = TenantId(Request.tenant());
+    Accepted.Customer = CustomerId(Request.customer());
     Accepted.Route = RouteName(Request.route());
     Accepted.ReceivedAt = Services_.Time.Now();
     Accepted.Deadline =
--- a/src/requests/requesttypes.h
+++ b/src/requests/requesttypes.h
@@ -27,7 +27,7 @@
 struct AcceptedHead {
   RequestKind Kind = RequestKind::Chat;
   RequestHead Head;
-  TenantId Tenant;
+  CustomerId Customer;
   /// Empty when the route follows from the model in the body.
   RouteName Route;
   /// Path below /services/<route>.
@@ -40,8 +40,8 @@
   std::optional<RequestClass> Class;
 };
 
-/// Tells the tenant of an Authorization header; fails with Unauthorized.
-using Authenticator = std::function<Result<TenantId>(std::string_view)>;
+/// Tells the customer of an Authorization header; fails with Unauthorized.
+using Authenticator = std::function<Result<CustomerId>(std::string_view)>;
 
 /// Events of requests, for metrics and logs.
 struct RequestEvents {
@@ -52,7 +52,7 @@
 /// What became of one request.
 struct RequestSummary {
   RequestId Request;
-  TenantId Tenant;
+  CustomerId Customer;
   RouteName Route;
   RequestClass Class = RequestClass::Short;
   std::optional<ErrorKind> Failure;
--- a/src/requests/tests/headcheckertest.cpp
+++ b/src/requests/tests/headcheckertest.cpp
@@ -23,10 +23,10 @@
     Board.adoptTables(T);
     Services.Board = &Board;
     Services.Time.Now = [] { return TimePoint(std::chrono::seconds(100)); };
-    Services.Authenticate = [](std::string_view Key) -> Result<TenantId> {
+    Services.Authenticate = [](std::string_view Key) -> Result<CustomerId> {
       if (Key != "good")
-        return makeError(ErrorKind::Unauthorized, "send a tenant key");
-      return TenantId("t");
+        return makeError(ErrorKind::Unauthorized, "send a customer key");
+      return CustomerId("t");
     };
     Services.EntriesOf = [](const RegionId &) {
       return std::vector<Address>{Address("10.0.0.9:80")};
--- a/src/routing/internal/poolview.cpp
+++ b/src/routing/internal/poolview.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam::detail {
 
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <utility>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 #include "routing/internal/poolview.h"
 #include "routing/internal/prefixmemory.h"
 #include "routing/internal/sendawaypolicy.h"
@@ -32,14 +32,6 @@
 constexpr std::chrono::milliseconds MinRetryAfter{50};
 constexpr double TwoTo64 = 18446744073709551616.;
 
-std::uint64_t mix(std::uint64_t Left, std::uint64_t Right) {
-  std::uint64_t Hash = Left ^ (Right * 0x9E3779B97F4A7C15ULL);
-  Hash ^= Hash >> 32U;
-  Hash *= 0xD6E8FEB86659FD93ULL;
-  Hash ^= Hash >> 32U;
-  return Hash;
-}
-
 /// One endpoint that the decision weighs.
 struct Weighed {
   const Candidate *Where = nullptr;
@@ -290,7 +282,7 @@
     const Candidate *Best = &View.Candidates.front();
     std::uint64_t BestRank = 0;
     for (const Candidate &C : View.Candidates) {
-      std::uint64_t Rank = mix(C.Hash, Block);
+      std::uint64_t Rank = stableHash(C.Hash, Block);
       if (Rank < BestRank)
         continue;
       BestRank = Rank;
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -20,7 +20,7 @@
 struct RouteQuery {
   RouteName Route;
   PoolName Pool;
-  TenantId Tenant;
+  CustomerId Customer;
   /// Empty for plain services.
   ModelName Model;
   RequestClass Class = RequestClass::Short;
--- a/src/routing/tests/routertest.cpp
+++ b/src/routing/tests/routertest.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "framework/stablehash.h"
 #include "routingfixture.h"
 
 using namespace celerybeam;
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -78,8 +78,8 @@
   Duration Timeout = std::chrono::seconds(2);
 };
 
-/// [tenants]: the keys of tenants.
-struct TenantSettings {
+/// [customers]: the keys of customers.
+struct CustomerSettings {
   /// Each holds one secret; the first mints, all verify.
   std::vector<std::string> KeySecretFiles;
 };
@@ -116,7 +116,7 @@
   OperatorSettings Operators;
   PeerSettings Peers;
   PlatformSettings Platform;
-  TenantSettings Tenants;
+  CustomerSettings Customers;
   LogSettings Log;
   ShutdownSettings Shutdown;
   ThreadSettings Threads;
--- a/src/settings/internal/daemonsettings.cpp
+++ b/src/settings/internal/daemonsettings.cpp
@@ -36,7 +36,7 @@
     section("operators", [&](TomlReader &R) { readOperators(R, S.Operators); });
     section("peers", [&](TomlReader &R) { readPeers(R, S.Peers); });
     section("platform", [&](TomlReader &R) { readPlatform(R, S.Platform); });
-    section("tenants", [&](TomlReader &R) { readTenants(R, S.Tenants); });
+    section("customers", [&](TomlReader &R) { readCustomers(R, S.Customers); });
     section("log", [&](TomlReader &R) { readLog(R, S.Log); });
     section("shutdown", [&](TomlReader &R) {
       R.duration("grace", S.Shutdown.Grace,
@@ -116,7 +116,7 @@
     R.duration("timeout", S.Timeout, NetworkTimeoutRange);
   }
 
-  void readTenants(TomlReader &R, TenantSettings &S) {
+  void readCustomers(TomlReader &R, CustomerSettings &S) {
     R.texts("key_secret_files", S.KeySecretFiles, Presence::Required);
     for (std::string &File : S.KeySecretFiles)
       checkFile(R, "key_secret_files", File, FileKind::Secret);
--- a/src/settings/tests/daemonsettingstest.cpp
+++ b/src/settings/tests/daemonsettingstest.cpp
@@ -20,7 +20,7 @@
 class SettingsFolder : public testing::TemporaryFolder {
 public:
   SettingsFolder() {
-    for (const char *Name : {"operator.token", "peer.key", "tenant.secret"})
+    for (const char *Name : {"operator.token", "peer.key", "customer.secret"})
       BOOST_REQUIRE(writeSecretFile(path(Name), "secret\n").has_value());
   }
 
@@ -96,7 +96,7 @@
        {"[host]: `id` is missing", "[host]: `region`", "[host]: `zone`",
         "[callers]: `listen`", "[operators]: `token_file`",
         "[peers]: `curve_secret_key_file`", "[peers]: `permitted_keys`",
-        "[platform]: `addresses`", "[tenants]: `key_secret_files`"})
+        "[platform]: `addresses`", "[customers]: `key_secret_files`"})
     BOOST_TEST(mentions(Loaded, Part), Part);
 }
 
@@ -118,10 +118,10 @@
         Case{"127.0.0.1:8080", "0.0.0.0:8080", "add `advertise`"},
         Case{"# tls_key = \"callers.key\"", "tls_key = \"peer.key\"",
              "TLS needs both"},
-        Case{"[tenants]", "[tenant]", "unknown key `tenant`"},
+        Case{"[customers]", "[customer]", "unknown key `customer`"},
         Case{"id = \"k1\"", "id = 1", "celerybeamd.toml:10: [host]"},
         Case{"Yne@", "Yne", "not a CURVE public key"},
-        Case{"\"tenant.secret\"", "\"absent\"", "does not exist"}})
+        Case{"\"customer.secret\"", "\"absent\"", "does not exist"}})
     BOOST_TEST(
         mentions(Folder.parse(replaced(exampleText(), C.Old, C.New)), C.Part),
         C.Part);
--- a/tests/fakes/faketokens.cpp
+++ b/tests/fakes/faketokens.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "framework/digest.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam::fakes {
 
--- a/tests/process/processtests.sh
+++ b/tests/process/processtests.sh
@@ -30,13 +30,13 @@
 chat() {
   local host=$1 tokens=$2 stream=$3
   curl -sS -N --max-time 60 "http://${CALLERS[$host]}/v1/chat/completions" \
-    -H "Authorization: Bearer $TENANT_KEY" -H 'Content-Type: application/json' \
+    -H "Authorization: Bearer $CUSTOMER_KEY" -H 'Content-Type: application/json' \
     -d "{\"model\":\"cedar-7b@3\",\"stream\":$stream,\"max_tokens\":$tokens,
          \"messages\":[{\"role\":\"user\",\"content\":\"in stock?\"}]}"
 }
 
 book() {
-  curl -sS --max-time 60 "http://${CALLERS[$1]}/services/slots/book" -H "Authorization: Bearer $TENANT_KEY" \
+  curl -sS --max-time 60 "http://${CALLERS[$1]}/services/slots/book" -H "Authorization: Bearer $CUSTOMER_KEY" \
     -H "Idempotency-Key: $2" -H 'Content-Type: application/json' -d '{"street":"Abai 12"}'
 }
 
@@ -109,7 +109,7 @@
 }
 
 test_bad_input_is_refused() {
-  local url=http://${CALLERS[k1]} auth="Authorization: Bearer $TENANT_KEY"
+  local url=http://${CALLERS[k1]} auth="Authorization: Bearer $CUSTOMER_KEY"
   local chat=$url/v1/chat/completions book=$url/services/slots/book
   expect_status() {
     local want=$1 got
@@ -135,14 +135,14 @@
 
 test_paths_arrive_unchanged() {
   curl -sS --max-time 60 "http://${CALLERS[k1]}/services/slots/street%20one/book" \
-    -H "Authorization: Bearer $TENANT_KEY" -H "Idempotency-Key: $(new_key)" -d x >"$CLUSTER_DIR/booked"
+    -H "Authorization: Bearer $CUSTOMER_KEY" -H "Idempotency-Key: $(new_key)" -d x >"$CLUSTER_DIR/booked"
   # The runner's stand-in shows the path decoded once.
   grep -q '"path":"/street one/book"' "$CLUSTER_DIR/booked" ||
     fail "the runner saw another path: $(cat "$CLUSTER_DIR/booked")"
 }
 
 test_caller_leaves_midstream() {
-  curl -sS -N --max-time 60 "http://${CALLERS[k1]}/v1/chat/completions" -H "Authorization: Bearer $TENANT_KEY" \
+  curl -sS -N --max-time 60 "http://${CALLERS[k1]}/v1/chat/completions" -H "Authorization: Bearer $CUSTOMER_KEY" \
     -d '{"model":"cedar-7b@3","stream":true,"max_tokens":100000,"messages":[{"role":"user","content":"x"}]}' \
     >"$CLUSTER_DIR/stream" &
   local caller=$!
--- a/tests/scenario/scenariorunner.cpp
+++ b/tests/scenario/scenariorunner.cpp
@@ -33,7 +33,7 @@
   RequestHead Head;
   Head.Method = Method;
   Head.Path = Path;
-  Head.Headers.push_back({"authorization", textOf(S, "tenant", "tenant")});
+  Head.Headers.push_back({"authorization", textOf(S, "customer", "customer")});
   const std::pair<const char *, const char *> Fields[] = {
       {"route", "celerybeam-route"},
       {"region", "celerybeam-region"},
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -202,10 +202,10 @@
   Hooks.Store = Store_.hooks(*N.Virtual);
   Hooks.Peers = Network_.hooks(*N.Virtual);
   Hooks.Endpoints = endpointHooks(*N.Virtual);
-  Hooks.Authenticate = [](std::string_view Given) -> Result<TenantId> {
+  Hooks.Authenticate = [](std::string_view Given) -> Result<CustomerId> {
     if (Given.empty())
-      return makeError(ErrorKind::Unauthorized, "send a tenant key");
-    return TenantId(std::string(Given));
+      return makeError(ErrorKind::Unauthorized, "send a customer key");
+    return CustomerId(std::string(Given));
   };
   Hooks.Events.Ended = [this](const RequestSummary &S) {
     if (S.Failure)
@@ -393,7 +393,7 @@
     return;
   R->Outcome = "asking";
   Core->bookings().query(
-      TenantId("tenant"), *Uuid7::parse(R->Key),
+      CustomerId("customer"), *Uuid7::parse(R->Key),
       Time_.now() + std::chrono::seconds(5),
       [this, Name](Result<BookingOutcome> Told) {
         CallRecord &Record = *Calls_.find(Name);
