--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -91,7 +91,7 @@
 
 private:
   /// Wraps an answer so that it is dropped after the mirror's end.
-  StoreMirrorHooks::Answer guarded(StoreMirrorHooks::Answer Then) {
+  StoreMirrorHooks::Answer guarded(const StoreMirrorHooks::Answer &Then) {
     return [Weak = weak_from_this(), Then](Result<StoreSnapshot> Got) {
       if (auto Self = Weak.lock())
         Then(std::move(Got));
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -19,7 +19,6 @@
 /// Where hosts hand each other what they mirror of the store.
 constexpr std::array SnapshotPaths = {"/mirror/operator", "/mirror/endpoints"};
 constexpr unsigned Ok = 200;
-constexpr unsigned NotFound = 404;
 
 /// After the request to stop, callers may still come for this long, since they
 /// hold earlier answers of the directory. Later ones find the port closed and
@@ -206,7 +205,7 @@
     H.Watch = [this, Part](StoreRevision After, Duration Wait, auto Answer) {
       Hooks_.Store.Watch(prefixOf(Part), After, Wait, std::move(Answer));
     };
-    H.AskPeer = [this, Part](auto Answer) { askPeer(Part, std::move(Answer)); };
+    H.AskPeer = [this, Part](const auto &Answer) { askPeer(Part, Answer); };
     H.Changed = [this, Part](const StoreChange &Change, bool AfterOutage) {
       Hooks_.Apply(Part, Change,
                    AfterOutage ? StoreMirror::ReturnGrace : Duration::zero(),
@@ -222,7 +221,7 @@
     return H;
   }
 
-  void askPeer(MirrorPart Part, StoreMirrorHooks::Answer Answer) {
+  void askPeer(MirrorPart Part, const StoreMirrorHooks::Answer &Answer) {
     const HostState *Best = nullptr;
     auto Alive = Hosts_.alive();
     auto Knows = [&](const HostState &Host) {
@@ -399,7 +398,7 @@
     });
   }
 
-  void every(Duration Interval, std::function<void()> Work) {
+  void every(Duration Interval, const std::function<void()> &Work) {
     Time_.After(Interval, [Weak = weak_from_this(), Interval, Work] {
       auto Self = Weak.lock();
       if (!Self)
--- a/src/fleethost/internal/hostannouncer.cpp
+++ b/src/fleethost/internal/hostannouncer.cpp
@@ -34,16 +34,17 @@
     if (!Got)
       return Self->later(RetryAfterFailure, &HostAnnouncer::announce);
     Self->Lease_ = *Got;
-    Self->Store_.Put(Self->Key_, Self->Ip_, *Got, [Self](Result<void> Put) {
-      Self->later(Put ? RenewEvery : RetryAfterFailure,
-                  Put ? &HostAnnouncer::renew : &HostAnnouncer::announce);
-    });
+    Self->Store_.Put(
+        Self->Key_, Self->Ip_, *Got, [Self](const Result<void> &Put) {
+          Self->later(Put ? RenewEvery : RetryAfterFailure,
+                      Put ? &HostAnnouncer::renew : &HostAnnouncer::announce);
+        });
   });
 }
 
 void HostAnnouncer::renew() {
   auto Self = shared_from_this();
-  Store_.Renew(*Lease_, [Self](Result<void> Renewed) {
+  Store_.Renew(*Lease_, [Self](const Result<void> &Renewed) {
     if (Renewed)
       return Self->later(RenewEvery, &HostAnnouncer::renew);
     bool Lost = Renewed.error().Kind == ErrorKind::LeaseLost;
