--- a/src/dispatch/descriptor.h
+++ b/src/dispatch/descriptor.h
@@ -35,6 +35,8 @@
   std::uint64_t Fingerprint = 0;
   /// Whether another entry host passed it on; it is not passed on again.
   bool Forwarded = false;
+  /// Time that it spent at the host that passed it on.
+  Duration WaitedBefore{};
   /// Endpoints that it may run on, if fewer than the route allows: the host
   /// that passed it on may have used some.
   std::optional<unsigned> RunsLeft;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -30,7 +30,7 @@
   Duration RegionHop = std::chrono::milliseconds(130);
   /// A request goes to another region only if it is answered this much sooner
   /// there: the transfer is paid for.
-  Duration AwayGain = std::chrono::milliseconds(150);
+  Duration AwayGain = std::chrono::milliseconds(60);
   /// Share of the latency target that the answer here must be predicted to
   /// take before another region is considered.
   double AwayFrom = 0.5;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -182,7 +182,7 @@
   DispatchDecision choose(const RequestDescriptor &Request,
                           const FleetRoute &Route, AttemptLog &Log) {
     if (Log.Pool.empty()) {
-      Log.Arrived = Runtime_.Now();
+      Log.Arrived = Runtime_.Now() - Request.WaitedBefore;
       Log.Pool = drawPool(Route);
       if (!Request.Forwarded)
         Budget_.request(Log.Pool);
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -106,6 +106,17 @@
   BOOST_TEST(is<Refusal>(send(R, Quotes)));
 }
 
+// A request is not held at two hosts for the whole of its time.
+BOOST_AUTO_TEST_CASE(timeAtTheFirstHostCounts) {
+  addEndpoint("a");
+  send(request(30000), Quotes);
+  RequestDescriptor R = request(9000);
+  R.Forwarded = true;
+  BOOST_TEST(is<Hold>(send(R, Quotes)));
+  R.WaitedBefore = 1000ms;
+  BOOST_TEST(is<Refusal>(send(R, Quotes)));
+}
+
 BOOST_AUTO_TEST_CASE(onlyHomesHandleARequest) {
   addEndpoint("a");
   hearNeighbour(0ms);
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -120,7 +120,10 @@
     HttpFields &Fields = Request_.Head.Fields;
     if (auto Runs = findField(Fields, RunsField))
       Descriptor_.RunsLeft = numberIn(*Runs);
+    if (auto Waited = findField(Fields, WaitedField))
+      Descriptor_.WaitedBefore = std::chrono::milliseconds(numberIn(*Waited));
     removeField(Fields, RunsField);
+    removeField(Fields, WaitedField);
   }
 
   void noRoute() {
@@ -254,6 +257,8 @@
       setField(Call.Head.Fields, Context_.Names.LastEventId, Cutter_.lastId());
     Allotted_ = Dispatcher::runsLeft(Descriptor_, *Route_, Log_);
     setField(Call.Head.Fields, RunsField, std::to_string(Allotted_));
+    setField(Call.Head.Fields, WaitedField,
+             std::to_string(millisOf(Context_.Time.Now() - Request_.Arrived)));
     Call.ConnectTimeout = FarConnectTimeout;
     Call.ReuseIdleAtMost = HttpCaller::MaxIdleTime;
     note("via " + Choice.Host.Id.str(), Choice.Expected, 0);
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -108,6 +108,8 @@
 /// In a request: on how many endpoints it may still run. In an answer: on how
 /// many it has run or may have run.
 inline constexpr const char *RunsField = "Celerybeam-Runs";
+/// In a request: milliseconds since it reached the host that passes it on.
+inline constexpr const char *WaitedField = "Celerybeam-Waited-Ms";
 
 } // namespace celerybeam
 
