--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -44,8 +44,8 @@
 
   /// An address at which a host may be, from settings, store or peers.
   void addContact(const std::string &Ip);
-  /// A message came from a host. Messages of an earlier start are ignored.
-  /// \return false when ignored.
+  /// A message came from a host. Messages of an earlier start that come right
+  /// after those of a later one are ignored. \return false when ignored.
   bool heard(const HostState &Host);
   /// A connection to the host could not be made; it gets no requests for
   /// HoldOff.
@@ -73,6 +73,10 @@
   static constexpr Duration RegionSilence = std::chrono::milliseconds(1300);
   /// The same for a host of another region.
   static constexpr Duration FarSilence = std::chrono::milliseconds(2600);
+  /// Longest time that a message is on its way. Starts are told by the time of
+  /// day, which may have jumped back in between: after a longer silence the
+  /// latest message counts.
+  static constexpr Duration MessageLife = std::chrono::milliseconds(500);
   static constexpr Duration HoldOff = std::chrono::milliseconds(1000);
   /// Hosts silent for longer are forgotten.
   static constexpr Duration Retention = std::chrono::seconds(60);
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -48,10 +48,12 @@
   if (Host.Ip == Impl_->Self_.Ip)
     return false;
   Known &Entry = Impl_->Hosts_[Host.Ip];
-  if (Host.StartedAt < Entry.State.StartedAt)
+  TimePoint Now = Impl_->Runtime_.Now();
+  bool Overtaken = Now - Entry.LastHeard <= MessageLife;
+  if (Host.StartedAt < Entry.State.StartedAt && Overtaken)
     return false;
   Entry.State = Host;
-  Entry.LastHeard = Impl_->Runtime_.Now();
+  Entry.LastHeard = Now;
   Impl_->Contacts_.insert(Host.Ip);
   return true;
 }
--- a/src/fleet/tests/hostregistrytest.cpp
+++ b/src/fleet/tests/hostregistrytest.cpp
@@ -50,6 +50,13 @@
   BOOST_TEST(!Hosts.heard(host("10.0.0.2", "kigali", 4)));
 }
 
+BOOST_AUTO_TEST_CASE(hostRestartedAfterItsClockJumpedBackIsHeard) {
+  Hosts.heard(host("10.0.0.2", "kigali", 5000));
+  Time.runFor(HostRegistry::MessageLife + 1ms);
+  BOOST_TEST(Hosts.heard(host("10.0.0.2", "kigali", 3000)));
+  BOOST_TEST(Hosts.serving(RegionId("kigali")).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(callersOfALostRegionAreSentElsewhere) {
   Hosts.heard(host("10.1.0.1", "huye"));
   BOOST_TEST((Hosts.entriesFor(RegionId("huye"), {}) == Ips{"10.1.0.1"}));
