--- /dev/null
+++ b/tests/gateway/gatewayprocess.cpp
@@ -0,0 +1,79 @@
+#include "gateway/gatewayprocess.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+
+#include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace celerybeam::testing {
+
+namespace {
+
+void writeSettings(const GatewayOptions &O, const std::filesystem::path &Path) {
+  std::ofstream Out(Path);
+  auto Listen = [&](const char *Name, int Port) {
+    Out << "  " << Name << ": \"" << O.Ip << ":" << Port << "\"\n";
+  };
+  Out << "nodeName: \"" << O.Name << "\"\nip: \"" << O.Ip << "\"\nzone: \""
+      << O.Region << "-a\"\nregion: \"" << O.Region
+      << "\"\nzones: {north-a: north, south-a: south}\nlisten:\n";
+  Listen("front", GatewayProcess::CallerPort);
+  Listen("ready", GatewayProcess::ReadyPort);
+  Listen("directory", GatewayProcess::DirectoryPort);
+  Out << "internalPorts: [28160, 28175]\nseeds: [";
+  for (const std::string &Seed : O.Seeds)
+    Out << "\"" << Seed << ":28146\", ";
+  Out << "]\nbounds: {graceS: 8, retryBudgetRatio: 0.2, retryBudgetSlack: 100}"
+      << "\nplatform: {address: \"" << O.Store << "\"}\n";
+}
+
+} // namespace
+
+GatewayProcess::GatewayProcess(const GatewayOptions &Options,
+                               const std::filesystem::path &Folder) {
+  std::filesystem::path Settings = Folder / (Options.Name + ".yaml");
+  std::filesystem::path Log = Folder / (Options.Name + ".log");
+  writeSettings(Options, Settings);
+  const char *Program = std::getenv("CELERYBEAM_GATEWAY");
+  BOOST_REQUIRE(Program != nullptr);
+  std::string Path = Program;
+  std::string Flag = "--config";
+  std::string File = Settings.string();
+  char *Arguments[] = {Path.data(), Flag.data(), File.data(), nullptr};
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  constexpr mode_t LogMode = 0644;
+  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, Log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, LogMode);
+  int Failed =
+      posix_spawn(&Process_, Program, &Actions, nullptr, Arguments, environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  BOOST_REQUIRE(Failed == 0);
+}
+
+GatewayProcess::~GatewayProcess() {
+  if (hasEnded())
+    return;
+  signal(SIGKILL);
+  waitpid(Process_, nullptr, 0);
+}
+
+void GatewayProcess::signal(int Number) const { ::kill(Process_, Number); }
+
+bool GatewayProcess::hasEnded() {
+  int Status = 0;
+  if (!Ended_ && waitpid(Process_, &Status, WNOHANG) == Process_) {
+    Ended_ = true;
+    ExitCode_ = WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
+  }
+  return Ended_;
+}
+
+} // namespace celerybeam::testing
--- /dev/null
+++ b/tests/gateway/gatewayprocess.h
@@ -0,0 +1,49 @@
+#ifndef CELERYBEAM_TESTS_GATEWAY_GATEWAYPROCESS_H
+#define CELERYBEAM_TESTS_GATEWAY_GATEWAYPROCESS_H
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace celerybeam::testing {
+
+/// Where a gateway process runs and what it is told. Each has a loopback
+/// address of its own; ports are the same on all.
+struct GatewayOptions {
+  std::string Name;
+  std::string Ip;
+  std::string Region;
+  std::string Store;
+  std::vector<std::string> Seeds;
+};
+
+/// A real gateway process. It is killed with this object.
+class GatewayProcess {
+public:
+  /// \param Folder  for its settings and its log.
+  GatewayProcess(const GatewayOptions &Options,
+                 const std::filesystem::path &Folder);
+  ~GatewayProcess();
+  GatewayProcess(const GatewayProcess &) = delete;
+  GatewayProcess &operator=(const GatewayProcess &) = delete;
+
+  void signal(int Number) const;
+  /// Whether it has ended; its exit code then stands in ExitCode.
+  bool hasEnded();
+  int exitCode() const { return ExitCode_; }
+
+  static constexpr int CallerPort = 28144;
+  static constexpr int ReadyPort = 28140;
+  static constexpr int DirectoryPort = 28143;
+
+private:
+  pid_t Process_ = 0;
+  int ExitCode_ = -1;
+  bool Ended_ = false;
+};
+
+} // namespace celerybeam::testing
+
+#endif
--- /dev/null
+++ b/tests/gateway/gatewaytest.cpp
@@ -0,0 +1,257 @@
+#include <csignal>
+#include <map>
+#include <optional>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "gateway/gatewayprocess.h"
+#include "gateway/storestandin.h"
+#include "relay/tests/rawpeer.h"
+#include "support/temporaryfolder.h"
+
+using namespace celerybeam;
+using namespace celerybeam::testing;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *FirstIp = "127.0.1.1";
+constexpr const char *SecondIp = "127.0.1.2";
+
+std::string field(const std::string &Head, const std::string &Name) {
+  auto At = Head.find("\r\n" + Name + ": ");
+  if (At == std::string::npos)
+    return {};
+  At += Name.size() + 4;
+  return Head.substr(At, Head.find("\r\n", At) - At);
+}
+
+/// Two gateway processes of one region, a store and one endpoint.
+struct Fixture {
+  EventLoop Loop;
+  TemporaryFolder Folder;
+  StoreStandIn Store{Loop};
+  /// Answers that the endpoint holds back until the test says so.
+  bool Withhold = false;
+  std::vector<std::string> Ran;
+  std::shared_ptr<HttpExchange> Withheld;
+  std::optional<HttpResponseHead> WithheldHead;
+  HttpServer Endpoint{Loop, [this](const HttpServerRequest &R, auto Answer) {
+                        run(R, std::move(Answer));
+                      }};
+  std::map<std::string, std::unique_ptr<GatewayProcess>> Hosts;
+  unsigned Requests = 0;
+
+  Fixture() {
+    BOOST_REQUIRE(Endpoint.listen(Address("127.0.0.1:0")));
+    putTables(3, "book");
+    putEndpoint("e1");
+  }
+
+  void run(const HttpServerRequest &R, std::shared_ptr<HttpExchange> Answer) {
+    std::string Id(findField(R.Head.Fields, "X-Attempt-Id").value_or(""));
+    Ran.push_back(Id);
+    HttpResponseHead Head{
+        200, {{"X-Attempt-Id", Id}, {"X-Response-Stamp", "stamp"}}};
+    if (!Withhold)
+      return Answer->respond(Head, "done");
+    Withheld = std::move(Answer);
+    WithheldHead = Head;
+  }
+
+  void putTables(int Version, const std::string &Path) {
+    json Tables = {{"version", Version},
+                   {"routes",
+                    {{{"name", "r1"},
+                      {"hostname", "x.example"},
+                      {"pathPrefix", "/" + Path + "/"},
+                      {"routeType", "unsafe"},
+                      {"timeoutMs", 9000},
+                      {"targetLatencyMs", 500},
+                      {"priority", 2},
+                      {"backend", "app"},
+                      {"maxAttempts", 1}}}},
+                   {"services",
+                    {{{"name", "app"},
+                      {"healthPath", "/healthz"},
+                      {"maxConnections", 100},
+                      {"coldStartS", 0},
+                      {"coldPerS", 0}}}},
+                   {"limits",
+                    {{"maxHeaderBytes", 16384},
+                     {"maxBodyBytes", 100000},
+                     {"headerTimeoutMs", 3000},
+                     {"idleTimeoutMs", 15000}}}};
+    Store.put("op/config", Tables.dump());
+  }
+
+  void putEndpoint(const std::string &Id) {
+    json Entry = {{"backend", "app"},     {"address", Endpoint.address().str()},
+                  {"zone", "north-a"},    {"slots", 6},
+                  {"state", "ready"},     {"coldRemainingMs", 0},
+                  {"born", 1700000000000}};
+    Store.put("servers/" + Id, Entry.dump());
+  }
+
+  void startHost(const std::string &Name, const std::string &Ip) {
+    GatewayOptions O{Name, Ip, "north", Store.address(), {FirstIp, SecondIp}};
+    Hosts[Name] = std::make_unique<GatewayProcess>(O, Folder.path(""));
+  }
+
+  /// One exchange on a connection of its own; empty when nobody listens.
+  std::string exchange(const std::string &Ip, int Port,
+                       const std::string &Request) {
+    try {
+      RawCaller C(Loop, Ip + ":" + std::to_string(Port), Request);
+      runUntil(Loop, [&] {
+        auto End = C.received().find("\r\n\r\n");
+        std::string Length = field(C.received(), "Content-Length");
+        return C.closed() ||
+               (End != std::string::npos && !Length.empty() &&
+                C.received().size() >= End + 4 + std::stoul(Length));
+      });
+      return C.received();
+    } catch (const boost::system::system_error &) {
+      return {};
+    }
+  }
+
+  std::string get(const std::string &Ip, int Port, const std::string &Target) {
+    return exchange(Ip, Port, "GET " + Target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+
+  bool isReady(const std::string &Ip) {
+    return get(Ip, GatewayProcess::ReadyPort, "/-/ready")
+        .starts_with("HTTP/1.1 200");
+  }
+
+  std::string bookingRequest(const std::string &Path) {
+    return "POST /" + Path +
+           "/a HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: q" +
+           std::to_string(++Requests) +
+           "\r\nX-Deadline-Ms: 8000\r\nContent-Length: 1\r\n\r\nx";
+  }
+
+  std::string book(const std::string &Ip, const std::string &Path = "book") {
+    return exchange(Ip, GatewayProcess::CallerPort, bookingRequest(Path));
+  }
+
+  /// The hosts that the directory of a host names.
+  std::size_t named(const std::string &Ip) {
+    std::string Answer = get(Ip, GatewayProcess::DirectoryPort,
+                             "/-/resolve?name=x.example&region=north");
+    auto Body = Answer.find("\r\n\r\n");
+    if (!Answer.starts_with("HTTP/1.1 200") || Body == std::string::npos)
+      return 0;
+    return json::parse(Answer.substr(Body + 4)).at("addresses").size();
+  }
+
+  /// Waits for something that the processes reach by themselves. Turns the
+  /// loop between looks, so that the stand-ins go on.
+  void until(const std::function<bool()> &Holds) {
+    runUntil(Loop, [&] {
+      Loop.context().run_one_for(std::chrono::milliseconds(20));
+      return Holds();
+    });
+  }
+
+  void startBoth() {
+    startHost("n1", FirstIp);
+    startHost("n2", SecondIp);
+    until([&] { return isReady(FirstIp) && isReady(SecondIp); });
+    until([&] { return named(FirstIp) == 2 && named(SecondIp) == 2; });
+  }
+};
+
+bool says(const std::string &Answer, const char *Status) {
+  return Answer.starts_with(std::string("HTTP/1.1 ") + Status);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GatewayTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(servesTheWholePath) {
+  startBoth();
+  std::string Answer = book(FirstIp);
+  BOOST_TEST(says(Answer, "200"));
+  BOOST_TEST(Answer.ends_with("done"));
+  BOOST_TEST(Ran.size() == 1U);
+  BOOST_TEST(says(book(SecondIp, "nowhere"), "404"));
+  BOOST_TEST(
+      (get(FirstIp, 9464, "/metrics").find("celerybeam_requests_total") !=
+       std::string::npos));
+  BOOST_TEST(Store.keys("hosts/").size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(changeOfTheTablesIsInForceOnAllHosts) {
+  startBoth();
+  putTables(7, "reserve");
+  until([&] {
+    return says(book(FirstIp, "reserve"), "200") &&
+           says(book(SecondIp, "reserve"), "200");
+  });
+  BOOST_TEST(says(book(FirstIp), "404"));
+  // An older version that comes late changes nothing.
+  putTables(5, "book");
+  putTables(9, "third");
+  until([&] { return says(book(FirstIp, "third"), "200"); });
+  BOOST_TEST(says(book(FirstIp), "404"));
+}
+
+BOOST_AUTO_TEST_CASE(servesWhileTheStoreIsAwayAndTeachesANewHost) {
+  startHost("n1", FirstIp);
+  until([&] { return isReady(FirstIp); });
+  Store.setDown(true);
+  BOOST_TEST(says(book(FirstIp), "200"));
+  startHost("n2", SecondIp);
+  until([&] { return isReady(SecondIp); });
+  BOOST_TEST(says(book(SecondIp), "200"));
+}
+
+BOOST_AUTO_TEST_CASE(killedHostLeavesTheDirectory) {
+  startBoth();
+  Hosts["n2"]->signal(SIGKILL);
+  until([&] { return named(FirstIp) == 1; });
+  startHost("n2", SecondIp);
+  until([&] { return named(FirstIp) == 2; });
+}
+
+BOOST_AUTO_TEST_CASE(frozenHostComesBack) {
+  startBoth();
+  Hosts["n2"]->signal(SIGSTOP);
+  until([&] { return named(FirstIp) == 1; });
+  Hosts["n2"]->signal(SIGCONT);
+  until([&] { return named(FirstIp) == 2; });
+}
+
+BOOST_AUTO_TEST_CASE(stoppedHostFinishesWhatItHas) {
+  startBoth();
+  Withhold = true;
+  RawCaller C(Loop,
+              std::string(FirstIp) + ":" +
+                  std::to_string(GatewayProcess::CallerPort),
+              bookingRequest("book"));
+  until([&] { return Withheld != nullptr; });
+  Hosts["n1"]->signal(SIGTERM);
+  until([&] { return named(SecondIp) == 1; });
+  BOOST_TEST(!isReady(FirstIp));
+  Withheld->respond(*WithheldHead, "late");
+  until([&] { return C.closed(); });
+  BOOST_TEST(says(C.received(), "200"));
+  BOOST_TEST(C.received().ends_with("late"));
+  until([&] { return Hosts["n1"]->hasEnded(); });
+  BOOST_TEST(Hosts["n1"]->exitCode() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(evacuatedZoneGetsNothing) {
+  startBoth();
+  Store.put("op/evacuate/north-a", "{}");
+  until([&] { return says(book(FirstIp), "503"); });
+  auto Before = Ran.size();
+  BOOST_TEST(says(book(FirstIp), "503"));
+  BOOST_TEST(Ran.size() == Before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
