--- a/src/fleethost/internal/hostannouncer.cpp
+++ b/src/fleethost/internal/hostannouncer.cpp
@@ -71,7 +71,7 @@
 void HostAnnouncer::withdraw() {
   Withdrawn_ = true;
   if (Lease_)
-    Store_.End(*Lease_, [](Result<void>) {});
+    Store_.End(*Lease_, [](const Result<void> &) {});
 }
 
 } // namespace celerybeam::detail
--- a/src/relay/eventloop.h
+++ b/src/relay/eventloop.h
@@ -26,7 +26,8 @@
   void run();
   void stop();
   /// Calls a function on each SIGTERM or SIGINT, and another on each SIGHUP.
-  void onSignals(std::function<void()> Stop, std::function<void()> Reload);
+  void onSignals(const std::function<void()> &Stop,
+                 const std::function<void()> &Reload);
 
   boost::asio::io_context &context();
 
--- a/src/relay/internal/eventloop.cpp
+++ b/src/relay/internal/eventloop.cpp
@@ -56,7 +56,7 @@
   R.Now = bootTime;
   R.WallNow = wallTime;
   R.Random = [this] { return Impl_->Random_(); };
-  R.After = [this](Duration Delay, Task Work) {
+  R.After = [this](Duration Delay, const Task &Work) {
     auto Timer =
         std::make_shared<detail::asio::steady_timer>(Impl_->Context_, Delay);
     Timer->async_wait([Timer, Work](detail::ErrorCode Error) {
@@ -70,8 +70,8 @@
 void EventLoop::run() { Impl_->Context_.run(); }
 void EventLoop::stop() { Impl_->Context_.stop(); }
 
-void EventLoop::onSignals(std::function<void()> Stop,
-                          std::function<void()> Reload) {
+void EventLoop::onSignals(const std::function<void()> &Stop,
+                          const std::function<void()> &Reload) {
   waitForSignals(Impl_->Stops_, Stop);
   waitForSignals(Impl_->Reloads_, Reload);
 }
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -195,7 +195,7 @@
       Head, "Content-Length: " + std::to_string(Body.size()), ClosesAfter_);
   if (!HeadMethod_)
     Out += Body;
-  send(std::move(Out));
+  send(Out);
   answerComplete();
 }
 
@@ -210,7 +210,7 @@
 }
 
 void ServerConnection::endStream() {
-  send(std::string(LastChunk));
+  send(LastChunk);
   answerComplete();
 }
 
@@ -225,7 +225,7 @@
   Gone_ = std::move(Gone);
 }
 
-void ServerConnection::send(std::string Bytes) {
+void ServerConnection::send(std::string_view Bytes) {
   if (Stage_ == Stage::Closed)
     return;
   Queued_ += Bytes;
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -54,7 +54,7 @@
   /// Why the head's framing is not accepted; null if it is.
   const char *framingProblem() const;
   void refuse(unsigned Status, const char *Why);
-  void send(std::string Bytes);
+  void send(std::string_view Bytes);
   void write();
   void answerComplete();
   void close();
