Pass over a late refusal of an earlier request

Cause (found when the judging of answers was split from the relay): a refusal was believed before its id was looked at, so one of an earlier request, late on the same connection, would have sent a booking on to a second endpoint while the first ran it. Change: detail::classifyAnswer looks at the id first; the relay's outgoing head has its own file. An attempt that stalls takes from the retry budget only when another endpoint can serve.

--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "relay/eventcutter.h"
+#include "relay/internal/answerhead.h"
 
 namespace celerybeam {
 
@@ -209,16 +210,9 @@
   HttpCallRequest callTo(const Address &To) {
     HttpCallRequest Call;
     Call.To = To;
-    Call.Head = Request_.Head;
+    Call.Head = detail::outgoingHead(Request_.Head, Context_.Names,
+                                     TimeoutAt_ - Context_.Time.Now());
     Call.Body = Request_.Body;
-    const WireNames &Names = Context_.Names;
-    removeConnectionFields(Call.Head.Fields);
-    removeField(Call.Head.Fields, "Expect");
-    for (const std::string &Name : Names.Reserved)
-      removeField(Call.Head.Fields, Name);
-    setField(Call.Head.Fields, Names.TimeLeft,
-             std::to_string(
-                 std::max(1L, millisOf(TimeoutAt_ - Context_.Time.Now()))));
     return Call;
   }
 
@@ -311,10 +305,9 @@
     After.Runs += 1;
     // Another attempt only if one can be made: the present one may still end
     // well.
-    if (!Context_.Decisions.mayTryAgain(Descriptor_, *Route_, After))
-      return;
     auto Next = Context_.Decisions.choose(Descriptor_, *Route_, After);
-    if (std::holds_alternative<Refusal>(Next))
+    if (std::holds_alternative<Refusal>(Next) ||
+        !Context_.Decisions.mayTryAgain(Descriptor_, *Route_, After))
       return;
     Call_->cancel();
     Call_.reset();
@@ -325,26 +318,18 @@
   }
 
   HeadVerdict takeHead(const HttpResponseHead &Head) {
-    const WireNames &Names = Context_.Names;
-    bool Own = findField(Head.Fields, NotRunField).has_value();
-    bool NotExecuted = findField(Head.Fields, Names.NotExecuted).has_value();
-    if (Here_)
-      takeLoad(Head);
-    if (Head.Status == Misdirected || NotExecuted || Own) {
-      Refused_ = true;
-      Head_ = Head;
-      return HeadVerdict::Take;
-    }
-    auto Id = findField(Head.Fields, Names.RequestId);
-    if (Id && *Id != Descriptor_.Id.str())
+    using detail::AnswerKind;
+    AnswerKind Kind =
+        detail::classifyAnswer(Head, Context_.Names, Descriptor_.Id);
+    if (Kind == AnswerKind::OfAnother)
       return HeadVerdict::Skip;
-    bool Success = Head.Status >= Ok && Head.Status < Ok + 100;
-    if (Success && (!Id || !findField(Head.Fields, Names.Signature)))
-      return HeadVerdict::Spoiled;
-    if (findField(Head.Fields, "Content-Encoding"))
+    if (Kind == AnswerKind::Spoiled)
       return HeadVerdict::Spoiled;
+    if (Here_)
+      takeLoad(Head);
     Head_ = Head;
-    Events_ = isStream(Route_->Kind) && Head.Status == Ok;
+    Refused_ = Kind == AnswerKind::NotRun;
+    Events_ = !Refused_ && isStream(Route_->Kind) && Head.Status == Ok;
     return HeadVerdict::Take;
   }
 
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -143,6 +143,22 @@
   BOOST_TEST(Answer.ends_with("\r\n\r\nown"));
 }
 
+// A refusal of an earlier request, late on the same connection, says nothing of
+// this one: taking it for one would run a booking twice.
+BOOST_AUTO_TEST_CASE(refusalOfAnEarlierRequestIsPassedOver) {
+  RawServer &A = addEndpoint("a", "plain", [](const std::string &R) {
+    auto Own = ran(R, "own");
+    Own.Bytes = "HTTP/1.1 503 No\r\nRequest-Id: other\r\nNot-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n" +
+                Own.Bytes;
+    return Own;
+  });
+  std::string Answer = ask(request("book"));
+  BOOST_TEST(says(Answer, "200"));
+  BOOST_TEST(Answer.ends_with("own"));
+  BOOST_TEST(A.Requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(bytesAfterAnAnswerSpoilTheConnection) {
   RawServer &E = addEndpoint("a", "plain", [](const std::string &R) {
     auto Own = ran(R, "own");
