Keep a forwarded request's runs while it waits for the tables

Cause (read): a request that met a host just started was decoded again at each look for the tables, and lost on the second what the first host had said of it (runs left, time waited); a caller that left meanwhile was not noticed. Change: the request is read once; only the wait repeats.

--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -80,6 +80,14 @@
       takeHostFields();
     Record_.Id = Descriptor_.Id;
     Record_.Forwarded = FromHost_;
+    Answer_->onGone([Self = shared_from_this()] { Self->callerLeft(); });
+    begin();
+  }
+
+private:
+  void begin() {
+    if (Over_)
+      return;
     // A host that has just started learns within moments.
     if (!Context_.Hooks.IsInformed())
       return waitForTables();
@@ -95,16 +103,14 @@
         std::min(Request_.Arrived + Route_->Timeout, Descriptor_.Deadline);
     Descriptor_.Deadline = TimeoutAt_;
     startTimer();
-    Answer_->onGone([Self = shared_from_this()] { Self->callerLeft(); });
     attempt();
   }
 
-private:
   void waitForTables() {
     if (Context_.Time.Now() - Request_.Arrived >= MostTablesWait)
       return refuse({TablesWait, "no_tables"});
     Context_.Time.After(TablesPoll,
-                        [Self = shared_from_this()] { Self->start(); });
+                        [Self = shared_from_this()] { Self->begin(); });
   }
 
   void startTimer() {
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -238,6 +238,24 @@
   BOOST_TEST(says(ask(Unknown), "503"));
 }
 
+// A host that has just started: its first callers wait for the tables, and one
+// that leaves meanwhile is not served.
+BOOST_AUTO_TEST_CASE(firstCallersWaitForTheTables) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  bool Informed = false;
+  Context.Hooks.IsInformed = [&] { return Informed; };
+  testing::RawCaller Leaves(Loop, Front.address().str(), request("book"));
+  testing::RawCaller Stays(Loop, Front.address().str(), request("book"));
+  testing::runUntil(Loop, [&] { return Front.inFlight() == 2; });
+  Leaves.close();
+  testing::runUntil(Loop, [&] { return Done.size() == 1; });
+  Informed = true;
+  testing::runUntil(Loop, [&] { return Done.size() == 2; });
+  BOOST_TEST(says(Stays.received(), "200"));
+  BOOST_TEST(E.Requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ambiguousFramingIsRefused) {
   RawServer &E = addEndpoint(
       "a", "plain", [](const std::string &R) { return ran(R, "done"); });
