--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -251,8 +251,9 @@
   Leaves.close();
   testing::runUntil(Loop, [&] { return Done.size() == 1; });
   Informed = true;
-  testing::runUntil(Loop, [&] { return Done.size() == 2; });
+  testing::runUntil(Loop, [&] { return Stays.received().ends_with("done"); });
   BOOST_TEST(says(Stays.received(), "200"));
+  BOOST_TEST(Done.size() == 2U);
   BOOST_TEST(E.Requests.size() == 1U);
 }
 
