--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include "gateway/gatewayprocess.h"
 #include "gateway/storestandin.h"
@@ -16,8 +17,17 @@
 
 namespace {
 
-constexpr const char *FirstIp = "127.0.1.1";
-constexpr const char *SecondIp = "127.0.1.2";
+/// Loopback addresses that only this test process uses: two runs on one machine
+/// have the same ports.
+std::string ownIp(int Last) {
+  constexpr int Values = 200;
+  int Process = static_cast<int>(::getpid());
+  return "127." + std::to_string(1 + Process / Values % Values) + "." +
+         std::to_string(1 + Process % Values) + "." + std::to_string(Last);
+}
+
+const std::string FirstIp = ownIp(1);
+const std::string SecondIp = ownIp(2);
 
 std::string field(const std::string &Head, const std::string &Name) {
   auto At = Head.find("\r\n" + Name + ": ");
@@ -229,9 +239,7 @@
 BOOST_AUTO_TEST_CASE(stoppedHostFinishesWhatItHas) {
   startBoth();
   Withhold = true;
-  RawCaller C(Loop,
-              std::string(FirstIp) + ":" +
-                  std::to_string(GatewayProcess::CallerPort),
+  RawCaller C(Loop, FirstIp + ":" + std::to_string(GatewayProcess::CallerPort),
               bookingRequest("book"));
   until([&] { return Withheld != nullptr; });
   Hosts["n1"]->signal(SIGTERM);
