--- a/src/dispatch/crashedrequests.h
+++ b/src/dispatch/crashedrequests.h
@@ -2,6 +2,7 @@
 #define CELERYBEAM_DISPATCH_CRASHEDREQUESTS_H
 
 #include <cstdint>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -9,6 +10,13 @@
 
 namespace celerybeam {
 
+/// An endpoint broke off under a request.
+struct CrashReport {
+  std::uint64_t Fingerprint = 0;
+  /// Names the event, so that it counts once however often it is told.
+  std::uint64_t Event = 0;
+};
+
 /// Counts how often endpoints broke off under the same request, on any host.
 ///
 /// Answers to "one request crashes each endpoint that runs it, and its caller
@@ -20,14 +28,14 @@
 
   /// An endpoint broke off under the request; other hosts are told.
   void crashed(std::uint64_t Fingerprint);
-  /// Another host saw that.
-  void peerSaw(std::uint64_t Fingerprint);
+  /// Another host saw that; it is told on if it is news here.
+  void peerSaw(const CrashReport &Report);
   void succeeded(std::uint64_t Fingerprint);
   /// Whether the request is refused.
   bool isRefused(std::uint64_t Fingerprint) const;
 
   /// What to tell the other hosts since the last call.
-  std::vector<std::uint64_t> takeReports();
+  std::vector<CrashReport> takeReports();
 
   /// Breaks without a success after which a request is refused. One break may
   /// be a reset connection and two a coincidence.
@@ -37,14 +45,13 @@
 
 private:
   struct Entry {
-    unsigned Count = 0;
+    std::set<std::uint64_t> Events;
     TimePoint Last{};
   };
-  void count(std::uint64_t Fingerprint);
 
   Runtime Runtime_;
   std::unordered_map<std::uint64_t, Entry> Entries_;
-  std::vector<std::uint64_t> Reports_;
+  std::vector<CrashReport> Reports_;
 };
 
 } // namespace celerybeam
--- a/src/dispatch/descriptor.h
+++ b/src/dispatch/descriptor.h
@@ -17,6 +17,14 @@
   std::uint32_t Tokens = 0;
 };
 
+/// Hashes of the leading parts that are shared, each over all parts up to its
+/// end: two prompts with the same hash have the same beginning.
+struct PrefixLevel {
+  std::uint64_t Hash = 0;
+  /// Tokens from the prompt's start to the end of this part.
+  std::uint32_t TokensUpTo = 0;
+};
+
 /// What the decisions need to know of a request, whatever interface it came
 /// through.
 struct RequestDescriptor {
@@ -29,6 +37,8 @@
   ModelName Model;
   /// In the order of the prompt; the last belongs to this request alone.
   std::vector<PromptPart> Parts;
+  /// The levels of Parts; see prefixLevelsOf.
+  std::vector<PrefixLevel> Levels;
   std::uint32_t PromptTokens = 0;
   std::uint32_t MaxOutputTokens = 0;
   /// Hash of method, target and body: the same when a caller repeats it.
@@ -42,16 +52,9 @@
   std::optional<unsigned> RunsLeft;
 };
 
-/// Hashes of the leading parts that are shared, each over all parts up to its
-/// end: two prompts with the same hash have the same beginning.
-struct PrefixLevel {
-  std::uint64_t Hash = 0;
-  /// Tokens from the prompt's start to the end of this part.
-  std::uint32_t TokensUpTo = 0;
-};
-
 /// The levels of a prompt without its last part, shortest first.
-std::vector<PrefixLevel> prefixLevelsOf(const RequestDescriptor &Request);
+std::vector<PrefixLevel> prefixLevelsOf(const ModelName &Model,
+                                        const std::vector<PromptPart> &Parts);
 
 } // namespace celerybeam
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef CELERYBEAM_DISPATCH_DISPATCHER_H
 #define CELERYBEAM_DISPATCH_DISPATCHER_H
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,8 +69,10 @@
   std::optional<Duration> Away;
   /// Latest time from its arrival at which it is still sent.
   Duration Limit{};
-  /// Age of the oldest message about other hosts' work that was counted.
-  Duration NewsAge{};
+  /// The host that decided; empty: the request's own.
+  std::string Placer;
+  /// Time from asking it to its word.
+  Duration PlacerTook{};
 };
 
 /// What has happened to a request so far.
@@ -138,6 +141,14 @@
   DispatchDecision choose(const RequestDescriptor &Request,
                           const FleetRoute &Route, AttemptLog &Log);
 
+  /// The part of a choice that needs no knowledge of endpoints: draws the pool,
+  /// counts the request, and refuses what can be served nowhere.
+  std::optional<Refusal> admit(const RequestDescriptor &Request,
+                               const FleetRoute &Route, AttemptLog &Log);
+
+  /// At which endpoints this host places requests; all without a hook.
+  void setOwned(std::function<bool(const EndpointKey &)> Owns);
+
   /// Whether, after a failure, another attempt may be made; takes it from the
   /// common budget if so.
   bool mayTryAgain(const RequestDescriptor &Request, const FleetRoute &Route,
@@ -147,6 +158,9 @@
   static unsigned runsLeft(const RequestDescriptor &Request,
                            const FleetRoute &Route, const AttemptLog &Log);
 
+  /// What an attempt asks of its endpoint.
+  static Work workOf(const RequestDescriptor &Request, const FleetRoute &Route,
+                     const ServeAt &Choice);
   /// An attempt begins. The endpoint's load grows until it has ended.
   WorkId begin(const RequestDescriptor &Request, const FleetRoute &Route,
                const ServeAt &Choice, AttemptLog &Log);
@@ -165,22 +179,10 @@
   void offerPlaces();
   static constexpr Duration OfferInterval = std::chrono::milliseconds(5);
 
-  /// What waits at another host of the region, by hash of the pool's name.
-  void peerQueued(const HostId &Host,
-                  const std::map<std::uint64_t, QueuedWork> &Queued);
-
-  /// Means of this region's pools, for the other regions.
+  /// Means of the pools over the endpoints that this host places at, for the
+  /// other regions.
   std::vector<PoolOutlook> outlook() const;
 
-  /// A prompt sent by this host since the last call, for the region's others.
-  struct SentPrompt {
-    EndpointKey Endpoint;
-    std::vector<PrefixLevel> Levels;
-    std::uint32_t ReadTokens = 0;
-  };
-  std::vector<SentPrompt> takeSentPrompts();
-  void peerSentPrompt(const SentPrompt &Prompt);
-
   void forget(const EndpointKey &Endpoint);
   void setRetryBounds(const RetryBudgetBounds &Bounds);
 
--- a/src/dispatch/endpointhealth.h
+++ b/src/dispatch/endpointhealth.h
@@ -19,6 +19,8 @@
   Failed,
   /// No connection, a reset, silence, or bytes that are no answer.
   Broken,
+  /// Another endpoint answered at its address.
+  Moved,
 };
 
 /// Which endpoints get ordinary traffic, from what this host has seen itself.
--- a/src/dispatch/holdqueue.h
+++ b/src/dispatch/holdqueue.h
@@ -11,14 +11,14 @@
 
 namespace celerybeam {
 
-/// Prompt tokens that wait at hosts before they are sent, of the most urgent
-/// rank and of all; requests of plain services count one token each.
+/// Prompt tokens that wait for a place, of the most urgent rank and of all;
+/// requests of plain services count one token each.
 struct QueuedWork {
   std::uint32_t Urgent = 0;
   std::uint32_t All = 0;
 };
 
-/// A request that waits at this host for a place at an endpoint.
+/// A request that waits for a place at an endpoint.
 struct HeldRequest {
   PoolName Pool;
   unsigned Rank = 0;
@@ -37,8 +37,8 @@
   std::uint64_t Value = 0;
 };
 
-/// Requests that wait at this host: first those that can still be on time, the
-/// most urgent and then the oldest first; after them the others.
+/// Requests that wait at their placer: first those that can still be on time,
+/// the most urgent and then the oldest first; after them the others.
 ///
 /// Answers to "bursts fill the endpoints' own queues": a request that waits
 /// here can still go to whichever endpoint is free first, be passed on, be
@@ -55,8 +55,7 @@
 
   /// Whether a request of the pool that is at least as urgent waits.
   bool hasAhead(const PoolName &Pool, unsigned Rank) const;
-  QueuedWork queued(const PoolName &Pool) const;
-  std::map<PoolName, QueuedWork> allQueued() const;
+  const QueuedWork &queued(const PoolName &Pool) const;
   std::size_t size() const { return Requests_.size(); }
 
   /// Requests that are offered to at a time: those behind them wait for the
@@ -72,9 +71,16 @@
     auto operator<=>(const Position &) const = default;
   };
 
+  struct PoolSums {
+    QueuedWork Work;
+    /// Requests by rank; no entry is zero.
+    std::map<unsigned, std::size_t> ByRank;
+  };
+
   std::uint64_t LastSerial_ = 0;
   std::map<Position, HeldRequest> Requests_;
   std::map<std::uint64_t, Position> Positions_;
+  std::map<PoolName, PoolSums> Pools_;
 };
 
 } // namespace celerybeam
--- a/src/dispatch/internal/crashedrequests.cpp
+++ b/src/dispatch/internal/crashedrequests.cpp
@@ -4,7 +4,11 @@
 
 namespace celerybeam {
 
-void CrashedRequests::count(std::uint64_t Fingerprint) {
+void CrashedRequests::crashed(std::uint64_t Fingerprint) {
+  peerSaw({Fingerprint, Runtime_.Random()});
+}
+
+void CrashedRequests::peerSaw(const CrashReport &Report) {
   TimePoint Now = Runtime_.Now();
   if (Entries_.size() >= MaxEntries)
     std::erase_if(Entries_, [&](const auto &E) {
@@ -12,31 +16,27 @@
     });
   if (Entries_.size() >= MaxEntries)
     return;
-  Entry &E = Entries_[Fingerprint];
+  Entry &E = Entries_[Report.Fingerprint];
   if (Now - E.Last > Retention)
-    E.Count = 0;
-  ++E.Count;
+    E.Events.clear();
+  bool News = E.Events.size() < Limit && E.Events.insert(Report.Event).second;
+  if (!News)
+    return;
   E.Last = Now;
+  Reports_.push_back(Report);
 }
 
-void CrashedRequests::crashed(std::uint64_t Fingerprint) {
-  count(Fingerprint);
-  Reports_.push_back(Fingerprint);
-}
-
-void CrashedRequests::peerSaw(std::uint64_t Fingerprint) { count(Fingerprint); }
-
 void CrashedRequests::succeeded(std::uint64_t Fingerprint) {
   Entries_.erase(Fingerprint);
 }
 
 bool CrashedRequests::isRefused(std::uint64_t Fingerprint) const {
   auto Found = Entries_.find(Fingerprint);
-  return Found != Entries_.end() && Found->second.Count >= Limit &&
+  return Found != Entries_.end() && Found->second.Events.size() >= Limit &&
          Runtime_.Now() - Found->second.Last <= Retention;
 }
 
-std::vector<std::uint64_t> CrashedRequests::takeReports() {
+std::vector<CrashReport> CrashedRequests::takeReports() {
   return std::exchange(Reports_, {});
 }
 
--- a/src/dispatch/internal/descriptor.cpp
+++ b/src/dispatch/internal/descriptor.cpp
@@ -6,13 +6,14 @@
 
 namespace celerybeam {
 
-std::vector<PrefixLevel> prefixLevelsOf(const RequestDescriptor &Request) {
+std::vector<PrefixLevel> prefixLevelsOf(const ModelName &Model,
+                                        const std::vector<PromptPart> &Parts) {
   std::vector<PrefixLevel> Levels;
-  std::uint64_t Hash = stableHash(Request.Model.str());
+  std::uint64_t Hash = stableHash(Model.str());
   std::uint32_t Tokens = 0;
-  for (std::size_t I = 0; I + 1 < Request.Parts.size(); ++I) {
-    Hash = stableHash(Request.Parts[I].Id, Hash);
-    Tokens += Request.Parts[I].Tokens;
+  for (std::size_t I = 0; I + 1 < Parts.size(); ++I) {
+    Hash = stableHash(Parts[I].Id, Hash);
+    Tokens += Parts[I].Tokens;
     Levels.push_back({Hash, Tokens});
   }
   return Levels;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -5,8 +5,6 @@
 
 #include "framework/stablehash.h"
 
-#include "dispatch/hostturn.h"
-
 namespace celerybeam {
 
 namespace {
@@ -14,8 +12,6 @@
 /// Sends beyond the endpoints that a request may run on: those that said that
 /// they did not run it.
 constexpr unsigned MaxRefusedSends = 2;
-/// What other hosts say that waits there counts for this long.
-constexpr Duration PeerQueueAge = std::chrono::milliseconds(1500);
 /// No request is sent that has less time left than this.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(20);
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
@@ -48,12 +44,7 @@
         Settings_(Settings), Loads_(Runtime_), Health_(Runtime_),
         Crashes_(Runtime_), Regions_(Runtime_),
         Predictor_(Runtime_, Loads_, Prefixes_), Budget_(Runtime_, RetryBounds),
-        Cold_(Runtime_, Hosts.self().Id), Lane_(Settings.LongPrompts) {
-    Predictor_.setTurn([this](const EndpointKey &Endpoint) {
-      return HostTurn::delay(Hosts_.self().Id, regionHosts(), Endpoint,
-                             Runtime_.Now());
-    });
-  }
+        Cold_(Runtime_), Lane_(Settings.LongPrompts) {}
 
   PoolName drawPool(const FleetRoute &Route) {
     double Sum = 0;
@@ -73,70 +64,86 @@
     return Route.Homes.empty() || Route.Homes.contains(Region);
   }
 
-  std::vector<HostId> regionHosts() const {
-    std::vector<HostId> Ids;
-    for (const HostState &Host : Hosts_.alive())
-      if (Host.Region == Hosts_.self().Region)
-        Ids.push_back(Host.Id);
-    return Ids;
+  /// Endpoints of the region at which this host places requests. Without any,
+  /// it places at all of them: another host could not be asked.
+  std::vector<const FleetEndpoint *> placedHere(const PoolName &Pool) const {
+    const auto &Usable = Fleet_.usable(Pool, Hosts_.self().Region);
+    std::vector<const FleetEndpoint *> Own;
+    for (const FleetEndpoint *E : Usable)
+      if (Owns_ && Owns_(E->Key))
+        Own.push_back(E);
+    return Own.empty() ? Usable : Own;
   }
 
-  /// Position of each endpoint in the prefix's order of preference, as a
-  /// score.
-  Duration preference(const FleetEndpoint &Endpoint,
-                      const std::vector<const FleetEndpoint *> &All,
-                      const std::vector<PrefixLevel> &Levels) const {
+  bool owns(const EndpointKey &Key) const { return !Owns_ || Owns_(Key); }
+
+  /// Position of each endpoint in the order in which a prompt's beginning
+  /// prefers them, 0 first.
+  static std::vector<int>
+  preferences(const std::vector<const FleetEndpoint *> &Endpoints,
+              const std::vector<PrefixLevel> &Levels) {
+    std::vector<int> Positions(Endpoints.size(), 0);
     if (Levels.empty())
-      return Duration::zero();
-    auto Rank = [&](const FleetEndpoint &E) {
-      return stableHash(E.Key.Value, Levels.back().Hash);
-    };
-    std::uint64_t Own = Rank(Endpoint);
-    auto Ahead = std::count_if(All.begin(), All.end(),
-                               [&](const auto *E) { return Rank(*E) > Own; });
-    return Settings_.PreferenceStep * Ahead;
+      return Positions;
+    std::vector<std::uint64_t> Ranks;
+    for (const FleetEndpoint *E : Endpoints)
+      Ranks.push_back(stableHash(E->Key.Value, Levels.back().Hash));
+    for (std::size_t I = 0; I < Ranks.size(); ++I)
+      Positions[I] = static_cast<int>(
+          std::count_if(Ranks.begin(), Ranks.end(),
+                        [&](std::uint64_t R) { return R > Ranks[I]; }));
+    return Positions;
+  }
+
+  bool isCold(const FleetEndpoint &E, const FleetPool &Pool) const {
+    return E.ColdUntil > Runtime_.Now() && Pool.ColdRequestsPerSecond > 0;
+  }
+
+  /// What a prompt costs the others at an engine.
+  Duration engineCost(const Candidate &C,
+                      const std::vector<const FleetEndpoint *> &Endpoints,
+                      const FleetPool &Pool, const FleetRoute &Route) const {
+    Duration Uncached = Predictor_.ownTime(Pool, C.Expected.UncachedTokens);
+    return scaled(Uncached, Settings_.UncachedCost) +
+           Lane_.score(*C.Endpoint, Endpoints, C.Expected.Wait + Uncached,
+                       Route.EventGapTarget,
+                       Loads_.at(C.Endpoint->Key).InFlight);
   }
 
   std::optional<Candidate> bestHere(const RequestDescriptor &Request,
                                     const FleetRoute &Route,
                                     const FleetPool &Pool, AttemptLog &Log) {
-    const RegionId &Here = Hosts_.self().Region;
-    if (!isHome(Route, Here))
+    if (!isHome(Route, Hosts_.self().Region))
       return std::nullopt;
-    auto Usable = Fleet_.usable(Pool.Name, Here);
-    auto Levels = prefixLevelsOf(Request);
-    PrefixSource Source = Predictor_.sourceAmong(Usable, Pool, Request);
+    auto Endpoints = placedHere(Pool.Name);
+    auto Preferences = preferences(Endpoints, Request.Levels);
+    PrefixSource Source = Predictor_.sourceAmong(Endpoints, Pool, Request);
     if (Source.Endpoint != nullptr && !Health_.isTrusted(Source.Endpoint->Key))
       Source = {};
-    std::vector<HostId> Others;
     std::optional<Candidate> Best;
-    Log.Seen.Usable = static_cast<unsigned>(Usable.size());
-    for (const FleetEndpoint *E : Usable) {
+    Log.Seen.Usable = static_cast<unsigned>(Endpoints.size());
+    for (std::size_t I = 0; I < Endpoints.size(); ++I) {
+      const FleetEndpoint *E = Endpoints[I];
       bool Trusted = Health_.isTrusted(E->Key);
       Log.Seen.Untrusted += Trusted ? 0 : 1;
       if (contains(Log.Tried, E->Key) || !Trusted)
         continue;
       Candidate C;
       C.Endpoint = E;
-      C.Cold = E->ColdUntil > Runtime_.Now() && Pool.ColdRequestsPerSecond > 0;
-      if (C.Cold && Others.empty())
-        Others = regionHosts();
-      if (C.Cold &&
-          !Cold_.wouldTake(E->Key, Pool.ColdRequestsPerSecond, Others)) {
+      C.Cold = isCold(*E, Pool);
+      if (C.Cold && !(owns(E->Key) &&
+                      Cold_.wouldTake(E->Key, Pool.ColdRequestsPerSecond))) {
         ++Log.Seen.Cold;
         continue;
       }
       C.Expected = Predictor_.predict(*E, Pool, Request, Route, Source);
       if (C.Expected.CopiedTokens > 0)
         C.CopyFrom = Source.Endpoint->Where;
-      Duration Uncached = Predictor_.ownTime(Pool, C.Expected.UncachedTokens);
       C.Score = C.Expected.ToFirstOutput +
-                Lane_.score(*E, Usable, C.Expected.Wait + Uncached,
-                            Pool.Engine ? Route.EventGapTarget : Duration(),
-                            Loads_.total(E->Key).InFlight) +
-                scaled(Uncached, Pool.Engine ? Settings_.UncachedCost : 0) +
-                scaled(Settings_.FailurePenalty, Health_.failureShare(E->Key)) +
-                preference(*E, Usable, Levels);
+                scaled(Settings_.FailurePenalty, Health_.failureShare(E->Key));
+      if (Pool.Engine)
+        C.Score += engineCost(C, Endpoints, Pool, Route) +
+                   Settings_.PreferenceStep * Preferences[I];
       if (!Best || C.Score < Best->Score)
         Best = C;
     }
@@ -149,22 +156,19 @@
                                      const AttemptLog &Log) {
     if (Request.Forwarded)
       return std::nullopt;
-    std::set<RegionId> Others;
-    for (const HostState &Host : Hosts_.alive())
-      if (Host.Region != Hosts_.self().Region && isHome(Route, Host.Region) &&
-          !contains(Log.RegionsTried, Host.Region))
-        Others.insert(Host.Region);
     std::optional<AwayChoice> Best;
-    for (const RegionId &Region : Others) {
+    for (const RegionId &Region : Hosts_.otherRegions()) {
+      if (!isHome(Route, Region) || contains(Log.RegionsTried, Region))
+        continue;
       auto Wait = Regions_.wait(Region, Pool.Name);
-      auto Serving = Hosts_.serving(Region);
-      if (!Wait || Serving.empty())
+      auto Host = Wait ? Hosts_.drawServing(Region) : std::nullopt;
+      if (!Host)
         continue;
       Duration Expected = *Wait + Settings_.RegionHop +
                           Predictor_.ownTime(Pool, Request.PromptTokens);
       if (Best && Best->Expected <= Expected)
         continue;
-      Best = {Serving[Runtime_.Random() % Serving.size()], Expected};
+      Best = {*Host, Expected};
     }
     return Best;
   }
@@ -179,25 +183,35 @@
     return {After, std::move(Reason)};
   }
 
-  DispatchDecision choose(const RequestDescriptor &Request,
-                          const FleetRoute &Route, AttemptLog &Log) {
+  std::optional<Refusal> admit(const RequestDescriptor &Request,
+                               const FleetRoute &Route, AttemptLog &Log) {
     if (Log.Pool.empty()) {
       Log.Arrived = Runtime_.Now() - Request.WaitedBefore;
       Log.Pool = drawPool(Route);
       if (!Request.Forwarded)
         Budget_.request(Log.Pool);
     }
-    const FleetTablesPtr &Tables = Fleet_.tables();
-    const FleetPool *Pool = Tables ? Tables->pool(Log.Pool) : nullptr;
-    if (Pool == nullptr)
+    if (poolOf(Log) == nullptr)
       return refuse("unknown_pool", Settings_.DefaultRetryAfter);
     if (Crashes_.isRefused(Request.Fingerprint))
       return refuse("crashes_endpoints", CrashedRequests::Retention);
-    Duration Left = Request.Deadline - Runtime_.Now();
-    if (Left < LeastTimeLeft)
+    if (Request.Deadline - Runtime_.Now() < LeastTimeLeft)
       return refuse("no_time_left", LeastRetryAfter);
+    return std::nullopt;
+  }
+
+  const FleetPool *poolOf(const AttemptLog &Log) const {
+    const FleetTablesPtr &Tables = Fleet_.tables();
+    return Tables ? Tables->pool(Log.Pool) : nullptr;
+  }
+
+  DispatchDecision choose(const RequestDescriptor &Request,
+                          const FleetRoute &Route, AttemptLog &Log) {
+    if (auto Refused = admit(Request, Route, Log))
+      return *Refused;
+    const FleetPool *Pool = poolOf(Log);
+    Duration Left = Request.Deadline - Runtime_.Now();
     Log.Seen = {};
-    Log.Seen.NewsAge = Loads_.newsAge();
     auto Here = bestHere(Request, Route, *Pool, Log);
     auto Away = bestAway(Request, Route, *Pool, Log);
     if (!Here && !Away)
@@ -227,8 +241,8 @@
       return PassOn{Away->Host, Away->Expected};
     if (MustWait)
       return holdFor(Request, Route, Log, *Here, HereIn);
-    if (Here->Cold && !Cold_.take(Here->Endpoint->Key,
-                                  Pool->ColdRequestsPerSecond, regionHosts()))
+    if (Here->Cold &&
+        !Cold_.take(Here->Endpoint->Key, Pool->ColdRequestsPerSecond))
       return refuse("cold", Settings_.DefaultRetryAfter);
     return ServeAt{*Here->Endpoint, Here->Expected, Here->Cold, Here->CopyFrom};
   }
@@ -251,28 +265,20 @@
                   Waits ? Settings_.HoldUpTo : Settings_.AdmitUpTo);
   }
 
-  /// Time until the region's endpoints have worked off what waits at its hosts
-  /// ahead of a request of this rank.
+  /// Time until the endpoints have worked off what waits here ahead of a
+  /// request of this rank.
   Duration queueWait(const FleetPool &Pool, unsigned Rank) const {
-    auto Usable = Fleet_.usable(Pool.Name, Hosts_.self().Region);
-    if (Usable.empty())
+    auto Endpoints = placedHere(Pool.Name);
+    if (Endpoints.empty())
       return Duration::zero();
-    QueuedWork Sum = Held_.queued(Pool.Name);
-    TimePoint Now = Runtime_.Now();
-    for (const auto &[Host, Peer] : PeerQueues_) {
-      auto Found = Peer.Queued.find(poolHash(Pool.Name));
-      if (Found == Peer.Queued.end() || Now - Peer.Heard > PeerQueueAge)
-        continue;
-      Sum.Urgent += Found->second.Urgent;
-      Sum.All += Found->second.All;
-    }
-    std::uint32_t Ahead = Rank == 0 ? Sum.Urgent : Sum.All;
+    const QueuedWork &Queued = Held_.queued(Pool.Name);
+    std::uint32_t Ahead = Rank == 0 ? Queued.Urgent : Queued.All;
     Duration Work = Pool.Engine ? Predictor_.ownTime(Pool, Ahead) -
                                       Predictor::EngineOverhead
                                 : Predictor_.ownTime(Pool, 0) * Ahead;
-    std::size_t Places = Usable.size();
+    std::size_t Places = Endpoints.size();
     if (!Pool.Engine)
-      Places *= std::max(1U, Usable.front()->Slots);
+      Places *= std::max(1U, Endpoints.front()->Slots);
     return Work / static_cast<Duration::rep>(Places);
   }
 
@@ -294,13 +300,8 @@
   SharedRetryBudget Budget_;
   ColdAllowance Cold_;
   LongLane Lane_;
-  std::vector<SentPrompt> Sent_;
   HoldQueue Held_;
-  struct PeerQueue {
-    std::map<std::uint64_t, QueuedWork> Queued;
-    TimePoint Heard{};
-  };
-  std::map<HostId, PeerQueue> PeerQueues_;
+  std::function<bool(const EndpointKey &)> Owns_;
 };
 
 Dispatcher::Dispatcher(Runtime R, FleetView &Fleet, HostRegistry &Hosts,
@@ -314,6 +315,16 @@
   return Impl_->choose(Request, Route, Log);
 }
 
+std::optional<Refusal> Dispatcher::admit(const RequestDescriptor &Request,
+                                         const FleetRoute &Route,
+                                         AttemptLog &Log) {
+  return Impl_->admit(Request, Route, Log);
+}
+
+void Dispatcher::setOwned(std::function<bool(const EndpointKey &)> Owns) {
+  Impl_->Owns_ = std::move(Owns);
+}
+
 bool Dispatcher::mayTryAgain(const RequestDescriptor &Request,
                              const FleetRoute &Route, const AttemptLog &Log) {
   if (!maySend(Log.Known, Route.Kind) || runsLeft(Request, Route, Log) == 0 ||
@@ -336,17 +347,20 @@
   const EndpointKey &Key = Choice.Endpoint.Key;
   Log.Tried.push_back(Key);
   Log.Sends += 1;
+  Work W = workOf(Request, Route, Choice);
+  if (Request.PromptTokens > 0)
+    Impl_->Prefixes_.sent(Key, Request.Levels,
+                          W.UncachedTokens + Request.MaxOutputTokens);
+  return Impl_->Loads_.started(Key, W);
+}
+
+Work Dispatcher::workOf(const RequestDescriptor &Request,
+                        const FleetRoute &Route, const ServeAt &Choice) {
   Work W;
   W.UncachedTokens = Choice.Expected.UncachedTokens;
   W.MemoryTokens = Request.PromptTokens + Request.MaxOutputTokens;
   W.Rank = Route.Rank;
-  if (Request.PromptTokens > 0) {
-    SentPrompt Prompt{Key, prefixLevelsOf(Request),
-                      W.UncachedTokens + Request.MaxOutputTokens};
-    Impl_->Prefixes_.sent(Key, Prompt.Levels, Prompt.ReadTokens);
-    Impl_->Sent_.push_back(std::move(Prompt));
-  }
-  return Impl_->Loads_.started(Key, W);
+  return W;
 }
 
 void Dispatcher::firstOutput(const ServeAt &Choice, WorkId Id, Duration Took) {
@@ -376,11 +390,6 @@
 HoldQueue &Dispatcher::held() { return Impl_->Held_; }
 void Dispatcher::offerPlaces() { Impl_->Held_.offer(Impl_->Runtime_.Now()); }
 
-void Dispatcher::peerQueued(const HostId &Host,
-                            const std::map<std::uint64_t, QueuedWork> &Queued) {
-  Impl_->PeerQueues_[Host] = {Queued, Impl_->Runtime_.Now()};
-}
-
 std::vector<PoolOutlook> Dispatcher::outlook() const {
   std::vector<PoolOutlook> All;
   const FleetTablesPtr &Tables = Impl_->Fleet_.tables();
@@ -395,9 +404,8 @@
     Duration Sum{};
     for (const FleetEndpoint *E :
          Impl_->Fleet_.usable(Name, Impl_->Hosts_.self().Region)) {
-      bool Cold = E->ColdUntil > Impl_->Runtime_.Now() &&
-                  Pool.ColdRequestsPerSecond > 0;
-      if (Cold || !Impl_->Health_.isTrusted(E->Key))
+      if (!Impl_->owns(E->Key) || Impl_->isCold(*E, Pool) ||
+          !Impl_->Health_.isTrusted(E->Key))
         continue;
       Prediction P = Impl_->Predictor_.predict(*E, Pool, {}, Ordinary);
       Sum += P.Wait;
@@ -411,18 +419,11 @@
   return All;
 }
 
-std::vector<Dispatcher::SentPrompt> Dispatcher::takeSentPrompts() {
-  return std::exchange(Impl_->Sent_, {});
-}
-
-void Dispatcher::peerSentPrompt(const SentPrompt &Prompt) {
-  Impl_->Prefixes_.sent(Prompt.Endpoint, Prompt.Levels, Prompt.ReadTokens);
-}
-
 void Dispatcher::forget(const EndpointKey &Endpoint) {
   Impl_->Prefixes_.forget(Endpoint);
   Impl_->Health_.forget(Endpoint);
   Impl_->Predictor_.forget(Endpoint);
+  Impl_->Loads_.forget(Endpoint);
 }
 
 void Dispatcher::setRetryBounds(const RetryBudgetBounds &Bounds) {
--- a/src/dispatch/internal/endpointhealth.cpp
+++ b/src/dispatch/internal/endpointhealth.cpp
@@ -4,6 +4,8 @@
 
 void EndpointHealth::ended(const EndpointKey &Endpoint,
                            AttemptOutcome Outcome) {
+  if (Outcome == AttemptOutcome::Moved)
+    return;
   State &S = States_[Endpoint];
   double Failure = Outcome == AttemptOutcome::Answered ? 0 : 1;
   S.FailureShare += (Failure - S.FailureShare) * LatestWeight;
--- a/src/dispatch/internal/holdqueue.cpp
+++ b/src/dispatch/internal/holdqueue.cpp
@@ -6,6 +6,11 @@
   HoldId Id{++LastSerial_};
   Position At{Request.Rank, Request.Arrived, Id.Value};
   Positions_[Id.Value] = At;
+  PoolSums &Sums = Pools_[Request.Pool];
+  ++Sums.ByRank[Request.Rank];
+  Sums.Work.All += Request.Tokens;
+  if (Request.Rank == 0)
+    Sums.Work.Urgent += Request.Tokens;
   Requests_.emplace(At, std::move(Request));
   return Id;
 }
@@ -14,7 +19,16 @@
   auto Found = Positions_.find(Id.Value);
   if (Found == Positions_.end())
     return;
-  Requests_.erase(Found->second);
+  auto Held = Requests_.find(Found->second);
+  const HeldRequest &Request = Held->second;
+  PoolSums &Sums = Pools_[Request.Pool];
+  auto Count = Sums.ByRank.find(Request.Rank);
+  if (--Count->second == 0)
+    Sums.ByRank.erase(Count);
+  Sums.Work.All -= Request.Tokens;
+  if (Request.Rank == 0)
+    Sums.Work.Urgent -= Request.Tokens;
+  Requests_.erase(Held);
   Positions_.erase(Found);
 }
 
@@ -41,30 +55,15 @@
 }
 
 bool HoldQueue::hasAhead(const PoolName &Pool, unsigned Rank) const {
-  for (const auto &[At, Request] : Requests_) {
-    if (At.Rank > Rank)
-      return false;
-    if (Request.Pool == Pool)
-      return true;
-  }
-  return false;
-}
-
-QueuedWork HoldQueue::queued(const PoolName &Pool) const {
-  auto All = allQueued();
-  auto Found = All.find(Pool);
-  return Found == All.end() ? QueuedWork() : Found->second;
+  auto Found = Pools_.find(Pool);
+  return Found != Pools_.end() && !Found->second.ByRank.empty() &&
+         Found->second.ByRank.begin()->first <= Rank;
 }
 
-std::map<PoolName, QueuedWork> HoldQueue::allQueued() const {
-  std::map<PoolName, QueuedWork> Sums;
-  for (const auto &[At, Request] : Requests_) {
-    QueuedWork &Sum = Sums[Request.Pool];
-    Sum.All += Request.Tokens;
-    if (Request.Rank == 0)
-      Sum.Urgent += Request.Tokens;
-  }
-  return Sums;
+const QueuedWork &HoldQueue::queued(const PoolName &Pool) const {
+  static const QueuedWork None;
+  auto Found = Pools_.find(Pool);
+  return Found == Pools_.end() ? None : Found->second.Work;
 }
 
 } // namespace celerybeam
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -58,9 +58,9 @@
 std::uint32_t Predictor::cachedTokens(const FleetEndpoint &Endpoint,
                                       const FleetPool &Pool,
                                       const RequestDescriptor &Request) const {
-  std::uint64_t Used = Loads_.total(Endpoint.Key).MemoryTokens;
+  std::uint64_t Used = Loads_.at(Endpoint.Key).MemoryTokens;
   std::uint64_t Capacity = Pool.Engine ? Pool.Engine->CacheTokens : 0;
-  return std::min(Prefixes_.cachedTokens(Endpoint.Key, prefixLevelsOf(Request),
+  return std::min(Prefixes_.cachedTokens(Endpoint.Key, Request.Levels,
                                          Capacity - std::min(Used, Capacity)),
                   Request.PromptTokens);
 }
@@ -85,7 +85,7 @@
                                     const RequestDescriptor &Request,
                                     const FleetRoute &Route,
                                     const PrefixSource &Source) const {
-  EndpointLoad Load = Loads_.total(Endpoint.Key);
+  const EndpointLoad &Load = Loads_.at(Endpoint.Key);
   std::uint64_t Capacity = Pool.Engine->CacheTokens;
   std::uint32_t Needed = Request.PromptTokens + Request.MaxOutputTokens;
   std::uint32_t Cached = cachedTokens(Endpoint, Pool, Request);
@@ -121,7 +121,7 @@
 bool Predictor::isPaced(const FleetEndpoint &Endpoint, const FleetPool &Pool,
                         const FleetRoute &Route, std::uint32_t Waiting,
                         std::uint32_t Own) const {
-  if (Loads_.total(Endpoint.Key).InFlight > 0 &&
+  if (Loads_.at(Endpoint.Key).InFlight > 0 &&
       Loads_.readingShare(Endpoint.Key) > MostReading)
     return false;
   double PerToken = speedOf(Pool.Name).MsPerToken;
@@ -134,15 +134,12 @@
 }
 
 bool Predictor::isSpaced(const EndpointKey &Endpoint) const {
-  Duration Idle = Runtime_.Now() - Loads_.lastRead(Endpoint);
-  if (Idle < PrefillSpacing)
-    return false;
-  return !Turn_ || Idle >= PrefillSpacing + Turn_(Endpoint);
+  return Runtime_.Now() - Loads_.lastRead(Endpoint) >= PrefillSpacing;
 }
 
 Prediction Predictor::predictPlain(const FleetEndpoint &Endpoint,
                                    const FleetPool &Pool) const {
-  EndpointLoad Load = Loads_.total(Endpoint.Key);
+  const EndpointLoad &Load = Loads_.at(Endpoint.Key);
   double Slots = std::max(1U, Endpoint.Slots);
   double Service = millis(ownTime(Pool, 0)) * slowness(Endpoint.Key);
   double Beyond = std::max(0.0, Load.InFlight + 1 - Slots);
--- a/src/dispatch/internal/regionoutlook.cpp
+++ b/src/dispatch/internal/regionoutlook.cpp
@@ -6,25 +6,41 @@
 
 std::uint64_t poolHash(const PoolName &Pool) { return stableHash(Pool.str()); }
 
-void RegionOutlook::heard(const RegionId &Region, const PoolOutlook &Outlook) {
-  Entries_[{Region, Outlook.Pool}] = {Outlook, Runtime_.Now(), {}};
+void RegionOutlook::heard(const RegionId &Region, const HostId &Placer,
+                          const PoolOutlook &Outlook) {
+  TimePoint Now = Runtime_.Now();
+  auto &Placers = Entries_[{Region, Outlook.Pool}];
+  std::erase_if(Placers,
+                [&](const auto &E) { return Now - E.second.At > MaxAge; });
+  Placers[Placer] = {Outlook, Now, {}};
 }
 
 void RegionOutlook::sent(const RegionId &Region, const PoolName &Pool,
                          Duration OwnTime) {
   auto Found = Entries_.find({Region, poolHash(Pool)});
-  if (Found != Entries_.end())
-    Found->second.SentSince += OwnTime;
+  if (Found == Entries_.end())
+    return;
+  auto Placers = static_cast<Duration::rep>(Found->second.size());
+  for (auto &[Placer, E] : Found->second)
+    E.SentSince += OwnTime / Placers;
 }
 
 std::optional<Duration> RegionOutlook::wait(const RegionId &Region,
                                             const PoolName &Pool) const {
   auto Found = Entries_.find({Region, poolHash(Pool)});
-  if (Found == Entries_.end() || Found->second.Heard.Endpoints == 0 ||
-      Runtime_.Now() - Found->second.At > MaxAge)
+  if (Found == Entries_.end())
     return std::nullopt;
-  const Entry &E = Found->second;
-  return E.Heard.Wait + E.SentSince / E.Heard.Endpoints;
+  Duration Sum{};
+  Duration::rep Endpoints = 0;
+  for (const auto &[Placer, E] : Found->second) {
+    if (Runtime_.Now() - E.At > MaxAge)
+      continue;
+    Sum += E.Heard.Wait * E.Heard.Endpoints + E.SentSince;
+    Endpoints += E.Heard.Endpoints;
+  }
+  if (Endpoints == 0)
+    return std::nullopt;
+  return Sum / Endpoints;
 }
 
 } // namespace celerybeam
--- a/src/dispatch/loadbook.h
+++ b/src/dispatch/loadbook.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
-#include <vector>
+#include <unordered_map>
 
 #include "blackboard/idtypes.h"
+#include "dispatch/readingduty.h"
 #include "fleet/fleettypes.h"
 #include "framework/runtime.h"
 
@@ -28,9 +28,8 @@
   unsigned Rank = 0;
 };
 
-/// Work of one host, or of all, at one endpoint.
+/// The work in flight at one endpoint.
 struct EndpointLoad {
-  EndpointKey Endpoint;
   /// Requests sent and not ended.
   std::uint32_t InFlight = 0;
   /// Prompt tokens of requests that wait for their first output, of the most
@@ -40,44 +39,51 @@
   std::uint32_t MemoryTokens = 0;
 };
 
-/// The work in flight at each endpoint: own dispatches exactly, those of the
-/// region's other hosts as their latest message told.
+/// The work in flight at each endpoint that was placed from here.
 ///
 /// Answers to "reports of load lag by some hundred milliseconds, and all hosts
-/// would pick the same idle endpoint". Not thread-safe.
+/// would pick the same idle endpoint": what is placed counts from that moment
+/// on. Not thread-safe.
 class LoadBook {
 public:
-  /// \param PeerAge  messages older than this no longer count.
-  LoadBook(Runtime R, Duration PeerAge = std::chrono::milliseconds(1500));
-  ~LoadBook();
+  explicit LoadBook(Runtime R) : Runtime_(std::move(R)) {}
 
   WorkId started(const EndpointKey &Endpoint, const Work &W);
   /// The endpoint has sent its first output: the prompt is read.
   void firstOutput(WorkId Id);
   void ended(WorkId Id);
 
-  /// Replaces what another host said before.
-  void peerSaid(const HostId &Host, const std::vector<EndpointLoad> &Loads);
-
-  /// Age of the oldest message that counts; zero when there is none.
-  Duration newsAge() const;
-
-  /// Sum over all hosts.
-  EndpointLoad total(const EndpointKey &Endpoint) const;
-  /// Own share at each endpoint with work, for the other hosts.
-  std::vector<EndpointLoad> own() const;
-  /// Share of the last seconds in which some host had a prompt there that
-  /// waited for its first output.
+  const EndpointLoad &at(const EndpointKey &Endpoint) const;
+  /// Share of the last seconds in which a prompt waited there for its first
+  /// output.
   double readingShare(const EndpointKey &Endpoint) const;
-  /// When an endpoint was last heard to have finished reading a prompt; long
-  /// ago when never.
+  /// When the endpoint finished reading a prompt last; long ago when never.
   TimePoint lastRead(const EndpointKey &Endpoint) const;
-  /// When own's oldest unanswered prompt was sent; unset when none waits.
+  /// When the oldest prompt that waits there was sent; unset when none does.
   std::optional<TimePoint> oldestWaiting(const EndpointKey &Endpoint) const;
+  void forget(const EndpointKey &Endpoint);
 
 private:
-  class Impl;
-  std::unique_ptr<Impl> Impl_;
+  struct Dispatch {
+    EndpointKey Endpoint;
+    Work Asked;
+    bool Waiting = true;
+  };
+  struct Entry {
+    EndpointLoad Load;
+    TimePoint LastRead{};
+    ReadingDuty Duty;
+    /// When each waiting prompt was sent, by number, the oldest first.
+    std::map<std::uint64_t, TimePoint> Waiting;
+  };
+
+  void endWait(std::uint64_t Id, Dispatch &D, Entry &E);
+  const Entry *find(const EndpointKey &Endpoint) const;
+
+  Runtime Runtime_;
+  std::uint64_t LastId_ = 0;
+  std::unordered_map<std::uint64_t, Dispatch> Dispatches_;
+  std::unordered_map<EndpointKey, Entry> Entries_;
 };
 
 } // namespace celerybeam
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -1,7 +1,6 @@
 #ifndef CELERYBEAM_DISPATCH_PREDICTOR_H
 #define CELERYBEAM_DISPATCH_PREDICTOR_H
 
-#include <functional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -64,12 +63,6 @@
   void saidSlowness(const EndpointKey &Endpoint, double Factor);
   void forget(const EndpointKey &Endpoint) { Endpoints_.erase(Endpoint); }
 
-  /// How much longer than PrefillSpacing this host leaves an endpoint alone
-  /// that has become free; zero without a hook.
-  void setTurn(std::function<Duration(const EndpointKey &)> Turn) {
-    Turn_ = std::move(Turn);
-  }
-
   /// Prefill time of a token before any was observed.
   static constexpr double AssumedMsPerToken = 0.016;
   /// Time of a plain request before any was observed.
@@ -78,12 +71,12 @@
   /// pause. A step reads one chunk and makes one token of each stream, and an
   /// event holds several tokens: a longer run of full steps makes the streams
   /// there pause for too long.
-  static constexpr double PrefillShare = 0.15;
+  static constexpr double PrefillShare = 0.25;
   /// If the steps of one event, all of them full, take less than this share of
   /// the longest tolerable pause, prompts need no time between them.
   static constexpr double HarmlessShare = 0.6;
   /// Share of its time that an engine with streams may read prompts.
-  static constexpr double MostReading = 0.8;
+  static constexpr double MostReading = 0.95;
   /// Time between two prompts at an engine, for a few steps of the streams
   /// there alone.
   static constexpr Duration PrefillSpacing = std::chrono::milliseconds(16);
@@ -135,7 +128,6 @@
   Runtime Runtime_;
   LoadBook &Loads_;
   PrefixBook &Prefixes_;
-  std::function<Duration(const EndpointKey &)> Turn_;
   std::unordered_map<EndpointKey, Speed> Endpoints_;
   std::unordered_map<PoolName, PoolSpeed> Pools_;
 };
--- a/src/dispatch/regionoutlook.h
+++ b/src/dispatch/regionoutlook.h
@@ -10,7 +10,7 @@
 
 namespace celerybeam {
 
-/// How a pool in one region stands.
+/// How a pool stands at the endpoints of one placer.
 struct PoolOutlook {
   /// Hash of the pool's name, as messages carry it.
   std::uint64_t Pool = 0;
@@ -22,7 +22,7 @@
 /// Hash of a pool's name.
 std::uint64_t poolHash(const PoolName &Pool);
 
-/// What other regions' hosts say of their pools, and what this host has sent
+/// What other regions' placers say of their pools, and what this host has sent
 /// there since.
 ///
 /// Answers to "regions peak in turn": a wait is known half a second late, so
@@ -31,12 +31,13 @@
 public:
   explicit RegionOutlook(Runtime R) : Runtime_(std::move(R)) {}
 
-  void heard(const RegionId &Region, const PoolOutlook &Outlook);
+  void heard(const RegionId &Region, const HostId &Placer,
+             const PoolOutlook &Outlook);
   /// A request that takes an endpoint this long was sent there.
   void sent(const RegionId &Region, const PoolName &Pool, Duration OwnTime);
 
-  /// Expected wait there; empty when the region was not heard of late or has
-  /// no endpoint in the pool.
+  /// Expected wait there, a mean over the endpoints; empty when the region was
+  /// not heard of late or has no endpoint in the pool.
   std::optional<Duration> wait(const RegionId &Region,
                                const PoolName &Pool) const;
 
@@ -47,11 +48,13 @@
   struct Entry {
     PoolOutlook Heard;
     TimePoint At{};
+    /// Of what this host has sent to the region, this placer's share.
     Duration SentSince{};
   };
 
   Runtime Runtime_;
-  std::map<std::pair<RegionId, std::uint64_t>, Entry> Entries_;
+  using PoolInRegion = std::pair<RegionId, std::uint64_t>;
+  std::map<PoolInRegion, std::map<HostId, Entry>> Entries_;
 };
 
 } // namespace celerybeam
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -35,8 +35,8 @@
 
 BOOST_AUTO_TEST_CASE(shortPromptsShareAStep) {
   addEndpoint("a");
-  // 0.15 of a pause of 600 ms at 0.016 ms a token is 5,625 tokens.
-  for (int I = 0; I < 3; ++I)
+  // 0.25 of a pause of 600 ms at 0.016 ms a token is 9,375 tokens.
+  for (int I = 0; I < 5; ++I)
     BOOST_TEST(is<ServeAt>(send(request(1800), Quotes)));
   BOOST_TEST(is<Hold>(send(request(1800), Quotes)));
 }
@@ -50,12 +50,12 @@
 
 BOOST_AUTO_TEST_CASE(streamsGetAFewStepsBetweenPrompts) {
   addEndpoint("a");
-  send(request(8000, 1), Quotes);
+  send(request(10000, 1), Quotes);
   Time.runFor(150ms);
   Decisions.loads().firstOutput(Last);
-  BOOST_TEST(is<Hold>(send(request(8000, 2), Quotes)));
+  BOOST_TEST(is<Hold>(send(request(10000, 2), Quotes)));
   Time.runFor(Predictor::PrefillSpacing);
-  BOOST_TEST(is<ServeAt>(send(request(8000, 3), Quotes)));
+  BOOST_TEST(is<ServeAt>(send(request(10000, 3), Quotes)));
 }
 
 // Overload: what cannot be served in time is refused on arrival, with the time
@@ -206,7 +206,7 @@
   addEndpoint("a");
   RequestDescriptor R = request(1000);
   for (unsigned I = 0; I < CrashedRequests::Limit; ++I)
-    Decisions.crashes().peerSaw(R.Fingerprint);
+    Decisions.crashes().peerSaw({R.Fingerprint, I});
   auto D = send(R, Quotes);
   BOOST_REQUIRE(is<Refusal>(D));
   BOOST_TEST(std::get<Refusal>(D).Reason == "crashes_endpoints");
--- a/src/dispatch/tests/dispatchfixture.h
+++ b/src/dispatch/tests/dispatchfixture.h
@@ -41,7 +41,7 @@
     H.Region = RegionId("musanze");
     H.Ready = true;
     Hosts.heard(H);
-    Decisions.regions().heard(H.Region,
+    Decisions.regions().heard(H.Region, H.Id,
                               {poolHash(PoolName("engines")), Wait, 6});
   }
 
@@ -82,6 +82,7 @@
     R.Fingerprint = Requests;
     if (Tokens > 5000)
       R.Parts = {{Prefix, 5000}, {Requests, Tokens - 5000}};
+    R.Levels = prefixLevelsOf(R.Model, R.Parts);
     return R;
   }
 
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -3,12 +3,13 @@
 #include <algorithm>
 
 #include "dispatch/coldallowance.h"
+#include "dispatch/crashedrequests.h"
 #include "dispatch/executionknowledge.h"
 #include "dispatch/holdqueue.h"
-#include "dispatch/hostturn.h"
 #include "dispatch/longlane.h"
 #include "dispatch/prefixbook.h"
 #include "dispatch/readingduty.h"
+#include "dispatch/regionoutlook.h"
 #include "dispatch/sharedretrybudget.h"
 #include "support/virtualtime.h"
 
@@ -19,14 +20,6 @@
 
 const PoolName Pool("plain");
 
-std::vector<HostId> hostsBut(unsigned Self, unsigned Count) {
-  std::vector<HostId> Ids;
-  for (unsigned I = 0; I < Count; ++I)
-    if (I != Self)
-      Ids.emplace_back("h" + std::to_string(I));
-  return Ids;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DispatchPartsTests)
@@ -66,20 +59,18 @@
   BOOST_TEST(Budget.take(Pool, 1));
 }
 
-// Cold endpoints return while every host has work waiting.
+// Cold endpoints return while work is waiting for them, and the host that
+// places there changes twice within a second.
 BOOST_AUTO_TEST_CASE(coldEndpointGetsNoMoreThanItBears) {
   testing::VirtualTime Time(1);
-  constexpr unsigned Hosts = 7;
   constexpr double PerSecond = 2;
   const EndpointKey Endpoint{42};
-  std::vector<ColdAllowance> All;
-  for (unsigned H = 0; H < Hosts; ++H)
-    All.emplace_back(Time.runtime(), HostId("h" + std::to_string(H)));
+  std::vector<ColdAllowance> Placers(3, ColdAllowance(Time.runtime()));
   std::vector<TimePoint> Sent;
   for (int Step = 0; Step < 600; ++Step) {
-    for (unsigned H = 0; H < Hosts; ++H)
-      if (All[H].take(Endpoint, PerSecond, hostsBut(H, Hosts)))
-        Sent.push_back(Time.now());
+    std::size_t Owner = Step < 200 ? 0 : Step < 240 ? 1 : 2;
+    if (Placers[Owner].take(Endpoint, PerSecond))
+      Sent.push_back(Time.now());
     Time.runFor(10ms);
   }
   BOOST_TEST(Sent.size() >= 8U);
@@ -91,17 +82,54 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(hostsTakeTurnsAtAnEndpoint) {
-  constexpr unsigned Hosts = 7;
+// Hosts that disagree for a moment place at the same cold endpoint.
+BOOST_AUTO_TEST_CASE(twoPlacersOfAColdEndpointStayWithinItsBound) {
+  testing::VirtualTime Time(1);
   const EndpointKey Endpoint{42};
-  std::vector<Duration> Delays;
-  for (unsigned H = 0; H < Hosts; ++H)
-    Delays.push_back(HostTurn::delay(HostId("h" + std::to_string(H)),
-                                     hostsBut(H, Hosts), Endpoint,
-                                     TimePoint(7s)));
-  std::sort(Delays.begin(), Delays.end());
-  for (unsigned I = 0; I < Hosts; ++I)
-    BOOST_TEST((Delays[I] == HostTurn::Step * I));
+  std::vector<ColdAllowance> Placers(2, ColdAllowance(Time.runtime()));
+  std::vector<TimePoint> Sent;
+  for (int Step = 0; Step < 600; ++Step) {
+    for (ColdAllowance &Placer : Placers)
+      if (Placer.take(Endpoint, 2))
+        Sent.push_back(Time.now());
+    Time.runFor(10ms);
+  }
+  for (std::size_t I = 0; I < Sent.size(); ++I) {
+    auto Within = std::count_if(Sent.begin(), Sent.end(), [&](TimePoint T) {
+      return T >= Sent[I] && T - Sent[I] < 1s;
+    });
+    BOOST_TEST(Within <= 6);
+  }
+}
+
+// A report reaches a host over several others.
+BOOST_AUTO_TEST_CASE(crashCountsOnceHoweverOftenItIsTold) {
+  testing::VirtualTime Time(1);
+  CrashedRequests Here(Time.runtime());
+  CrashedRequests There(Time.runtime());
+  Here.crashed(7);
+  auto Reports = Here.takeReports();
+  BOOST_REQUIRE(Reports.size() == 1U);
+  for (int I = 0; I < 5; ++I)
+    There.peerSaw(Reports[0]);
+  BOOST_TEST(!There.isRefused(7));
+  BOOST_TEST(There.takeReports().size() == 1U);
+  There.crashed(7);
+  There.crashed(7);
+  BOOST_TEST(There.isRefused(7));
+}
+
+BOOST_AUTO_TEST_CASE(outlookOfARegionIsTheMeanOverItsEndpoints) {
+  testing::VirtualTime Time(1);
+  RegionOutlook Outlook(Time.runtime());
+  const RegionId Region("huye");
+  Outlook.heard(Region, HostId("h1"), {poolHash(Pool), 100ms, 3});
+  Outlook.heard(Region, HostId("h2"), {poolHash(Pool), 500ms, 1});
+  BOOST_TEST((*Outlook.wait(Region, Pool) == 200ms));
+  Outlook.sent(Region, Pool, 400ms);
+  BOOST_TEST((*Outlook.wait(Region, Pool) == 300ms));
+  Time.runFor(RegionOutlook::MaxAge + 1ms);
+  BOOST_TEST(!Outlook.wait(Region, Pool).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(longPromptsAvoidStreams) {
--- /dev/null
+++ b/src/dispatch/tests/placementtest.cpp
@@ -0,0 +1,413 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+
+#include "dispatch/placementclient.h"
+#include "dispatch/placementmap.h"
+#include "dispatch/tests/dispatchfixture.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Hop = 1ms;
+
+/// A host with its own beliefs, desk and client.
+struct Host {
+  Host(testing::VirtualTime &Time, HostState Self,
+       PlacementClient::SendHook Send, PlacementDesk::AnswerHook Answer)
+      : View(Time.runtime(), {}), Hosts(Time.runtime(), Self),
+        Decisions(Time.runtime(), View, Hosts, {}),
+        Desk(Time.runtime(), View, Decisions, Self.Ip, std::move(Answer)),
+        Placement(Time.runtime(), View, Hosts, Decisions, Desk,
+                  std::move(Send)) {
+    Decisions.setOwned(
+        [this](const EndpointKey &Key) { return Placement.owns(Key); });
+  }
+
+  FleetView View;
+  HostRegistry Hosts;
+  Dispatcher Decisions;
+  PlacementDesk Desk;
+  PlacementClient Placement;
+};
+
+/// Hosts of one region whose notes take a while and may be lost.
+struct Region {
+  explicit Region(unsigned Count) {
+    for (unsigned I = 0; I < Count; ++I)
+      addHost(I);
+    for (Duration Past{}; Past < 1s; Past += 200ms)
+      beat();
+  }
+
+  static std::string ipOf(unsigned I) { return "10.0.0." + std::to_string(I); }
+
+  HostState stateOf(unsigned I) const {
+    HostState H = testing::DispatchFixture::self();
+    H.Id = HostId("k" + std::to_string(I));
+    H.Ip = ipOf(I);
+    H.Leaving = Leaving.contains(I);
+    return H;
+  }
+
+  void addHost(unsigned I) {
+    std::string Ip = ipOf(I);
+    All[Ip] = std::make_unique<Host>(
+        Time, stateOf(I),
+        [this, Ip](const std::string &To, PlacementId Id,
+                   const PlacementNote &Note) { carry(Ip, To, Id, Note); },
+        [this, Ip](const std::string &To, PlacementId Id,
+                   const PlacementAnswer &Answer) {
+          if (To == Ip)
+            return All.at(Ip)->Placement.answered(Ip, Id, Answer);
+          carry(Ip, To, Id, Answer);
+        });
+    All[Ip]->View.adoptTables(*Fixture.View.tables());
+  }
+
+  void carry(const std::string &From, const std::string &To, PlacementId Id,
+             const PlacementNote &Note) {
+    ++Notes;
+    if (Dead.contains(From) || Time.random() % 100 < LossPercent)
+      return;
+    Time.after(Hop, [=, this] {
+      if (Dead.contains(To))
+        return;
+      Host &There = *All.at(To);
+      if (const auto *Ask = std::get_if<PlacementAsk>(&Note))
+        There.Desk.ask(From, Id, *Ask);
+      else if (const auto *Answer = std::get_if<PlacementAnswer>(&Note))
+        There.Placement.answered(From, Id, *Answer);
+      else if (const auto *Output = std::get_if<OutputCame>(&Note))
+        There.Desk.outputCame(Id, *Output);
+      else
+        There.Desk.end(Id, std::get<PlacementEnd>(Note));
+    });
+  }
+
+  /// One round of heartbeats and lists, and the time until the next.
+  void beat() {
+    for (const auto &[From, Sender] : All) {
+      if (Dead.contains(From))
+        continue;
+      for (const auto &[To, Receiver] : All)
+        if (To != From && !Dead.contains(To))
+          Receiver->Hosts.heard(Sender->Hosts.self());
+      for (const std::string &To : Sender->Placement.listTo())
+        if (!Dead.contains(To))
+          All.at(To)->Desk.listed(From, Sender->Placement.listFor(To));
+      Sender->Desk.tick();
+    }
+    Time.runFor(PlacementDesk::ListInterval);
+  }
+
+  void addEndpoint(const std::string &Id, const char *Pool = "engines") {
+    FleetEndpoint E = Fixture.addEndpoint(Id, Pool);
+    for (const auto &[Ip, H] : All)
+      H->View.putEndpoint(E);
+  }
+
+  struct Outcome {
+    std::optional<PlacementId> Id;
+    std::vector<PlacementAnswer> Answers;
+    bool served() const {
+      return !Answers.empty() &&
+             std::holds_alternative<ServeAt>(*Answers.back().Decision);
+    }
+    EndpointKey endpoint() const {
+      return std::get<ServeAt>(*Answers.back().Decision).Endpoint.Key;
+    }
+  };
+
+  std::shared_ptr<Outcome> place(unsigned At, const RequestDescriptor &Request,
+                                 const FleetRoute &Route) {
+    auto Told = std::make_shared<Outcome>();
+    AttemptLog Log;
+    Host &H = *All.at(ipOf(At));
+    Told->Id = H.Placement.place(Request, Route, Log,
+                                 [Told](PlacementId, const auto &Answer) {
+                                   Told->Answers.push_back(Answer);
+                                 });
+    return Told;
+  }
+
+  unsigned placer() {
+    return static_cast<unsigned>(
+        std::stoul(All.begin()
+                       ->second->Hosts.delegates(RegionId("kigali"))
+                       .Placers.front()
+                       .Id.str()
+                       .substr(1)));
+  }
+  /// A host that is not the placer.
+  unsigned other(unsigned Skip = 0) {
+    unsigned I = 0;
+    while (I == placer() || Skip-- > 0)
+      ++I;
+    return I;
+  }
+
+  std::uint32_t inFlight(unsigned At, const EndpointKey &Key) {
+    return All.at(ipOf(At))->Decisions.loads().at(Key).InFlight;
+  }
+
+  testing::DispatchFixture Fixture;
+  testing::VirtualTime &Time = Fixture.Time;
+  std::set<unsigned> Leaving;
+  std::set<std::string> Dead;
+  unsigned LossPercent = 0;
+  unsigned Notes = 0;
+  std::map<std::string, std::unique_ptr<Host>> All;
+};
+
+const FleetRoute Quotes =
+    testing::DispatchFixture::route(RepeatKind::Stream, 1);
+const FleetRoute Bookings =
+    testing::DispatchFixture::route(RepeatKind::AtMostOnce);
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlacementTests)
+
+// A burst that comes in over all hosts at once is placed as over one: two
+// plain endpoints with two slots each take four.
+BOOST_AUTO_TEST_CASE(burstOverManyHostsFillsEachSlotOnce) {
+  Region R(5);
+  R.addEndpoint("a", "plain");
+  R.addEndpoint("b", "plain");
+  std::vector<std::shared_ptr<Region::Outcome>> All;
+  for (unsigned I = 0; I < 10; ++I)
+    All.push_back(R.place(I % 5, R.Fixture.request(0), Bookings));
+  R.Time.runFor(20ms);
+  auto Served = std::count_if(All.begin(), All.end(),
+                              [](const auto &O) { return O->served(); });
+  BOOST_TEST(Served == 4);
+}
+
+BOOST_AUTO_TEST_CASE(placeThatIsGivenBackGoesToTheNext) {
+  Region R(5);
+  R.addEndpoint("a", "plain");
+  unsigned At = R.other();
+  auto First = R.place(At, R.Fixture.request(0), Bookings);
+  R.place(At, R.Fixture.request(0), Bookings);
+  auto Waits = R.place(R.other(1), R.Fixture.request(0), Bookings);
+  R.Time.runFor(20ms);
+  BOOST_TEST(First->served());
+  BOOST_TEST(!Waits->served());
+  R.All.at(R.ipOf(At))->Placement.end(*First->Id, {AttemptOutcome::Answered});
+  R.Time.runFor(20ms);
+  BOOST_TEST(Waits->served());
+}
+
+// Equal beginnings come in over different hosts and meet at one engine.
+BOOST_AUTO_TEST_CASE(sharedBeginningsMeetOverHosts) {
+  Region R(12);
+  for (const char *Id : {"a", "b", "c", "d", "e", "f"})
+    R.addEndpoint(Id);
+  std::set<EndpointKey> Used;
+  for (unsigned I = 0; I < 8; ++I) {
+    auto O = R.place(I, R.Fixture.request(9000, 42), Quotes);
+    R.Time.runFor(20ms);
+    BOOST_REQUIRE(O->served());
+    Used.insert(O->endpoint());
+    R.All.at(R.ipOf(I))->Placement.end(*O->Id, {AttemptOutcome::Answered});
+    R.Time.runFor(500ms);
+    R.beat();
+  }
+  BOOST_TEST(Used.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(deadPlacerIsReplacedWithinItsTime) {
+  Region R(5);
+  R.addEndpoint("a");
+  unsigned At = R.other();
+  R.Dead.insert(R.ipOf(R.placer()));
+  auto O = R.place(At, R.Fixture.request(1000), Quotes);
+  R.Time.runFor(2 * PlacementClient::AnswerTimeout +
+                2 * PlacementClient::CheckInterval + 10ms);
+  BOOST_TEST(O->served());
+}
+
+// All other hosts are out of reach: the own desk decides.
+BOOST_AUTO_TEST_CASE(hostThatReachesNobodyPlacesOnItsOwn) {
+  Region R(5);
+  R.addEndpoint("a");
+  unsigned At = R.other();
+  for (unsigned I = 0; I < 5; ++I)
+    if (I != At)
+      R.Dead.insert(R.ipOf(I));
+  auto O = R.place(At, R.Fixture.request(1000), Quotes);
+  R.Time.runFor(1s);
+  BOOST_TEST(O->served());
+}
+
+// The placer dies while a request waits there.
+BOOST_AUTO_TEST_CASE(requestThatWaitsOutlivesItsPlacer) {
+  Region R(5);
+  R.addEndpoint("a");
+  unsigned At = R.other();
+  auto Long = R.place(At, R.Fixture.request(20000), Quotes);
+  R.Time.runFor(5ms);
+  auto Waits = R.place(At, R.Fixture.request(6000, 9), Quotes);
+  R.Time.runFor(20ms);
+  BOOST_REQUIRE(Long->served());
+  BOOST_REQUIRE(!Waits->served());
+  R.Dead.insert(R.ipOf(R.placer()));
+  for (int I = 0; I < 4; ++I)
+    R.beat();
+  BOOST_TEST(Waits->served());
+}
+
+// The new placer books what runs already, from the lists.
+BOOST_AUTO_TEST_CASE(newPlacerLearnsWhatRuns) {
+  Region R(5);
+  R.addEndpoint("a", "plain");
+  unsigned At = R.other();
+  auto One = R.place(At, R.Fixture.request(0), Bookings);
+  auto Two = R.place(At, R.Fixture.request(0), Bookings);
+  R.Time.runFor(20ms);
+  BOOST_REQUIRE(One->served());
+  EndpointKey Key = One->endpoint();
+  R.Dead.insert(R.ipOf(R.placer()));
+  for (int I = 0; I < 10; ++I)
+    R.beat();
+  unsigned New = R.other();
+  for (unsigned I = 0; I < 5; ++I)
+    if (!R.Dead.contains(R.ipOf(I)) && R.All.at(R.ipOf(I))->Placement.owns(Key))
+      New = I;
+  BOOST_TEST(R.inFlight(New, Key) == 2U);
+  auto Third = R.place(At, R.Fixture.request(0), Bookings);
+  R.Time.runFor(20ms);
+  BOOST_TEST(!Third->served());
+}
+
+BOOST_AUTO_TEST_CASE(placesOfADeadHostAreFreed) {
+  Region R(5);
+  R.addEndpoint("a", "plain");
+  unsigned At = R.other();
+  auto One = R.place(At, R.Fixture.request(0), Bookings);
+  R.Time.runFor(20ms);
+  EndpointKey Key = One->endpoint();
+  unsigned Placer = R.placer();
+  BOOST_TEST(R.inFlight(Placer, Key) == 1U);
+  R.Dead.insert(R.ipOf(At));
+  for (int I = 0; I < 10; ++I)
+    R.beat();
+  BOOST_TEST(R.inFlight(Placer, Key) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(leavingPlacerHandsOverWhatWaits) {
+  Region R(5);
+  R.addEndpoint("a", "plain");
+  unsigned At = R.other();
+  auto One = R.place(At, R.Fixture.request(0), Bookings);
+  R.place(At, R.Fixture.request(0), Bookings);
+  auto Waits = R.place(At, R.Fixture.request(0), Bookings);
+  R.Time.runFor(20ms);
+  BOOST_REQUIRE(!Waits->served());
+  unsigned Placer = R.placer();
+  Host &Old = *R.All.at(R.ipOf(Placer));
+  HostState Self = Old.Hosts.self();
+  Self.Leaving = true;
+  Old.Hosts.setSelf(Self);
+  for (const auto &[Ip, H] : R.All)
+    if (Ip != Self.Ip)
+      H->Hosts.heard(Self);
+  Old.Desk.handOver();
+  for (int I = 0; I < 3; ++I)
+    R.beat();
+  R.All.at(R.ipOf(At))->Placement.end(*One->Id, {AttemptOutcome::Answered});
+  R.Time.runFor(20ms);
+  BOOST_TEST(Waits->served());
+}
+
+BOOST_AUTO_TEST_CASE(endpointThatOnlyTheHostKnowsToBeLeavingIsNotUsed) {
+  Region R(5);
+  R.addEndpoint("a");
+  R.addEndpoint("b");
+  unsigned At = R.other();
+  for (int I = 0; I < 10; ++I) {
+    R.All.at(R.ipOf(At))->View.noteLeaving(EndpointId("a"));
+    auto O = R.place(At, R.Fixture.request(6000, R.Time.random()), Quotes);
+    R.Time.runFor(500ms);
+    BOOST_REQUIRE(O->served());
+    BOOST_TEST((O->endpoint() == endpointKeyOf(EndpointId("b"), 1)));
+    R.All.at(R.ipOf(At))->Placement.end(*O->Id, {AttemptOutcome::Answered});
+    R.beat();
+  }
+}
+
+// Messages are lost in both directions: every request is placed, and when all
+// have ended, no place stays taken.
+BOOST_AUTO_TEST_CASE(lostNotesLeaveNothingBehind) {
+  for (unsigned Loss : {5U, 30U}) {
+    Region R(5);
+    R.addEndpoint("a", "plain");
+    R.addEndpoint("b", "plain");
+    R.LossPercent = Loss;
+    std::vector<std::pair<unsigned, std::shared_ptr<Region::Outcome>>> All;
+    for (unsigned Round = 0; Round < 40; ++Round) {
+      unsigned At = Round % 5;
+      All.emplace_back(At, R.place(At, R.Fixture.request(0), Bookings));
+      R.Time.runFor(100ms);
+      if (Round % 2 == 0)
+        R.beat();
+      for (auto &[Where, O] : All)
+        if (O->served())
+          R.All.at(R.ipOf(Where))
+              ->Placement.end(*O->Id, {AttemptOutcome::Answered});
+    }
+    for (int I = 0; I < 20; ++I) {
+      R.beat();
+      for (auto &[Where, O] : All)
+        if (O->served())
+          R.All.at(R.ipOf(Where))
+              ->Placement.end(*O->Id, {AttemptOutcome::Answered});
+    }
+    for (auto &[Where, O] : All)
+      BOOST_TEST(O->served());
+    for (const char *Id : {"a", "b"})
+      for (unsigned I = 0; I < 5; ++I)
+        BOOST_TEST(R.inFlight(I, endpointKeyOf(EndpointId(Id), 1)) == 0U);
+  }
+}
+
+// News that grows with the square of the hosts: here each request costs its
+// own host's notes, however many there are.
+BOOST_AUTO_TEST_CASE(notesOfARequestDoNotGrowWithTheHosts) {
+  for (unsigned Hosts : {5U, 60U}) {
+    Region R(Hosts);
+    R.addEndpoint("a");
+    auto O = R.place(R.other(), R.Fixture.request(1000), Quotes);
+    R.Time.runFor(20ms);
+    BOOST_REQUIRE(O->served());
+    R.All.at(R.ipOf(R.other()))
+        ->Placement.end(*O->Id, {AttemptOutcome::Answered});
+    BOOST_TEST(R.Notes <= 4U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheEndpointsOfALostPlacerMove) {
+  std::vector<HostState> Placers;
+  for (unsigned I = 0; I < 4; ++I) {
+    HostState H;
+    H.Ip = Region::ipOf(I);
+    Placers.push_back(H);
+  }
+  PlacementMap Map;
+  Map.setPlacers(Placers);
+  std::map<std::uint64_t, std::string> Before;
+  for (std::uint64_t E = 1; E <= 200; ++E)
+    Before[E] = Map.ownerOf({E})->Ip;
+  std::string Lost = Placers.back().Ip;
+  Placers.pop_back();
+  Map.setPlacers(Placers);
+  for (const auto &[E, Ip] : Before)
+    if (Ip != Lost)
+      BOOST_TEST(Map.ownerOf({E})->Ip == Ip);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -61,8 +61,11 @@
   void noteLeaving(const EndpointId &Id);
 
   /// Endpoints of a pool in a region that are not leaving, gone or evacuated.
-  std::vector<const FleetEndpoint *> usable(const PoolName &Pool,
-                                            const RegionId &Region) const;
+  /// The list holds until the endpoints change.
+  const std::vector<const FleetEndpoint *> &
+  usable(const PoolName &Pool, const RegionId &Region) const;
+  /// Grows whenever an endpoint comes, goes or changes.
+  std::uint64_t endpointGeneration() const;
   /// Any endpoint that is listed, usable or not; null when unknown.
   const FleetEndpoint *endpoint(const EndpointId &Id) const;
   const FleetEndpoint *endpoint(const EndpointKey &Key) const;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleetview.h"
 
-#include <algorithm>
+#include <map>
+#include <unordered_map>
 
 namespace celerybeam {
 
@@ -29,6 +30,25 @@
       Hooks_.Ended(Key);
   }
 
+  /// The lists made of the endpoints no longer hold.
+  void endpointsChanged() {
+    ++Generation_;
+    Usable_.clear();
+    ByKey_.clear();
+  }
+
+  std::vector<const FleetEndpoint *> usable(const PoolName &Pool,
+                                            const RegionId &Region) const {
+    std::vector<const FleetEndpoint *> Found;
+    for (const auto &[Id, Entry] : Endpoints_) {
+      const FleetEndpoint &E = Entry.Endpoint;
+      if (E.Pool == Pool && E.Region == Region && !E.Leaving &&
+          !Entry.SaidLeaving && !Evacuated_.contains(E.Zone))
+        Found.push_back(&E);
+    }
+    return Found;
+  }
+
   /// Endpoints of a zone may come back cold from its evacuation, before their
   /// entries say so.
   void doubtZone(const ZoneId &Zone) {
@@ -42,6 +62,10 @@
   FleetTablesPtr Tables_;
   std::set<ZoneId> Evacuated_;
   std::map<EndpointId, Listed> Endpoints_;
+  std::uint64_t Generation_ = 0;
+  std::map<std::pair<PoolName, RegionId>, std::vector<const FleetEndpoint *>>
+      Usable_;
+  std::unordered_map<EndpointKey, const FleetEndpoint *> ByKey_;
 };
 
 FleetView::FleetView(Runtime R, Hooks H)
@@ -64,6 +88,7 @@
   if (Held == Evacuated)
     return;
   Impl_->changed("evacuation", Zone.str(), Evacuated ? "begins" : "ends");
+  Impl_->endpointsChanged();
   if (Evacuated) {
     Impl_->Evacuated_.insert(Zone);
     return;
@@ -90,6 +115,7 @@
   if (Restarted)
     Impl_->ended(Entry.Endpoint.Key);
   Entry = {Endpoint, std::nullopt, false};
+  Impl_->endpointsChanged();
 }
 
 void FleetView::removeEndpoint(const EndpointId &Id, Duration Grace) {
@@ -103,6 +129,7 @@
   }
   Impl_->ended(Found->second.Endpoint.Key);
   Impl_->Endpoints_.erase(Found);
+  Impl_->endpointsChanged();
   Impl_->changed("endpoint", Id.str(), "gone");
 }
 
@@ -117,19 +144,20 @@
   if (Found == Impl_->Endpoints_.end() || Found->second.SaidLeaving)
     return;
   Found->second.SaidLeaving = true;
+  Impl_->endpointsChanged();
   Impl_->changed("endpoint", Id.str(), "left its address");
 }
 
-std::vector<const FleetEndpoint *>
+const std::vector<const FleetEndpoint *> &
 FleetView::usable(const PoolName &Pool, const RegionId &Region) const {
-  std::vector<const FleetEndpoint *> Found;
-  for (const auto &[Id, Entry] : Impl_->Endpoints_) {
-    const FleetEndpoint &E = Entry.Endpoint;
-    if (E.Pool == Pool && E.Region == Region && !E.Leaving &&
-        !Entry.SaidLeaving && !isEvacuated(E.Zone))
-      Found.push_back(&E);
-  }
-  return Found;
+  auto [It, New] = Impl_->Usable_.try_emplace({Pool, Region});
+  if (New)
+    It->second = Impl_->usable(Pool, Region);
+  return It->second;
+}
+
+std::uint64_t FleetView::endpointGeneration() const {
+  return Impl_->Generation_;
 }
 
 const FleetEndpoint *FleetView::endpoint(const EndpointId &Id) const {
@@ -138,10 +166,12 @@
 }
 
 const FleetEndpoint *FleetView::endpoint(const EndpointKey &Key) const {
-  for (const auto &[Id, Entry] : Impl_->Endpoints_)
-    if (Entry.Endpoint.Key == Key)
-      return &Entry.Endpoint;
-  return nullptr;
+  auto &ByKey = Impl_->ByKey_;
+  if (ByKey.empty())
+    for (const auto &[Id, Entry] : Impl_->Endpoints_)
+      ByKey[Entry.Endpoint.Key] = &Entry.Endpoint;
+  auto Found = ByKey.find(Key);
+  return Found == ByKey.end() ? nullptr : Found->second;
 }
 
 std::size_t FleetView::endpointCount() const {
@@ -158,6 +188,7 @@
     Impl_->changed("endpoint", It->first.str(), "gone");
     Impl_->ended(It->second.Endpoint.Key);
     It = Impl_->Endpoints_.erase(It);
+    Impl_->endpointsChanged();
   }
 }
 
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -1,17 +1,33 @@
 #include "fleet/hostregistry.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace celerybeam {
 
 namespace {
 
+/// The lists are made anew after this time, since hosts fall silent without a
+/// message.
+constexpr Duration ListsHold = std::chrono::milliseconds(100);
+/// A host that another one heard so much later does not write to this one.
+constexpr Duration FirstHandInterval = std::chrono::milliseconds(400);
+constexpr double RandomScale = 1.0 / 18446744073709551616.0;
+
 struct Known {
   HostState State;
   TimePoint LastHeard{};
   TimePoint HeldOffUntil{};
+  bool AtFirstHand = false;
 };
 
+/// Whether other hosts decide differently for the change.
+bool differs(const HostState &A, const HostState &B) {
+  return A.StartedAt != B.StartedAt || A.Ready != B.Ready ||
+         A.Leaving != B.Leaving || A.MilliCores != B.MilliCores ||
+         A.Zone != B.Zone;
+}
+
 } // namespace
 
 class HostRegistry::Impl {
@@ -19,10 +35,85 @@
   Impl(Runtime R, HostState Self)
       : Runtime_(std::move(R)), Self_(std::move(Self)) {}
 
+  Duration longestSilence(const Known &Host) const {
+    bool Near = Host.State.Region == Self_.Region;
+    if (Host.AtFirstHand)
+      return Near ? RegionSilence : FarSilence;
+    return Near ? ToldSilence : FarToldSilence;
+  }
+
   bool isAlive(const Known &Host) const {
-    Duration Silence =
-        Host.State.Region == Self_.Region ? RegionSilence : FarSilence;
-    return Runtime_.Now() - Host.LastHeard <= Silence;
+    return Runtime_.Now() - Host.LastHeard <= longestSilence(Host);
+  }
+
+  void changed() {
+    ++Generation_;
+    ListsMadeAt_.reset();
+  }
+
+  void refresh() {
+    TimePoint Now = Runtime_.Now();
+    if (ListsMadeAt_ && Now - *ListsMadeAt_ < ListsHold)
+      return;
+    ListsMadeAt_ = Now;
+    std::size_t Before = Alive_.size();
+    Alive_.clear();
+    Near_.clear();
+    OtherRegions_.clear();
+    Delegates_.clear();
+    std::map<RegionId, Hosts> ByRegion;
+    ByRegion[Self_.Region].push_back(Self_);
+    for (const auto &[Ip, Host] : Hosts_) {
+      if (!isAlive(Host))
+        continue;
+      Alive_.push_back(Host.State);
+      ByRegion[Host.State.Region].push_back(Host.State);
+      if (Host.State.Region == Self_.Region)
+        Near_.push_back(Host.State);
+      else
+        OtherRegions_.insert(Host.State.Region);
+    }
+    if (Before != Alive_.size())
+      ++Generation_;
+    for (auto &[Region, In] : ByRegion)
+      Delegates_[Region] = chooseDelegates(std::move(In));
+  }
+
+  bool serves(const HostState &Host) const {
+    auto Found = Hosts_.find(Host.Ip);
+    return Host.Ready && !Host.Leaving && Found != Hosts_.end() &&
+           Found->second.HeldOffUntil <= Runtime_.Now();
+  }
+
+  double random() const {
+    return (static_cast<double>(Runtime_.Random()) + 1) * RandomScale;
+  }
+
+  /// Draws as many of the hosts as the largest of them would fit into all
+  /// together, each with a probability by its size: callers use all that are
+  /// named alike. Systematic sampling over a random order.
+  void drawBySize(Hosts &From) const {
+    double Sum = 0;
+    double Largest = 1;
+    for (const HostState &Host : From) {
+      Sum += Host.MilliCores;
+      Largest = std::max<double>(Largest, Host.MilliCores);
+    }
+    double Count = Sum / Largest;
+    if (Count > static_cast<double>(From.size()) - 1)
+      return;
+    for (std::size_t I = From.size(); I > 1; --I)
+      std::swap(From[I - 1], From[Runtime_.Random() % I]);
+    Hosts Drawn;
+    double At = random();
+    for (HostState &Host : From) {
+      At += Host.MilliCores * Count / Sum;
+      if (At < 1)
+        continue;
+      At -= std::floor(At);
+      Drawn.push_back(std::move(Host));
+    }
+    From = std::move(Drawn);
   }
 
   Runtime Runtime_;
@@ -30,15 +121,27 @@
   /// By IP number: a host that is replaced may keep its name.
   std::map<std::string, Known> Hosts_;
   std::set<std::string> Contacts_;
+  std::uint64_t Generation_ = 0;
+  std::optional<TimePoint> ListsMadeAt_;
+  Hosts Alive_;
+  Hosts Near_;
+  std::set<RegionId> OtherRegions_;
+  std::map<RegionId, RegionDelegates> Delegates_;
 };
 
 HostRegistry::HostRegistry(Runtime R, HostState Self)
     : Impl_(std::make_unique<Impl>(std::move(R), std::move(Self))) {}
 HostRegistry::~HostRegistry() = default;
 
-HostState &HostRegistry::self() { return Impl_->Self_; }
 const HostState &HostRegistry::self() const { return Impl_->Self_; }
 
+void HostRegistry::setSelf(const HostState &Self) {
+  bool Changed = differs(Impl_->Self_, Self);
+  Impl_->Self_ = Self;
+  if (Changed)
+    Impl_->changed();
+}
+
 void HostRegistry::addContact(const std::string &Ip) {
   if (Ip != Impl_->Self_.Ip && !Ip.empty())
     Impl_->Contacts_.insert(Ip);
@@ -47,47 +150,112 @@
 bool HostRegistry::heard(const HostState &Host) {
   if (Host.Ip == Impl_->Self_.Ip)
     return false;
-  Known &Entry = Impl_->Hosts_[Host.Ip];
+  auto [It, New] = Impl_->Hosts_.try_emplace(Host.Ip);
+  Known &Entry = It->second;
   TimePoint Now = Impl_->Runtime_.Now();
   bool Overtaken = Now - Entry.LastHeard <= MessageLife;
-  if (Host.StartedAt < Entry.State.StartedAt && Overtaken)
+  if (!New && Host.StartedAt < Entry.State.StartedAt && Overtaken)
     return false;
+  bool Changed = New || differs(Entry.State, Host) || !Impl_->isAlive(Entry);
   Entry.State = Host;
   Entry.LastHeard = Now;
+  Entry.AtFirstHand = true;
+  if (Changed)
+    Impl_->changed();
   Impl_->Contacts_.insert(Host.Ip);
   return true;
 }
 
+bool HostRegistry::toldOf(const HostState &Host, Duration Age) {
+  if (Host.Ip == Impl_->Self_.Ip)
+    return false;
+  TimePoint HeardAt = Impl_->Runtime_.Now() - Age;
+  auto [It, New] = Impl_->Hosts_.try_emplace(Host.Ip);
+  Known &Entry = It->second;
+  bool WasAlive = !New && Impl_->isAlive(Entry);
+  if (!New && HeardAt <= Entry.LastHeard)
+    return false;
+  bool Changed = New || differs(Entry.State, Host) || !WasAlive;
+  if (HeardAt - Entry.LastHeard > FirstHandInterval)
+    Entry.AtFirstHand = false;
+  Entry.State = Host;
+  Entry.LastHeard = HeardAt;
+  Impl_->Contacts_.insert(Host.Ip);
+  if (Changed)
+    Impl_->changed();
+  return Changed;
+}
+
 void HostRegistry::unreachable(const std::string &Ip) {
   auto Found = Impl_->Hosts_.find(Ip);
   if (Found != Impl_->Hosts_.end())
     Found->second.HeldOffUntil = Impl_->Runtime_.Now() + HoldOff;
 }
 
-std::vector<HostState> HostRegistry::alive() const {
-  std::vector<HostState> Found;
-  for (const auto &[Ip, Host] : Impl_->Hosts_)
-    if (Impl_->isAlive(Host))
-      Found.push_back(Host.State);
-  return Found;
+HostRegistry::Hosts HostRegistry::alive() const {
+  Impl_->refresh();
+  return Impl_->Alive_;
 }
 
-std::vector<HostState> HostRegistry::serving(const RegionId &Region) const {
-  std::vector<HostState> Found;
-  TimePoint Now = Impl_->Runtime_.Now();
-  for (const auto &[Ip, Host] : Impl_->Hosts_)
-    if (Impl_->isAlive(Host) && Host.HeldOffUntil <= Now &&
-        Host.State.Region == Region && Host.State.Ready && !Host.State.Leaving)
-      Found.push_back(Host.State);
+HostRegistry::Hosts HostRegistry::aliveInRegion() const {
+  Impl_->refresh();
+  return Impl_->Near_;
+}
+
+std::set<RegionId> HostRegistry::otherRegions() const {
+  Impl_->refresh();
+  return Impl_->OtherRegions_;
+}
+
+RegionDelegates HostRegistry::delegates(const RegionId &Region) const {
+  Impl_->refresh();
+  auto Found = Impl_->Delegates_.find(Region);
+  return Found == Impl_->Delegates_.end() ? RegionDelegates() : Found->second;
+}
+
+HostRegistry::Hosts HostRegistry::serving(const RegionId &Region) const {
+  Impl_->refresh();
+  Hosts Found;
+  for (const HostState &Host : Impl_->Alive_)
+    if (Host.Region == Region && Impl_->serves(Host))
+      Found.push_back(Host);
   return Found;
 }
 
-std::size_t HostRegistry::aliveInRegion() const {
-  std::size_t Count = 1;
-  for (const auto &[Ip, Host] : Impl_->Hosts_)
-    if (Host.State.Region == Impl_->Self_.Region && Impl_->isAlive(Host))
-      ++Count;
-  return Count;
+std::optional<HostState>
+HostRegistry::drawServing(const RegionId &Region) const {
+  Impl_->refresh();
+  std::vector<const HostState *> From;
+  double Sum = 0;
+  for (const HostState &Host : Impl_->Alive_)
+    if (Host.Region == Region && Impl_->serves(Host)) {
+      From.push_back(&Host);
+      Sum += Host.MilliCores;
+    }
+  double At = Impl_->random() * Sum;
+  for (const HostState *Host : From) {
+    At -= Host->MilliCores;
+    if (At <= 0)
+      return *Host;
+  }
+  return From.empty() ? std::nullopt : std::optional(*From.back());
+}
+
+bool HostRegistry::isAlive(const std::string &Ip) const {
+  auto Found = Impl_->Hosts_.find(Ip);
+  return Found != Impl_->Hosts_.end() && Impl_->isAlive(Found->second);
+}
+
+std::optional<Duration> HostRegistry::silence(const std::string &Ip) const {
+  auto Found = Impl_->Hosts_.find(Ip);
+  if (Found == Impl_->Hosts_.end())
+    return std::nullopt;
+  return Impl_->Runtime_.Now() - Found->second.LastHeard;
+}
+
+std::uint64_t HostRegistry::generation() const {
+  Impl_->refresh();
+  return Impl_->Generation_;
 }
 
 std::size_t HostRegistry::knownHosts() const {
@@ -99,13 +267,14 @@
   return 1 + static_cast<std::size_t>(Recent);
 }
 
-std::vector<std::string> HostRegistry::contacts(bool Silent) const {
+std::vector<std::string> HostRegistry::silentContacts(std::size_t Most) const {
   std::vector<std::string> Found;
-  for (const std::string &Ip : Impl_->Contacts_) {
-    auto Known = Impl_->Hosts_.find(Ip);
-    bool Alive = Known != Impl_->Hosts_.end() && Impl_->isAlive(Known->second);
-    if (Alive != Silent)
+  for (const std::string &Ip : Impl_->Contacts_)
+    if (!isAlive(Ip))
       Found.push_back(Ip);
+  while (Found.size() > Most) {
+    std::swap(Found[Impl_->Runtime_.Random() % Found.size()], Found.back());
+    Found.pop_back();
   }
   return Found;
 }
@@ -115,15 +284,17 @@
                          const std::set<RegionId> &Homes) const {
   const HostState &Self = Impl_->Self_;
   std::vector<RegionId> Order = {Region, Self.Region};
-  for (const HostState &Host : alive())
-    Order.push_back(Host.Region);
+  for (const RegionId &Other : otherRegions())
+    Order.push_back(Other);
   for (const RegionId &Where : Order) {
     if (Where != Region && !Homes.empty() && !Homes.contains(Where))
       continue;
-    std::vector<std::string> Ips;
+    Hosts Found = serving(Where);
     if (Self.Region == Where && Self.Ready && !Self.Leaving)
-      Ips.push_back(Self.Ip);
-    for (const HostState &Host : serving(Where))
+      Found.insert(Found.begin(), Self);
+    Impl_->drawBySize(Found);
+    std::vector<std::string> Ips;
+    for (const HostState &Host : Found)
       Ips.push_back(Host.Ip);
     if (!Ips.empty())
       return Ips;
--- a/src/fleet/tests/hostregistrytest.cpp
+++ b/src/fleet/tests/hostregistrytest.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include <boost/test/unit_test.hpp>
 
 #include "fleet/hostregistry.h"
@@ -35,7 +37,7 @@
               Ips{"10.0.0.1", "10.0.0.2"}));
   Time.runFor(HostRegistry::RegionSilence + 1ms);
   BOOST_TEST((Hosts.entriesFor(RegionId("kigali"), {}) == Ips{"10.0.0.1"}));
-  BOOST_TEST((Hosts.contacts(true) == Ips{"10.0.0.2"}));
+  BOOST_TEST((Hosts.silentContacts(9) == Ips{"10.0.0.2"}));
 }
 
 BOOST_AUTO_TEST_CASE(leavingHostIsNotNamed) {
@@ -86,7 +88,102 @@
   Hosts.heard(host("10.0.0.2", "kigali"));
   Time.runFor(10s);
   BOOST_TEST(Hosts.knownHosts() == 2U);
-  BOOST_TEST(Hosts.aliveInRegion() == 1U);
+  BOOST_TEST(Hosts.aliveInRegion().empty());
+}
+
+BOOST_AUTO_TEST_CASE(hostIsKnownFromAnother) {
+  BOOST_TEST(Hosts.toldOf(host("10.0.0.2", "kigali"), 300ms));
+  BOOST_TEST(Hosts.serving(RegionId("kigali")).size() == 1U);
+  Time.runFor(HostRegistry::ToldSilence - 300ms + 1ms);
+  BOOST_TEST(Hosts.serving(RegionId("kigali")).empty());
+}
+
+// What another host told is older than what was heard since.
+BOOST_AUTO_TEST_CASE(olderWordOfAHostIsIgnored) {
+  HostState Leaving = host("10.0.0.2", "kigali");
+  Leaving.Leaving = true;
+  Hosts.heard(Leaving);
+  Time.runFor(100ms);
+  BOOST_TEST(!Hosts.toldOf(host("10.0.0.2", "kigali"), 200ms));
+  BOOST_TEST(Hosts.serving(RegionId("kigali")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(messengersGoOnTellingOfAHostThatNeverWrites) {
+  Hosts.heard(host("10.0.0.2", "kigali"));
+  for (int Second = 0; Second < 10; ++Second) {
+    Time.runFor(1s);
+    Hosts.toldOf(host("10.0.0.2", "kigali"), 200ms);
+    BOOST_TEST(Hosts.isAlive("10.0.0.2"));
+  }
+}
+
+// Hosts of unlike size: the largest work for the others, and callers come to
+// each by its size.
+BOOST_AUTO_TEST_CASE(largestHostsAreDelegates) {
+  for (int I = 2; I < 40; ++I) {
+    HostState H = host("10.0.0." + std::to_string(I), "kigali");
+    H.MilliCores = I % 10 == 0 ? 500 : 84;
+    Hosts.heard(H);
+  }
+  HostState Self = Hosts.self();
+  Self.MilliCores = 84;
+  Hosts.setSelf(Self);
+  RegionDelegates D = Hosts.delegates(RegionId("kigali"));
+  BOOST_TEST(D.Placers.size() == 4U);
+  BOOST_TEST(D.Messengers.size() == 6U);
+  for (std::size_t I = 0; I < 3; ++I)
+    BOOST_TEST(D.Placers[I].MilliCores == 500U);
+  std::map<std::string, int> Named;
+  constexpr int Answers = 2000;
+  for (int I = 0; I < Answers; ++I) {
+    auto Ips = Hosts.entriesFor(RegionId("kigali"), {});
+    // 3 * 0.5 + 36 * 0.084 cores are as many as 10 large hosts.
+    BOOST_TEST(Ips.size() >= 9U);
+    BOOST_TEST(Ips.size() <= 10U);
+    for (const std::string &Ip : Ips)
+      ++Named[Ip];
+  }
+  // Six times as often, as it is six times as large; never twice in an answer.
+  BOOST_TEST(Named["10.0.0.10"] > 0.95 * Answers);
+  BOOST_TEST(Named["10.0.0.11"] > 0.15 * Answers);
+  BOOST_TEST(Named["10.0.0.11"] < 0.23 * Answers);
+}
+
+// The lists are made anew as time passes, also while one is being read.
+BOOST_AUTO_TEST_CASE(listsHoldWhileTheyAreRead) {
+  Runtime Ticking = Time.runtime();
+  Ticking.Now = [this] {
+    Time.runFor(60ms);
+    return Time.now();
+  };
+  HostRegistry Busy(Ticking, host("10.0.0.1", "kigali"));
+  for (int I = 0; I < 5; ++I)
+    Busy.heard(host("10.1.0." + std::to_string(I), "r" + std::to_string(I)));
+  unsigned Seen = 0;
+  for (const RegionId &Region : Busy.otherRegions()) {
+    Busy.drawServing(Region);
+    ++Seen;
+  }
+  BOOST_TEST(Seen == 5U);
+  BOOST_TEST(Busy.entriesFor(RegionId("none"), {}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(hostsOfOneSizeAreAllNamed) {
+  for (int I = 2; I < 6; ++I)
+    Hosts.heard(host("10.0.0." + std::to_string(I), "kigali"));
+  BOOST_TEST(Hosts.entriesFor(RegionId("kigali"), {}).size() == 5U);
+  BOOST_TEST(Hosts.delegates(RegionId("kigali")).Placers.size() == 1U);
+  BOOST_TEST(Hosts.delegates(RegionId("kigali")).Messengers.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(leavingHostIsNoDelegate) {
+  HostState Large = host("10.0.0.2", "kigali");
+  Large.MilliCores = 4000;
+  Hosts.heard(Large);
+  BOOST_TEST(Hosts.delegates(RegionId("kigali")).Placers[0].Ip == "10.0.0.2");
+  Large.Leaving = true;
+  Hosts.heard(Large);
+  BOOST_TEST(Hosts.delegates(RegionId("kigali")).Placers[0].Ip == "10.0.0.1");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -70,8 +70,18 @@
         Fleet_(Time_, viewHooks()),
         Decisions_(Time_, Fleet_, Hosts_, Settings_.RetryBounds,
                    Settings_.Dispatch),
-        Context_{Time_,   Fleet_,       Hosts_,       Decisions_,
-                 Caller_, Hooks_.Names, Hooks_.Relay, Settings_.HostPort},
+        Desk_(Time_, Fleet_, Decisions_, Settings_.Self.Ip,
+              [this](const std::string &Ip, PlacementId Id,
+                     const PlacementAnswer &Answer) {
+                tellPlaced(Ip, Id, Answer);
+              }),
+        Placement_(
+            Time_, Fleet_, Hosts_, Decisions_, Desk_,
+            [this](const std::string &Ip, PlacementId Id,
+                   const PlacementNote &Note) { News_.note(Ip, Id, Note); }),
+        Context_{Time_,        Fleet_,       Hosts_,
+                 Decisions_,   Placement_,   Caller_,
+                 Hooks_.Names, Hooks_.Relay, Settings_.HostPort},
         Callers_(Loop,
                  [this](auto Request, auto Answer) {
                    relayRequest(Context_, std::move(Request), std::move(Answer),
@@ -82,12 +92,14 @@
                      serveHost(std::move(Request), std::move(Answer));
                    }),
         Link_(Loop, [this](std::string_view Bytes) { News_.receive(Bytes); }),
-        News_(Time_, Hosts_, Decisions_, newsHooks()),
+        News_(Time_, {Fleet_, Hosts_, Decisions_, Desk_, Placement_},
+              newsHooks()),
         Operator_(Time_, mirrorHooks(MirrorPart::OperatorTables)),
         Endpoints_(Time_, mirrorHooks(MirrorPart::Endpoints)) {
     Context_.Hooks.TablesCurrent = [this] { return Operator_.isCurrent(); };
     Context_.Hooks.IsInformed = [this] { return isInformed(); };
-    Context_.Hooks.LoadChanged = [this] { loadChanged(); };
+    Decisions_.setOwned(
+        [this](const EndpointKey &Key) { return Placement_.owns(Key); });
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
     Announcer_ = std::make_shared<detail::HostAnnouncer>(
         Time_, Hooks_.Store, Hooks_.HostPrefix,
@@ -113,7 +125,6 @@
       refreshSelf();
       News_.tick();
     });
-    every(Dispatcher::OfferInterval, [this] { Decisions_.offerPlaces(); });
     every(FleetView::TickInterval, [this] { Fleet_.tick(); });
     every(HealthTick, [this] { checkHealth(); });
     every(SlowTick, [this] {
@@ -142,7 +153,8 @@
     DrainStarted_ = Time_.Now();
     Log_.info("Leaving.", {{"in_flight", inFlight()}});
     refreshSelf();
-    News_.tellAll();
+    News_.tellLeaving();
+    Desk_.handOver();
     Announcer_->withdraw();
     Callers_.closeAfterAnswers();
     FromHosts_.closeAfterAnswers();
@@ -281,7 +293,7 @@
   }
 
   void refreshSelf() {
-    HostState &Self = Hosts_.self();
+    HostState Self = Hosts_.self();
     bool Ready = isReady();
     if (Ready != Self.Ready)
       Log_.info("Readiness changed.", {{"ready", Ready}});
@@ -289,6 +301,7 @@
     Self.Leaving = Draining_;
     Self.OperatorRevision = Operator_.lastChange();
     Self.EndpointRevision = Endpoints_.lastChange();
+    Hosts_.setSelf(Self);
   }
 
   void applyLimits() {
@@ -304,15 +317,11 @@
     Callers_.setLimits(Limits);
   }
 
-  void loadChanged() {
-    News_.loadChanged();
-    if (OfferDue_ || Decisions_.held().size() == 0)
-      return;
-    OfferDue_ = true;
-    Time_.After(Predictor::PrefillSpacing, [this] {
-      OfferDue_ = false;
-      Decisions_.offerPlaces();
-    });
+  void tellPlaced(const std::string &Ip, PlacementId Id,
+                  const PlacementAnswer &Answer) {
+    if (Ip == Settings_.Self.Ip)
+      return Placement_.answered(Ip, Id, Answer);
+    News_.note(Ip, Id, Answer);
   }
 
   void checkHealth() {
@@ -404,6 +413,8 @@
   HostRegistry Hosts_;
   FleetView Fleet_;
   Dispatcher Decisions_;
+  PlacementDesk Desk_;
+  PlacementClient Placement_;
   RelayContext Context_;
   HttpServer Callers_;
   HttpServer FromHosts_;
@@ -412,7 +423,6 @@
   StoreMirror Operator_;
   StoreMirror Endpoints_;
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
-  bool OfferDue_ = false;
   bool Draining_ = false;
   TimePoint DrainStarted_{};
 };
--- /dev/null
+++ b/src/fleethost/internal/newscodec.cpp
@@ -0,0 +1,247 @@
+#include "fleethost/internal/newscodec.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace celerybeam::detail {
+
+namespace {
+
+constexpr double Percent = 100;
+
+std::uint32_t millis(Duration D) {
+  auto Count = std::chrono::ceil<std::chrono::milliseconds>(D).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      Count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+Duration span(std::uint32_t Millis) {
+  return std::chrono::milliseconds(Millis);
+}
+
+void writeAsk(const PlacementAsk &Ask, TimePoint Now,
+              messages::PlacementAsk &Out) {
+  const RequestDescriptor &R = Ask.Request;
+  const AttemptLog &Log = Ask.Log;
+  Out.set_pool(Log.Pool.str());
+  Out.set_kind(static_cast<std::uint32_t>(Ask.Route.Kind));
+  Out.set_rank(Ask.Route.Rank);
+  Out.set_latency_target_ms(millis(Ask.Route.LatencyTarget));
+  Out.set_event_gap_ms(millis(Ask.Route.EventGapTarget));
+  Out.set_timeout_ms(millis(Ask.Route.Timeout));
+  Out.set_left_ms(millis(R.Deadline - Now));
+  Out.set_waited_ms(millis(Now - Log.Arrived));
+  Out.set_runs(Log.Runs);
+  Out.set_forwarded(R.Forwarded);
+  Out.set_prompt_tokens(R.PromptTokens);
+  Out.set_max_output_tokens(R.MaxOutputTokens);
+  Out.set_fingerprint(R.Fingerprint);
+  for (const PrefixLevel &Level : R.Levels) {
+    Out.add_level_hashes(Level.Hash);
+    Out.add_level_tokens(Level.TokensUpTo);
+  }
+  for (const EndpointKey &Key : Log.Tried)
+    Out.add_tried(Key.Value);
+  for (const RegionId &Region : Log.RegionsTried)
+    Out.add_regions_tried(Region.str());
+  for (const RegionId &Region : Ask.Route.Homes)
+    Out.add_homes(Region.str());
+}
+
+PlacementAsk readAsk(const messages::PlacementAsk &In, TimePoint Now) {
+  PlacementAsk Ask;
+  Ask.Route.Kind = static_cast<RepeatKind>(std::min<std::uint32_t>(
+      In.kind(), static_cast<std::uint32_t>(RepeatKind::ResumableStream)));
+  Ask.Route.Rank = In.rank();
+  Ask.Route.LatencyTarget = span(In.latency_target_ms());
+  Ask.Route.EventGapTarget = span(In.event_gap_ms());
+  Ask.Route.Timeout = span(In.timeout_ms());
+  for (const std::string &Region : In.homes())
+    Ask.Route.Homes.insert(RegionId(Region));
+  Ask.Request.Deadline = Now + span(In.left_ms());
+  Ask.Request.Forwarded = In.forwarded();
+  Ask.Request.PromptTokens = In.prompt_tokens();
+  Ask.Request.MaxOutputTokens = In.max_output_tokens();
+  Ask.Request.Fingerprint = In.fingerprint();
+  int Levels = std::min(In.level_hashes_size(), In.level_tokens_size());
+  for (int I = 0; I < Levels; ++I)
+    Ask.Request.Levels.push_back({In.level_hashes(I), In.level_tokens(I)});
+  Ask.Log.Pool = PoolName(In.pool());
+  Ask.Log.Arrived = Now - span(In.waited_ms());
+  Ask.Log.Runs = In.runs();
+  for (std::uint64_t Key : In.tried())
+    Ask.Log.Tried.push_back({Key});
+  for (const std::string &Region : In.regions_tried())
+    Ask.Log.RegionsTried.emplace_back(Region);
+  return Ask;
+}
+
+void writeServe(const ServeAt &Here, messages::PlacementAnswer::Serve &Out) {
+  Out.set_endpoint(Here.Endpoint.Key.Value);
+  Out.set_expected_ms(millis(Here.Expected.ToFirstOutput));
+  Out.set_wait_ms(millis(Here.Expected.Wait));
+  Out.set_uncached_tokens(Here.Expected.UncachedTokens);
+  Out.set_copied_tokens(Here.Expected.CopiedTokens);
+  Out.set_cold(Here.Cold);
+  Out.set_copy_from(Here.CopyFrom.str());
+}
+
+ServeAt readServe(const messages::PlacementAnswer::Serve &In,
+                  const FleetView &Fleet) {
+  ServeAt Here;
+  if (const FleetEndpoint *E = Fleet.endpoint(EndpointKey{In.endpoint()}))
+    Here.Endpoint = *E;
+  Here.Endpoint.Key = {In.endpoint()};
+  Here.Expected.ToFirstOutput = span(In.expected_ms());
+  Here.Expected.Wait = span(In.wait_ms());
+  Here.Expected.UncachedTokens = In.uncached_tokens();
+  Here.Expected.CopiedTokens = In.copied_tokens();
+  Here.Cold = In.cold();
+  Here.CopyFrom = Address(In.copy_from());
+  return Here;
+}
+
+void writeAnswer(const PlacementAnswer &Answer,
+                 messages::PlacementAnswer &Out) {
+  Out.set_usable(Answer.Seen.Usable);
+  Out.set_untrusted(Answer.Seen.Untrusted);
+  Out.set_cold(Answer.Seen.Cold);
+  if (Answer.Seen.Here)
+    Out.set_here_ms(millis(*Answer.Seen.Here));
+  if (Answer.Seen.Away)
+    Out.set_away_ms(millis(*Answer.Seen.Away));
+  Out.set_limit_ms(millis(Answer.Seen.Limit));
+  if (!Answer.Decision)
+    return;
+  if (const auto *Here = std::get_if<ServeAt>(&*Answer.Decision))
+    return writeServe(*Here, *Out.mutable_serve());
+  if (const auto *Wait = std::get_if<Hold>(&*Answer.Decision))
+    return Out.mutable_held()->set_expected_ms(millis(Wait->Expected));
+  if (const auto *Away = std::get_if<PassOn>(&*Answer.Decision)) {
+    writeHost(Away->Host, {}, *Out.mutable_pass_on()->mutable_host());
+    Out.mutable_pass_on()->set_expected_ms(millis(Away->Expected));
+    return;
+  }
+  const auto &Why = std::get<Refusal>(*Answer.Decision);
+  Out.mutable_refused()->set_retry_after_ms(millis(Why.RetryAfter));
+  Out.mutable_refused()->set_reason(Why.Reason);
+}
+
+PlacementAnswer readAnswer(const messages::PlacementAnswer &In,
+                           const FleetView &Fleet) {
+  PlacementAnswer Answer;
+  Answer.Seen.Usable = In.usable();
+  Answer.Seen.Untrusted = In.untrusted();
+  Answer.Seen.Cold = In.cold();
+  if (In.has_here_ms())
+    Answer.Seen.Here = span(In.here_ms());
+  if (In.has_away_ms())
+    Answer.Seen.Away = span(In.away_ms());
+  Answer.Seen.Limit = span(In.limit_ms());
+  if (In.has_serve())
+    Answer.Decision = readServe(In.serve(), Fleet);
+  else if (In.has_held())
+    Answer.Decision = Hold{span(In.held().expected_ms()), {}, {}};
+  else if (In.has_pass_on())
+    Answer.Decision =
+        PassOn{readHost(In.pass_on().host()), span(In.pass_on().expected_ms())};
+  else if (In.has_refused())
+    Answer.Decision =
+        Refusal{span(In.refused().retry_after_ms()), In.refused().reason()};
+  return Answer;
+}
+
+} // namespace
+
+void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out) {
+  Out.set_id(Host.Id.str());
+  Out.set_ip(Host.Ip);
+  Out.set_zone(Host.Zone.str());
+  Out.set_region(Host.Region.str());
+  Out.set_started_at(Host.StartedAt);
+  Out.set_ready(Host.Ready);
+  Out.set_leaving(Host.Leaving);
+  Out.set_operator_revision(Host.OperatorRevision);
+  Out.set_endpoint_revision(Host.EndpointRevision);
+  Out.set_milli_cores(Host.MilliCores);
+  Out.set_age_ms(millis(Age));
+}
+
+HostState readHost(const messages::HostNews &In) {
+  HostState Host;
+  Host.Id = HostId(In.id());
+  Host.Ip = In.ip();
+  Host.Zone = ZoneId(In.zone());
+  Host.Region = RegionId(In.region());
+  Host.StartedAt = In.started_at();
+  Host.Ready = In.ready();
+  Host.Leaving = In.leaving();
+  Host.OperatorRevision = In.operator_revision();
+  Host.EndpointRevision = In.endpoint_revision();
+  Host.MilliCores = In.milli_cores();
+  return Host;
+}
+
+void writeNote(PlacementId Id, const PlacementNote &Note, TimePoint Now,
+               messages::PlacementNote &Out) {
+  Out.set_id(Id.Value);
+  if (const auto *Ask = std::get_if<PlacementAsk>(&Note))
+    return writeAsk(*Ask, Now, *Out.mutable_ask());
+  if (const auto *Answer = std::get_if<PlacementAnswer>(&Note))
+    return writeAnswer(*Answer, *Out.mutable_answer());
+  if (const auto *Output = std::get_if<OutputCame>(&Note)) {
+    Out.mutable_output()->set_took_ms(millis(Output->Took));
+    if (Output->Slowness)
+      Out.mutable_output()->set_slowness_percent(
+          static_cast<std::uint32_t>(*Output->Slowness * Percent));
+    return;
+  }
+  const auto &End = std::get<PlacementEnd>(Note);
+  Out.mutable_end()->set_outcome(
+      End.Outcome ? 1 + static_cast<std::uint32_t>(*End.Outcome) : 0);
+}
+
+std::optional<PlacementNote> readNote(const messages::PlacementNote &In,
+                                      TimePoint Now, const FleetView &Fleet) {
+  if (In.has_ask())
+    return readAsk(In.ask(), Now);
+  if (In.has_answer())
+    return readAnswer(In.answer(), Fleet);
+  if (In.has_output()) {
+    OutputCame Output{span(In.output().took_ms()), std::nullopt};
+    if (In.output().slowness_percent() > 0)
+      Output.Slowness = In.output().slowness_percent() / Percent;
+    return Output;
+  }
+  if (!In.has_end())
+    return std::nullopt;
+  PlacementEnd End;
+  constexpr auto Last = static_cast<std::uint32_t>(AttemptOutcome::Moved);
+  if (In.end().outcome() > 0)
+    End.Outcome =
+        static_cast<AttemptOutcome>(std::min(In.end().outcome() - 1, Last));
+  return End;
+}
+
+void writeListed(const ListedPlacement &Listed,
+                 messages::ListedPlacement &Out) {
+  Out.set_id(Listed.Id.Value);
+  if (Listed.Endpoint)
+    Out.set_endpoint(Listed.Endpoint->Value);
+  Out.set_uncached_tokens(Listed.Asked.UncachedTokens);
+  Out.set_memory_tokens(Listed.Asked.MemoryTokens);
+  Out.set_rank(Listed.Asked.Rank);
+  Out.set_has_output(Listed.HasOutput);
+}
+
+ListedPlacement readListed(const messages::ListedPlacement &In) {
+  ListedPlacement Listed;
+  Listed.Id = {In.id()};
+  if (In.has_endpoint())
+    Listed.Endpoint = EndpointKey{In.endpoint()};
+  Listed.Asked = {In.uncached_tokens(), In.memory_tokens(), In.rank()};
+  Listed.HasOutput = In.has_output();
+  return Listed;
+}
+
+} // namespace celerybeam::detail
--- /dev/null
+++ b/src/fleethost/internal/newscodec.h
@@ -0,0 +1,31 @@
+#ifndef CELERYBEAM_FLEETHOST_INTERNAL_NEWSCODEC_H
+#define CELERYBEAM_FLEETHOST_INTERNAL_NEWSCODEC_H
+
+#include <optional>
+
+#include "dispatch/placementtypes.h"
+#include "fleet/fleetview.h"
+#include "fleet/hoststate.h"
+#include "messages/fleetnews.pb.h"
+
+namespace celerybeam::detail {
+
+/// Between the types of the decisions and the messages that carry them. Times
+/// go as spans, since hosts' clocks differ.
+
+void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out);
+HostState readHost(const messages::HostNews &In);
+
+void writeNote(PlacementId Id, const PlacementNote &Note, TimePoint Now,
+               messages::PlacementNote &Out);
+/// Empty when it says nothing that is known. Endpoints are looked up in the
+/// view; one that is not listed there has its key only.
+std::optional<PlacementNote> readNote(const messages::PlacementNote &In,
+                                      TimePoint Now, const FleetView &Fleet);
+
+void writeListed(const ListedPlacement &Listed, messages::ListedPlacement &Out);
+ListedPlacement readListed(const messages::ListedPlacement &In);
+
+} // namespace celerybeam::detail
+
+#endif
--- a/src/fleethost/internal/newsexchange.cpp
+++ b/src/fleethost/internal/newsexchange.cpp
@@ -1,208 +1,274 @@
 #include "fleethost/internal/newsexchange.h"
 
-#include <array>
+#include <algorithm>
+#include <utility>
 
-#include <arpa/inet.h>
-
-#include "messages/fleetnews.pb.h"
+#include "fleethost/internal/newscodec.h"
 
 namespace celerybeam::detail {
 
 namespace {
 
-using messages::FleetNews;
-
-void writeHost(const HostState &Self, FleetNews &News) {
-  auto *Host = News.mutable_host();
-  Host->set_id(Self.Id.str());
-  Host->set_ip(Self.Ip);
-  Host->set_zone(Self.Zone.str());
-  Host->set_region(Self.Region.str());
-  Host->set_started_at(Self.StartedAt);
-  Host->set_ready(Self.Ready);
-  Host->set_leaving(Self.Leaving);
-  Host->set_operator_revision(Self.OperatorRevision);
-  Host->set_endpoint_revision(Self.EndpointRevision);
+bool isDue(TimePoint &Next, TimePoint Now, Duration Interval) {
+  if (Now < Next)
+    return false;
+  Next = Now + Interval;
+  return true;
 }
 
-HostState readHost(const messages::HostNews &News) {
-  HostState Host;
-  Host.Id = HostId(News.id());
-  Host.Ip = News.ip();
-  Host.Zone = ZoneId(News.zone());
-  Host.Region = RegionId(News.region());
-  Host.StartedAt = News.started_at();
-  Host.Ready = News.ready();
-  Host.Leaving = News.leaving();
-  Host.OperatorRevision = News.operator_revision();
-  Host.EndpointRevision = News.endpoint_revision();
-  return Host;
+std::set<std::string> ipsOf(const std::vector<HostState> &Hosts) {
+  std::set<std::string> Ips;
+  for (const HostState &Host : Hosts)
+    Ips.insert(Host.Ip);
+  return Ips;
 }
 
-/// An IPv4 number in network order; 0 when the text is none.
-std::uint32_t packIp(const std::string &Text) {
-  in_addr Packed{};
-  return ::inet_pton(AF_INET, Text.c_str(), &Packed) == 1 ? Packed.s_addr : 0;
+} // namespace
+
+NewsExchange::NewsExchange(Runtime R, NewsParties Parties, Hooks H)
+    : Runtime_(std::move(R)), Parties_(Parties), Hooks_(std::move(H)) {}
+
+NewsExchange::News NewsExchange::newsOfSelf() const {
+  News Message;
+  writeHost(Parties_.Hosts.self(), {}, *Message.mutable_host());
+  return Message;
 }
 
-std::string unpackIp(std::uint32_t Packed) {
-  std::array<char, INET_ADDRSTRLEN> Text{};
-  in_addr Number{Packed};
-  ::inet_ntop(AF_INET, &Number, Text.data(), Text.size());
-  return Text.data();
+void NewsExchange::send(const std::string &Ip, const News &Message) {
+  Hooks_.Send(Ip, Message.SerializeAsString());
 }
 
-} // namespace
+void NewsExchange::note(const std::string &Ip, PlacementId Id,
+                        const PlacementNote &Note) {
+  writeNote(Id, Note, Runtime_.Now(), *Outbox_[Ip].add_notes());
+  if (std::exchange(FlushDue_, true))
+    return;
+  Runtime_.After(NotesTogether, [this] { flushNotes(); });
+}
 
-NewsExchange::NewsExchange(Runtime R, HostRegistry &Hosts,
-                           Dispatcher &Decisions, Hooks H)
-    : Runtime_(std::move(R)), Hosts_(Hosts), Decisions_(Decisions),
-      Hooks_(std::move(H)) {}
-
-std::string NewsExchange::nearNews() {
-  FleetNews News;
-  writeHost(Hosts_.self(), News);
-  for (const EndpointLoad &Load : Decisions_.loads().own()) {
-    auto *Work = News.add_work();
-    Work->set_endpoint(Load.Endpoint.Value);
-    Work->set_in_flight(Load.InFlight);
-    Work->set_urgent_prefill(Load.UrgentPrefill);
-    Work->set_all_prefill(Load.AllPrefill);
-    Work->set_memory_tokens(Load.MemoryTokens);
+void NewsExchange::flushNotes() {
+  FlushDue_ = false;
+  for (auto &[Ip, Message] : std::exchange(Outbox_, {})) {
+    writeHost(Parties_.Hosts.self(), {}, *Message.mutable_host());
+    send(Ip, Message);
   }
-  for (const auto &Prompt : Decisions_.takeSentPrompts()) {
-    auto *Sent = News.add_sent();
-    Sent->set_endpoint(Prompt.Endpoint.Value);
-    Sent->set_read_tokens(Prompt.ReadTokens);
-    for (const PrefixLevel &Level : Prompt.Levels)
-      Sent->add_levels(Level.Hash);
-  }
-  for (const auto &[Pool, Queued] : Decisions_.held().allQueued()) {
-    auto *Told = News.add_queued();
-    Told->set_pool(poolHash(Pool));
-    Told->set_urgent(Queued.Urgent);
-    Told->set_all(Queued.All);
+}
+
+bool NewsExchange::isMessenger() const {
+  const HostState &Self = Parties_.Hosts.self();
+  auto Messengers = Parties_.Hosts.delegates(Self.Region).Messengers;
+  return std::any_of(Messengers.begin(), Messengers.end(),
+                     [&](const HostState &H) { return H.Ip == Self.Ip; });
+}
+
+bool NewsExchange::sendsDigests() const {
+  const HostState &Self = Parties_.Hosts.self();
+  auto Messengers = Parties_.Hosts.delegates(Self.Region).Messengers;
+  for (std::size_t I = 0; I < Messengers.size() && I < DigestSenders; ++I)
+    if (Messengers[I].Ip == Self.Ip)
+      return true;
+  return false;
+}
+
+std::set<std::string> NewsExchange::regionIps() const {
+  return ipsOf(Parties_.Hosts.aliveInRegion());
+}
+
+std::set<std::string> NewsExchange::farPlacers() const {
+  std::set<std::string> Ips;
+  for (const RegionId &Region : Parties_.Hosts.otherRegions())
+    for (const HostState &Host : Parties_.Hosts.delegates(Region).Placers)
+      Ips.insert(Host.Ip);
+  return Ips;
+}
+
+void NewsExchange::tellNear() {
+  const HostState &Self = Parties_.Hosts.self();
+  std::set<std::string> To =
+      ipsOf(Parties_.Hosts.delegates(Self.Region).Messengers);
+  // A messenger's silence tells the region that it is gone.
+  if (isMessenger())
+    To.merge(regionIps());
+  std::set<std::string> Listed;
+  for (const std::string &Ip : Parties_.Placement.listTo())
+    Listed.insert(Ip);
+  To.insert(Listed.begin(), Listed.end());
+  To.erase(Self.Ip);
+  for (const std::string &Ip : To) {
+    News Message = newsOfSelf();
+    if (Listed.contains(Ip)) {
+      Message.set_has_list(true);
+      for (const ListedPlacement &P : Parties_.Placement.listFor(Ip))
+        writeListed(P, *Message.add_listed());
+    }
+    send(Ip, Message);
   }
-  for (std::uint64_t Fingerprint : Decisions_.crashes().takeReports())
-    News.add_crashed(Fingerprint);
-  for (const std::string &Ip : Hosts_.contacts(false))
-    News.add_contacts(packIp(Ip));
-  return News.SerializeAsString();
-}
-
-std::string NewsExchange::farNews() const {
-  FleetNews News;
-  writeHost(Hosts_.self(), News);
-  for (const PoolOutlook &Outlook : Decisions_.outlook()) {
-    auto *Told = News.add_outlook();
+}
+
+void NewsExchange::tellFar() {
+  const HostState &Self = Parties_.Hosts.self();
+  auto Placers = Parties_.Hosts.delegates(Self.Region).Placers;
+  if (!ipsOf(Placers).contains(Self.Ip))
+    return;
+  News Message = newsOfSelf();
+  for (const PoolOutlook &Outlook : Parties_.Decisions.outlook()) {
+    auto *Told = Message.add_outlook();
     Told->set_pool(Outlook.Pool);
     Told->set_wait_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(Outlook.Wait)
             .count()));
     Told->set_endpoints(Outlook.Endpoints);
   }
-  return News.SerializeAsString();
+  for (const std::string &Ip : farPlacers())
+    send(Ip, Message);
 }
 
-void NewsExchange::sendNear() {
-  std::string Bytes = nearNews();
-  for (const HostState &Host : Hosts_.alive())
-    if (Host.Region == Hosts_.self().Region)
-      Hooks_.Send(Host.Ip, Bytes);
+void NewsExchange::greet() {
+  News Message = newsOfSelf();
+  for (const std::string &Ip : Parties_.Hosts.silentContacts(GreetingsAtATime))
+    send(Ip, Message);
 }
 
-void NewsExchange::sendFar() {
-  std::string Bytes = farNews();
-  for (const HostState &Host : Hosts_.alive())
-    if (Host.Region != Hosts_.self().Region)
-      Hooks_.Send(Host.Ip, Bytes);
+void NewsExchange::tellOthers(const std::set<std::string> &To,
+                              const HostRegistry::Hosts &Of) {
+  std::size_t At = 0;
+  do {
+    News Message = newsOfSelf();
+    for (std::size_t End = std::min(Of.size(), At + HostsTogether); At < End;
+         ++At)
+      writeHost(Of[At], Parties_.Hosts.silence(Of[At].Ip).value_or(Duration()),
+                *Message.add_others());
+    std::string Bytes = Message.SerializeAsString();
+    for (const std::string &Ip : To)
+      Hooks_.Send(Ip, Bytes);
+  } while (At < Of.size());
 }
 
-void NewsExchange::sendSilent() {
-  FleetNews News;
-  writeHost(Hosts_.self(), News);
-  std::string Bytes = News.SerializeAsString();
-  for (const std::string &Ip : Hosts_.contacts(true))
-    Hooks_.Send(Ip, Bytes);
+void NewsExchange::tellChanges() {
+  if (Changed_.empty())
+    return;
+  HostRegistry::Hosts Changed;
+  for (const HostState &Host : Parties_.Hosts.alive())
+    if (Changed_.contains(Host.Ip))
+      Changed.push_back(Host);
+  Changed_.clear();
+  if (isMessenger())
+    tellOthers(regionIps(), Changed);
 }
 
-void NewsExchange::tellAll() {
-  sendNear();
-  sendFar();
+void NewsExchange::tellCrashes() {
+  auto Reports = Parties_.Decisions.crashes().takeReports();
+  if (Reports.empty())
+    return;
+  News Message = newsOfSelf();
+  for (const CrashReport &Report : Reports) {
+    auto *Told = Message.add_crashes();
+    Told->set_fingerprint(Report.Fingerprint);
+    Told->set_event(Report.Event);
+  }
+  const RegionId &Here = Parties_.Hosts.self().Region;
+  std::set<std::string> To = ipsOf(Parties_.Hosts.delegates(Here).Messengers);
+  if (isMessenger()) {
+    To.merge(regionIps());
+    To.merge(farPlacers());
+  }
+  To.erase(Parties_.Hosts.self().Ip);
+  for (const std::string &Ip : To)
+    send(Ip, Message);
 }
 
-void NewsExchange::loadChanged() {
-  if (NearDue_)
-    return;
-  NearDue_ = true;
-  Runtime_.After(LeastInterval, [this] {
-    NearDue_ = false;
-    NextNear_ = Runtime_.Now() + RegionInterval;
-    sendNear();
-  });
+void NewsExchange::tellLeaving() {
+  News Message = newsOfSelf();
+  std::set<std::string> To = regionIps();
+  To.merge(farPlacers());
+  for (const std::string &Ip : To)
+    send(Ip, Message);
 }
 
 void NewsExchange::tick() {
   TimePoint Now = Runtime_.Now();
-  if (Now >= NextNear_) {
-    sendNear();
-    NextNear_ = Now + RegionInterval;
+  tellChanges();
+  tellCrashes();
+  if (isDue(NextNear_, Now, NearInterval)) {
+    tellNear();
+    Parties_.Desk.tick();
   }
-  if (Now >= NextFar_) {
-    sendFar();
-    NextFar_ = Now + FarInterval;
-  }
-  if (Now >= NextSilent_) {
-    sendSilent();
-    NextSilent_ = Now + SilentInterval;
+  if (isDue(NextFar_, Now, FarInterval))
+    tellFar();
+  if (isDue(NextGreeting_, Now, GreetingInterval))
+    greet();
+  if (!sendsDigests())
+    return;
+  if (isDue(NextWholeDigest_, Now, WholeDigest)) {
+    NextRegionDigest_ = Now + RegionDigest;
+    tellOthers(regionIps(), Parties_.Hosts.alive());
+  } else if (isDue(NextRegionDigest_, Now, RegionDigest)) {
+    tellOthers(regionIps(), Parties_.Hosts.aliveInRegion());
   }
+  if (isDue(NextFarDigest_, Now, FarDigest))
+    tellOthers(farPlacers(), Parties_.Hosts.aliveInRegion());
+}
+
+void NewsExchange::hear(const HostState &Host) {
+  Hooks_.HeardOf(Host.OperatorRevision, Host.EndpointRevision);
 }
 
 void NewsExchange::receive(std::string_view Bytes) {
-  FleetNews News;
-  if (!News.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())) ||
-      News.host().ip().empty())
+  News Message;
+  if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())) ||
+      Message.host().ip().empty())
     return;
-  HostState Host = readHost(News.host());
-  bool KnewIt = false;
-  for (const HostState &Known : Hosts_.alive())
-    KnewIt = KnewIt || Known.Ip == Host.Ip;
-  if (!Hosts_.heard(Host))
+  HostState From = readHost(Message.host());
+  bool WasAlive = Parties_.Hosts.isAlive(From.Ip);
+  std::uint64_t Before = Parties_.Hosts.generation();
+  if (!Parties_.Hosts.heard(From))
     return;
-  // An answer at once, so that a host that has just started is known soon.
-  if (!KnewIt)
-    NextSilent_ = NextNear_ = NextFar_ = Runtime_.Now();
-  Hooks_.HeardOf(Host.OperatorRevision, Host.EndpointRevision);
-  for (std::uint32_t Contact : News.contacts())
-    if (Contact != 0)
-      Hosts_.addContact(unpackIp(Contact));
-  for (std::uint64_t Fingerprint : News.crashed())
-    Decisions_.crashes().peerSaw(Fingerprint);
-  for (const auto &Told : News.outlook())
-    Decisions_.regions().heard(
-        Host.Region, {Told.pool(), std::chrono::milliseconds(Told.wait_ms()),
-                      Told.endpoints()});
-  if (Host.Region != Hosts_.self().Region)
+  hear(From);
+  if (Parties_.Hosts.generation() != Before)
+    Changed_.insert(From.Ip);
+  // A host that has just started learns of the others from the answer.
+  if (!WasAlive)
+    tellOthers({From.Ip}, Parties_.Hosts.alive());
+  for (const auto &Note : Message.notes())
+    takeNote(From.Ip, Note);
+  takeRest(From, Message);
+}
+
+void NewsExchange::takeNote(const std::string &From,
+                            const messages::PlacementNote &In) {
+  auto Note = readNote(In, Runtime_.Now(), Parties_.Fleet);
+  PlacementId Id{In.id()};
+  if (!Note)
     return;
-  std::vector<EndpointLoad> Loads;
-  for (const auto &Work : News.work())
-    Loads.push_back({EndpointKey{Work.endpoint()}, Work.in_flight(),
-                     Work.urgent_prefill(), Work.all_prefill(),
-                     Work.memory_tokens()});
-  Decisions_.loads().peerSaid(Host.Id, Loads);
-  std::map<std::uint64_t, QueuedWork> Queued;
-  for (const auto &Told : News.queued())
-    Queued[Told.pool()] = {Told.urgent(), Told.all()};
-  Decisions_.peerQueued(Host.Id, Queued);
-  if (Decisions_.held().size() > 0)
-    Decisions_.offerPlaces();
-  for (const auto &Sent : News.sent()) {
-    Dispatcher::SentPrompt Prompt{
-        EndpointKey{Sent.endpoint()}, {}, Sent.read_tokens()};
-    for (std::uint64_t Hash : Sent.levels())
-      Prompt.Levels.push_back({Hash, 0});
-    Decisions_.peerSentPrompt(Prompt);
+  if (auto *Ask = std::get_if<PlacementAsk>(&*Note))
+    Parties_.Desk.ask(From, Id, std::move(*Ask));
+  else if (const auto *Answer = std::get_if<PlacementAnswer>(&*Note))
+    Parties_.Placement.answered(From, Id, *Answer);
+  else if (const auto *Output = std::get_if<OutputCame>(&*Note))
+    Parties_.Desk.outputCame(Id, *Output);
+  else
+    Parties_.Desk.end(Id, std::get<PlacementEnd>(*Note));
+}
+
+void NewsExchange::takeRest(const HostState &From, const News &Message) {
+  for (const auto &Told : Message.others()) {
+    HostState Other = readHost(Told);
+    hear(Other);
+    Parties_.Hosts.toldOf(Other, std::chrono::milliseconds(Told.age_ms()));
   }
+  for (const auto &Told : Message.outlook())
+    Parties_.Decisions.regions().heard(
+        From.Region, From.Id,
+        {Told.pool(), std::chrono::milliseconds(Told.wait_ms()),
+         Told.endpoints()});
+  for (const auto &Told : Message.crashes())
+    Parties_.Decisions.crashes().peerSaw({Told.fingerprint(), Told.event()});
+  if (!Message.has_list())
+    return;
+  std::vector<ListedPlacement> Listed;
+  for (const auto &Told : Message.listed())
+    Listed.push_back(readListed(Told));
+  Parties_.Desk.listed(From.Ip, Listed);
 }
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/newsexchange.h
+++ b/src/fleethost/internal/newsexchange.h
@@ -2,20 +2,33 @@
 #define CELERYBEAM_FLEETHOST_INTERNAL_NEWSEXCHANGE_H
 
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
-#include "dispatch/dispatcher.h"
+#include "dispatch/placementclient.h"
 #include "fleet/hostregistry.h"
 #include "framework/runtime.h"
+#include "messages/fleetnews.pb.h"
 
 namespace celerybeam::detail {
 
+/// What the exchange tells of and hears for.
+struct NewsParties {
+  FleetView &Fleet;
+  HostRegistry &Hosts;
+  Dispatcher &Decisions;
+  PlacementDesk &Desk;
+  PlacementClient &Placement;
+};
+
 /// Tells the other hosts what this one does, and takes in what they tell.
 ///
-/// Within the region: work in flight and prompts sent, soon after they change.
-/// To other regions: that the host is there and how its pools stand, seldom,
-/// because those bytes are paid for.
+/// A host writes to its region's messengers, who tell it of all others; the
+/// placers of a region tell those of the other regions how it stands. So the
+/// datagrams of a host do not grow with the fleet. Notes on placements go to
+/// one placer each, at once.
 class NewsExchange {
 public:
   struct Hooks {
@@ -25,41 +38,71 @@
         HeardOf;
   };
 
-  NewsExchange(Runtime R, HostRegistry &Hosts, Dispatcher &Decisions, Hooks H);
+  NewsExchange(Runtime R, NewsParties Parties, Hooks H);
 
   void receive(std::string_view Bytes);
   /// Sends what is due. Call every TickInterval.
   void tick();
-  /// Own work in flight or waiting has changed; the region's hosts are told
-  /// soon.
-  void loadChanged();
-  /// Tells all hosts at once, as on leaving.
-  void tellAll();
+  /// Tells a host of a placement.
+  void note(const std::string &Ip, PlacementId Id, const PlacementNote &Note);
+  /// Tells at once that this host leaves.
+  void tellLeaving();
 
-  static constexpr Duration TickInterval = std::chrono::milliseconds(40);
-  /// Changes within this time go into one message.
-  static constexpr Duration LeastInterval = std::chrono::microseconds(300);
-  /// Messages within the region when nothing changes.
-  static constexpr Duration RegionInterval = std::chrono::milliseconds(200);
+  static constexpr Duration TickInterval = std::chrono::milliseconds(50);
+  /// Notes within this time go into one message.
+  static constexpr Duration NotesTogether = std::chrono::microseconds(300);
+  /// Messages between hosts and their messengers: a placer that is silent for
+  /// two and a half of these no longer keeps requests waiting.
+  static constexpr Duration NearInterval = PlacementDesk::ListInterval;
+  /// Messages to the placers of other regions; their bytes are paid for.
   static constexpr Duration FarInterval = std::chrono::milliseconds(500);
+  /// What a messenger tells of the region's hosts, and of all hosts.
+  static constexpr Duration RegionDigest = std::chrono::seconds(1);
+  static constexpr Duration WholeDigest = std::chrono::seconds(5);
+  /// The same to other regions.
+  static constexpr Duration FarDigest = std::chrono::seconds(2);
   /// Messages to addresses at which nobody was heard of late.
-  static constexpr Duration SilentInterval = std::chrono::seconds(1);
+  static constexpr Duration GreetingInterval = std::chrono::seconds(1);
+  static constexpr std::size_t GreetingsAtATime = 6;
+  /// Messengers that send digests; the others stand by.
+  static constexpr std::size_t DigestSenders = 2;
+  /// Hosts in one datagram.
+  static constexpr std::size_t HostsTogether = 100;
 
 private:
-  std::string nearNews();
-  std::string farNews() const;
-  void sendNear();
-  void sendFar();
-  void sendSilent();
+  using News = messages::FleetNews;
+
+  News newsOfSelf() const;
+  void send(const std::string &Ip, const News &Message);
+  void flushNotes();
+  void tellNear();
+  void tellFar();
+  void greet();
+  bool isMessenger() const;
+  bool sendsDigests() const;
+  void tellOthers(const std::set<std::string> &To,
+                  const HostRegistry::Hosts &Of);
+  void tellChanges();
+  void tellCrashes();
+  std::set<std::string> regionIps() const;
+  std::set<std::string> farPlacers() const;
+  void hear(const HostState &Host);
+  void takeNote(const std::string &From, const messages::PlacementNote &Note);
+  void takeRest(const HostState &From, const News &Message);
 
   Runtime Runtime_;
-  HostRegistry &Hosts_;
-  Dispatcher &Decisions_;
+  NewsParties Parties_;
   Hooks Hooks_;
+  std::map<std::string, News> Outbox_;
+  bool FlushDue_ = false;
+  /// Hosts whose state has changed since the region was told.
+  std::set<std::string> Changed_;
   TimePoint NextNear_{};
   TimePoint NextFar_{};
-  TimePoint NextSilent_{};
-  bool NearDue_ = false;
+  TimePoint NextGreeting_{};
+  TimePoint NextRegionDigest_{};
+  TimePoint NextWholeDigest_{};
+  TimePoint NextFarDigest_{};
 };
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -27,7 +27,10 @@
   if (Seen.Away)
     Fields.push_back({"away_ms", millis(*Seen.Away)});
   add(Fields, "limit_ms", Seen.Limit);
-  add(Fields, "news_age_ms", Seen.NewsAge);
+  if (!Seen.Placer.empty()) {
+    Fields.push_back({"placer", Seen.Placer});
+    add(Fields, "placer_ms", Seen.PlacerTook);
+  }
 }
 
 } // namespace
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -8,11 +8,15 @@
 
 #include "relay/eventcutter.h"
 #include "relay/internal/answerhead.h"
+#include "relay/internal/attempt.h"
 
 namespace celerybeam {
 
 namespace {
 
+using detail::Attempt;
+using detail::AttemptEnd;
+
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
 constexpr unsigned Misdirected = 421;
@@ -171,48 +175,33 @@
   }
 
   void attempt() {
-    auto Decision = Context_.Decisions.choose(Descriptor_, *Route_, Log_);
+    Placing_ = Context_.Placement.place(
+        Descriptor_, *Route_, Log_,
+        [Self = shared_from_this()](PlacementId Id,
+                                    const PlacementAnswer &Answer) {
+          Self->placed(Id, Answer);
+        });
     Record_.Pool = Log_.Pool;
-    if (auto *Wait = std::get_if<Hold>(&Decision))
-      return hold(*Wait);
-    stopHolding();
-    if (auto *Here = std::get_if<ServeAt>(&Decision))
-      return serveAt(std::move(*Here));
-    if (auto *Away = std::get_if<PassOn>(&Decision))
+  }
+
+  void placed(PlacementId Id, const PlacementAnswer &Answer) {
+    Log_.Seen = Answer.Seen;
+    if (const auto *Wait = std::get_if<Hold>(&*Answer.Decision)) {
+      if (!std::exchange(Held_, true))
+        note("held", Wait->Expected, 0);
+      return;
+    }
+    Held_ = false;
+    if (const auto *Here = std::get_if<ServeAt>(&*Answer.Decision))
+      return serveAt(Id, *Here);
+    if (const auto *Away = std::get_if<PassOn>(&*Answer.Decision))
       return passOn(*Away);
-    const auto &Why = std::get<Refusal>(Decision);
+    const auto &Why = std::get<Refusal>(*Answer.Decision);
     if (provenNotRun(Log_.Known) && !Streaming_)
       return refuse(Why);
     giveUp(false, Why.Reason);
   }
 
-  void hold(const Hold &Wait) {
-    if (Log_.Held)
-      return;
-    Log_.Held = true;
-    note("held", Wait.Expected, 0);
-    HeldRequest Held;
-    Held.Pool = Log_.Pool;
-    Held.Rank = Route_->Rank;
-    Held.Arrived = Request_.Arrived;
-    Held.BestBefore = Wait.BestBefore;
-    Held.GiveUpAt = Wait.GiveUpAt;
-    Held.Tokens = std::max(1U, Descriptor_.PromptTokens);
-    Held.Offer = [Self = shared_from_this()] {
-      Self->attempt();
-      return !Self->Log_.Held;
-    };
-    HoldId_ = Context_.Decisions.held().add(std::move(Held));
-    Context_.Hooks.LoadChanged();
-  }
-
-  void stopHolding() {
-    if (!Log_.Held)
-      return;
-    Log_.Held = false;
-    Context_.Decisions.held().remove(HoldId_);
-  }
-
   HttpCallRequest callTo(const Address &To) {
     HttpCallRequest Call;
     Call.To = To;
@@ -222,10 +211,11 @@
     return Call;
   }
 
-  void serveAt(ServeAt Choice) {
-    Here_ = std::move(Choice);
-    Work_ = Context_.Decisions.begin(Descriptor_, *Route_, *Here_, Log_);
-    Context_.Hooks.LoadChanged();
+  void serveAt(PlacementId Id, const ServeAt &Choice) {
+    Here_ = Choice;
+    Place_ = Id;
+    Log_.Tried.push_back(Choice.Endpoint.Key);
+    ++Log_.Sends;
     const WireNames &Names = Context_.Names;
     HttpCallRequest Call = callTo(Here_->Endpoint.Where);
     setField(Call.Head.Fields, Names.ExpectedEndpoint,
@@ -250,7 +240,8 @@
     Here_.reset();
     PeerIp_ = Choice.Host.Ip;
     Record_.PassedOn = true;
-    Context_.Decisions.passedOn(Descriptor_, Choice, Log_);
+    Log_.RegionsTried.push_back(Choice.Host.Region);
+    ++Log_.Sends;
     HttpCallRequest Call =
         callTo(Address(Choice.Host.Ip + ":" + Context_.HostPort));
     if (!Cutter_.lastId().empty())
@@ -266,8 +257,6 @@
   }
 
   void note(const std::string &Where, Duration Expected, unsigned Uncached) {
-    if (Log_.Sends == 1)
-      Record_.Expected = Expected;
     Record_.Attempts += (Record_.Attempts.empty() ? "" : "; ") + Where +
                         " expected_ms=" + std::to_string(millisOf(Expected));
     if (Uncached > 0)
@@ -275,20 +264,16 @@
   }
 
   void beginCall(HttpCallRequest Call) {
-    Sent_ = Context_.Time.Now();
-    Refused_ = false;
     GotOutput_ = false;
-    Head_ = {};
-    Body_.clear();
-    Cutter_.beginRun();
     auto Self = shared_from_this();
-    HttpCallHooks Hooks;
-    Hooks.Head = [Self](const HttpResponseHead &Head) {
-      return Self->takeHead(Head);
+    detail::AttemptHooks Hooks;
+    Hooks.Events = [Self](std::string_view Events) {
+      Self->takeEvents(Events);
     };
-    Hooks.Body = [Self](std::string_view Data) { Self->takeBody(Data); };
-    Hooks.End = [Self](HttpCallEnd End) { Self->callEnded(End); };
-    Call_ = Context_.Caller.call(std::move(Call), std::move(Hooks));
+    Hooks.End = [Self](AttemptEnd End) { Self->attemptEnded(End); };
+    Attempt_ = std::make_shared<Attempt>(
+        Context_, Descriptor_.Id, isStream(Route_->Kind), Cutter_, Hooks);
+    Attempt_->start(std::move(Call));
   }
 
   void watchForStall(Duration Expected) {
@@ -303,73 +288,66 @@
                         });
   }
 
+  /// Looks for another place while the present attempt goes on, since it may
+  /// still end well.
   void stalled() {
-    if (!Call_ || !Here_)
+    if (!Here_)
       return;
     AttemptLog After = Log_;
     After.Known = ExecutionKnowledge::Unknown;
     After.Runs += 1;
-    // Another attempt only if one can be made: the present one may still end
-    // well.
-    auto Next = Context_.Decisions.choose(Descriptor_, *Route_, After);
-    if (std::holds_alternative<Refusal>(Next) ||
-        !Context_.Decisions.mayTryAgain(Descriptor_, *Route_, After))
+    if (Dispatcher::runsLeft(Descriptor_, *Route_, After) == 0)
+      return;
+    SpareSought_ = true;
+    PlacementId Id = Context_.Placement.place(
+        Descriptor_, *Route_, After,
+        [Self = shared_from_this(), After](PlacementId Found,
+                                           const PlacementAnswer &Answer) {
+          Self->spareFound(Found, After, Answer);
+        });
+    // It may have been found at once.
+    if (SpareSought_)
+      Spare_ = Id;
+  }
+
+  void spareFound(PlacementId Id, const AttemptLog &After,
+                  const PlacementAnswer &Answer) {
+    bool Waits = std::holds_alternative<Hold>(*Answer.Decision);
+    if (Waits)
       return;
-    Call_->cancel();
-    Call_.reset();
+    Spare_.reset();
+    SpareSought_ = false;
+    const auto *There = std::get_if<ServeAt>(&*Answer.Decision);
+    bool Wanted = There != nullptr && !Over_ && Here_ && !GotOutput_ &&
+                  Log_.Sends == After.Sends &&
+                  Context_.Decisions.mayTryAgain(Descriptor_, *Route_, After);
+    if (!Wanted)
+      return Context_.Placement.end(Id, {});
+    Attempt_->cancel();
     endHere(AttemptOutcome::Failed);
     Record_.Attempts += " stalled";
     Log_ = After;
-    attempt();
+    serveAt(Id, *There);
   }
 
-  HeadVerdict takeHead(const HttpResponseHead &Head) {
-    using detail::AnswerKind;
-    AnswerKind Kind =
-        detail::classifyAnswer(Head, Context_.Names, Descriptor_.Id);
-    if (Kind == AnswerKind::OfAnother)
-      return HeadVerdict::Skip;
-    if (Kind == AnswerKind::Spoiled)
-      return HeadVerdict::Spoiled;
-    if (Here_)
-      takeLoad(Head);
-    Head_ = Head;
-    Refused_ = Kind == AnswerKind::NotRun;
-    Events_ = !Refused_ && isStream(Route_->Kind) && Head.Status == Ok;
-    return HeadVerdict::Take;
-  }
-
-  void takeLoad(const HttpResponseHead &Head) {
-    auto Text = findField(Head.Fields, Context_.Names.Load);
-    auto Said = Text ? Context_.Hooks.DecodeLoad(*Text) : std::nullopt;
-    if (Said && Said->Slowness)
-      Context_.Decisions.predictor().saidSlowness(Here_->Endpoint.Key,
-                                                  *Said->Slowness);
+  void dropSpare() {
+    SpareSought_ = false;
+    if (Spare_)
+      Context_.Placement.end(*std::exchange(Spare_, std::nullopt), {});
   }
 
   void firstOutput() {
-    if (GotOutput_)
+    if (std::exchange(GotOutput_, true))
       return;
-    GotOutput_ = true;
-    Duration Took = Context_.Time.Now() - Sent_;
     if (Record_.FirstOutput == Duration::zero())
       Record_.FirstOutput = Context_.Time.Now() - Request_.Arrived;
-    if (!Here_)
-      return;
-    Context_.Decisions.firstOutput(*Here_, Work_, Took);
-    Context_.Hooks.LoadChanged();
+    if (Here_)
+      Context_.Placement.outputCame(
+          Place_, {Attempt_->sinceSent(), Attempt_->slowness()});
+    dropSpare();
   }
 
-  void takeBody(std::string_view Data) {
-    if (Refused_)
-      return;
-    if (!Events_) {
-      Body_ += Data;
-      return;
-    }
-    std::string Whole = Cutter_.take(Data);
-    if (Whole.empty())
-      return;
+  void takeEvents(std::string_view Events) {
     firstOutput();
     TimePoint Now = Context_.Time.Now();
     if (Streaming_)
@@ -379,12 +357,12 @@
       Streaming_ = true;
       Answer_->beginStream(callerHead());
     }
-    Answer_->streamPiece(Whole);
+    Answer_->streamPiece(Events);
   }
 
   /// The endpoint's head as the caller gets it.
   HttpResponseHead callerHead() {
-    HttpResponseHead Head = Head_;
+    HttpResponseHead Head = Attempt_->head();
     removeConnectionFields(Head.Fields);
     removeField(Head.Fields, RunsField);
     // What endpoints say of themselves is of use to entry hosts only.
@@ -396,36 +374,41 @@
   void endHere(AttemptOutcome Outcome) {
     if (!Here_)
       return;
-    Context_.Decisions.end(*Here_, Work_, Outcome);
     Here_.reset();
-    Context_.Hooks.LoadChanged();
+    Context_.Placement.end(Place_, {Outcome});
   }
 
-  void callEnded(HttpCallEnd End) {
-    Call_.reset();
+  void attemptEnded(AttemptEnd End) {
     if (Over_)
       return;
-    if (End == HttpCallEnd::Complete)
-      return Refused_ ? refusedThere() : answered();
-    Record_.Attempts +=
-        End == HttpCallEnd::NotConnected ? " not_connected" : " broken";
-    if (End == HttpCallEnd::NotConnected) {
+    dropSpare();
+    switch (End) {
+    case AttemptEnd::NotConnected:
+      Record_.Attempts += " not_connected";
       if (!Here_)
         Context_.Hosts.unreachable(PeerIp_);
       endHere(AttemptOutcome::Broken);
       return attempt();
+    case AttemptEnd::Broken:
+      Record_.Attempts += " broken";
+      return broken();
+    case AttemptEnd::NotRun:
+      return refusedThere();
+    case AttemptEnd::Answered:
+    case AttemptEnd::StreamEnded:
+      return answered();
     }
-    broken();
   }
 
   void refusedThere() {
-    Record_.Attempts += " refused=" + std::to_string(Head_.Status);
+    unsigned Status = Attempt_->head().Status;
+    Record_.Attempts += " refused=" + std::to_string(Status);
     Log_.Known = combine(Log_.Known, ExecutionKnowledge::RefusedByEndpoint);
     bool ByHost = !Here_;
-    if (Here_ && Head_.Status == Misdirected)
+    bool Moved = Here_ && Status == Misdirected;
+    if (Moved)
       Context_.Fleet.noteLeaving(Here_->Endpoint.Id);
-    endHere(Head_.Status == Misdirected ? AttemptOutcome::Answered
-                                        : AttemptOutcome::Failed);
+    endHere(Moved ? AttemptOutcome::Moved : AttemptOutcome::Failed);
     // A refusal by an entry host reached no endpoint and costs no retry.
     if (ByHost || Context_.Decisions.mayTryAgain(Descriptor_, *Route_, Log_))
       return attempt();
@@ -444,26 +427,26 @@
   }
 
   void answered() {
-    bool Stamped =
-        findField(Head_.Fields, Context_.Names.Signature).has_value();
+    const HttpResponseHead &Head = Attempt_->head();
+    bool Stamped = findField(Head.Fields, Context_.Names.Signature).has_value();
     Log_.Known = combine(Log_.Known, Stamped ? ExecutionKnowledge::Ran
                                              : ExecutionKnowledge::Unknown);
     Log_.Runs += Here_ ? 1 : runsThere();
-    bool Failed = Head_.Status >= ServerFailure;
-    if (Events_)
+    if (Attempt_->isEvents())
       return streamEnded();
+    bool Failed = Head.Status >= ServerFailure;
     if (!Failed) {
       firstOutput();
       Context_.Decisions.crashes().succeeded(Descriptor_.Fingerprint);
     }
     endHere(Failed ? AttemptOutcome::Failed : AttemptOutcome::Answered);
-    Record_.Attempts += " status=" + std::to_string(Head_.Status);
+    Record_.Attempts += " status=" + std::to_string(Head.Status);
     if (Streaming_ && !Failed)
       return breakStream("endpoint_failed");
     if (!Failed)
-      return finishWith(callerHead(), std::exchange(Body_, {}), "answered");
+      return finishWith(callerHead(), Attempt_->takeBody(), "answered");
     if (Stamped && !Streaming_)
-      Failure_ = {callerHead(), std::exchange(Body_, {})};
+      Failure_ = {callerHead(), Attempt_->takeBody()};
     if (mayRepeat(Route_->Kind) &&
         Context_.Decisions.mayTryAgain(Descriptor_, *Route_, Log_))
       return attempt();
@@ -473,13 +456,11 @@
   /// On how many endpoints the other entry host's answer says that the request
   /// has run; all that it was allotted when it does not say.
   unsigned runsThere() const {
-    auto Runs = findField(Head_.Fields, RunsField);
+    auto Runs = findField(Attempt_->head().Fields, RunsField);
     return Runs ? numberIn(*Runs) : Allotted_;
   }
 
   void streamEnded() {
-    if (Cutter_.outOfOrder())
-      return broken();
     Context_.Decisions.crashes().succeeded(Descriptor_.Fingerprint);
     endHere(AttemptOutcome::Answered);
     if (!Streaming_)
@@ -497,27 +478,31 @@
   void timedOut() {
     if (Over_)
       return;
-    stopHolding();
-    if (Call_) {
+    if (isSent())
       Log_.Known = combine(Log_.Known, ExecutionKnowledge::Unknown);
-      Call_->cancel();
-      Call_.reset();
-    }
-    endHere(GotOutput_ ? AttemptOutcome::Answered : AttemptOutcome::Failed);
+    stopTrying(GotOutput_ ? AttemptOutcome::Answered : AttemptOutcome::Failed);
     giveUp(true, "timeout");
   }
 
   void callerLeft() {
     if (Over_)
       return;
-    stopHolding();
-    if (Call_)
-      Call_->cancel();
-    Call_.reset();
-    endHere(AttemptOutcome::Answered);
+    stopTrying(AttemptOutcome::Answered);
     done(0, "caller_left");
   }
 
+  /// Whether an attempt is under way.
+  bool isSent() const { return Attempt_ && Attempt_->isUnderWay(); }
+
+  void stopTrying(AttemptOutcome Outcome) {
+    if (isSent())
+      Attempt_->cancel();
+    dropSpare();
+    endHere(Outcome);
+    // It may still be asked for, or wait.
+    Context_.Placement.end(Placing_, {});
+  }
+
   void finishWith(HttpResponseHead Head, const std::string &Body,
                   const std::string &Outcome) {
     unsigned Status = Head.Status;
@@ -559,16 +544,16 @@
   std::string PeerIp_;
   /// Runs that the other entry host was allowed.
   unsigned Allotted_ = 0;
-  WorkId Work_;
-  HoldId HoldId_;
-  std::shared_ptr<HttpCall> Call_;
-  TimePoint Sent_{};
+  /// The latest placement that was asked for, and the one in use.
+  PlacementId Placing_;
+  PlacementId Place_;
+  /// Another place, looked for while the present attempt stalls.
+  std::optional<PlacementId> Spare_;
+  bool SpareSought_ = false;
+  bool Held_ = false;
+  std::shared_ptr<Attempt> Attempt_;
   TimePoint LastPiece_{};
-  bool Refused_ = false;
   bool GotOutput_ = false;
-  bool Events_ = false;
-  HttpResponseHead Head_;
-  std::string Body_;
   /// An endpoint's whole answer that was a failure, for the caller if no other
   /// attempt does better.
   std::optional<std::pair<HttpResponseHead, std::string>> Failure_;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "dispatch/dispatcher.h"
+#include "dispatch/placementclient.h"
 #include "fleet/fleetview.h"
 #include "fleet/hostregistry.h"
 #include "framework/error.h"
@@ -64,7 +64,6 @@
   /// Of the latest decision.
   DecisionInputs Seen;
   Duration RetryAfter{};
-  Duration Expected{};
   Duration FirstOutput{};
   /// Longest pause between two parts of a stream.
   Duration LongestGap{};
@@ -84,8 +83,6 @@
   /// route is truly missing.
   std::function<bool()> TablesCurrent;
   std::function<void(const RequestRecord &)> Done;
-  /// Own work in flight or waiting has changed.
-  std::function<void()> LoadChanged;
 };
 
 /// What all requests of a host work with.
@@ -94,6 +91,7 @@
   FleetView &Fleet;
   HostRegistry &Hosts;
   Dispatcher &Decisions;
+  PlacementClient &Placement;
   HttpCaller &Caller;
   WireNames Names;
   RelayHooks Hooks;
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -27,6 +27,12 @@
 RelayFixture::RelayFixture()
     : Hosts(Time, self()),
       Decisions(Time, Fleet, Hosts, {1, std::chrono::seconds(10), 100}),
+      Desk(Time, Fleet, Decisions, self().Ip,
+           [this](const std::string &Ip, PlacementId Id,
+                  const PlacementAnswer &Answer) {
+             Placement.answered(Ip, Id, Answer);
+           }),
+      Placement(Time, Fleet, Hosts, Decisions, Desk, {}),
       Context(makeContext()),
       Front(Loop, [this](HttpServerRequest Request, auto Answer) {
         relayRequest(Context, std::move(Request), std::move(Answer), false);
@@ -86,8 +92,8 @@
   Hooks.IsInformed = [this] { return Fleet.tables() != nullptr; };
   Hooks.TablesCurrent = [this] { return TablesCurrent; };
   Hooks.Done = [this](const RequestRecord &R) { Done.push_back(R); };
-  Hooks.LoadChanged = [this] { Decisions.offerPlaces(); };
-  return {Time, Fleet, Hosts, Decisions, Caller, Names, Hooks, "1", false};
+  return {Time,   Fleet, Hosts, Decisions, Placement,
+          Caller, Names, Hooks, "1",       false};
 }
 
 RawServer &RelayFixture::addEndpoint(const std::string &Id,
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -41,6 +41,8 @@
   FleetView Fleet{Time, {}};
   HostRegistry Hosts;
   Dispatcher Decisions;
+  PlacementDesk Desk;
+  PlacementClient Placement;
   RelayContext Context;
   HttpServer Front;
   std::vector<RequestRecord> Done;
