A fault soak of the real processes; log who places

The checks hold what callers and endpoints see: at most once, whole answers, true refusals, homes, tables that never go back, an answer in time, service after the faults.

Hosts log which hosts place for their region and which of them do not answer.

Not covered: clock steps (need rights that it does not ask for), the time bounds of drains and evacuations. Store and callers live in the soak's process.

--- a/src/dispatch/internal/placementclient.cpp
+++ b/src/dispatch/internal/placementclient.cpp
@@ -33,10 +33,10 @@
 class PlacementClient::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(Runtime R, FleetView &Fleet, HostRegistry &Hosts, Dispatcher &Decisions,
-       PlacementDesk &Desk, SendHook Send)
+       PlacementDesk &Desk, SendHook Send, BeliefHook Changed)
       : Runtime_(std::move(R)), Fleet_(Fleet), Hosts_(Hosts),
         Decisions_(Decisions), Desk_(Desk), Send_(std::move(Send)),
-        LastId_(Runtime_.Random()) {}
+        Changed_(std::move(Changed)), LastId_(Runtime_.Random()) {}
 
   const std::string &selfIp() const { return Hosts_.self().Ip; }
 
@@ -58,11 +58,25 @@
     std::erase_if(Placers, [&](const HostState &Host) {
       return HeldOff_.contains(Host.Ip);
     });
+    tellPlacers(Placers);
     Map_.setPlacers(std::move(Placers));
     return Map_;
   }
 
+  void tellPlacers(const std::vector<HostState> &Placers) {
+    std::string Ips;
+    for (const HostState &Host : Placers)
+      Ips += (Ips.empty() ? "" : " ") + Host.Ip;
+    if (Ips == PlacersTold_)
+      return;
+    PlacersTold_ = Ips;
+    if (Changed_)
+      Changed_({"placers", Hosts_.self().Region.str(), Ips});
+  }
+
   void holdOff(const std::string &Ip) {
+    if (Changed_ && !HeldOff_.contains(Ip))
+      Changed_({"placer", Ip, "does not answer"});
     HeldOff_[Ip] = Runtime_.Now() + HostRegistry::HoldOff;
     HeldOffChanged_ = true;
   }
@@ -276,6 +290,8 @@
   Dispatcher &Decisions_;
   PlacementDesk &Desk_;
   SendHook Send_;
+  BeliefHook Changed_;
+  std::string PlacersTold_;
   std::uint64_t LastId_;
   std::unordered_map<std::uint64_t, Placement> Placements_;
   PlacementMap Map_;
@@ -289,9 +305,10 @@
 
 PlacementClient::PlacementClient(Runtime R, FleetView &Fleet,
                                  HostRegistry &Hosts, Dispatcher &Decisions,
-                                 PlacementDesk &Desk, SendHook Send)
+                                 PlacementDesk &Desk, SendHook Send,
+                                 BeliefHook Changed)
     : Impl_(std::make_shared<Impl>(std::move(R), Fleet, Hosts, Decisions, Desk,
-                                   std::move(Send))) {}
+                                   std::move(Send), std::move(Changed))) {}
 PlacementClient::~PlacementClient() = default;
 
 PlacementId PlacementClient::place(const RequestDescriptor &Request,
--- a/src/dispatch/placementclient.h
+++ b/src/dispatch/placementclient.h
@@ -27,9 +27,13 @@
                                       const PlacementNote &Note)>;
   /// What became of a request: Hold first if it waits, then one of the others.
   using PlacedHook = std::function<void(PlacementId, const PlacementAnswer &)>;
+  /// Hears which hosts are the placers and which of them do not answer; may be
+  /// empty.
+  using BeliefHook = std::function<void(const BeliefChange &)>;
 
   PlacementClient(Runtime R, FleetView &Fleet, HostRegistry &Hosts,
-                  Dispatcher &Decisions, PlacementDesk &Desk, SendHook Send);
+                  Dispatcher &Decisions, PlacementDesk &Desk, SendHook Send,
+                  BeliefHook Changed = {});
   ~PlacementClient();
 
   /// Asks where a request goes. Log gains the request's pool and arrival. The
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -85,7 +85,8 @@
         Placement_(
             Time_, Fleet_, Hosts_, Decisions_, Desk_,
             [this](const std::string &Ip, PlacementId Id,
-                   const PlacementNote &Note) { News_.note(Ip, Id, Note); }),
+                   const PlacementNote &Note) { News_.note(Ip, Id, Note); },
+            [this](const BeliefChange &Change) { tellBelief(Change); }),
         Context_{Time_,        Fleet_,       Hosts_,
                  Decisions_,   Placement_,   Caller_,
                  Hooks_.Names, Hooks_.Relay, Settings_.HostPort},
@@ -194,15 +195,17 @@
 private:
   FleetView::Hooks viewHooks() {
     return {
-        [this](const BeliefChange &Change) {
-          Log_.info("Belief changed.", {{"what", Change.What},
-                                        {"subject", Change.Subject},
-                                        {"detail", Change.Detail}});
-        },
+        [this](const BeliefChange &Change) { tellBelief(Change); },
         [this](const EndpointKey &Key) { Decisions_.forget(Key); },
         [this](const EndpointKey &Key) { Decisions_.health().distrust(Key); }};
   }
 
+  void tellBelief(const BeliefChange &Change) {
+    Log_.info("Belief changed.", {{"what", Change.What},
+                                  {"subject", Change.Subject},
+                                  {"detail", Change.Detail}});
+  }
+
   detail::NewsExchange::Hooks newsHooks() {
     return {[this](const std::string &Ip, const std::string &Bytes) {
               Link_.send(Ip, Bytes);
--- a/tests/gateway/gatewayprocess.cpp
+++ b/tests/gateway/gatewayprocess.cpp
@@ -3,8 +3,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <stdexcept>
 
-#include <boost/test/unit_test.hpp>
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -21,9 +21,11 @@
   auto Listen = [&](const char *Name, int Port) {
     Out << "  " << Name << ": \"" << O.Ip << ":" << Port << "\"\n";
   };
+  std::string Zone = O.Zone.empty() ? O.Region + "-a" : O.Zone;
   Out << "nodeName: \"" << O.Name << "\"\nip: \"" << O.Ip << "\"\nzone: \""
-      << O.Region << "-a\"\nregion: \"" << O.Region
-      << "\"\nzones: {north-a: north, south-a: south}\nlisten:\n";
+      << Zone << "\"\nregion: \"" << O.Region
+      << "\"\nzones: {north-a: north, north-b: north, south-a: south}\n"
+      << "limits: {cpuShare: " << O.Cores << ", cores: 1}\nlisten:\n";
   Listen("front", GatewayProcess::CallerPort);
   Listen("ready", GatewayProcess::ReadyPort);
   Listen("directory", GatewayProcess::DirectoryPort);
@@ -36,13 +38,21 @@
 
 } // namespace
 
+std::string ownLoopbackIp(unsigned Number) {
+  constexpr int Values = 200;
+  int Process = static_cast<int>(::getpid());
+  return "127." + std::to_string(1 + Process / Values % Values) + "." +
+         std::to_string(1 + Process % Values) + "." + std::to_string(Number);
+}
+
 GatewayProcess::GatewayProcess(const GatewayOptions &Options,
                                const std::filesystem::path &Folder) {
   std::filesystem::path Settings = Folder / (Options.Name + ".yaml");
   std::filesystem::path Log = Folder / (Options.Name + ".log");
   writeSettings(Options, Settings);
   const char *Program = std::getenv("CELERYBEAM_GATEWAY");
-  BOOST_REQUIRE(Program != nullptr);
+  if (Program == nullptr)
+    throw std::runtime_error("CELERYBEAM_GATEWAY names no program");
   std::string Path = Program;
   std::string Flag = "--config";
   std::string File = Settings.string();
@@ -55,7 +65,8 @@
   int Failed =
       posix_spawn(&Process_, Program, &Actions, nullptr, Arguments, environ);
   posix_spawn_file_actions_destroy(&Actions);
-  BOOST_REQUIRE(Failed == 0);
+  if (Failed != 0)
+    throw std::runtime_error(Path + " cannot be started");
 }
 
 GatewayProcess::~GatewayProcess() {
--- a/tests/gateway/gatewayprocess.h
+++ b/tests/gateway/gatewayprocess.h
@@ -17,8 +17,16 @@
   std::string Region;
   std::string Store;
   std::vector<std::string> Seeds;
+  /// Empty: the region's first.
+  std::string Zone;
+  /// Share of a core that the settings name.
+  double Cores = 0.25;
 };
 
+/// A loopback address that only this process uses: two runs on one machine have
+/// the same ports. \param Number  from 1 to 250.
+std::string ownLoopbackIp(unsigned Number);
+
 /// A real gateway process. It is killed with this object.
 class GatewayProcess {
 public:
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 #include "gateway/gatewayprocess.h"
 #include "gateway/storestandin.h"
@@ -17,17 +16,8 @@
 
 namespace {
 
-/// Loopback addresses that only this test process uses: two runs on one machine
-/// have the same ports.
-std::string ownIp(int Last) {
-  constexpr int Values = 200;
-  int Process = static_cast<int>(::getpid());
-  return "127." + std::to_string(1 + Process / Values % Values) + "." +
-         std::to_string(1 + Process % Values) + "." + std::to_string(Last);
-}
-
-const std::string FirstIp = ownIp(1);
-const std::string SecondIp = ownIp(2);
+const std::string FirstIp = ownLoopbackIp(1);
+const std::string SecondIp = ownLoopbackIp(2);
 
 std::string field(const std::string &Head, const std::string &Name) {
   auto At = Head.find("\r\n" + Name + ": ");
@@ -105,7 +95,8 @@
   }
 
   void startHost(const std::string &Name, const std::string &Ip) {
-    GatewayOptions O{Name, Ip, "north", Store.address(), {FirstIp, SecondIp}};
+    GatewayOptions O{Name, Ip,  "north", Store.address(), {FirstIp, SecondIp},
+                     "",   0.25};
     Hosts[Name] = std::make_unique<GatewayProcess>(O, Folder.path(""));
   }
 
--- a/tests/gateway/storestandin.cpp
+++ b/tests/gateway/storestandin.cpp
@@ -1,9 +1,10 @@
 #include "gateway/storestandin.h"
 
+#include <stdexcept>
+
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
-#include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
 namespace celerybeam::testing {
@@ -15,6 +16,7 @@
 
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
+constexpr unsigned HistoryGone = 410;
 constexpr unsigned Unavailable = 503;
 
 std::string encode(const std::string &Bytes) {
@@ -53,7 +55,8 @@
                            const std::shared_ptr<HttpExchange> &Answer) {
         serve(Request, Answer);
       }) {
-  BOOST_REQUIRE(Server_.listen(Address("127.0.0.1:0")));
+  if (auto Opened = Server_.listen(Address("127.0.0.1:0")); !Opened)
+    throw std::runtime_error(Opened.error().Message);
 }
 
 void StoreStandIn::put(const std::string &Key, const std::string &Value) {
@@ -83,6 +86,11 @@
   Watchers_.clear();
 }
 
+void StoreStandIn::forgetHistory() {
+  History_.clear();
+  Forgotten_ = Revision_;
+}
+
 std::vector<std::string> StoreStandIn::keys(const std::string &Prefix) const {
   std::vector<std::string> Found;
   for (const auto &[Key, What] : Items_)
@@ -128,6 +136,8 @@
                          const std::shared_ptr<HttpExchange> &Answer) {
   Watcher W{query(Target, "pathPrefix"), std::stoull(query(Target, "after")),
             Answer};
+  if (W.After < Forgotten_)
+    return respond(*Answer, HistoryGone, json::object());
   if (answerWatcher(W, false))
     return;
   Watchers_.push_back(W);
--- a/tests/gateway/storestandin.h
+++ b/tests/gateway/storestandin.h
@@ -27,6 +27,9 @@
   /// Answers all calls with 503 while it is down; watches end at once.
   void setDown(bool Down);
 
+  /// Watches that go on from before now are told that the history is gone.
+  void forgetHistory();
+
   /// The keys under a prefix.
   std::vector<std::string> keys(const std::string &Prefix) const;
   std::uint64_t calls() const { return Calls_; }
@@ -62,6 +65,8 @@
   std::vector<Change> History_;
   std::list<Watcher> Watchers_;
   std::uint64_t Revision_ = 1;
+  /// Changes up to this revision are forgotten.
+  std::uint64_t Forgotten_ = 0;
   std::uint64_t Calls_ = 0;
   bool Down_ = false;
 };
--- /dev/null
+++ b/tests/soak/endpointprocess.cpp
@@ -0,0 +1,147 @@
+#include "soak/endpointprocess.h"
+
+#include <cstdio>
+#include <iostream>
+#include <random>
+
+#include "framework/stablehash.h"
+#include "relay/httpserver.h"
+
+namespace celerybeam::testing {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Misdirected = 421;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned MostEvents = 12;
+constexpr unsigned BodyRepeats = 40;
+constexpr Duration EventGap = std::chrono::milliseconds(25);
+
+class Endpoint {
+public:
+  explicit Endpoint(const EndpointOptions &Options)
+      : Options_(Options), Random_(Options.Seed),
+        Server_(Loop_, [this](const HttpServerRequest &Request,
+                              const std::shared_ptr<HttpExchange> &Answer) {
+          take(Request, Answer);
+        }) {}
+
+  int serve() {
+    if (auto Opened = Server_.listen(Address("127.0.0.1:0")); !Opened) {
+      std::cerr << Opened.error().Message << "\n";
+      return 1;
+    }
+    say("address " + Server_.address().str());
+    Loop_.run();
+    return 0;
+  }
+
+private:
+  static void say(const std::string &Line) { std::cout << Line << std::endl; }
+
+  bool isPlanted(const char *Name) {
+    constexpr unsigned OneIn = 20;
+    return Options_.Plant == Name && Random_() % OneIn == 0;
+  }
+
+  HttpResponseHead head(unsigned Status, const std::string &Id) {
+    HttpResponseHead Head{Status, {{"X-Attempt-Id", Id}}};
+    Head.Fields.push_back({"X-Server-Load", std::to_string(Busy_) + ",0," +
+                                                std::to_string(Options_.Slots) +
+                                                ",100"});
+    return Head;
+  }
+
+  void refuse(unsigned Status, const std::string &Id, HttpExchange &Answer) {
+    HttpResponseHead Head = head(Status, Id);
+    Head.Fields.push_back({"X-Not-Executed", "1"});
+    Answer.respond(std::move(Head), "");
+  }
+
+  void take(const HttpServerRequest &Request,
+            const std::shared_ptr<HttpExchange> &Answer) {
+    std::string Id(findField(Request.Head.Fields, "X-Attempt-Id").value_or(""));
+    auto Expected = findField(Request.Head.Fields, "X-Expect-Instance");
+    if (Request.Head.Target == "/healthz")
+      return Answer->respond({Ok, {{"X-Instance-Id", Options_.Id}}}, "");
+    if (Expected && *Expected != Options_.Id)
+      return refuse(Misdirected, Id, *Answer);
+    if (Busy_ >= Options_.Slots)
+      return refuse(Unavailable, Id, *Answer);
+    say("ran " + Id + " " + Request.Head.Target);
+    if (isPlanted("run-twice"))
+      say("ran " + Id + " " + Request.Head.Target);
+    if (isPlanted("run-refused"))
+      return refuse(Unavailable, Id, *Answer);
+    ++Busy_;
+    auto Gone = std::make_shared<bool>(false);
+    Answer->onGone([this, Gone] {
+      *Gone = true;
+      --Busy_;
+    });
+    constexpr unsigned MostMs = 90;
+    auto Work = std::chrono::milliseconds(5 + Random_() % MostMs);
+    Loop_.runtime().After(
+        Work, [this, Id, Answer, Gone,
+               Streams = Request.Head.Target.starts_with("/s")] {
+          if (*Gone)
+            return;
+          if (Streams)
+            return stream(Id, Answer, Gone, 1);
+          --Busy_;
+          HttpResponseHead Head = head(Ok, Id);
+          Head.Fields.push_back({"X-Response-Stamp", Options_.Id});
+          Answer->respond(std::move(Head),
+                          endpointBody(isPlanted("wrong-body") ? "other" : Id));
+        });
+  }
+
+  void stream(const std::string &Id,
+              const std::shared_ptr<HttpExchange> &Answer,
+              const std::shared_ptr<bool> &Gone, unsigned Next) {
+    if (*Gone)
+      return;
+    if (Next == 1) {
+      HttpResponseHead Head = head(Ok, Id);
+      Head.Fields.push_back({"X-Response-Stamp", Options_.Id});
+      Head.Fields.push_back({"Content-Type", "text/event-stream"});
+      Answer->beginStream(std::move(Head));
+    }
+    if (Next > endpointEvents(Id)) {
+      --Busy_;
+      return Answer->endStream();
+    }
+    if (!isPlanted("skip-event"))
+      Answer->streamPiece("id: " + std::to_string(Next) + "\ndata: " + Id +
+                          "\n\n");
+    Loop_.runtime().After(EventGap, [this, Id, Answer, Gone, Next] {
+      stream(Id, Answer, Gone, Next + 1);
+    });
+  }
+
+  EndpointOptions Options_;
+  std::mt19937_64 Random_;
+  EventLoop Loop_;
+  HttpServer Server_;
+  unsigned Busy_ = 0;
+};
+
+} // namespace
+
+std::string endpointBody(const std::string &RequestId) {
+  std::string Body;
+  for (unsigned I = 0; I < BodyRepeats; ++I)
+    Body += RequestId + ";";
+  return Body;
+}
+
+unsigned endpointEvents(const std::string &RequestId) {
+  return 1 + static_cast<unsigned>(stableHash(RequestId) % MostEvents);
+}
+
+int serveEndpoint(const EndpointOptions &Options) {
+  return Endpoint(Options).serve();
+}
+
+} // namespace celerybeam::testing
--- /dev/null
+++ b/tests/soak/soakfaults.cpp
@@ -0,0 +1,168 @@
+#include "soak/soakfaults.h"
+
+#include <array>
+#include <csignal>
+
+namespace celerybeam::testing {
+
+namespace {
+
+using Mode = FaultProxy::Mode;
+
+constexpr std::array HarmfulModes = {Mode::Delay, Mode::LoseToTarget,
+                                     Mode::LoseFromTarget, Mode::Silence,
+                                     Mode::Refuse};
+/// From an entry that says that an endpoint leaves to its end.
+constexpr Duration DrainTime = std::chrono::milliseconds(1500);
+constexpr Duration EndpointRestart = std::chrono::milliseconds(700);
+
+} // namespace
+
+SoakFaults::SoakFaults(SoakWorld &World, std::uint64_t Seed)
+    : World_(World), Random_(Seed), Time_(World.Loop.runtime()) {}
+
+void SoakFaults::start(Duration Length) {
+  Until_ = Time_.Now() + Length;
+  next();
+}
+
+void SoakFaults::later(Duration After, std::function<void()> Work) {
+  Time_.After(After, std::move(Work));
+}
+
+Duration SoakFaults::draw(Duration Most) {
+  return Duration(static_cast<Duration::rep>(
+      Random_() % static_cast<std::uint64_t>(Most.count())));
+}
+
+SoakHost &SoakFaults::anyHost() {
+  return World_.Hosts[Random_() % World_.Hosts.size()];
+}
+
+SoakEndpoint &SoakFaults::anyEndpoint() {
+  return World_.Endpoints[Random_() % World_.Endpoints.size()];
+}
+
+void SoakFaults::note(const std::string &What) {
+  auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Until_ - Time_.Now());
+  Done_.push_back(std::to_string(-Left.count()) + " ms " + What);
+}
+
+void SoakFaults::next() {
+  static constexpr std::array<Kind, 15> Kinds = {{
+      {"kill", &SoakFaults::killHost},
+      {"kill all", &SoakFaults::killAllHosts},
+      {"stop", &SoakFaults::stopHost},
+      {"freeze", &SoakFaults::freezeHost},
+      {"reload", &SoakFaults::reloadHost},
+      {"kill endpoint", &SoakFaults::killEndpoint},
+      {"freeze endpoint", &SoakFaults::freezeEndpoint},
+      {"drain endpoint", &SoakFaults::drainEndpoint},
+      {"harm way to endpoint", &SoakFaults::harmWayToEndpoint},
+      {"break ways to endpoint", &SoakFaults::breakWaysToEndpoint},
+      {"harm way to store", &SoakFaults::harmWayToStore},
+      {"stop store", &SoakFaults::stopStore},
+      {"forget history", &SoakFaults::forgetHistory},
+      {"change tables", &SoakFaults::changeTables},
+      {"evacuate", &SoakFaults::evacuate},
+  }};
+  if (Time_.Now() >= Until_)
+    return;
+  const Kind &K = Kinds[Random_() % Kinds.size()];
+  note(K.Name);
+  (this->*K.Inject)();
+  later(draw(LongestGap), [this] { next(); });
+}
+
+void SoakFaults::killHost() { anyHost().Process->signal(SIGKILL); }
+
+void SoakFaults::killAllHosts() {
+  for (SoakHost &Host : World_.Hosts)
+    Host.Process->signal(SIGKILL);
+}
+
+void SoakFaults::stopHost() { anyHost().Process->signal(SIGTERM); }
+
+void SoakFaults::freezeHost() {
+  SoakHost &Host = anyHost();
+  Host.Process->signal(SIGSTOP);
+  later(draw(LongestFault), [&Host] { Host.Process->signal(SIGCONT); });
+}
+
+void SoakFaults::reloadHost() { anyHost().Process->signal(SIGHUP); }
+
+void SoakFaults::killEndpoint() {
+  SoakEndpoint &E = anyEndpoint();
+  World_.killEndpoint(E);
+  later(EndpointRestart, [this, &E] {
+    if (E.Process == 0)
+      World_.startEndpoint(E);
+  });
+}
+
+void SoakFaults::freezeEndpoint() {
+  SoakEndpoint &E = anyEndpoint();
+  if (E.Process == 0)
+    return;
+  int Process = E.Process;
+  ::kill(Process, SIGSTOP);
+  later(draw(LongestFault), [&E, Process] {
+    if (E.Process == Process)
+      ::kill(Process, SIGCONT);
+  });
+}
+
+void SoakFaults::drainEndpoint() {
+  SoakEndpoint &E = anyEndpoint();
+  if (E.Process == 0)
+    return;
+  World_.announce(E, "draining");
+  later(DrainTime, [this, &E] {
+    World_.announce(E, "");
+    World_.killEndpoint(E);
+    later(EndpointRestart, [this, &E] {
+      if (E.Process == 0)
+        World_.startEndpoint(E);
+    });
+  });
+}
+
+void SoakFaults::harmWayToEndpoint() {
+  SoakEndpoint &E = anyEndpoint();
+  E.Way->setMode(HarmfulModes[Random_() % HarmfulModes.size()]);
+  later(draw(LongestFault), [&E] { E.Way->setMode(Mode::Pass); });
+}
+
+void SoakFaults::breakWaysToEndpoint() {
+  SoakEndpoint &E = anyEndpoint();
+  if (Random_() % 2 == 0)
+    E.Way->resetAll();
+  else
+    E.Way->silenceAll();
+}
+
+void SoakFaults::harmWayToStore() {
+  SoakHost &Host = anyHost();
+  Host.ToStore->setMode(HarmfulModes[Random_() % HarmfulModes.size()]);
+  later(draw(LongestFault), [&Host] { Host.ToStore->setMode(Mode::Pass); });
+}
+
+void SoakFaults::stopStore() {
+  World_.Store.setDown(true);
+  later(draw(LongestFault), [this] { World_.Store.setDown(false); });
+}
+
+void SoakFaults::forgetHistory() { World_.Store.forgetHistory(); }
+
+void SoakFaults::changeTables() { World_.nextTables(); }
+
+void SoakFaults::evacuate() {
+  static constexpr std::array Zones = {"north-a", "north-b", "south-a"};
+  std::string Key =
+      std::string("op/evacuate/") + Zones[Random_() % Zones.size()];
+  World_.Store.put(Key, "{}");
+  later(draw(LongestFault), [this, Key] { World_.Store.remove(Key); });
+}
+
+} // namespace celerybeam::testing
--- /dev/null
+++ b/tests/soak/soakworld.h
@@ -0,0 +1,102 @@
+#ifndef CELERYBEAM_TESTS_SOAK_SOAKWORLD_H
+#define CELERYBEAM_TESTS_SOAK_SOAKWORLD_H
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+
+#include "gateway/gatewayprocess.h"
+#include "gateway/storestandin.h"
+#include "soak/faultproxy.h"
+#include "soak/soakjudge.h"
+#include "support/temporaryfolder.h"
+
+namespace celerybeam::testing {
+
+/// How large a soak is and with which seed it runs.
+struct SoakOptions {
+  std::uint64_t Seed = 1;
+  Duration Length = std::chrono::seconds(20);
+  /// This program, to start endpoints with.
+  std::string Self;
+  /// Entry hosts and endpoints, in units of the smallest soak.
+  unsigned Scale = 1;
+  double RequestsPerSecond = 60;
+  /// A fault of the endpoints that the checks must find.
+  std::string Plant;
+};
+
+/// An entry host, its place in the fleet and its way to the store.
+struct SoakHost {
+  GatewayOptions Options;
+  std::unique_ptr<FaultProxy> ToStore;
+  std::unique_ptr<GatewayProcess> Process;
+  unsigned Starts = 0;
+  bool Stopping = false;
+
+  std::string address() const;
+  /// Names one start of it.
+  std::string start() const {
+    return Options.Name + "#" + std::to_string(Starts);
+  }
+};
+
+/// An endpoint process and the way to it.
+struct SoakEndpoint {
+  std::string Id;
+  std::string Service;
+  std::string Zone;
+  std::string Region;
+  std::unique_ptr<FaultProxy> Way;
+  int Process = 0;
+  unsigned Starts = 0;
+  bool Paused = false;
+  std::shared_ptr<boost::asio::posix::stream_descriptor> Output;
+  std::string Text;
+};
+
+/// The processes of a soak and the platform around them.
+class SoakWorld {
+public:
+  SoakWorld(EventLoop &Loop, const SoakOptions &Options, SoakJudge &Judge);
+  ~SoakWorld();
+
+  void startHost(SoakHost &Host);
+  /// Starts again those hosts that have ended.
+  void restartEnded();
+  void startEndpoint(SoakEndpoint &Endpoint);
+  void killEndpoint(SoakEndpoint &Endpoint);
+  /// Writes the endpoint's entry. \param State  "ready", "draining", or empty
+  /// to remove it.
+  void announce(const SoakEndpoint &Endpoint, const std::string &State);
+  /// Writes the next version of the tables.
+  void nextTables();
+
+  /// The routes that callers use now; the last is the one of this version.
+  std::vector<SoakRoute> routes() const;
+
+  EventLoop &Loop;
+  StoreStandIn Store;
+  std::vector<SoakHost> Hosts;
+  std::vector<SoakEndpoint> Endpoints;
+
+private:
+  void addHost(const std::string &Region, const std::string &Zone);
+  void addEndpoint(const std::string &Service, const std::string &Region,
+                   const std::string &Zone);
+  void readOutput(SoakEndpoint &Endpoint);
+  void takeLine(SoakEndpoint &Endpoint, const std::string &Line);
+
+  SoakOptions Options_;
+  SoakJudge &Judge_;
+  TemporaryFolder Folder_;
+  unsigned Version_ = 0;
+};
+
+} // namespace celerybeam::testing
+
+#endif
