Doubt an endpoint longer when it relapses, and try one whose checks fail

An endpoint that answers nothing while its check passes was trusted again after 300 ms, each time, at the cost of a request; one that serves while its check fails got nothing for as long as the check lied.

Change: each relapse within 5 s doubles the time without trust (0.5 to 4 s); an answer restores trust at once; after 2 s of failing checks a request that may be repeated finds out.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -126,7 +126,8 @@
       const FleetEndpoint *E = Endpoints[I];
       bool Trusted = Health_.isTrusted(E->Key);
       Log.Seen.Untrusted += Trusted ? 0 : 1;
-      if (contains(Log.Tried, E->Key) || !Trusted)
+      bool Trial = !Trusted && mayRepeat(Route.Kind) && Health_.mayTry(E->Key);
+      if (contains(Log.Tried, E->Key) || !(Trusted || Trial))
         continue;
       Candidate C;
       C.Endpoint = E;
@@ -345,6 +346,8 @@
                          const FleetRoute &Route, const ServeAt &Choice,
                          AttemptLog &Log) {
   const EndpointKey &Key = Choice.Endpoint.Key;
+  if (!Impl_->Health_.isTrusted(Key))
+    Impl_->Health_.tried(Key);
   Log.Tried.push_back(Key);
   Log.Sends += 1;
   Work W = workOf(Request, Route, Choice);
--- a/src/dispatch/internal/endpointhealth.cpp
+++ b/src/dispatch/internal/endpointhealth.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/endpointhealth.h"
 
+#include <algorithm>
+
 namespace celerybeam {
 
 void EndpointHealth::ended(const EndpointKey &Endpoint,
@@ -9,6 +11,8 @@
   State &S = States_[Endpoint];
   double Failure = Outcome == AttemptOutcome::Answered ? 0 : 1;
   S.FailureShare += (Failure - S.FailureShare) * LatestWeight;
+  if (Outcome == AttemptOutcome::Answered && S.Suspect)
+    restore(S);
   if (Outcome != AttemptOutcome::Broken) {
     S.BrokenInRow = 0;
     return;
@@ -21,17 +25,38 @@
   State &S = States_[Endpoint];
   if (S.Suspect)
     return;
+  TimePoint Now = Runtime_.Now();
+  bool Relapsed = Now - S.RestoredAt < RelapseWithin;
+  S.Penalty = Relapsed ? std::clamp(S.Penalty * 2, FirstPenalty, LongestPenalty)
+                       : Duration::zero();
   S.Suspect = true;
-  S.NextCheck = Runtime_.Now();
+  S.NextCheck = Now;
+  S.TrustFrom = Now + S.Penalty;
+  S.NextTrial = Now + std::max(TrialAfter, S.Penalty);
 }
 
-void EndpointHealth::checked(const EndpointKey &Endpoint, bool Healthy) {
-  State &S = States_[Endpoint];
-  S.NextCheck = Runtime_.Now() + CheckInterval;
-  if (!Healthy)
-    return;
+void EndpointHealth::restore(State &S) {
   S.Suspect = false;
   S.BrokenInRow = 0;
+  S.RestoredAt = Runtime_.Now();
+}
+
+bool EndpointHealth::mayTry(const EndpointKey &Endpoint) const {
+  auto Found = States_.find(Endpoint);
+  return Found != States_.end() && Found->second.Suspect &&
+         Runtime_.Now() >= Found->second.NextTrial;
+}
+
+void EndpointHealth::tried(const EndpointKey &Endpoint) {
+  States_[Endpoint].NextTrial = Runtime_.Now() + TrialAfter;
+}
+
+void EndpointHealth::checked(const EndpointKey &Endpoint, bool Healthy) {
+  State &S = States_[Endpoint];
+  TimePoint Now = Runtime_.Now();
+  S.NextCheck = std::max(Now + CheckInterval, S.TrustFrom);
+  if (Healthy && S.Suspect && Now >= S.TrustFrom)
+    restore(S);
 }
 
 bool EndpointHealth::isTrusted(const EndpointKey &Endpoint) const {
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -166,6 +166,18 @@
   BOOST_TEST(is<ServeAt>(send(request(1000), Quotes)));
 }
 
+// Only what may be repeated finds out whether a broken endpoint serves again.
+BOOST_AUTO_TEST_CASE(trialTakesARepeatableRequest) {
+  addEndpoint("a");
+  auto D = std::get<ServeAt>(send(request(1000), Quotes));
+  Decisions.end(D, Last, AttemptOutcome::Broken);
+  BOOST_TEST(is<Refusal>(send(request(1000), Questions)));
+  Time.runFor(EndpointHealth::TrialAfter);
+  BOOST_TEST(is<Refusal>(send(request(1000), Quotes)));
+  BOOST_TEST(is<ServeAt>(send(request(1000), Questions)));
+  BOOST_TEST(is<Refusal>(send(request(1000), Questions)));
+}
+
 BOOST_AUTO_TEST_CASE(mayRunOnceOnlyIfNotRepeatable) {
   RequestDescriptor R = request(0);
   AttemptLog Log;
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -4,6 +4,7 @@
 
 #include "dispatch/coldallowance.h"
 #include "dispatch/crashedrequests.h"
+#include "dispatch/endpointhealth.h"
 #include "dispatch/executionknowledge.h"
 #include "dispatch/holdqueue.h"
 #include "dispatch/longlane.h"
@@ -102,6 +103,53 @@
   }
 }
 
+// An endpoint whose health check passes while it answers nothing: it is tried
+// less and less often, and at once again after a calm time.
+BOOST_AUTO_TEST_CASE(endpointThatRelapsesIsTriedLessOften) {
+  testing::VirtualTime Time(1);
+  EndpointHealth Health(Time.runtime());
+  const EndpointKey E{42};
+  unsigned Tries = 0;
+  for (int Step = 0; Step < 1000; ++Step) {
+    if (Health.isTrusted(E)) {
+      ++Tries;
+      Health.ended(E, AttemptOutcome::Broken);
+    }
+    for (const EndpointKey &Key : Health.dueForCheck())
+      Health.checked(Key, true);
+    Time.runFor(10ms);
+  }
+  BOOST_TEST(Tries >= 3U);
+  BOOST_TEST(Tries <= 7U);
+  Time.runFor(20s);
+  for (const EndpointKey &Key : Health.dueForCheck())
+    Health.checked(Key, true);
+  BOOST_REQUIRE(Health.isTrusted(E));
+  Time.runFor(20s);
+  Health.ended(E, AttemptOutcome::Broken);
+  for (const EndpointKey &Key : Health.dueForCheck())
+    Health.checked(Key, true);
+  BOOST_TEST(Health.isTrusted(E));
+}
+
+// One whose health check fails while it would serve: one request now and then
+// finds out.
+BOOST_AUTO_TEST_CASE(endpointThatFailsItsChecksGetsATrial) {
+  testing::VirtualTime Time(1);
+  EndpointHealth Health(Time.runtime());
+  const EndpointKey E{42};
+  Health.ended(E, AttemptOutcome::Broken);
+  BOOST_TEST(!Health.mayTry(E));
+  Time.runFor(EndpointHealth::TrialAfter);
+  Health.checked(E, false);
+  BOOST_TEST(!Health.isTrusted(E));
+  BOOST_TEST(Health.mayTry(E));
+  Health.tried(E);
+  BOOST_TEST(!Health.mayTry(E));
+  Health.ended(E, AttemptOutcome::Answered);
+  BOOST_TEST(Health.isTrusted(E));
+}
+
 // A report reaches a host over several others.
 BOOST_AUTO_TEST_CASE(crashCountsOnceHoweverOftenItIsTold) {
   testing::VirtualTime Time(1);
