Soak: callers look at a kept connection before they use it

The soak's callers had kept connections to its process of before, and took the latest dead one for each request. Callers on the platform see that a connection is closed.

Ruled out: a host that hangs after it was killed (state and log of the process during the last requests); signals to numbers of processes that had ended (now guarded as well).

A kept connection that has bytes without a request is now a broken promise.

--- a/tests/gateway/gatewayprocess.cpp
+++ b/tests/gateway/gatewayprocess.cpp
@@ -76,7 +76,11 @@
   waitpid(Process_, nullptr, 0);
 }
 
-void GatewayProcess::signal(int Number) const { ::kill(Process_, Number); }
+void GatewayProcess::signal(int Number) const {
+  // The number of a process that was waited for may belong to another one.
+  if (!Ended_)
+    ::kill(Process_, Number);
+}
 
 bool GatewayProcess::hasEnded() {
   int Status = 0;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -40,7 +40,8 @@
     Loop_.run();
     Judge_.close(Time_.Now());
     report();
-    return Judge_.broken().empty() && recovered();
+    return Judge_.broken().empty() && recovered() &&
+           Caller_.strayAnswers() == 0;
   }
 
 private:
@@ -53,7 +54,7 @@
   void keepCalling() {
     if (Time_.Now() >= EndsAt_)
       return Time_.After(Recovery, [this] { callAtTheEnd(LastRequests); });
-    call([](const CallResult &) {});
+    call([](const std::string &, const CallResult &) {});
     constexpr double UsPerSecond = 1e6;
     double Mean = UsPerSecond / Options_.RequestsPerSecond;
     std::exponential_distribution<double> Gap(1 / Mean);
@@ -66,9 +67,13 @@
       LastCallAt_ = Time_.Now();
       return awaitAnswers();
     }
-    call([this](const CallResult &R) {
+    call([this](const std::string &What, const CallResult &R) {
       constexpr unsigned Ok = 200;
-      ServedLast_ += R.Whole && R.Status == Ok ? 1 : 0;
+      bool Served = R.Whole && R.Status == Ok;
+      ServedLast_ += Served ? 1 : 0;
+      if (!Served)
+        NotServedLast_.push_back(What + " status " + std::to_string(R.Status) +
+                                 (R.Sent ? "" : ", not sent") + " " + R.Body);
     });
     Time_.After(std::chrono::milliseconds(40),
                 [this, Left] { callAtTheEnd(Left - 1); });
@@ -82,7 +87,8 @@
     Time_.After(Look, [this] { awaitAnswers(); });
   }
 
-  void call(const SoakCaller::Done &Also) {
+  void call(const std::function<void(const std::string &What,
+                                     const CallResult &)> &Also) {
     auto Routes = World_.routes();
     const SoakRoute &Route = Routes[Random_() % Routes.size()];
     SoakHost &Host = World_.Hosts[Random_() % World_.Hosts.size()];
@@ -93,9 +99,10 @@
         "Content-Length: " + std::to_string(Id.size()) + "\r\n\r\n" + Id;
     Judge_.sent(Id, Route, Host.start(), Time_.Now());
     Caller_.call(Host.address(), Request, SoakJudge::CallerPatience,
-                 [this, Id, Also](const CallResult &R) {
+                 [this, Id, Also,
+                  What = Host.start() + " " + Route.Path](const CallResult &R) {
                    Judge_.ended(Id, R, Time_.Now());
-                   Also(R);
+                   Also(What, R);
                  });
   }
 
@@ -109,12 +116,17 @@
               << Judge_.refused() << " refused, " << Judge_.runs() << " runs, "
               << Faults_.done().size() << " faults, " << ServedLast_
               << " of the last " << LastRequests << " served\n";
+    if (Caller_.strayAnswers() > 0)
+      std::cout << "BROKEN whole answers: " << Caller_.strayAnswers()
+                << " connections got bytes without a request\n";
     if (Judge_.broken().empty() && recovered())
       return;
     for (const std::string &Broken : Judge_.broken())
       std::cout << "BROKEN " << Broken << "\n";
     if (!recovered())
       std::cout << "BROKEN recovery\n";
+    for (const std::string &What : NotServedLast_)
+      std::cout << "  not served at the end: " << What << "\n";
     for (const std::string &Fault : Faults_.done())
       std::cout << "  " << Fault << "\n";
   }
@@ -131,6 +143,7 @@
   TimePoint LastCallAt_{};
   unsigned Requests_ = 0;
   unsigned ServedLast_ = 0;
+  std::vector<std::string> NotServedLast_;
 };
 
 int runEndpoint(const options::variables_map &Given) {
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -3,6 +3,10 @@
 #include "relay/internal/beast.h"
 #include "relay/internal/sockets.h"
 
+#include <cerrno>
+
+#include <sys/socket.h>
+
 namespace celerybeam::testing {
 
 namespace {
@@ -96,11 +100,13 @@
       if (!Error)
         C->fail();
     });
-    auto &Kept = Idle[Host];
-    if (!Kept.empty()) {
+    for (auto &Kept = Idle[Host]; !Kept.empty();) {
       C->Socket = std::move(Kept.back());
       Kept.pop_back();
-      return C->send();
+      if (isOpen(C->Socket))
+        return C->send();
+      ErrorCode Ignored;
+      C->Socket.close(Ignored);
     }
     auto To = parseEndpoint(Address(Host));
     if (!To)
@@ -112,13 +118,26 @@
     });
   }
 
+  /// Whether the host has neither closed the connection nor sent bytes that
+  /// answer nothing.
+  bool isOpen(Tcp::socket &Socket) {
+    char Byte = 0;
+    ssize_t Got =
+        ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    Stray += Got > 0 ? 1 : 0;
+    return Got < 0 && errno == EAGAIN;
+  }
+
   EventLoop &Loop;
   std::map<std::string, std::vector<Tcp::socket>> Idle;
+  unsigned Stray = 0;
 };
 
 SoakCaller::SoakCaller(EventLoop &Loop) : Impl_(std::make_shared<Impl>(Loop)) {}
 SoakCaller::~SoakCaller() = default;
 
+unsigned SoakCaller::strayAnswers() const { return Impl_->Stray; }
+
 void SoakCaller::call(const std::string &Host, std::string Request,
                       Duration Timeout, Done Then) {
   Impl_->call(Host, std::move(Request), Timeout, std::move(Then));
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -36,6 +36,9 @@
   void call(const std::string &Host, std::string Request, Duration Timeout,
             Done Then);
 
+  /// Kept connections on which bytes came while no request was waiting.
+  unsigned strayAnswers() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> Impl_;
