Learn how long waiting takes

Change: the time that single requests waited, over what was predicted, scales the prediction for the pool at that placer (bounds 0.5 to 4).

Ruled out: late grants (a place is used within milliseconds: first event minus placer's time is what was predicted for the engine); passing on is late as well, by 300 to 400 ms, and not changed here.

Test, written with the change: waitsThatTakeLongerAreLearned (new call).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -121,6 +121,8 @@
 /// Wait at this host: every endpoint that suits has enough to do.
 struct Hold {
   Duration Expected{};
+  /// Part of it spent behind others that wait.
+  Duration QueueWait{};
   /// Sent later than this, its first output misses the latency target.
   TimePoint BestBefore{};
   /// Sent later than this, it would be refused.
@@ -179,6 +181,9 @@
   void offerPlaces();
   static constexpr Duration OfferInterval = std::chrono::milliseconds(5);
 
+  /// A request that waited was served after this time.
+  void waited(const PoolName &Pool, Duration Predicted, Duration Took);
+
   /// Means of the pools over the endpoints that this host places at, for the
   /// other regions.
   std::vector<PoolOutlook> outlook() const;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "framework/stablehash.h"
@@ -14,6 +15,13 @@
 constexpr unsigned MaxRefusedSends = 2;
 /// No request is sent that has less time left than this.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(20);
+/// Shorter predictions of a wait say little of how good they are.
+constexpr Duration LeastQueueWait = std::chrono::milliseconds(20);
+/// Weight and bound of one observed wait, and bounds of what is learned.
+constexpr double QueueWeight = 0.05;
+constexpr double MostQueueRatio = 4;
+constexpr double LeastQueueFactor = 0.5;
+constexpr double MostQueueFactor = 4;
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration MostRetryAfter = std::chrono::seconds(5);
 
@@ -86,6 +94,7 @@
     if (Levels.empty())
       return Positions;
     std::vector<std::uint64_t> Ranks;
+    Ranks.reserve(Endpoints.size());
     for (const FleetEndpoint *E : Endpoints)
       Ranks.push_back(stableHash(E->Key.Value, Levels.back().Hash));
     for (std::size_t I = 0; I < Ranks.size(); ++I)
@@ -222,8 +231,9 @@
         Here && (!Here->Expected.Ready ||
                  (!Log.Held && Held_.hasAhead(Log.Pool, Route.Rank)));
     Duration HereIn = Here ? Here->Expected.ToFirstOutput : Duration::zero();
-    if (MustWait && !Log.Held)
-      HereIn += queueWait(*Pool, Route.Rank);
+    Duration Queue =
+        MustWait && !Log.Held ? queueWait(*Pool, Route.Rank) : Duration::zero();
+    HereIn += Queue;
     bool GoAway =
         Away && (!Here || (HereIn > AwayFrom &&
                            Away->Expected + Settings_.AwayGain < HereIn));
@@ -241,7 +251,7 @@
     if (GoAway)
       return PassOn{Away->Host, Away->Expected};
     if (MustWait)
-      return holdFor(Request, Route, Log, *Here, HereIn);
+      return holdFor(Request, Route, Log, *Here, HereIn, Queue);
     if (Here->Cold &&
         !Cold_.take(Here->Endpoint->Key, Pool->ColdRequestsPerSecond))
       return refuse("cold", Settings_.DefaultRetryAfter);
@@ -249,11 +259,11 @@
   }
 
   Hold holdFor(const RequestDescriptor &Request, const FleetRoute &Route,
-               const AttemptLog &Log, const Candidate &Here,
-               Duration Expected) const {
+               const AttemptLog &Log, const Candidate &Here, Duration Expected,
+               Duration Queue) const {
     Duration Own = Here.Expected.ToFirstOutput - Here.Expected.Wait;
     Duration Most = Log.Runs > 0 ? Route.Timeout : admitLimit(Route, true);
-    return {Expected, Log.Arrived + Route.LatencyTarget - Own,
+    return {Expected, Queue, Log.Arrived + Route.LatencyTarget - Own,
             std::min(Log.Arrived + Most, Request.Deadline) - Own};
   }
 
@@ -280,7 +290,27 @@
     std::size_t Places = Endpoints.size();
     if (!Pool.Engine)
       Places *= std::max(1U, Endpoints.front()->Slots);
-    return Work / static_cast<Duration::rep>(Places);
+    return scaled(Work / static_cast<Duration::rep>(Places),
+                  queueFactor(Pool.Name));
+  }
+
+  double queueFactor(const PoolName &Pool) const {
+    auto Found = QueueFactors_.find(Pool);
+    return Found == QueueFactors_.end() ? 1 : Found->second;
+  }
+
+  /// Endpoints do not work off a queue at their full speed: streams, pauses
+  /// between prompts and unlike prompts take their part. What single requests
+  /// waited tells how much.
+  void waited(const PoolName &Pool, Duration Predicted, Duration Took) {
+    if (Predicted < LeastQueueWait)
+      return;
+    double Ratio = std::clamp(static_cast<double>(Took.count()) /
+                                  static_cast<double>(Predicted.count()),
+                              1 / MostQueueRatio, MostQueueRatio);
+    double &Factor = QueueFactors_.try_emplace(Pool, 1).first->second;
+    Factor = std::clamp(Factor * std::pow(Ratio, QueueWeight), LeastQueueFactor,
+                        MostQueueFactor);
   }
 
   static Duration scaled(Duration D, double Factor) {
@@ -302,6 +332,8 @@
   ColdAllowance Cold_;
   LongLane Lane_;
   HoldQueue Held_;
+  /// Time that waiting takes, over the time that it is predicted to take.
+  std::map<PoolName, double> QueueFactors_;
   std::function<bool(const EndpointKey &)> Owns_;
 };
 
@@ -390,6 +422,11 @@
         Impl_->Predictor_.ownTime(*Pool, Request.PromptTokens));
 }
 
+void Dispatcher::waited(const PoolName &Pool, Duration Predicted,
+                        Duration Took) {
+  Impl_->waited(Pool, Predicted, Took);
+}
+
 HoldQueue &Dispatcher::held() { return Impl_->Held_; }
 void Dispatcher::offerPlaces() { Impl_->Held_.offer(Impl_->Runtime_.Now()); }
 
--- a/src/dispatch/internal/placementdesk.cpp
+++ b/src/dispatch/internal/placementdesk.cpp
@@ -20,6 +20,8 @@
   /// Of the last change.
   TimePoint At{};
   std::optional<HoldId> Waits;
+  TimePoint WaitsSince{};
+  Duration PredictedWait{};
   std::optional<Booking> Booked;
 };
 
@@ -70,6 +72,8 @@
     PlacementAnswer Answer{D, Ask.Log.Seen};
     std::string Ip = P.Ip;
     P.At = Runtime_.Now();
+    if (P.Waits && std::holds_alternative<ServeAt>(D))
+      Decisions_.waited(Ask.Log.Pool, P.PredictedWait, P.At - P.WaitsSince);
     if (Waits)
       wait(Id, P, std::get<Hold>(D));
     else
@@ -95,6 +99,8 @@
     Held.GiveUpAt = Wait.GiveUpAt;
     Held.Tokens = std::max(1U, P.Ask.Request.PromptTokens);
     Held.Offer = [this, Id] { return decide(Id); };
+    P.WaitsSince = Runtime_.Now();
+    P.PredictedWait = Wait.QueueWait;
     P.Waits = Decisions_.held().add(std::move(Held));
     armOffer();
   }
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -226,6 +226,24 @@
   BOOST_TEST(is<ServeAt>(send(R, Quotes)));
 }
 
+// Sustained overload: those that wait do so twice as long as the queue alone
+// tells, and who cannot be served in time is refused on arrival.
+BOOST_AUTO_TEST_CASE(waitsThatTakeLongerAreLearned) {
+  addEndpoint("a");
+  send(request(20000), Quotes);
+  HeldRequest Waiting;
+  Waiting.Pool = PoolName("engines");
+  Waiting.Rank = 1;
+  Waiting.Tokens = 30000;
+  Decisions.held().add(Waiting);
+  auto D = send(request(9000), Quotes);
+  BOOST_REQUIRE(is<Hold>(D));
+  Duration Predicted = std::get<Hold>(D).QueueWait;
+  for (int I = 0; I < 60; ++I)
+    Decisions.waited(PoolName("engines"), Predicted, 2 * Predicted);
+  BOOST_TEST(is<Refusal>(send(request(9000), Quotes)));
+}
+
 BOOST_AUTO_TEST_CASE(plainServiceTakesAsManyAsItsSlots) {
   addEndpoint("a", "plain");
   BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
--- a/src/dispatch/tests/placementtest.cpp
+++ b/src/dispatch/tests/placementtest.cpp
@@ -16,7 +16,7 @@
 
 /// A host with its own beliefs, desk and client.
 struct Host {
-  Host(testing::VirtualTime &Time, HostState Self,
+  Host(testing::VirtualTime &Time, const HostState &Self,
        PlacementClient::SendHook Send, PlacementDesk::AnswerHook Answer)
       : View(Time.runtime(), {}), Hosts(Time.runtime(), Self),
         Decisions(Time.runtime(), View, Hosts, {}),
--- a/src/fleethost/internal/newscodec.cpp
+++ b/src/fleethost/internal/newscodec.cpp
@@ -141,7 +141,7 @@
   if (In.has_serve())
     Answer.Decision = readServe(In.serve(), Fleet);
   else if (In.has_held())
-    Answer.Decision = Hold{span(In.held().expected_ms()), {}, {}};
+    Answer.Decision = Hold{span(In.held().expected_ms()), {}, {}, {}};
   else if (In.has_pass_on())
     Answer.Decision =
         PassOn{readHost(In.pass_on().host()), span(In.pass_on().expected_ms())};
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -71,8 +71,11 @@
 }
 
 SoakWorld::~SoakWorld() {
-  for (SoakEndpoint &E : Endpoints)
-    killEndpoint(E);
+  for (const SoakEndpoint &E : Endpoints)
+    if (E.Process != 0) {
+      ::kill(E.Process, SIGKILL);
+      ::waitpid(E.Process, nullptr, 0);
+    }
 }
 
 void SoakWorld::addHost(const std::string &Region, const std::string &Zone) {
@@ -123,6 +126,7 @@
   if (!Options_.Plant.empty())
     Words.insert(Words.end(), {"--plant", Options_.Plant});
   std::vector<char *> Arguments;
+  Arguments.reserve(Words.size() + 1);
   for (std::string &Word : Words)
     Arguments.push_back(Word.data());
   Arguments.push_back(nullptr);
