Admit what can be served before its caller leaves

Cause: a stream was refused when its first output was predicted later than about the latency target, whatever its deadline.

Change: one rule (AdmissionRule) in place of the limit. What can be on time goes first; what cannot takes what is left, and is refused at once when the forecast (QueueForecast: work ahead, demand of the last seconds) leaves it no time before its deadline, its stream's own time and its caller's patience. FairShares: ranks and long prompts that are served too seldom stand with the most urgent; EndpointReservations keeps an engine free for a long prompt that short ones would overtake. ReturningCallers: who was refused is late when it returns and takes no place from one that can be on time. Work that waits counts by what an engine has to read, or by the slots it takes where these are scarcer.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "dispatch/admissionrule.h"
 #include "dispatch/coldallowance.h"
 #include "dispatch/crashedrequests.h"
 #include "dispatch/descriptor.h"
@@ -35,12 +36,13 @@
   /// Share of the latency target that the answer here must be predicted to
   /// take before another region is considered.
   double AwayFrom = 0.5;
-  /// A request is refused when its first output is predicted later than this
-  /// multiple of its latency target.
-  double AdmitUpTo = 1.0;
-  /// A request that waits already is refused only beyond this multiple: those
-  /// that came later stand behind it.
-  double HoldUpTo = 1.25;
+  /// Prompts that an idle engine reads for longer than this share of their
+  /// latency target count as long: under load they are the first that cannot be
+  /// on time.
+  double LongFrom = 0.5;
+  /// A stream's first output is to come this long before its caller gives up
+  /// waiting for it: predictions err by about as much.
+  Duration PatienceMargin = std::chrono::milliseconds(300);
   /// Share of an uncached prompt's reading time that counts against an
   /// endpoint although the request itself would not wait for it: the work
   /// delays those that follow.
@@ -88,9 +90,15 @@
   ExecutionKnowledge Known = ExecutionKnowledge::NotSent;
   /// When it arrived; set by the first choice.
   TimePoint Arrived{};
+  /// When its caller first asked, if it was refused before; set by the first
+  /// choice.
+  std::optional<TimePoint> FirstAsked;
   /// Whether it waits in the hold queue, so that nobody there is ahead of it
   /// but those that are offered to before it.
   bool Held = false;
+  /// Where it stands there, and whether that is a long prompt's share.
+  QueueLane Lane = QueueLane::OnTime;
+  bool HasShare = false;
   /// Of the latest choice.
   DecisionInputs Seen;
 };
@@ -121,12 +129,16 @@
 /// Wait at this host: every endpoint that suits has enough to do.
 struct Hold {
   Duration Expected{};
-  /// Part of it spent behind others that wait.
+  /// Part of it spent behind others that can be on time; zero for one that
+  /// cannot.
   Duration QueueWait{};
-  /// Sent later than this, its first output misses the latency target.
-  TimePoint BestBefore{};
-  /// Sent later than this, it would be refused.
-  TimePoint GiveUpAt{};
+  /// See HeldRequest.
+  TimePoint OnTimeUntil{};
+  TimePoint DecideAgainAt{};
+  Duration Work{};
+  /// In the queue; a class that is owed a share stands with the most urgent.
+  unsigned Rank = 0;
+  bool KeepsEndpoint = false;
 };
 
 using DispatchDecision = std::variant<ServeAt, PassOn, Hold, Refusal>;
@@ -183,6 +195,10 @@
 
   /// A request that waited was served after this time.
   void waited(const PoolName &Pool, Duration Predicted, Duration Took);
+  /// A whole stream of at most this many tokens took this long from its first
+  /// output on.
+  void streamed(const PoolName &Pool, std::uint32_t MaxOutputTokens,
+                Duration Took);
 
   /// Means of the pools over the endpoints that this host places at, for the
   /// other regions.
--- a/src/dispatch/holdqueue.h
+++ b/src/dispatch/holdqueue.h
@@ -7,27 +7,26 @@
 #include <vector>
 
 #include "blackboard/idtypes.h"
+#include "dispatch/queueforecast.h"
 #include "framework/runtime.h"
 
 namespace celerybeam {
 
-/// Prompt tokens that wait for a place, of the most urgent rank and of all;
-/// requests of plain services count one token each.
-struct QueuedWork {
-  std::uint32_t Urgent = 0;
-  std::uint32_t All = 0;
-};
-
 /// A request that waits for a place at an endpoint.
 struct HeldRequest {
   PoolName Pool;
   unsigned Rank = 0;
   TimePoint Arrived{};
-  /// Sent later than this, its first output misses the latency target.
-  TimePoint BestBefore{};
-  /// Sent later than this, it is not worth sending; it is then refused.
-  TimePoint GiveUpAt{};
-  std::uint32_t Tokens = 1;
+  /// Until then it stands among those that can be on time.
+  TimePoint OnTimeUntil{};
+  /// From then on it is offered to whatever stands ahead of it, so that it is
+  /// decided on anew.
+  TimePoint DecideAgainAt{};
+  /// Time that it takes of one place.
+  Duration Work{};
+  /// Whether an endpoint is kept free for it, so that those behind it do not
+  /// wait for the same places.
+  bool KeepsEndpoint = false;
   /// Tries to go on. \return whether the request no longer waits.
   std::function<bool()> Offer;
 };
@@ -48,14 +47,21 @@
 public:
   HoldId add(HeldRequest Request);
   void remove(HoldId Id);
+  /// A request that goes on waiting was decided on anew.
+  void update(HoldId Id, TimePoint OnTimeUntil, TimePoint DecideAgainAt);
 
   /// Offers to the first requests of each pool, in order. An offer may add
   /// and remove requests.
   void offer(TimePoint Now);
 
-  /// Whether a request of the pool that is at least as urgent waits.
+  /// Whether a request of the pool that is at least as urgent waits for the
+  /// same places as others.
   bool hasAhead(const PoolName &Pool, unsigned Rank) const;
-  const QueuedWork &queued(const PoolName &Pool) const;
+  /// What is served before a request of this rank and arrival: all of its rank
+  /// or a more urgent one that can be on time, and of those that are late the
+  /// ones that came before it.
+  WorkAhead ahead(const PoolName &Pool, unsigned Rank, TimePoint Arrived,
+                  TimePoint Now) const;
   std::size_t size() const { return Requests_.size(); }
 
   /// Requests that are offered to at a time: those behind them wait for the
@@ -71,16 +77,13 @@
     auto operator<=>(const Position &) const = default;
   };
 
-  struct PoolSums {
-    QueuedWork Work;
-    /// Requests by rank; no entry is zero.
-    std::map<unsigned, std::size_t> ByRank;
-  };
+  /// Requests by rank; no entry is zero.
+  using RankCounts = std::map<unsigned, std::size_t>;
 
   std::uint64_t LastSerial_ = 0;
   std::map<Position, HeldRequest> Requests_;
   std::map<std::uint64_t, Position> Positions_;
-  std::map<PoolName, PoolSums> Pools_;
+  std::map<PoolName, RankCounts> Pools_;
 };
 
 } // namespace celerybeam
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -1,9 +1,12 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "dispatch/endpointreservations.h"
+#include "dispatch/fairshares.h"
+#include "dispatch/queueforecast.h"
+#include "dispatch/returningcallers.h"
 #include "framework/stablehash.h"
 
 namespace celerybeam {
@@ -15,13 +18,6 @@
 constexpr unsigned MaxRefusedSends = 2;
 /// No request is sent that has less time left than this.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(20);
-/// Shorter predictions of a wait say little of how good they are.
-constexpr Duration LeastQueueWait = std::chrono::milliseconds(20);
-/// Weight and bound of one observed wait, and bounds of what is learned.
-constexpr double QueueWeight = 0.05;
-constexpr double MostQueueRatio = 4;
-constexpr double LeastQueueFactor = 0.5;
-constexpr double MostQueueFactor = 4;
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration MostRetryAfter = std::chrono::seconds(5);
 
@@ -52,7 +48,8 @@
         Settings_(Settings), Loads_(Runtime_), Health_(Runtime_),
         Crashes_(Runtime_), Regions_(Runtime_),
         Predictor_(Runtime_, Loads_, Prefixes_), Budget_(Runtime_, RetryBounds),
-        Cold_(Runtime_), Lane_(Settings.LongPrompts) {}
+        Cold_(Runtime_), Lane_(Settings.LongPrompts), Forecast_(Runtime_),
+        Shares_(Runtime_), Reservations_(Runtime_), Returning_(Runtime_) {}
 
   PoolName drawPool(const FleetRoute &Route) {
     double Sum = 0;
@@ -147,6 +144,8 @@
         continue;
       }
       C.Expected = Predictor_.predict(*E, Pool, Request, Route, Source);
+      if (Reservations_.isKeptFrom(E->Key, Request.Fingerprint))
+        C.Expected.Ready = false;
       if (C.Expected.CopiedTokens > 0)
         C.CopyFrom = Source.Endpoint->Where;
       C.Score = C.Expected.ToFirstOutput +
@@ -220,97 +219,182 @@
     if (auto Refused = admit(Request, Route, Log))
       return *Refused;
     const FleetPool *Pool = poolOf(Log);
-    Duration Left = Request.Deadline - Runtime_.Now();
     Log.Seen = {};
+    if (!Log.FirstAsked)
+      Log.FirstAsked =
+          Returning_.takeFirstAsked(Request.Fingerprint).value_or(Log.Arrived);
     auto Here = bestHere(Request, Route, *Pool, Log);
     auto Away = bestAway(Request, Route, *Pool, Log);
     if (!Here && !Away)
       return refuse("no_endpoint", Settings_.DefaultRetryAfter);
-    Duration AwayFrom = scaled(Route.LatencyTarget, Settings_.AwayFrom);
-    bool MustWait =
-        Here && (!Here->Expected.Ready ||
-                 (!Log.Held && Held_.hasAhead(Log.Pool, Route.Rank)));
-    Duration HereIn = Here ? Here->Expected.ToFirstOutput : Duration::zero();
-    Duration Queue =
-        MustWait && !Log.Held ? queueWait(*Pool, Route.Rank) : Duration::zero();
-    HereIn += Queue;
-    bool GoAway =
-        Away && (!Here || (HereIn > AwayFrom &&
-                           Away->Expected + Settings_.AwayGain < HereIn));
+    AdmissionCase Case = caseOf(Request, Route, *Pool, Log, Here);
+    Admission Home = Here ? celerybeam::admit(Case) : Admission();
+    Log.Seen.Limit = Case.Latest;
     if (Here)
-      Log.Seen.Here = HereIn;
+      Log.Seen.Here = Home.Expected;
     if (Away)
       Log.Seen.Away = Away->Expected;
-    Duration Expected = GoAway ? Away->Expected : HereIn;
-    Duration Waited = Runtime_.Now() - Log.Arrived;
-    // What has begun is finished, if late: giving it up would waste the work.
-    Duration Limit = Log.Runs > 0 ? Route.Timeout : admitLimit(Route, Log.Held);
-    Log.Seen.Limit = std::min(Limit, Waited + Left);
-    if (Expected > Left || Waited + Expected > Limit)
-      return refuse("too_late", Waited + Expected - std::min(Left, Limit));
-    if (GoAway)
+    if (Away && isBetterAway(Away->Expected, Case, Home, Here.has_value()))
       return PassOn{Away->Host, Away->Expected};
-    if (MustWait)
-      return holdFor(Request, Route, Log, *Here, HereIn, Queue);
+    if (!Here)
+      return refuseLate(Request, Log,
+                        Case.Waited + Away->Expected - Case.Latest);
+    noteAdmission(Request, Route, *Pool, Log, *Here, Home.Admitted);
+    if (!Home.Admitted)
+      return refuseLate(Request, Log, Home.RetryAfter);
+    if (Case.MustWait)
+      return holdFor(Request, Route, *Pool, Log, *Here, Case, Home);
     if (Here->Cold &&
         !Cold_.take(Here->Endpoint->Key, Pool->ColdRequestsPerSecond))
       return refuse("cold", Settings_.DefaultRetryAfter);
     return ServeAt{*Here->Endpoint, Here->Expected, Here->Cold, Here->CopyFrom};
   }
 
-  Hold holdFor(const RequestDescriptor &Request, const FleetRoute &Route,
-               const AttemptLog &Log, const Candidate &Here, Duration Expected,
-               Duration Queue) const {
-    Duration Own = Here.Expected.ToFirstOutput - Here.Expected.Wait;
-    Duration Most = Log.Runs > 0 ? Route.Timeout : admitLimit(Route, true);
-    return {Expected, Queue, Log.Arrived + Route.LatencyTarget - Own,
-            std::min(Log.Arrived + Most, Request.Deadline) - Own};
+  Refusal refuseLate(const RequestDescriptor &Request, const AttemptLog &Log,
+                     Duration RetryAfter) {
+    Refusal Why = refuse("too_late", RetryAfter);
+    Returning_.refused(Request.Fingerprint, *Log.FirstAsked, Why.RetryAfter);
+    return Why;
   }
 
-  /// Plain services wait as long as they may: an answer soon after the target
-  /// is still of use there and costs the endpoint no more.
-  Duration admitLimit(const FleetRoute &Route, bool Waits) const {
-    if (!isStream(Route.Kind))
-      return Route.Timeout;
-    return scaled(Route.LatencyTarget,
-                  Waits ? Settings_.HoldUpTo : Settings_.AdmitUpTo);
+  /// Time that serving the request takes of an engine, or of one slot of a
+  /// plain service. An engine reads one prompt at a time and has a slot taken
+  /// until the stream ends: whichever is scarcer counts.
+  Duration workOf(const RequestDescriptor &Request, const FleetPool &Pool,
+                  const Candidate &Here) const {
+    Duration Own = Predictor_.ownTime(Pool, Here.Expected.UncachedTokens);
+    if (!Pool.Engine)
+      return Own;
+    Duration Whole = Own + Predictor_.streamTime(Pool, Request.MaxOutputTokens);
+    auto Slots = static_cast<Duration::rep>(std::max(1U, Here.Endpoint->Slots));
+    return std::max(Own - Predictor::EngineOverhead, Whole / Slots);
   }
 
-  /// Time until the endpoints have worked off what waits here ahead of a
-  /// request of this rank.
-  Duration queueWait(const FleetPool &Pool, unsigned Rank) const {
-    auto Endpoints = placedHere(Pool.Name);
-    if (Endpoints.empty())
-      return Duration::zero();
-    const QueuedWork &Queued = Held_.queued(Pool.Name);
-    std::uint32_t Ahead = Rank == 0 ? Queued.Urgent : Queued.All;
-    Duration Work = Pool.Engine ? Predictor_.ownTime(Pool, Ahead) -
-                                      Predictor::EngineOverhead
-                                : Predictor_.ownTime(Pool, 0) * Ahead;
-    std::size_t Places = Endpoints.size();
-    if (!Pool.Engine)
-      Places *= std::max(1U, Endpoints.front()->Slots);
-    return scaled(Work / static_cast<Duration::rep>(Places),
-                  queueFactor(Pool.Name));
+  ServiceClass classOf(const FleetRoute &Route, const FleetPool &Pool,
+                       const Candidate &Here) const {
+    return {Pool.Name, Route.Rank, isLong(Route, Here)};
+  }
+
+  /// Whether a long prompt may wait among those that can be on time.
+  bool isOwedAShare(const FleetRoute &Route, const FleetPool &Pool,
+                    const AttemptLog &Log, const Candidate &Here) const {
+    if (Log.Held)
+      return Log.HasShare;
+    ServiceClass Class = classOf(Route, Pool, Here);
+    return Class.Long && Shares_.isLengthOwed(Class);
+  }
+
+  /// Rank in the queue.
+  unsigned queueRank(const FleetRoute &Route, const FleetPool &Pool,
+                     const AttemptLog &Log, const Candidate &Here) const {
+    bool Owed = isOwedAShare(Route, Pool, Log, Here) ||
+                Shares_.isRankOwed(classOf(Route, Pool, Here));
+    return Owed ? 0 : Route.Rank;
+  }
+
+  bool isLong(const FleetRoute &Route, const Candidate &Here) const {
+    Duration Idle = Here.Expected.ToFirstOutput - Here.Expected.Wait;
+    return isStream(Route.Kind) &&
+           Idle > scaled(Route.LatencyTarget, Settings_.LongFrom);
+  }
+
+  /// What has begun is finished, if late: giving it up would waste the work.
+  Duration latestOutput(const RequestDescriptor &Request,
+                        const FleetRoute &Route, const FleetPool &Pool,
+                        const AttemptLog &Log) const {
+    Duration ToDeadline = Request.Deadline - Log.Arrived;
+    if (Log.Runs > 0 || !isStream(Route.Kind))
+      return ToDeadline;
+    Duration Latest =
+        ToDeadline - Predictor_.streamTime(Pool, Request.MaxOutputTokens);
+    if (Route.FirstOutputPatience > Duration::zero())
+      Latest = std::min(Latest,
+                        Route.FirstOutputPatience - Settings_.PatienceMargin);
+    return Latest;
   }
 
-  double queueFactor(const PoolName &Pool) const {
-    auto Found = QueueFactors_.find(Pool);
-    return Found == QueueFactors_.end() ? 1 : Found->second;
+  AdmissionCase caseOf(const RequestDescriptor &Request,
+                       const FleetRoute &Route, const FleetPool &Pool,
+                       const AttemptLog &Log,
+                       const std::optional<Candidate> &Here) const {
+    AdmissionCase Case;
+    Case.Waited = Runtime_.Now() - Log.Arrived;
+    Case.SinceFirstAsked = Runtime_.Now() - *Log.FirstAsked;
+    Case.LatencyTarget = Route.LatencyTarget;
+    Case.Latest = latestOutput(Request, Route, Pool, Log);
+    if (!Here)
+      return Case;
+    Case.Own = Here->Expected.ToFirstOutput;
+    unsigned Rank = queueRank(Route, Pool, Log, *Here);
+    Case.MustWait =
+        !Here->Expected.Ready || (!Log.Held && Held_.hasAhead(Log.Pool, Rank));
+    Case.IsOwedAShare = isOwedAShare(Route, Pool, Log, *Here);
+    if (!Case.MustWait)
+      return Case;
+    WorkAhead Ahead = Held_.ahead(Pool.Name, Rank, Log.Arrived, Runtime_.Now());
+    // Those that can be on time are offered to in order.
+    if (!Log.Held)
+      Case.OnTimeWait = Forecast_.onTimeWait(Pool.Name, Ahead, placesOf(Pool));
+    if (!Log.Held || Log.Lane == QueueLane::OnTime)
+      Case.LateWait = Forecast_.lateWait(Pool.Name, Ahead, placesOf(Pool));
+    return Case;
   }
 
-  /// Endpoints do not work off a queue at their full speed: streams, pauses
-  /// between prompts and unlike prompts take their part. What single requests
-  /// waited tells how much.
-  void waited(const PoolName &Pool, Duration Predicted, Duration Took) {
-    if (Predicted < LeastQueueWait)
-      return;
-    double Ratio = std::clamp(static_cast<double>(Took.count()) /
-                                  static_cast<double>(Predicted.count()),
-                              1 / MostQueueRatio, MostQueueRatio);
-    double &Factor = QueueFactors_.try_emplace(Pool, 1).first->second;
-    Factor = std::clamp(Factor * std::pow(Ratio, QueueWeight), LeastQueueFactor,
-                        MostQueueFactor);
+  /// Another region's endpoints are worth the transfer if the answer comes
+  /// clearly sooner, and on time unless that is out of reach at home.
+  bool isBetterAway(Duration Expected, const AdmissionCase &Case,
+                    const Admission &Home, bool IsServedHere) const {
+    if (Case.Waited + Expected > Case.Latest)
+      return false;
+    if (!IsServedHere)
+      return true;
+    bool OnTime = Case.SinceFirstAsked + Expected <= Case.LatencyTarget;
+    return (OnTime || Case.IsOwedAShare) &&
+           Home.Expected > scaled(Case.LatencyTarget, Settings_.AwayFrom) &&
+           Expected + Settings_.AwayGain < Home.Expected;
+  }
+
+  void noteAdmission(const RequestDescriptor &Request, const FleetRoute &Route,
+                     const FleetPool &Pool, const AttemptLog &Log,
+                     const Candidate &Here, bool Admitted) {
+    if (!Log.Held) {
+      Forecast_.arrived(Pool.Name, workOf(Request, Pool, Here));
+      Shares_.decided(classOf(Route, Pool, Here), Admitted);
+    } else if (!Admitted) {
+      Shares_.failed(classOf(Route, Pool, Here));
+    }
+  }
+
+  Hold holdFor(const RequestDescriptor &Request, const FleetRoute &Route,
+               const FleetPool &Pool, AttemptLog &Log, const Candidate &Here,
+               const AdmissionCase &Case, const Admission &Home) const {
+    unsigned Rank = queueRank(Route, Pool, Log, Here);
+    Log.Lane = Home.Lane;
+    Log.HasShare = Case.IsOwedAShare;
+    bool OnTime = Home.Lane == QueueLane::OnTime;
+    Duration Own = Here.Expected.ToFirstOutput - Here.Expected.Wait;
+    TimePoint Last = Log.Arrived + Case.Latest - Own;
+    Hold Wait;
+    Wait.Expected = Home.Expected;
+    Wait.QueueWait = OnTime ? Case.OnTimeWait : Duration::zero();
+    Wait.Work = workOf(Request, Pool, Here);
+    Wait.Rank = Rank;
+    Wait.KeepsEndpoint = Case.IsOwedAShare;
+    Wait.OnTimeUntil = Log.Arrived;
+    Wait.DecideAgainAt = Last;
+    if (Case.IsOwedAShare)
+      Wait.OnTimeUntil = Last;
+    else if (OnTime)
+      Wait.OnTimeUntil = Wait.DecideAgainAt =
+          std::min(Last, *Log.FirstAsked + Route.LatencyTarget - Own);
+    return Wait;
+  }
+
+  std::size_t placesOf(const FleetPool &Pool) const {
+    auto Endpoints = placedHere(Pool.Name);
+    if (Pool.Engine || Endpoints.empty())
+      return Endpoints.size();
+    return Endpoints.size() * std::max(1U, Endpoints.front()->Slots);
   }
 
   static Duration scaled(Duration D, double Factor) {
@@ -332,8 +416,10 @@
   ColdAllowance Cold_;
   LongLane Lane_;
   HoldQueue Held_;
-  /// Time that waiting takes, over the time that it is predicted to take.
-  std::map<PoolName, double> QueueFactors_;
+  QueueForecast Forecast_;
+  FairShares Shares_;
+  EndpointReservations Reservations_;
+  ReturningCallers Returning_;
   std::function<bool(const EndpointKey &)> Owns_;
 };
 
@@ -424,7 +510,12 @@
 
 void Dispatcher::waited(const PoolName &Pool, Duration Predicted,
                         Duration Took) {
-  Impl_->waited(Pool, Predicted, Took);
+  Impl_->Forecast_.waited(Pool, Predicted, Took);
+}
+
+void Dispatcher::streamed(const PoolName &Pool, std::uint32_t MaxOutputTokens,
+                          Duration Took) {
+  Impl_->Predictor_.streamed(Pool, MaxOutputTokens, Took);
 }
 
 HoldQueue &Dispatcher::held() { return Impl_->Held_; }
@@ -452,8 +543,12 @@
       ++Outlook.Endpoints;
     }
     if (Outlook.Endpoints > 0)
-      Outlook.Wait =
-          Sum / Outlook.Endpoints + Impl_->queueWait(Pool, Ordinary.Rank);
+      Outlook.Wait = Sum / Outlook.Endpoints +
+                     Impl_->Forecast_.onTimeWait(
+                         Name,
+                         Impl_->Held_.ahead(Name, Ordinary.Rank, {},
+                                            Impl_->Runtime_.Now()),
+                         Impl_->placesOf(Pool));
     All.push_back(Outlook);
   }
   return All;
--- a/src/dispatch/internal/placementdesk.cpp
+++ b/src/dispatch/internal/placementdesk.cpp
@@ -12,6 +12,8 @@
   ServeAt Choice;
   WorkId Work;
   bool HasOutput = false;
+  /// Unset when another host saw it.
+  std::optional<TimePoint> OutputAt;
 };
 
 struct Placement {
@@ -67,8 +69,11 @@
     PlacementAsk &Ask = P.Ask;
     DispatchDecision D = Decisions_.choose(Ask.Request, Ask.Route, Ask.Log);
     bool Waits = std::holds_alternative<Hold>(D);
-    if (Waits && P.Waits)
+    if (Waits && P.Waits) {
+      const auto &Wait = std::get<Hold>(D);
+      Decisions_.held().update(*P.Waits, Wait.OnTimeUntil, Wait.DecideAgainAt);
       return false;
+    }
     PlacementAnswer Answer{D, Ask.Log.Seen};
     std::string Ip = P.Ip;
     P.At = Runtime_.Now();
@@ -80,7 +85,8 @@
       stopWaiting(P);
     if (auto *Here = std::get_if<ServeAt>(&D))
       P.Booked = {*Here,
-                  Decisions_.begin(Ask.Request, Ask.Route, *Here, Ask.Log)};
+                  Decisions_.begin(Ask.Request, Ask.Route, *Here, Ask.Log),
+                  false, std::nullopt};
     else if (auto *Away = std::get_if<PassOn>(&D))
       Decisions_.passedOn(Ask.Request, *Away, Ask.Log);
     if (!Waits && !P.Booked)
@@ -93,11 +99,12 @@
     P.Ask.Log.Held = true;
     HeldRequest Held;
     Held.Pool = P.Ask.Log.Pool;
-    Held.Rank = P.Ask.Route.Rank;
+    Held.Rank = Wait.Rank;
     Held.Arrived = P.Ask.Log.Arrived;
-    Held.BestBefore = Wait.BestBefore;
-    Held.GiveUpAt = Wait.GiveUpAt;
-    Held.Tokens = std::max(1U, P.Ask.Request.PromptTokens);
+    Held.OnTimeUntil = Wait.OnTimeUntil;
+    Held.DecideAgainAt = Wait.DecideAgainAt;
+    Held.Work = Wait.Work;
+    Held.KeepsEndpoint = Wait.KeepsEndpoint;
     Held.Offer = [this, Id] { return decide(Id); };
     P.WaitsSince = Runtime_.Now();
     P.PredictedWait = Wait.QueueWait;
@@ -146,6 +153,7 @@
     if (!P.Booked || P.Booked->HasOutput)
       return;
     P.Booked->HasOutput = true;
+    P.Booked->OutputAt = Runtime_.Now();
     const ServeAt &Choice = P.Booked->Choice;
     Decisions_.firstOutput(Choice, P.Booked->Work, Output.Took);
     if (Output.Slowness)
@@ -159,6 +167,11 @@
       return;
     Placement &P = Found->second;
     stopWaiting(P);
+    if (P.Booked && P.Booked->OutputAt &&
+        End.Outcome == AttemptOutcome::Answered)
+      Decisions_.streamed(P.Booked->Choice.Endpoint.Pool,
+                          P.Ask.Request.MaxOutputTokens,
+                          Runtime_.Now() - *P.Booked->OutputAt);
     if (P.Booked && End.Outcome)
       Decisions_.end(P.Booked->Choice, P.Booked->Work, *End.Outcome);
     else if (P.Booked)
@@ -179,7 +192,8 @@
     P.At = Runtime_.Now();
     P.Booked = {{*E, {}, false, {}},
                 Decisions_.loads().started(E->Key, Listed.Asked),
-                Listed.HasOutput};
+                Listed.HasOutput,
+                std::nullopt};
     if (Listed.HasOutput)
       Decisions_.loads().firstOutput(P.Booked->Work);
     hostOf(Ip).Placements.insert(Listed.Id.Value);
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -159,6 +159,19 @@
                      : predictPlain(Endpoint, Pool);
 }
 
+Duration Predictor::streamTime(const FleetPool &Pool,
+                               std::uint32_t MaxOutputTokens) const {
+  return fromMillis(speedOf(Pool.Name).MsPerOutputToken * MaxOutputTokens);
+}
+
+void Predictor::streamed(const PoolName &Pool, std::uint32_t MaxOutputTokens,
+                         Duration Took) {
+  if (MaxOutputTokens == 0)
+    return;
+  double &Learned = Pools_[Pool].MsPerOutputToken;
+  Learned += (millis(Took) / MaxOutputTokens - Learned) * PoolWeight;
+}
+
 void Predictor::observed(const FleetEndpoint &Endpoint, const FleetPool &Pool,
                          const Prediction &Expected, Duration Took) {
   if (Expected.ToFirstOutput < LeastPrediction)
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -56,6 +56,14 @@
   /// or to answer a plain request.
   Duration ownTime(const FleetPool &Pool, std::uint32_t Tokens) const;
 
+  /// Time from a stream's first output to its end.
+  Duration streamTime(const FleetPool &Pool,
+                      std::uint32_t MaxOutputTokens) const;
+  /// A whole stream of at most this many tokens took this long from its first
+  /// output on.
+  void streamed(const PoolName &Pool, std::uint32_t MaxOutputTokens,
+                Duration Took);
+
   /// A first output, or a plain answer, came after this time.
   void observed(const FleetEndpoint &Endpoint, const FleetPool &Pool,
                 const Prediction &Expected, Duration Took);
@@ -65,6 +73,8 @@
 
   /// Prefill time of a token before any was observed.
   static constexpr double AssumedMsPerToken = 0.016;
+  /// Decoding time of a token before any stream was observed.
+  static constexpr double AssumedMsPerOutputToken = 8;
   /// Time of a plain request before any was observed.
   static constexpr Duration AssumedService = std::chrono::milliseconds(60);
   /// Prompts may be read together for this share of the longest tolerable
@@ -104,6 +114,7 @@
   struct PoolSpeed {
     double MsPerToken = AssumedMsPerToken;
     double ServiceMs = 0;
+    double MsPerOutputToken = AssumedMsPerOutputToken;
   };
 
   double slowness(const EndpointKey &Endpoint) const;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -46,6 +46,9 @@
   Duration LatencyTarget{};
   /// Longest pause between events that is on time; zero for plain services.
   Duration EventGapTarget{};
+  /// How long callers wait for a stream's first event before they leave; zero
+  /// when only their deadline is known.
+  Duration FirstOutputPatience{};
   /// 0 is the most urgent.
   unsigned Rank = 0;
   /// Endpoints that one request may run on.
--- a/src/fleethost/internal/newscodec.cpp
+++ b/src/fleethost/internal/newscodec.cpp
@@ -29,6 +29,7 @@
   Out.set_latency_target_ms(millis(Ask.Route.LatencyTarget));
   Out.set_event_gap_ms(millis(Ask.Route.EventGapTarget));
   Out.set_timeout_ms(millis(Ask.Route.Timeout));
+  Out.set_first_output_patience_ms(millis(Ask.Route.FirstOutputPatience));
   Out.set_left_ms(millis(R.Deadline - Now));
   Out.set_waited_ms(millis(Now - Log.Arrived));
   Out.set_runs(Log.Runs);
@@ -56,6 +57,7 @@
   Ask.Route.LatencyTarget = span(In.latency_target_ms());
   Ask.Route.EventGapTarget = span(In.event_gap_ms());
   Ask.Route.Timeout = span(In.timeout_ms());
+  Ask.Route.FirstOutputPatience = span(In.first_output_patience_ms());
   for (const std::string &Region : In.homes())
     Ask.Route.Homes.insert(RegionId(Region));
   Ask.Request.Deadline = Now + span(In.left_ms());
@@ -141,7 +143,7 @@
   if (In.has_serve())
     Answer.Decision = readServe(In.serve(), Fleet);
   else if (In.has_held())
-    Answer.Decision = Hold{span(In.held().expected_ms()), {}, {}, {}};
+    Answer.Decision = Hold{.Expected = span(In.held().expected_ms())};
   else if (In.has_pass_on())
     Answer.Decision =
         PassOn{readHost(In.pass_on().host()), span(In.pass_on().expected_ms())};
