Keep an endpoint's word that it leaves or wants a rest; bound endless answers

Cause: an endpoint's own words were not read. A host went on sending to one that says in its answers that it leaves until the store said so too, and to one that had asked for a rest; such a refusal counted against its health. An answer's body, a single event, a chunk's extension and an interim answer had no bound: an endpoint that sends without end took memory until the route's timeout, and a 1xx answer was taken for the final one.

A leaving word holds until the endpoint starts anew, whatever its entry does; an endpoint that rests is waited for if no other is sooner, and its refusal does not count as a failure. Replies of the store and of other hosts are bounded, too. A regained store is logged as information.

Ruled out: keeping the words in the entry (an entry that is written again, or lapses with the store, would undo them); closing a stream for silence (callers leave by themselves, and a sound stream may be slow).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -65,6 +65,8 @@
   unsigned Usable = 0;
   unsigned Untrusted = 0;
   unsigned Cold = 0;
+  /// Those that want nothing for now.
+  unsigned Resting = 0;
   /// Predicted time to the first output here and in the best other region;
   /// unset where nothing can serve it.
   std::optional<Duration> Here;
--- a/src/dispatch/endpointhealth.h
+++ b/src/dispatch/endpointhealth.h
@@ -21,6 +21,8 @@
   Broken,
   /// Another endpoint answered at its address.
   Moved,
+  /// It did not run the request and said for how long it wants none.
+  TurnedAway,
 };
 
 /// Which endpoints get ordinary traffic, from what this host has seen itself.
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -105,6 +105,15 @@
     return E.ColdUntil > Runtime_.Now() && Pool.ColdRequestsPerSecond > 0;
   }
 
+  /// An endpoint that wants nothing for now is waited for if no other is
+  /// sooner.
+  static void waitForRest(Candidate &C, Duration Rest, AttemptLog &Log) {
+    ++Log.Seen.Resting;
+    C.Expected.Ready = false;
+    C.Expected.Wait += Rest;
+    C.Expected.ToFirstOutput += Rest;
+  }
+
   /// What a prompt costs the others at an engine.
   Duration engineCost(const Candidate &C,
                       const std::vector<const FleetEndpoint *> &Endpoints,
@@ -146,6 +155,8 @@
       C.Expected = Predictor_.predict(*E, Pool, Request, Route, Source);
       if (Reservations_.isKeptFrom(E->Key, Request.Fingerprint))
         C.Expected.Ready = false;
+      if (Duration Rest = Fleet_.restOf(E->Key); Rest > Duration::zero())
+        waitForRest(C, Rest, Log);
       if (C.Expected.CopiedTokens > 0)
         C.CopyFrom = Source.Endpoint->Where;
       C.Score = C.Expected.ToFirstOutput +
--- a/src/dispatch/internal/endpointhealth.cpp
+++ b/src/dispatch/internal/endpointhealth.cpp
@@ -6,7 +6,7 @@
 
 void EndpointHealth::ended(const EndpointKey &Endpoint,
                            AttemptOutcome Outcome) {
-  if (Outcome == AttemptOutcome::Moved)
+  if (Outcome == AttemptOutcome::Moved || Outcome == AttemptOutcome::TurnedAway)
     return;
   State &S = States_[Endpoint];
   double Failure = Outcome == AttemptOutcome::Answered ? 0 : 1;
--- a/src/dispatch/internal/placementclient.cpp
+++ b/src/dispatch/internal/placementclient.cpp
@@ -197,6 +197,8 @@
   /// Placers may know less of an endpoint than this host: what it has learned
   /// itself decides.
   bool isUsable(const FleetEndpoint &E) const {
+    if (Fleet_.restOf(E.Key) > Duration::zero())
+      return false;
     const auto &Usable = Fleet_.usable(E.Pool, Hosts_.self().Region);
     return std::any_of(Usable.begin(), Usable.end(),
                        [&](const auto *Known) { return Known->Key == E.Key; });
--- a/src/dispatch/internal/placementdesk.cpp
+++ b/src/dispatch/internal/placementdesk.cpp
@@ -177,7 +177,7 @@
     else if (P.Booked)
       Decisions_.loads().ended(P.Booked->Work);
     if (P.Booked && End.Outcome == AttemptOutcome::Moved)
-      Fleet_.noteLeaving(P.Booked->Choice.Endpoint.Id);
+      Fleet_.noteMoved(P.Booked->Choice.Endpoint.Id);
     erase(Id);
   }
 
--- a/src/dispatch/tests/placementtest.cpp
+++ b/src/dispatch/tests/placementtest.cpp
@@ -330,7 +330,7 @@
   R.addEndpoint("b");
   unsigned At = R.other();
   for (int I = 0; I < 10; ++I) {
-    R.All.at(R.ipOf(At))->View.noteLeaving(EndpointId("a"));
+    R.All.at(R.ipOf(At))->View.noteMoved(EndpointId("a"));
     auto O = R.place(At, R.Fixture.request(6000, R.Time.random()), Quotes);
     R.Time.runFor(500ms);
     BOOST_REQUIRE(O->served());
@@ -390,6 +390,45 @@
   }
 }
 
+// One host hears that an endpoint leaves; the placer chooses for another host
+// while the word is on its way, and not after it.
+BOOST_AUTO_TEST_CASE(wordOfAnEndpointBindsThePlacer) {
+  Region R(5);
+  R.addEndpoint("a");
+  R.addEndpoint("b");
+  Host &Placer = *R.All.at(R.ipOf(R.placer()));
+  EndpointKey A = endpointKeyOf(EndpointId("a"), 1);
+  auto PlaceAtOther = [&] {
+    auto O =
+        R.place(R.other(1), R.Fixture.request(6000, R.Time.random()), Quotes);
+    R.Time.runFor(500ms);
+    BOOST_REQUIRE(O->served());
+    R.All.at(R.ipOf(R.other(1)))
+        ->Placement.end(*O->Id, {AttemptOutcome::Answered});
+    R.beat();
+    return O->endpoint();
+  };
+  EndpointWord Word{A, true, {}, R.ipOf(R.other())};
+  R.All.at(R.ipOf(R.other()))->View.hear(Word);
+  PlaceAtOther();
+  Placer.View.hear(Word);
+  for (int I = 0; I < 10; ++I)
+    BOOST_TEST((PlaceAtOther() != A));
+}
+
+// All endpoints want a rest: what can wait for its end does.
+BOOST_AUTO_TEST_CASE(requestWaitsForTheEndOfARest) {
+  Region R(5);
+  R.addEndpoint("a", "plain");
+  Host &Placer = *R.All.at(R.ipOf(R.placer()));
+  Placer.View.hear({endpointKeyOf(EndpointId("a"), 1), false, 300ms, "x"});
+  auto O = R.place(R.other(), R.Fixture.request(0), Bookings);
+  R.Time.runFor(290ms);
+  BOOST_TEST(!O->served());
+  R.Time.runFor(20ms);
+  BOOST_TEST(O->served());
+}
+
 BOOST_AUTO_TEST_CASE(onlyTheEndpointsOfALostPlacerMove) {
   std::vector<HostState> Placers;
   for (unsigned I = 0; I < 4; ++I) {
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -135,6 +135,17 @@
   std::optional<TimePoint> EndsAt;
 };
 
+/// What an endpoint said of itself in an answer.
+struct EndpointWord {
+  EndpointKey Key;
+  /// It takes nothing new and will end.
+  bool Leaving = false;
+  /// It wants no requests for this long; zero when it did not say.
+  Duration RestFor{};
+  /// IP number of the host that it answered.
+  std::string HeardBy;
+};
+
 /// Key of an endpoint's start, the same on every host.
 EndpointKey endpointKeyOf(const EndpointId &Id, std::int64_t StartedAt);
 
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -56,9 +56,14 @@
   void removeEndpoint(const EndpointId &Id, Duration Grace);
   /// An endpoint said at first hand that it is cold for this long.
   void noteCold(const EndpointId &Id, Duration Remaining);
-  /// An endpoint said at first hand that it leaves or that another one has its
-  /// address; holds until its entry changes.
-  void noteLeaving(const EndpointId &Id);
+  /// Another endpoint answered at its address; holds until its entry names
+  /// another address or start.
+  void noteMoved(const EndpointId &Id);
+  /// An endpoint said something of itself, to this host or to another one. That
+  /// it leaves holds until it starts anew, whatever its entry says.
+  void hear(const EndpointWord &Word);
+  /// How much longer the endpoint wants no requests; zero when it takes them.
+  Duration restOf(const EndpointKey &Key) const;
 
   /// Endpoints of a pool in a region that are not leaving, gone or evacuated.
   /// The list holds until the endpoints change.
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleetview.h"
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
@@ -11,9 +12,25 @@
   FleetEndpoint Endpoint;
   /// When the endpoint counts as gone although its entry may come back.
   std::optional<TimePoint> GoneAt;
-  bool SaidLeaving = false;
+  bool Moved = false;
 };
 
+/// What an endpoint has said of itself.
+struct Said {
+  bool Leaving = false;
+  TimePoint RestsUntil{};
+  TimePoint HeardAt{};
+};
+
+/// Words of an endpoint that is no longer listed are kept for this long: its
+/// entry may come back after an outage of the store.
+constexpr Duration WordLife = std::chrono::minutes(1);
+
+std::string millisText(Duration D) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
+}
+
 } // namespace
 
 class FleetView::Impl {
@@ -43,12 +60,30 @@
     for (const auto &[Id, Entry] : Endpoints_) {
       const FleetEndpoint &E = Entry.Endpoint;
       if (E.Pool == Pool && E.Region == Region && !E.Leaving &&
-          !Entry.SaidLeaving && !Evacuated_.contains(E.Zone))
+          !saidLeaving(E.Key) && !Entry.Moved && !Evacuated_.contains(E.Zone))
         Found.push_back(&E);
     }
     return Found;
   }
 
+  bool saidLeaving(const EndpointKey &Key) const {
+    auto Found = Said_.find(Key);
+    return Found != Said_.end() && Found->second.Leaving;
+  }
+
+  void forgetWords() {
+    TimePoint Now = Runtime_.Now();
+    std::erase_if(Said_, [&](const auto &E) {
+      return Now - E.second.HeardAt > WordLife && !isListed(E.first);
+    });
+  }
+
+  bool isListed(const EndpointKey &Key) const {
+    return std::any_of(
+        Endpoints_.begin(), Endpoints_.end(),
+        [&](const auto &E) { return E.second.Endpoint.Key == Key; });
+  }
+
   /// Endpoints of a zone may come back cold from its evacuation, before their
   /// entries say so.
   void doubtZone(const ZoneId &Zone) {
@@ -62,6 +97,7 @@
   FleetTablesPtr Tables_;
   std::set<ZoneId> Evacuated_;
   std::map<EndpointId, Listed> Endpoints_;
+  std::unordered_map<EndpointKey, Said> Said_;
   std::uint64_t Generation_ = 0;
   std::map<std::pair<PoolName, RegionId>, std::vector<const FleetEndpoint *>>
       Usable_;
@@ -114,7 +150,13 @@
                        Endpoint.Where.str());
   if (Restarted)
     Impl_->ended(Entry.Endpoint.Key);
-  Entry = {Endpoint, std::nullopt, false};
+  if (New || Restarted) {
+    Entry = {};
+  } else {
+    Entry.GoneAt.reset();
+    Entry.Moved = Entry.Moved && Entry.Endpoint.Where == Endpoint.Where;
+  }
+  Entry.Endpoint = Endpoint;
   Impl_->endpointsChanged();
 }
 
@@ -139,15 +181,44 @@
     Found->second.Endpoint.ColdUntil = Impl_->Runtime_.Now() + Remaining;
 }
 
-void FleetView::noteLeaving(const EndpointId &Id) {
+void FleetView::noteMoved(const EndpointId &Id) {
   auto Found = Impl_->Endpoints_.find(Id);
-  if (Found == Impl_->Endpoints_.end() || Found->second.SaidLeaving)
+  if (Found == Impl_->Endpoints_.end() || Found->second.Moved)
     return;
-  Found->second.SaidLeaving = true;
+  Found->second.Moved = true;
   Impl_->endpointsChanged();
   Impl_->changed("endpoint", Id.str(), "left its address");
 }
 
+void FleetView::hear(const EndpointWord &Word) {
+  const FleetEndpoint *Known = endpoint(Word.Key);
+  std::string Name =
+      Known != nullptr ? Known->Id.str() : std::to_string(Word.Key.Value);
+  Said &S = Impl_->Said_[Word.Key];
+  S.HeardAt = Impl_->Runtime_.Now();
+  if (Word.Leaving && !S.Leaving) {
+    S.Leaving = true;
+    Impl_->changed("endpoint", Name,
+                   "says it leaves, heard by " + Word.HeardBy);
+    Impl_->endpointsChanged();
+  }
+  TimePoint Until = S.HeardAt + Word.RestFor;
+  if (Word.RestFor > Duration::zero() && Until > S.RestsUntil) {
+    S.RestsUntil = Until;
+    Impl_->changed("endpoint", Name,
+                   "wants nothing for " + millisText(Word.RestFor) +
+                       " ms, heard by " + Word.HeardBy);
+  }
+}
+
+Duration FleetView::restOf(const EndpointKey &Key) const {
+  auto Found = Impl_->Said_.find(Key);
+  if (Found == Impl_->Said_.end())
+    return Duration::zero();
+  return std::max(Duration::zero(),
+                  Found->second.RestsUntil - Impl_->Runtime_.Now());
+}
+
 const std::vector<const FleetEndpoint *> &
 FleetView::usable(const PoolName &Pool, const RegionId &Region) const {
   auto [It, New] = Impl_->Usable_.try_emplace({Pool, Region});
@@ -180,6 +251,7 @@
 
 void FleetView::tick() {
   TimePoint Now = Impl_->Runtime_.Now();
+  Impl_->forgetWords();
   for (auto It = Impl_->Endpoints_.begin(); It != Impl_->Endpoints_.end();) {
     if (!It->second.GoneAt || *It->second.GoneAt > Now) {
       ++It;
--- a/src/fleet/tests/fleetviewtest.cpp
+++ b/src/fleet/tests/fleetviewtest.cpp
@@ -101,7 +101,7 @@
 
 BOOST_AUTO_TEST_CASE(sameIdWithAnotherStartIsAnotherEndpoint) {
   View.putEndpoint(endpoint("a", 1));
-  View.noteLeaving(EndpointId("a"));
+  View.noteMoved(EndpointId("a"));
   BOOST_TEST(usable() == 0U);
   View.putEndpoint(endpoint("a", 2));
   BOOST_TEST(usable() == 1U);
@@ -123,4 +123,36 @@
   BOOST_TEST((T.find("y.example", "/a/b/") == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(leavingWordHoldsUntilTheEndpointStartsAnew) {
+  View.putEndpoint(endpoint("a"));
+  View.hear({endpoint("a").Key, true, {}, "10.0.0.1"});
+  BOOST_TEST(usable() == 0U);
+  // Its entry may be written again, or lapse and come back, meanwhile.
+  View.putEndpoint(endpoint("a"));
+  BOOST_TEST(usable() == 0U);
+  View.removeEndpoint(EndpointId("a"), 0ms);
+  View.putEndpoint(endpoint("a"));
+  BOOST_TEST(usable() == 0U);
+  View.putEndpoint(endpoint("a", 2));
+  BOOST_TEST(usable() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(wordMayComeBeforeTheEntry) {
+  View.hear({endpoint("a").Key, true, {}, "10.0.0.1"});
+  View.putEndpoint(endpoint("a"));
+  BOOST_TEST(usable() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(restEndsByItself) {
+  View.putEndpoint(endpoint("a"));
+  EndpointKey Key = endpoint("a").Key;
+  BOOST_TEST((View.restOf(Key) == 0ms));
+  View.hear({Key, false, 300ms, "10.0.0.1"});
+  View.hear({Key, false, 100ms, "10.0.0.2"});
+  Time.runFor(200ms);
+  BOOST_TEST((View.restOf(Key) == 100ms));
+  Time.runFor(100ms);
+  BOOST_TEST((View.restOf(Key) == 0ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/fleethost.h
+++ b/src/fleethost/fleethost.h
@@ -29,6 +29,8 @@
   RetryBudgetBounds RetryBounds;
   /// From the request to stop until the process is killed.
   Duration Grace = std::chrono::seconds(8);
+  /// Bytes that it may hold of answers that are not complete yet.
+  std::size_t AnswerMemoryBytes = RelayContext::DefaultAnswerMemory;
   DispatchSettings Dispatch;
 };
 
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -35,6 +35,8 @@
 constexpr Duration HealthTick = std::chrono::milliseconds(50);
 constexpr Duration HealthTimeout = std::chrono::milliseconds(800);
 constexpr Duration SnapshotTimeout = std::chrono::seconds(1);
+/// Some times the entries of the largest fleet that the design is for.
+constexpr std::size_t MaxSnapshotBytes = 16U << 20U;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 
 std::string serialize(const StoreSnapshot &Snapshot) {
@@ -104,10 +106,15 @@
               newsHooks()),
         Operator_(Time_, mirrorHooks(MirrorPart::OperatorTables)),
         Endpoints_(Time_, mirrorHooks(MirrorPart::Endpoints)) {
+    Context_.Answers.setLimit(Settings_.AnswerMemoryBytes);
     Context_.Hooks.TablesCurrent = [this] { return Operator_.isCurrent(); };
     Context_.Hooks.IsInformed = [this] { return isInformed(); };
     Decisions_.setOwned(
         [this](const EndpointKey &Key) { return Placement_.owns(Key); });
+    Context_.Hooks.Heard = [this](const EndpointWord &Word) {
+      Fleet_.hear(Word);
+      News_.tellWord(Word);
+    };
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
     Announcer_ = std::make_shared<detail::HostAnnouncer>(
         Time_, Hooks_.Store, Hooks_.HostPrefix,
@@ -238,8 +245,11 @@
                    Fleet_);
     };
     H.Reachability = [this, Part](bool Reachable, const std::string &Why) {
-      Log_.warning(Reachable ? "The store answers." : "The store is lost.",
-                   {{"prefix", prefixOf(Part)}, {"why", Why}});
+      if (Reachable)
+        Log_.info("The store answers.", {{"prefix", prefixOf(Part)}});
+      else
+        Log_.warning("The store is lost.",
+                     {{"prefix", prefixOf(Part)}, {"why", Why}});
       Metrics_.add(Reachable ? "store_regained_total" : "store_lost_total",
                    "Times that the store was regained or lost.",
                    {{"prefix", prefixOf(Part)}});
@@ -276,7 +286,10 @@
     Call.Timeout = SnapshotTimeout;
     auto Body = std::make_shared<std::string>();
     HttpCallHooks Hooks;
-    Hooks.Body = [Body](std::string_view Data) { *Body += Data; };
+    Hooks.Body = [Body](std::string_view Data) {
+      *Body += Data;
+      return Body->size() <= MaxSnapshotBytes;
+    };
     Hooks.End = [Body, Answer](HttpCallEnd End) {
       if (End == HttpCallEnd::Complete)
         return Answer(parseSnapshot(*Body));
@@ -385,9 +398,13 @@
     Call.Timeout = HealthTimeout;
     auto Healthy = std::make_shared<bool>(false);
     HttpCallHooks Hooks;
-    Hooks.Head = [this, Healthy, Id = E->Id](const HttpResponseHead &Head) {
+    Hooks.Head = [this, Healthy, Key,
+                  Id = E->Id](const HttpResponseHead &Head) {
       auto Said = findField(Head.Fields, Hooks_.Names.EndpointId);
-      *Healthy = Head.Status == Ok && Said && *Said == Id.str();
+      bool Itself = Said && *Said == Id.str();
+      *Healthy = Head.Status == Ok && Itself;
+      if (Itself && Context_.Hooks.DecodeWillingness(Head).Leaving)
+        Context_.Hooks.Heard({Key, true, {}, Settings_.Self.Ip});
       auto Cold = findField(Head.Fields, Hooks_.Names.ColdFor);
       if (*Healthy)
         noteCold(Id, std::string(Cold.value_or("0")));
--- a/src/fleethost/internal/newscodec.cpp
+++ b/src/fleethost/internal/newscodec.cpp
@@ -108,6 +108,7 @@
   Out.set_usable(Answer.Seen.Usable);
   Out.set_untrusted(Answer.Seen.Untrusted);
   Out.set_cold(Answer.Seen.Cold);
+  Out.set_resting(Answer.Seen.Resting);
   if (Answer.Seen.Here)
     Out.set_here_ms(millis(*Answer.Seen.Here));
   if (Answer.Seen.Away)
@@ -135,6 +136,7 @@
   Answer.Seen.Usable = In.usable();
   Answer.Seen.Untrusted = In.untrusted();
   Answer.Seen.Cold = In.cold();
+  Answer.Seen.Resting = In.resting();
   if (In.has_here_ms())
     Answer.Seen.Here = span(In.here_ms());
   if (In.has_away_ms())
@@ -220,13 +222,24 @@
   if (!In.has_end())
     return std::nullopt;
   PlacementEnd End;
-  constexpr auto Last = static_cast<std::uint32_t>(AttemptOutcome::Moved);
+  constexpr auto Last = static_cast<std::uint32_t>(AttemptOutcome::TurnedAway);
   if (In.end().outcome() > 0)
     End.Outcome =
         static_cast<AttemptOutcome>(std::min(In.end().outcome() - 1, Last));
   return End;
 }
 
+void writeWord(const EndpointWord &Word, messages::EndpointWord &Out) {
+  Out.set_endpoint(Word.Key.Value);
+  Out.set_leaving(Word.Leaving);
+  Out.set_rest_ms(millis(Word.RestFor));
+  Out.set_heard_by(Word.HeardBy);
+}
+
+EndpointWord readWord(const messages::EndpointWord &In) {
+  return {{In.endpoint()}, In.leaving(), span(In.rest_ms()), In.heard_by()};
+}
+
 void writeListed(const ListedPlacement &Listed,
                  messages::ListedPlacement &Out) {
   Out.set_id(Listed.Id.Value);
--- a/src/fleethost/internal/newsexchange.cpp
+++ b/src/fleethost/internal/newsexchange.cpp
@@ -97,6 +97,7 @@
   for (const std::string &Ip : To) {
     News Message = newsOfSelf();
     if (Listed.contains(Ip)) {
+      addWords(Message);
       Message.set_has_list(true);
       for (const ListedPlacement &P : Parties_.Placement.listFor(Ip))
         writeListed(P, *Message.add_listed());
@@ -185,6 +186,37 @@
     send(Ip, Message);
 }
 
+void NewsExchange::tellWord(const EndpointWord &Word) {
+  TimePoint Now = Runtime_.Now();
+  // A leaving endpoint says so in each of its answers.
+  bool Told = std::any_of(Words_.begin(), Words_.end(), [&](const auto &W) {
+    return W.Word.Key == Word.Key && W.Word.Leaving == Word.Leaving &&
+           W.Word.RestFor == Word.RestFor && Now - W.At < NearInterval;
+  });
+  if (Told)
+    return;
+  Words_.push_back({Word, Now});
+  if (Words_.size() > MostWords)
+    Words_.pop_front();
+  News Message = newsOfSelf();
+  writeWord(Word, *Message.add_words());
+  const HostState &Self = Parties_.Hosts.self();
+  for (const HostState &Placer : Parties_.Hosts.delegates(Self.Region).Placers)
+    if (Placer.Ip != Self.Ip)
+      send(Placer.Ip, Message);
+}
+
+void NewsExchange::addWords(News &Message) {
+  TimePoint Now = Runtime_.Now();
+  while (!Words_.empty() && Now - Words_.front().At > WordRepeats)
+    Words_.pop_front();
+  for (const HeardWord &Heard : Words_) {
+    EndpointWord Left = Heard.Word;
+    Left.RestFor -= std::min(Left.RestFor, Now - Heard.At);
+    writeWord(Left, *Message.add_words());
+  }
+}
+
 void NewsExchange::tick() {
   TimePoint Now = Runtime_.Now();
   tellChanges();
@@ -262,6 +294,8 @@
          Told.endpoints()});
   for (const auto &Told : Message.crashes())
     Parties_.Decisions.crashes().peerSaw({Told.fingerprint(), Told.event()});
+  for (const auto &Told : Message.words())
+    Parties_.Fleet.hear(readWord(Told));
   if (!Message.has_list())
     return;
   std::vector<ListedPlacement> Listed;
--- a/src/fleethost/internal/newsexchange.h
+++ b/src/fleethost/internal/newsexchange.h
@@ -1,6 +1,7 @@
 #ifndef CELERYBEAM_FLEETHOST_INTERNAL_NEWSEXCHANGE_H
 #define CELERYBEAM_FLEETHOST_INTERNAL_NEWSEXCHANGE_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -46,6 +47,9 @@
   void note(const std::string &Ip, PlacementId Id, const PlacementNote &Note);
   /// Tells at once that this host leaves.
   void tellLeaving();
+  /// Tells the region's placers at once what an endpoint said to this host, and
+  /// again with the next messages, since one may be lost.
+  void tellWord(const EndpointWord &Word);
   /// Whether this host is one of those that watch the store for the region and
   /// tell it of its hosts.
   bool isWatcher() const;
@@ -66,6 +70,10 @@
   /// Messages to addresses at which nobody was heard of late.
   static constexpr Duration GreetingInterval = std::chrono::seconds(1);
   static constexpr std::size_t GreetingsAtATime = 6;
+  /// Words of endpoints are told again for this long.
+  static constexpr Duration WordRepeats = 3 * NearInterval;
+  /// Words that are told again at most; the newest.
+  static constexpr std::size_t MostWords = 100;
   /// Hosts in one datagram.
   static constexpr std::size_t HostsTogether = 100;
 
@@ -76,6 +84,7 @@
   void send(const std::string &Ip, const News &Message);
   void flushNotes();
   void tellNear();
+  void addWords(News &Message);
   void tellFar();
   void greet();
   bool isMessenger() const;
@@ -93,6 +102,11 @@
   Hooks Hooks_;
   std::map<std::string, News> Outbox_;
   bool FlushDue_ = false;
+  struct HeardWord {
+    EndpointWord Word;
+    TimePoint At{};
+  };
+  std::deque<HeardWord> Words_;
   /// Hosts whose state has changed since the region was told.
   std::set<std::string> Changed_;
   TimePoint NextNear_{};
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -21,6 +21,7 @@
 void addInputs(LogFields &Fields, const DecisionInputs &Seen) {
   Fields.push_back({"usable", Seen.Usable});
   add(Fields, "untrusted", Seen.Untrusted);
+  add(Fields, "resting", Seen.Resting);
   add(Fields, "cold", Seen.Cold);
   if (Seen.Here)
     Fields.push_back({"here_ms", millis(*Seen.Here)});
--- a/src/relay/eventcutter.h
+++ b/src/relay/eventcutter.h
@@ -25,6 +25,12 @@
   const std::string &lastId() const { return LastId_; }
   /// Whether an event broke the order of ids.
   bool outOfOrder() const { return OutOfOrder_; }
+  /// Whether what came is no stream of events: it goes on without the end of
+  /// one.
+  bool isEndless() const { return Partial_.size() > MaxEventBytes; }
+
+  /// A single event is not longer.
+  static constexpr std::size_t MaxEventBytes = 262144;
   std::uint64_t delivered() const { return Delivered_; }
 
 private:
--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -50,7 +50,8 @@
 /// or after cancel.
 struct HttpCallHooks {
   std::function<HeadVerdict(const HttpResponseHead &)> Head;
-  std::function<void(std::string_view)> Body;
+  /// \return whether the call goes on; otherwise it ends as broken.
+  std::function<bool(std::string_view)> Body;
   std::function<void(HttpCallEnd)> End;
 };
 
--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 constexpr unsigned Ok = 200;
+constexpr unsigned Misdirected = 421;
 
 } // namespace
 
 Attempt::Attempt(RelayContext &Context, RequestId Id, bool Streams,
                  EventCutter &Cutter, AttemptHooks Hooks)
     : Context_(Context), Id_(std::move(Id)), Streams_(Streams), Cutter_(Cutter),
-      Hooks_(std::move(Hooks)) {}
+      Hooks_(std::move(Hooks)), Held_(Context.Answers) {}
 
 void Attempt::start(HttpCallRequest Request) {
   Sent_ = Context_.Time.Now();
@@ -23,7 +24,7 @@
   Hooks.Head = [Self](const HttpResponseHead &Head) {
     return Self->takeHead(Head);
   };
-  Hooks.Body = [Self](std::string_view Data) { Self->takeBody(Data); };
+  Hooks.Body = [Self](std::string_view Data) { return Self->takeBody(Data); };
   Hooks.End = [Self](HttpCallEnd End) { Self->ended(End); };
   Call_ = Context_.Caller.call(std::move(Request), std::move(Hooks));
 }
@@ -42,10 +43,11 @@
 
 HeadVerdict Attempt::takeHead(const HttpResponseHead &Head) {
   AnswerKind Kind = classifyAnswer(Head, Context_.Names, Id_);
-  if (Kind == AnswerKind::OfAnother)
-    return HeadVerdict::Skip;
   if (Kind == AnswerKind::Spoiled)
     return HeadVerdict::Spoiled;
+  takeWillingness(Head);
+  if (Kind == AnswerKind::OfAnother)
+    return HeadVerdict::Skip;
   auto Text = findField(Head.Fields, Context_.Names.Load);
   auto Said = Text ? Context_.Hooks.DecodeLoad(*Text) : std::nullopt;
   if (Said)
@@ -56,22 +58,36 @@
   return HeadVerdict::Take;
 }
 
-void Attempt::takeBody(std::string_view Data) {
-  if (NotRun_)
+void Attempt::takeWillingness(const HttpResponseHead &Head) {
+  // Another endpoint at the address speaks for itself.
+  if (Head.Status == Misdirected || !Context_.Hooks.DecodeWillingness)
     return;
+  Willingness_ = Context_.Hooks.DecodeWillingness(Head);
+  if (Hooks_.Said && (Willingness_.Leaving || wantsRest()))
+    Hooks_.Said(Willingness_);
+}
+
+bool Attempt::takeBody(std::string_view Data) {
+  if (NotRun_)
+    return true;
   if (!Events_) {
+    if (!Held_.take(Data.size()))
+      return false;
     Body_ += Data;
-    return;
+    return true;
   }
   std::string Whole = Cutter_.take(Data);
+  if (Cutter_.isEndless())
+    return false;
   if (Whole.empty() || Cancelled_)
-    return;
+    return true;
   auto Self = shared_from_this();
   Telling_ = true;
   Hooks_.Events(Whole);
   Telling_ = false;
   if (Cancelled_)
     Hooks_ = {};
+  return true;
 }
 
 void Attempt::ended(HttpCallEnd End) {
--- a/src/relay/internal/attempt.h
+++ b/src/relay/internal/attempt.h
@@ -31,12 +31,14 @@
 struct AttemptHooks {
   /// Whole events of a stream have come.
   std::function<void(std::string_view)> Events;
+  /// The other end said that it leaves or wants a rest.
+  std::function<void(const SaidWillingness &)> Said;
   std::function<void(AttemptEnd)> End;
 };
 
 /// One send of a request to an endpoint or another entry host: reads the
 /// answer, and tells the request's own answer from everything else that may
-/// come on the connection.
+/// come on the connection, also without end.
 class Attempt : public std::enable_shared_from_this<Attempt> {
 public:
   /// \param Streams  whether a good answer is a stream of events.
@@ -58,10 +60,13 @@
   Duration sinceSent() const;
   /// What the endpoint said of its slowness.
   std::optional<double> slowness() const { return Slowness_; }
+  /// Whether the endpoint asked for a rest.
+  bool wantsRest() const { return Willingness_.RestFor > Duration::zero(); }
 
 private:
   HeadVerdict takeHead(const HttpResponseHead &Head);
-  void takeBody(std::string_view Data);
+  void takeWillingness(const HttpResponseHead &Head);
+  bool takeBody(std::string_view Data);
   void ended(HttpCallEnd End);
 
   RelayContext &Context_;
@@ -73,12 +78,14 @@
   TimePoint Sent_{};
   HttpResponseHead Head_;
   std::string Body_;
+  AnswerMemory::Share Held_;
   bool NotRun_ = false;
   bool Events_ = false;
   bool Cancelled_ = false;
   /// While the Events hook runs.
   bool Telling_ = false;
   std::optional<double> Slowness_;
+  SaidWillingness Willingness_;
 };
 
 } // namespace celerybeam::detail
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -13,9 +13,11 @@
 using namespace detail;
 
 constexpr std::size_t ReadBytes = 4096;
+/// Of a head, of the extensions of a chunk, and of trailing fields.
 constexpr std::size_t MaxHeadBytes = 65536;
-/// Answers to earlier requests that one call passes over.
-constexpr unsigned MaxSkipped = 2;
+constexpr unsigned FirstFinalStatus = 200;
+/// Answers to earlier requests, and interim answers, that one call passes over.
+constexpr unsigned MaxSkipped = 4;
 /// A connection is given up this long before its other end would close it.
 constexpr Duration CloseMargin = std::chrono::milliseconds(700);
 
@@ -160,7 +162,7 @@
     }
     if (Parser_->is_done())
       return answered(ReadError);
-    if (ReadError)
+    if (ReadError || Buffer.size() > MaxHeadBytes)
       return finish(HttpCallEnd::Broken);
     read();
   }
@@ -170,6 +172,10 @@
     if (HeadSeen_ || !Parser_->is_header_done())
       return true;
     HeadSeen_ = true;
+    if (Parser_->get().result_int() < FirstFinalStatus) {
+      Skipping_ = true;
+      return true;
+    }
     if (!Hooks_.Head)
       return true;
     switch (Hooks_.Head(headOf(*Parser_))) {
@@ -189,9 +195,10 @@
     std::string &Body = Parser_->get().body();
     if (Body.empty())
       return;
-    if (!Skipping_ && Hooks_.Body)
-      Hooks_.Body(Body);
+    bool GoesOn = Skipping_ || !Hooks_.Body || Hooks_.Body(Body);
     Body.clear();
+    if (!GoesOn)
+      finish(HttpCallEnd::Broken);
   }
 
   void answered(ErrorCode ReadError) {
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -270,12 +270,19 @@
     Hooks.Events = [Self](std::string_view Events) {
       Self->takeEvents(Events);
     };
+    Hooks.Said = [Self](const SaidWillingness &Said) { Self->heard(Said); };
     Hooks.End = [Self](AttemptEnd End) { Self->attemptEnded(End); };
     Attempt_ = std::make_shared<Attempt>(
         Context_, Descriptor_.Id, isStream(Route_->Kind), Cutter_, Hooks);
     Attempt_->start(std::move(Call));
   }
 
+  void heard(const SaidWillingness &Said) {
+    if (Here_ && Context_.Hooks.Heard)
+      Context_.Hooks.Heard({Here_->Endpoint.Key, Said.Leaving, Said.RestFor,
+                            Context_.Hosts.self().Ip});
+  }
+
   void watchForStall(Duration Expected) {
     if (!mayRepeat(Route_->Kind))
       return;
@@ -407,8 +414,10 @@
     bool ByHost = !Here_;
     bool Moved = Here_ && Status == Misdirected;
     if (Moved)
-      Context_.Fleet.noteLeaving(Here_->Endpoint.Id);
-    endHere(Moved ? AttemptOutcome::Moved : AttemptOutcome::Failed);
+      Context_.Fleet.noteMoved(Here_->Endpoint.Id);
+    endHere(Moved                   ? AttemptOutcome::Moved
+            : Attempt_->wantsRest() ? AttemptOutcome::TurnedAway
+                                    : AttemptOutcome::Failed);
     // A refusal by an entry host reached no endpoint and costs no retry.
     if (ByHost || Context_.Decisions.mayTryAgain(Descriptor_, *Route_, Log_))
       return attempt();
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -10,6 +10,7 @@
 #include "fleet/fleetview.h"
 #include "fleet/hostregistry.h"
 #include "framework/error.h"
+#include "relay/answermemory.h"
 #include "relay/httpcaller.h"
 #include "relay/httpserver.h"
 
@@ -48,6 +49,13 @@
   std::optional<double> Slowness;
 };
 
+/// What an endpoint says in the head of an answer of whether it wants requests.
+struct SaidWillingness {
+  bool Leaving = false;
+  /// Zero when it does not say.
+  Duration RestFor{};
+};
+
 /// How a request went, for logs and metrics.
 struct RequestRecord {
   RequestId Id;
@@ -77,6 +85,9 @@
   /// Reads a caller's request. Errors: BadRequest.
   std::function<Result<RequestDescriptor>(const HttpServerRequest &)> Decode;
   std::function<std::optional<SaidLoad>(std::string_view)> DecodeLoad;
+  std::function<SaidWillingness(const HttpResponseHead &)> DecodeWillingness;
+  /// Hears what endpoints say of themselves.
+  std::function<void(const EndpointWord &)> Heard;
   /// Whether tables and endpoints are known at all.
   std::function<bool()> IsInformed;
   /// Whether the tables held are known to be the newest, so that a missing
@@ -99,6 +110,9 @@
   std::string HostPort;
   /// Set when the host leaves and takes no further requests.
   bool Refusing = false;
+  AnswerMemory Answers{DefaultAnswerMemory};
+  /// Where the host's own memory is not known.
+  static constexpr std::size_t DefaultAnswerMemory = 16U << 20U;
 };
 
 /// Fields between entry hosts. In an answer: the request has not run.
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "framework/stablehash.h"
+
 namespace celerybeam::testing {
 
 namespace {
@@ -85,15 +87,23 @@
         std::string(findField(R.Head.Fields, "Request-Id").value_or("")));
     D.Host = std::string(findField(R.Head.Fields, "Host").value_or(""));
     D.Target = R.Head.Target;
+    D.Fingerprint = stableHash(D.Id.str());
     D.Deadline = Time.Now() + std::chrono::seconds(10);
     return Result<RequestDescriptor>(D);
   };
   Hooks.DecodeLoad = [](std::string_view) { return std::optional<SaidLoad>(); };
+  Hooks.DecodeWillingness = [](const HttpResponseHead &Head) {
+    SaidWillingness Said;
+    Said.Leaving = findField(Head.Fields, "Leaving").has_value();
+    if (findField(Head.Fields, "Rest"))
+      Said.RestFor = std::chrono::seconds(30);
+    return Said;
+  };
+  Hooks.Heard = [this](const EndpointWord &Word) { Fleet.hear(Word); };
   Hooks.IsInformed = [this] { return Fleet.tables() != nullptr; };
   Hooks.TablesCurrent = [this] { return TablesCurrent; };
   Hooks.Done = [this](const RequestRecord &R) { Done.push_back(R); };
-  return {Time,   Fleet, Hosts, Decisions, Placement,
-          Caller, Names, Hooks, "1",       false};
+  return {Time, Fleet, Hosts, Decisions, Placement, Caller, Names, Hooks, "1"};
 }
 
 RawServer &RelayFixture::addEndpoint(const std::string &Id,
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "relay/eventcutter.h"
 #include "relay/tests/relayfixture.h"
 
 using namespace celerybeam;
@@ -305,4 +306,121 @@
   BOOST_TEST(E.Requests.empty());
 }
 
+// The store is away: the endpoint's own word is all that tells.
+BOOST_AUTO_TEST_CASE(leavingWordInARefusalHolds) {
+  RawServer &A = addEndpoint("a", "plain", [](const std::string &) {
+    return RawServer::Answer{"HTTP/1.1 503 No\r\nNot-Executed: 1\r\n"
+                             "Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+                             false, false};
+  });
+  addEndpoint("b", "plain", [](const std::string &R) { return ran(R, "b"); });
+  for (int I = 0; I < 10; ++I)
+    BOOST_TEST(says(ask(request("look")), "200"));
+  BOOST_TEST(A.Requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(leavingWordInAGoodAnswerHolds) {
+  RawServer &A = addEndpoint("a", "plain", [](const std::string &R) {
+    RawServer::Answer Good = ran(R, "a");
+    Good.Bytes.insert(Good.Bytes.find("\r\n"), "\r\nLeaving: 1");
+    return Good;
+  });
+  BOOST_TEST(says(ask(request("book")), "200"));
+  BOOST_TEST(says(ask(request("book")), "503"));
+  BOOST_TEST(A.Requests.size() == 1U);
+}
+
+// The endpoint that wants a rest is not taken for broken, and gets nothing
+// meanwhile.
+BOOST_AUTO_TEST_CASE(endpointThatWantsARestGetsNothing) {
+  RawServer &A = addEndpoint("a", "plain", [](const std::string &) {
+    return RawServer::Answer{"HTTP/1.1 503 No\r\nNot-Executed: 1\r\n"
+                             "Rest: 1\r\nContent-Length: 0\r\n\r\n",
+                             false, false};
+  });
+  addEndpoint("b", "plain", [](const std::string &R) { return ran(R, "b"); });
+  for (int I = 0; I < 10; ++I)
+    BOOST_TEST(says(ask(request("look")), "200"));
+  BOOST_TEST(A.Requests.size() == 1U);
+  EndpointKey Key = endpointKeyOf(EndpointId("a"), 1);
+  BOOST_TEST(Decisions.health().isTrusted(Key));
+  BOOST_TEST(Decisions.health().failureShare(Key) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(interimAnswersArePassedOver) {
+  addEndpoint("a", "plain", [](const std::string &R) {
+    RawServer::Answer Good = ran(R, "done");
+    Good.Bytes.insert(0, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    return Good;
+  });
+  std::string Answer = ask(request("book"));
+  BOOST_TEST(says(Answer, "200"));
+  BOOST_TEST(Answer.ends_with("done"));
+}
+
+// Bytes that are no answer, without end: each ends the call, and the caller
+// hears of a failure.
+BOOST_AUTO_TEST_CASE(bytesWithoutEndAreGivenUp) {
+  auto Repeat = [](const std::string &Text, std::size_t Bytes) {
+    std::string All;
+    while (All.size() < Bytes)
+      All += Text;
+    return All;
+  };
+  const std::string Hints = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const std::string Status = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Status + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Bytes :
+       {Repeat("x", 200000), Status + Repeat("A: b\r\n", 200000),
+        Status + "A: " + Repeat("b", 200000), Repeat(Hints, 2000),
+        Chunked + "1;" + Repeat("x", 200000),
+        Chunked + "0\r\n" + Repeat("A: b\r\n", 200000)}) {
+    RawServer &A = addEndpoint("a", "plain", [Bytes](const std::string &) {
+      return RawServer::Answer{Bytes, false, false};
+    });
+    BOOST_TEST(says(ask(request("book")), "502"));
+    BOOST_TEST(A.Requests.size() == 1U);
+    Decisions.forget(endpointKeyOf(EndpointId("a"), 1));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(eventWithoutEndIsGivenUp) {
+  addEndpoint("a", "engines", [](const std::string &R) {
+    return RawServer::Answer{
+        streamHead(R) +
+            renderChunk(std::string(2 * EventCutter::MaxEventBytes, 'x')),
+        false, false};
+  });
+  BOOST_TEST(says(ask(request("draft")), "502"));
+}
+
+// Bodies without end on forty connections at once: the memory that they take
+// has a bound.
+BOOST_AUTO_TEST_CASE(bodiesWithoutEndTakeBoundedMemory) {
+  constexpr std::size_t Limit = 65536;
+  constexpr unsigned Callers = 40;
+  Context.Answers.setLimit(Limit);
+  for (unsigned I = 0; I < Callers; ++I)
+    addEndpoint("e" + std::to_string(I), "plain", [](const std::string &R) {
+      std::string Bytes = streamHead(R);
+      for (int Chunks = 0; Chunks < 20; ++Chunks)
+        Bytes += renderChunk(std::string(4000, 'x'));
+      return RawServer::Answer{Bytes, false, false};
+    });
+  std::vector<std::unique_ptr<testing::RawCaller>> All;
+  for (unsigned I = 0; I < Callers; ++I)
+    All.push_back(std::make_unique<testing::RawCaller>(
+        Loop, Front.address().str(), request("book")));
+  std::size_t Most = 0;
+  testing::runUntil(Loop, [&] {
+    Most = std::max(Most, Context.Answers.held());
+    return Done.size() == Callers;
+  });
+  BOOST_TEST(Most <= Limit);
+  BOOST_TEST(Most > 0U);
+  for (const RequestRecord &R : Done)
+    BOOST_TEST(R.Status == 502U);
+  BOOST_TEST(Context.Answers.held() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
