Send long lists and many notes in several datagrams

Cause: a message between hosts of over 16 KB was dropped without a word. A host with more than about 450 placements at one placer sent no list, and the placer freed its places after 1.5 s; the asks of a moment after a freeze were lost together.

Change: lists go in parts, each of the placements whose id leaves its remainder, so that each part is compared for itself; notes are sent when they have reached 8 KB; a message that is too long is logged.

Ruled out: numbered parts that are put together at the receiver: they keep state for a host that may have died, and one lost part loses the list.

Measured: newsexchangetest, a thousand placements of one host: all stay booked, no message over 16 KB. That it would fail before is worked out from the sizes (a list of 35 KB), not run.

--- a/src/dispatch/internal/placementdesk.cpp
+++ b/src/dispatch/internal/placementdesk.cpp
@@ -217,7 +217,8 @@
   }
 
   void listed(const std::string &Ip,
-              const std::vector<ListedPlacement> &Placements) {
+              const std::vector<ListedPlacement> &Placements,
+              const ListPart &Part) {
     AskingHost &Host = hostOf(Ip);
     Host.LastListed = Runtime_.Now();
     std::unordered_set<std::uint64_t> Said;
@@ -225,7 +226,7 @@
       Said.insert(Listed.Id.Value);
     std::vector<PlacementId> Over;
     for (std::uint64_t Id : Host.Placements)
-      if (!Said.contains(Id) &&
+      if (Part.covers({Id}) && !Said.contains(Id) &&
           Runtime_.Now() - Placements_.at(Id).At > ListGrace)
         Over.push_back({Id});
     for (PlacementId Id : Over)
@@ -287,13 +288,11 @@
   Impl_->end(Id, End);
 }
 void PlacementDesk::listed(const std::string &Ip,
-                           const std::vector<ListedPlacement> &Placements) {
-  Impl_->listed(Ip, Placements);
+                           const std::vector<ListedPlacement> &Placements,
+                           const ListPart &Part) {
+  Impl_->listed(Ip, Placements, Part);
 }
 void PlacementDesk::handOver() { Impl_->handOver(); }
 void PlacementDesk::tick() { Impl_->tick(); }
-std::size_t PlacementDesk::waiting() const {
-  return Impl_->Decisions_.held().size();
-}
 
 } // namespace celerybeam
--- a/src/dispatch/placementdesk.h
+++ b/src/dispatch/placementdesk.h
@@ -35,9 +35,10 @@
   void ask(const std::string &Ip, PlacementId Id, PlacementAsk Ask);
   void outputCame(PlacementId Id, const OutputCame &Output);
   void end(PlacementId Id, const PlacementEnd &End);
-  /// All that a host has with this placer, as it sees it.
+  /// All that a host has with this placer, as it sees it, or a part of that.
   void listed(const std::string &Ip,
-              const std::vector<ListedPlacement> &Placements);
+              const std::vector<ListedPlacement> &Placements,
+              const ListPart &Part = {});
 
   /// This host leaves: those that wait here for other hosts ask elsewhere.
   void handOver();
@@ -45,8 +46,6 @@
   /// ListInterval.
   void tick();
 
-  std::size_t waiting() const;
-
   /// How often hosts send their lists.
   static constexpr Duration ListInterval = std::chrono::milliseconds(200);
   /// A list may have been sent before a message that overtook it: what is
--- a/src/dispatch/placementtypes.h
+++ b/src/dispatch/placementtypes.h
@@ -50,6 +50,16 @@
 using PlacementNote =
     std::variant<PlacementAsk, PlacementAnswer, OutputCame, PlacementEnd>;
 
+/// Which of a host's placements a list holds: those whose id leaves this
+/// remainder. A list that fits into one datagram has one part; parts are taken
+/// each for itself, so that a lost one does no harm to the others.
+struct ListPart {
+  std::uint32_t Index = 0;
+  std::uint32_t Count = 1;
+
+  bool covers(PlacementId Id) const { return Id.Value % Count == Index; }
+};
+
 /// One of a host's placements with a placer, in the list that the host sends
 /// now and then: what the list and the placer's book do not agree on is
 /// corrected, so that a lost message does no lasting harm.
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -215,7 +215,9 @@
 
   detail::NewsExchange::Hooks newsHooks() {
     return {[this](const std::string &Ip, const std::string &Bytes) {
-              Link_.send(Ip, Bytes);
+              if (!Link_.send(Ip, Bytes))
+                Log_.error("A message to another host is too long to send.",
+                           {{"to", Ip}, {"bytes", Bytes.size()}});
             },
             [this](const HostState &Host) {
               Operator_.heardOf(Host.OperatorRevision, Host.Watches);
--- a/src/fleethost/internal/newsexchange.cpp
+++ b/src/fleethost/internal/newsexchange.cpp
@@ -40,7 +40,12 @@
 
 void NewsExchange::note(const std::string &Ip, PlacementId Id,
                         const PlacementNote &Note) {
-  writeNote(Id, Note, Runtime_.Now(), *Outbox_[Ip].add_notes());
+  News &Message = Outbox_[Ip];
+  writeNote(Id, Note, Runtime_.Now(), *Message.add_notes());
+  if (Message.ByteSizeLong() >= NotesBytes) {
+    sendNotes(Ip, Message);
+    Outbox_.erase(Ip);
+  }
   if (std::exchange(FlushDue_, true))
     return;
   Runtime_.After(NotesTogether, [this] { flushNotes(); });
@@ -48,10 +53,13 @@
 
 void NewsExchange::flushNotes() {
   FlushDue_ = false;
-  for (auto &[Ip, Message] : std::exchange(Outbox_, {})) {
-    writeHost(Parties_.Hosts.self(), {}, *Message.mutable_host());
-    send(Ip, Message);
-  }
+  for (auto &[Ip, Message] : std::exchange(Outbox_, {}))
+    sendNotes(Ip, Message);
+}
+
+void NewsExchange::sendNotes(const std::string &Ip, News &Message) {
+  writeHost(Parties_.Hosts.self(), {}, *Message.mutable_host());
+  send(Ip, Message);
 }
 
 bool NewsExchange::isMessenger() const {
@@ -94,14 +102,28 @@
     Listed.insert(Ip);
   To.insert(Listed.begin(), Listed.end());
   To.erase(Self.Ip);
-  for (const std::string &Ip : To) {
+  for (const std::string &Ip : To)
+    if (Listed.contains(Ip))
+      sendList(Ip);
+    else
+      send(Ip, newsOfSelf());
+}
+
+void NewsExchange::sendList(const std::string &Ip) {
+  std::vector<ListedPlacement> All = Parties_.Placement.listFor(Ip);
+  // Ids are evenly spread, but not exactly.
+  auto Parts = static_cast<std::uint32_t>(
+      All.size() <= ListedTogether ? 1 : 2 * All.size() / ListedTogether);
+  for (ListPart Part{0, Parts}; Part.Index < Parts; ++Part.Index) {
     News Message = newsOfSelf();
-    if (Listed.contains(Ip)) {
+    if (Part.Index == 0)
       addWords(Message);
-      Message.set_has_list(true);
-      for (const ListedPlacement &P : Parties_.Placement.listFor(Ip))
+    Message.set_has_list(true);
+    Message.set_list_part(Part.Index);
+    Message.set_list_parts(Parts);
+    for (const ListedPlacement &P : All)
+      if (Part.covers(P.Id))
         writeListed(P, *Message.add_listed());
-    }
     send(Ip, Message);
   }
 }
@@ -301,7 +323,9 @@
   std::vector<ListedPlacement> Listed;
   for (const auto &Told : Message.listed())
     Listed.push_back(readListed(Told));
-  Parties_.Desk.listed(From.Ip, Listed);
+  ListPart Part{Message.list_part(),
+                std::max<std::uint32_t>(1, Message.list_parts())};
+  Parties_.Desk.listed(From.Ip, Listed, Part);
 }
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/newsexchange.h
+++ b/src/fleethost/internal/newsexchange.h
@@ -12,6 +12,7 @@
 #include "fleet/hostregistry.h"
 #include "framework/runtime.h"
 #include "messages/fleetnews.pb.h"
+#include "relay/newslink.h"
 
 namespace celerybeam::detail {
 
@@ -74,8 +75,13 @@
   static constexpr Duration WordRepeats = 3 * NearInterval;
   /// Words that are told again at most; the newest.
   static constexpr std::size_t MostWords = 100;
-  /// Hosts in one datagram.
+  /// Hosts in one datagram; each takes some 80 bytes.
   static constexpr std::size_t HostsTogether = 100;
+  /// Listed placements in one datagram; each takes some 35 bytes.
+  static constexpr std::size_t ListedTogether = 300;
+  /// Notes are sent at once when they have reached this size: the next one may
+  /// take some kilobytes.
+  static constexpr std::size_t NotesBytes = NewsLink::MaxBytes / 2;
 
 private:
   using News = messages::FleetNews;
@@ -83,8 +89,11 @@
   News newsOfSelf() const;
   void send(const std::string &Ip, const News &Message);
   void flushNotes();
+  void sendNotes(const std::string &Ip, News &Message);
   void tellNear();
   void addWords(News &Message);
+  /// Lists this host's placements to a placer, in as many parts as it takes.
+  void sendList(const std::string &Ip);
   void tellFar();
   void greet();
   bool isMessenger() const;
--- /dev/null
+++ b/src/fleethost/tests/newsexchangetest.cpp
@@ -0,0 +1,178 @@
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+
+#include "dispatch/tests/dispatchfixture.h"
+#include "fleethost/internal/newsexchange.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+using detail::NewsExchange;
+
+namespace {
+
+const FleetRoute Bookings =
+    testing::DispatchFixture::route(RepeatKind::AtMostOnce);
+
+struct Region;
+
+/// A host with all that exchanges news.
+struct Host {
+  Host(Region &Whole, const HostState &Self);
+
+  FleetView View;
+  HostRegistry Hosts;
+  Dispatcher Decisions;
+  PlacementDesk Desk;
+  PlacementClient Placement;
+  NewsExchange News;
+};
+
+/// Hosts of one region whose datagrams take a millisecond.
+struct Region {
+  explicit Region(unsigned Count) {
+    for (unsigned I = 0; I < Count; ++I) {
+      HostState Self = testing::DispatchFixture::self();
+      Self.Id = HostId("k" + std::to_string(I));
+      Self.Ip = "10.0.0." + std::to_string(I);
+      All[Self.Ip] = std::make_unique<Host>(*this, Self);
+    }
+    for (const auto &[Ip, H] : All) {
+      H->View.adoptTables(*Fixture.View.tables());
+      for (const auto &[OtherIp, Other] : All)
+        if (OtherIp != Ip)
+          H->Hosts.heard(Other->Hosts.self());
+    }
+    run(1s);
+  }
+
+  void carry(const std::string &To, const std::string &Bytes) {
+    Longest = std::max(Longest, Bytes.size());
+    // As the link does.
+    if (Deaf || Bytes.size() > NewsLink::MaxBytes)
+      return;
+    Time.after(1ms, [this, To, Bytes] { All.at(To)->News.receive(Bytes); });
+  }
+
+  void run(Duration Span) {
+    for (Duration Past{}; Past < Span; Past += NewsExchange::TickInterval) {
+      for (const auto &[Ip, H] : All)
+        H->News.tick();
+      Time.runFor(NewsExchange::TickInterval);
+    }
+  }
+
+  void addEndpoint(const std::string &Id, unsigned Slots) {
+    FleetEndpoint E = Fixture.addEndpoint(Id, "plain");
+    E.Slots = Slots;
+    for (const auto &[Ip, H] : All)
+      H->View.putEndpoint(E);
+  }
+
+  /// The host that places at an endpoint, and one that does not.
+  Host &placer(const EndpointKey &Key) {
+    for (const auto &[Ip, H] : All)
+      if (H->Placement.owns(Key))
+        return *H;
+    throw std::logic_error("nobody places there");
+  }
+  Host &other(const EndpointKey &Key) {
+    for (const auto &[Ip, H] : All)
+      if (!H->Placement.owns(Key))
+        return *H;
+    throw std::logic_error("all place there");
+  }
+
+  testing::DispatchFixture Fixture;
+  testing::VirtualTime &Time = Fixture.Time;
+  std::map<std::string, std::unique_ptr<Host>> All;
+  std::size_t Longest = 0;
+  bool Deaf = false;
+};
+
+Host::Host(Region &Whole, const HostState &Self)
+    : View(Whole.Time.runtime(), {}), Hosts(Whole.Time.runtime(), Self),
+      Decisions(Whole.Time.runtime(), View, Hosts, {}),
+      Desk(Whole.Time.runtime(), View, Decisions, Self.Ip,
+           [this](const std::string &Ip, PlacementId Id,
+                  const PlacementAnswer &Answer) {
+             if (Ip == Hosts.self().Ip)
+               return Placement.answered(Ip, Id, Answer);
+             News.note(Ip, Id, Answer);
+           }),
+      Placement(Whole.Time.runtime(), View, Hosts, Decisions, Desk,
+                [this](const std::string &Ip, PlacementId Id,
+                       const PlacementNote &Note) { News.note(Ip, Id, Note); }),
+      News(Whole.Time.runtime(), {View, Hosts, Decisions, Desk, Placement},
+           {[&Whole](const std::string &Ip, const std::string &Bytes) {
+              Whole.carry(Ip, Bytes);
+            },
+            [](const HostState &) {}}) {
+  Decisions.setOwned(
+      [this](const EndpointKey &Key) { return Placement.owns(Key); });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(NewsExchangeTests)
+
+// A burst over one host, as after a freeze: all asks of a moment, and then a
+// list of a thousand placements every 200 ms.
+BOOST_AUTO_TEST_CASE(thousandPlacementsOfOneHostStayBooked) {
+  constexpr std::uint32_t Many = 1000;
+  Region R(5);
+  R.addEndpoint("a", 2 * Many);
+  EndpointKey Key = endpointKeyOf(EndpointId("a"), 1);
+  Host &At = R.other(Key);
+  std::uint32_t Served = 0;
+  std::vector<PlacementId> Ids;
+  for (std::uint32_t I = 0; I < Many; ++I) {
+    AttemptLog Log;
+    Ids.push_back(At.Placement.place(
+        R.Fixture.request(0), Bookings, Log,
+        [&](PlacementId, const PlacementAnswer &Answer) {
+          Served += std::holds_alternative<ServeAt>(*Answer.Decision) ? 1 : 0;
+        }));
+  }
+  R.Time.runFor(20ms);
+  BOOST_TEST(Served == Many);
+  R.run(3 * PlacementDesk::ListLife);
+  BOOST_TEST(R.placer(Key).Decisions.loads().at(Key).InFlight == Many);
+  BOOST_TEST(R.Longest <= NewsLink::MaxBytes);
+  for (PlacementId Id : Ids)
+    At.Placement.end(Id, {AttemptOutcome::Answered});
+  R.run(1s);
+  BOOST_TEST(R.placer(Key).Decisions.loads().at(Key).InFlight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(wordOfAnEndpointReachesThePlacersAtOnce) {
+  Region R(25);
+  R.addEndpoint("a", 4);
+  EndpointKey Key = endpointKeyOf(EndpointId("a"), 1);
+  Host &Hearer = R.other(Key);
+  EndpointWord Word{Key, false, 2s, Hearer.Hosts.self().Ip};
+  Hearer.View.hear(Word);
+  Hearer.News.tellWord(Word);
+  R.Time.runFor(2ms);
+  for (const HostState &Placer :
+       Hearer.Hosts.delegates(RegionId("kigali")).Placers) {
+    Duration Rest = R.All.at(Placer.Ip)->View.restOf(Key);
+    BOOST_TEST((Rest > 1900ms && Rest <= 2s));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(wordOfAnEndpointIsToldAgain) {
+  Region R(5);
+  R.addEndpoint("a", 4);
+  EndpointKey Key = endpointKeyOf(EndpointId("a"), 1);
+  Host &Hearer = R.other(Key);
+  // The first message is lost.
+  R.Deaf = true;
+  Hearer.News.tellWord({Key, true, 0s, Hearer.Hosts.self().Ip});
+  R.Deaf = false;
+  R.run(2 * NewsExchange::NearInterval);
+  BOOST_TEST(
+      R.placer(Key).View.usable(PoolName("plain"), RegionId("kigali")).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/internal/newslink.cpp
+++ b/src/relay/internal/newslink.cpp
@@ -36,7 +36,6 @@
   std::vector<char> Buffer_;
   Udp::endpoint From_;
   unsigned short Port_ = 0;
-  std::uint64_t Sent_ = 0;
 };
 
 NewsLink::NewsLink(EventLoop &Loop, Receiver Receive)
@@ -62,16 +61,14 @@
   return {};
 }
 
-void NewsLink::send(const std::string &Ip, const std::string &Bytes) {
+bool NewsLink::send(const std::string &Ip, const std::string &Bytes) {
   ErrorCode Error;
   auto To = asio::ip::make_address(Ip, Error);
   if (Error || Bytes.size() > MaxBytes)
-    return;
+    return false;
   // A datagram that cannot be sent now is lost like any other.
   Impl_->Socket_.send_to(asio::buffer(Bytes), {To, Impl_->Port_}, 0, Error);
-  Impl_->Sent_ += Bytes.size();
+  return true;
 }
 
-std::uint64_t NewsLink::bytesSent() const { return Impl_->Sent_; }
-
 } // namespace celerybeam
--- a/src/relay/newslink.h
+++ b/src/relay/newslink.h
@@ -22,10 +22,9 @@
 
   /// Errors: InvalidSettings when the address cannot be bound.
   Result<void> open(const Address &Where);
-  /// Sends to the same port of another host.
-  void send(const std::string &Ip, const std::string &Bytes);
-
-  std::uint64_t bytesSent() const;
+  /// Sends to the same port of another host. \return false when the bytes are
+  /// too many for a datagram or the address is none; nothing is sent then.
+  [[nodiscard]] bool send(const std::string &Ip, const std::string &Bytes);
 
   /// A datagram holds no more.
   static constexpr std::size_t MaxBytes = 16384;
