Let calls to the store grow with regions, not with hosts

Cause: every host put its own entry, renewed it, read all entries three times at its start and every ten seconds after, read all endpoints at full price and began a watch on both prefixes that it did not need a second later.

Change: only the hosts that tell their region of the others stand in the store and read it; another host reads it only while it hears nobody. The first read of a mirror may be old, at a tenth of the price; a watch, or the hosts that are followed, brings what it missed, and until then a missing route is answered 503, not 404. The first watch waits a second, by when most follow.

Ruled out: having one host of a zone read at the start and hand on to the others: 100 KB for each of 98 hosts over a link of 20 Mbit/s takes longer than the store.

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -24,11 +24,30 @@
   Impl(Runtime R, StoreMirrorHooks Hooks)
       : Runtime_(std::move(R)), Hooks_(std::move(Hooks)) {}
 
+  /// What the first read may miss, the watch after it or the hosts that are
+  /// followed bring.
+  void start() {
+    if (!Hooks_.ListStale)
+      return list();
+    Hooks_.ListStale(guarded([this](Result<StoreSnapshot> Got) {
+      if (!Got)
+        return failed(Got.error(), &Impl::list);
+      succeeded();
+      if (Got->AsOf >= AsOf_)
+        replaceAll(*Got);
+      Runtime_.After(FirstWatch, [Weak = weak_from_this()] {
+        if (auto Self = Weak.lock())
+          Self->watch();
+      });
+    }));
+  }
+
   void list() {
     Hooks_.List(guarded([this](Result<StoreSnapshot> Got) {
       if (!Got)
         return failed(Got.error(), &Impl::list);
       succeeded();
+      Confirmed_ = true;
       if (Got->AsOf >= AsOf_)
         replaceAll(*Got);
       watch();
@@ -48,6 +67,7 @@
                    if (!Got)
                      return failed(Got.error(), &Impl::watch);
                    succeeded();
+                   Confirmed_ = true;
                    apply(*Got);
                    watch();
                  }));
@@ -118,7 +138,7 @@
   bool isCurrent() const {
     if (Following_)
       return Runtime_.Now() - WatcherHeard_ <= FollowSilence;
-    return Reachable_ &&
+    return Reachable_ && Confirmed_ &&
            Runtime_.Now() - LastAnswer_ <= WatchWait + AnswerSlack;
   }
 
@@ -223,6 +243,8 @@
   bool Idle_ = false;
   TimePoint WatcherHeard_{};
   bool Reachable_ = false;
+  /// Whether the store has said more than what may be old.
+  bool Confirmed_ = false;
   bool EverReached_ = false;
   bool AskingPeer_ = false;
   bool WaitingForPeerLead_ = false;
@@ -236,7 +258,7 @@
     : Impl_(std::make_shared<Impl>(std::move(R), std::move(Hooks))) {}
 StoreMirror::~StoreMirror() = default;
 
-void StoreMirror::start() { Impl_->list(); }
+void StoreMirror::start() { Impl_->start(); }
 void StoreMirror::heardOf(StoreRevision Applied, bool Watches) {
   Impl_->heardOf(Applied, Watches);
 }
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -37,6 +37,8 @@
   using Answer = std::function<void(Result<StoreSnapshot>)>;
   /// Reads all keys. Errors: StoreUnreachable.
   std::function<void(Answer)> List;
+  /// The same, perhaps seconds old, at a fraction of the price; may be empty.
+  std::function<void(Answer)> ListStale;
   /// Waits for changes after a revision, for a time at most. Errors:
   /// StoreConflict when the store no longer has that history,
   /// StoreUnreachable.
@@ -85,6 +87,9 @@
   /// change is known that is missing here.
   bool isCurrent() const;
 
+  /// After the first read, which may be old, a watch waits for this long: most
+  /// hosts have by then heard of one that watches, and need none.
+  static constexpr Duration FirstWatch = std::chrono::seconds(1);
   /// Longest wait of one watch call: each return is paid for, and a connection
   /// that went silent is noticed after it. A few hosts of a region watch.
   static constexpr Duration WatchWait = std::chrono::seconds(4);
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <memory>
 
 #include "fleet/storemirror.h"
 #include "support/virtualtime.h"
@@ -247,4 +248,72 @@
   BOOST_TEST(!Mirror.isCurrent());
 }
 
+namespace {
+
+/// The first read is of a state of some seconds ago.
+struct StaleFixture : Fixture {
+  StaleFixture() {
+    put("a", "1");
+    put("b", "1");
+    auto H = hooks();
+    H.ListStale = [this, Old = snapshot(Keys)](auto Answer) {
+      ++StaleLists;
+      answer(Answer, Old);
+    };
+    remove("a");
+    put("c", "2");
+    Stale = std::make_unique<StoreMirror>(Time.runtime(), H);
+  }
+
+  Map heldByStale() const {
+    Map All;
+    for (const StoreChange &C : Stale->changesSince(0).Items)
+      All[C.Key] = C.Value;
+    return All;
+  }
+
+  unsigned StaleLists = 0;
+  std::unique_ptr<StoreMirror> Stale;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(watchMakesUpForAnOldFirstRead, StaleFixture) {
+  Stale->start();
+  Time.runFor(100ms);
+  BOOST_TEST((heldByStale() == Map{{"a", "1"}, {"b", "1"}}));
+  BOOST_TEST(!Stale->isCurrent());
+  Time.runFor(StoreMirror::FirstWatch);
+  BOOST_TEST((heldByStale() == Map{{"b", "1"}, {"c", "2"}}));
+  BOOST_TEST(Stale->isCurrent());
+  BOOST_TEST(Lists == 0U);
+}
+
+// Hundreds start at once: who hears of one that watches pays for one read.
+BOOST_FIXTURE_TEST_CASE(followerNeedsNoWatchAfterItsFirstRead, StaleFixture) {
+  PeerKnows = snapshot(Keys);
+  Stale->start();
+  Time.runFor(100ms);
+  Stale->setFollowing(true);
+  Stale->heardOf(Now, true);
+  Time.runFor(2 * StoreMirror::FirstWatch);
+  Stale->heardOf(Now, true);
+  BOOST_TEST((heldByStale() == Map{{"b", "1"}, {"c", "2"}}));
+  BOOST_TEST(Stale->isCurrent());
+  BOOST_TEST(StaleLists == 1U);
+  BOOST_TEST(Lists == 0U);
+  BOOST_TEST(Watches == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(failedFirstReadIsFollowedByAWholeOne, StaleFixture) {
+  Reachable = false;
+  Stale->start();
+  Time.runFor(300ms);
+  Reachable = true;
+  Time.runFor(2s);
+  BOOST_TEST((heldByStale() == Map{{"b", "1"}, {"c", "2"}}));
+  BOOST_TEST(Lists >= 1U);
+  BOOST_TEST(StaleLists == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -119,7 +119,10 @@
     Announcer_ = std::make_shared<detail::HostAnnouncer>(
         Time_, Hooks_.Store, Hooks_.HostPrefix,
         Hooks_.HostPrefix + Settings_.Self.Id.str(), Settings_.Self.Ip,
-        [this](const std::string &Ip) { Hosts_.addContact(Ip); });
+        detail::HostAnnouncer::Hooks{
+            [this](const std::string &Ip) { Hosts_.addContact(Ip); },
+            [this] { return News_.isMessenger(); },
+            [this] { return Hosts_.alive().empty(); }});
   }
 
   Result<void> start() {
@@ -235,6 +238,9 @@
     H.List = [this, Part](auto Answer) {
       Hooks_.Store.List(prefixOf(Part), std::move(Answer));
     };
+    H.ListStale = [this, Part](auto Answer) {
+      Hooks_.Store.ListStale(prefixOf(Part), std::move(Answer));
+    };
     H.Watch = [this, Part](StoreRevision After, Duration Wait, auto Answer) {
       Hooks_.Store.Watch(prefixOf(Part), After, Wait, std::move(Answer));
     };
--- a/src/fleethost/internal/hostannouncer.cpp
+++ b/src/fleethost/internal/hostannouncer.cpp
@@ -1,5 +1,7 @@
 #include "fleethost/internal/hostannouncer.h"
 
+#include <utility>
+
 namespace celerybeam::detail {
 
 namespace {
@@ -9,10 +11,10 @@
 } // namespace
 
 HostAnnouncer::HostAnnouncer(Runtime R, StoreAccess Store, std::string Prefix,
-                             std::string Key, std::string Ip, FoundHook Found)
+                             std::string Key, std::string Ip, Hooks H)
     : Runtime_(std::move(R)), Store_(std::move(Store)),
       Prefix_(std::move(Prefix)), Key_(std::move(Key)), Ip_(std::move(Ip)),
-      Found_(std::move(Found)) {}
+      Hooks_(std::move(H)) {}
 
 void HostAnnouncer::later(Duration D, void (HostAnnouncer::*Then)()) {
   Runtime_.After(D, [Weak = weak_from_this(), Then] {
@@ -21,9 +23,17 @@
   });
 }
 
-void HostAnnouncer::start() {
-  announce();
-  list();
+void HostAnnouncer::start() { later(CheckEvery, &HostAnnouncer::check); }
+
+void HostAnnouncer::check() {
+  bool Alone = Hooks_.IsAlone();
+  bool Messenger = Hooks_.IsMessenger();
+  if (Messenger && !std::exchange(Announces_, true))
+    announce();
+  bool ListDue = Messenger && Runtime_.Now() >= NextList_;
+  if ((Alone || ListDue) && !Listing_)
+    list();
+  later(CheckEvery, &HostAnnouncer::check);
 }
 
 void HostAnnouncer::announce() {
@@ -55,16 +65,17 @@
 
 void HostAnnouncer::list() {
   auto Self = shared_from_this();
-  // The first list must not miss a host that has just started.
-  auto &List = Lists_ == 0 ? Store_.List : Store_.ListStale;
+  Listing_ = true;
+  NextList_ = Runtime_.Now() + LaterListEvery;
+  // The first read must not miss a host that has just started.
+  auto &List = HasListed_ ? Store_.ListStale : Store_.List;
   List(Prefix_, [Self](Result<StoreSnapshot> Got) {
-    if (Got) {
-      ++Self->Lists_;
-      for (const StoreChange &Entry : Got->Items)
-        Self->Found_(Entry.Value);
-    }
-    Self->later(Self->Lists_ < FirstLists ? FirstListEvery : LaterListEvery,
-                &HostAnnouncer::list);
+    Self->Listing_ = false;
+    if (!Got)
+      return;
+    Self->HasListed_ = true;
+    for (const StoreChange &Entry : Got->Items)
+      Self->Hooks_.Found(Entry.Value);
   });
 }
 
--- a/src/fleethost/internal/hostannouncer.h
+++ b/src/fleethost/internal/hostannouncer.h
@@ -11,16 +11,28 @@
 
 namespace celerybeam::detail {
 
-/// Keeps this host's entry in the store under a lease, and reads the others'
-/// entries now and then, so that hosts find each other when no address that
-/// they were told at their start answers.
+/// Keeps the entries of a few hosts in the store, each under a lease, so that
+/// hosts find each other when no address that they were told at their start
+/// answers.
+///
+/// Answers to "each host pays for its own entry and reads all others": calls
+/// grow with the regions, not with the hosts. Those that tell their region of
+/// its hosts stand in the store and read it now and then; another host reads it
+/// only while it hears nobody. A host that hears nobody is the first of its
+/// region in its own eyes, and stands there, too.
 class HostAnnouncer : public std::enable_shared_from_this<HostAnnouncer> {
 public:
-  using FoundHook = std::function<void(const std::string &Ip)>;
+  struct Hooks {
+    std::function<void(const std::string &Ip)> Found;
+    /// Whether this host tells its region of the hosts there.
+    std::function<bool()> IsMessenger;
+    /// Whether it hears nobody.
+    std::function<bool()> IsAlone;
+  };
 
   /// \param Prefix  of all hosts' entries. \param Key  of the own one.
   HostAnnouncer(Runtime R, StoreAccess Store, std::string Prefix,
-                std::string Key, std::string Ip, FoundHook Found);
+                std::string Key, std::string Ip, Hooks H);
 
   void start();
   /// Removes the entry; the answer is not waited for.
@@ -30,14 +42,17 @@
   static constexpr Duration TimeToLive = std::chrono::seconds(30);
   /// Renewals of the lease, a third of its time.
   static constexpr Duration RenewEvery = std::chrono::seconds(10);
-  /// Reads of the others' entries: often at the start, then rarely.
-  static constexpr Duration FirstListEvery = std::chrono::seconds(1);
+  /// How often a host looks whether it has to stand in the store or to read it.
+  /// Greetings to the addresses that it was told are answered well within this.
+  static constexpr Duration CheckEvery = std::chrono::seconds(1);
+  /// Reads of a host that hears others: partitions heal without them, but two
+  /// parts of a fleet may have forgotten each other.
   static constexpr Duration LaterListEvery = std::chrono::seconds(10);
-  static constexpr unsigned FirstLists = 3;
 
 private:
   void announce();
   void renew();
+  void check();
   void list();
   void later(Duration D, void (HostAnnouncer::*Then)());
 
@@ -46,9 +61,12 @@
   std::string Prefix_;
   std::string Key_;
   std::string Ip_;
-  FoundHook Found_;
+  Hooks Hooks_;
   std::optional<LeaseId> Lease_;
-  unsigned Lists_ = 0;
+  TimePoint NextList_{};
+  bool Announces_ = false;
+  bool Listing_ = false;
+  bool HasListed_ = false;
   bool Withdrawn_ = false;
 };
 
--- a/src/fleethost/internal/newsexchange.h
+++ b/src/fleethost/internal/newsexchange.h
@@ -51,6 +51,8 @@
   /// Tells the region's placers at once what an endpoint said to this host, and
   /// again with the next messages, since one may be lost.
   void tellWord(const EndpointWord &Word);
+  /// Whether this host is one of those that tell the region of its hosts.
+  bool isMessenger() const;
   /// Whether this host is one of those that watch the store for the region and
   /// tell it of its hosts.
   bool isWatcher() const;
@@ -96,7 +98,6 @@
   void sendList(const std::string &Ip);
   void tellFar();
   void greet();
-  bool isMessenger() const;
   void tellOthers(const std::set<std::string> &To,
                   const HostRegistry::Hosts &Of);
   void tellChanges();
