Revert "Place a small plain service by one placer of its region"

What it shows: with the service dealt out, a placer that owns none of its endpoints places at all of them (Dispatcher::placedHere), so that the slots are given out more than once and the endpoints' own queues take what is too much. One book gives out each slot once, and then refuses what would wait a moment there: the forecast for late requests is too dark for a plain service at its limit, and the queue at the endpoint is not counted as room.

Conclusion: failed try. Counting the endpoints' own queue, and a forecast that knows when a peak ends, come before one placer for a service.

--- a/src/dispatch/internal/placementclient.cpp
+++ b/src/dispatch/internal/placementclient.cpp
@@ -63,35 +63,6 @@
     return Map_;
   }
 
-  bool isPlacedTogether(const PoolName &Pool) const {
-    const FleetTablesPtr &Tables = Fleet_.tables();
-    const FleetPool *P = Tables ? Tables->pool(Pool) : nullptr;
-    return P != nullptr && !P->Engine &&
-           Fleet_.usable(Pool, Hosts_.self().Region).size() <=
-               MostPlacedTogether;
-  }
-
-  /// The key by which a pool that is placed as a whole belongs to a placer.
-  static EndpointKey wholeOf(const PoolName &Pool) { return {poolHash(Pool)}; }
-
-  /// The key by which an endpoint belongs to a placer.
-  EndpointKey placedAs(const EndpointKey &Key) {
-    if (Fleet_.endpointGeneration() != PlacedAsGeneration_) {
-      PlacedAsGeneration_ = Fleet_.endpointGeneration();
-      PlacedAs_.clear();
-    }
-    auto [It, New] = PlacedAs_.try_emplace(Key, Key);
-    if (New)
-      if (const FleetEndpoint *E = Fleet_.endpoint(Key))
-        if (isPlacedTogether(E->Pool))
-          It->second = wholeOf(E->Pool);
-    return It->second;
-  }
-
-  const HostState *ownerOf(const EndpointKey &Key) {
-    return map().ownerOf(placedAs(Key));
-  }
-
   void tellPlacers(const std::vector<HostState> &Placers) {
     std::string Ips;
     for (const HostState &Host : Placers)
@@ -119,9 +90,7 @@
                                ? Runtime_.Random()
                                : Ask.Request.Levels.back().Hash;
     const HostState *Placer = nullptr;
-    if (isPlacedTogether(Ask.Log.Pool)) {
-      Placer = map().ownerOf(wholeOf(Ask.Log.Pool));
-    } else if (Tried.empty()) {
+    if (Tried.empty()) {
       Placer = map().placerFor(Prefix, Usable);
     } else {
       std::vector<const FleetEndpoint *> Left;
@@ -263,7 +232,7 @@
   std::set<std::string> bookersOf(const Placement &P) {
     std::set<std::string> Bookers = {P.Placer};
     if (P.At == Phase::Booked)
-      if (const HostState *Owner = ownerOf(P.Endpoint))
+      if (const HostState *Owner = map().ownerOf(P.Endpoint))
         Bookers.insert(Owner->Ip);
     return Bookers;
   }
@@ -307,7 +276,7 @@
     std::vector<ListedPlacement> List;
     for (const auto &[Id, P] : Placements_) {
       if (P.At == Phase::Booked) {
-        const HostState *Owner = ownerOf(P.Endpoint);
+        const HostState *Owner = map().ownerOf(P.Endpoint);
         if (P.Placer == Ip || (Owner != nullptr && Owner->Ip == Ip))
           List.push_back({{Id}, P.Endpoint, P.Asked, P.HasOutput});
       } else if (P.Placer == Ip) {
@@ -328,9 +297,6 @@
   std::uint64_t LastId_;
   std::unordered_map<std::uint64_t, Placement> Placements_;
   PlacementMap Map_;
-  /// Of each endpoint, until endpoints change.
-  std::unordered_map<EndpointKey, EndpointKey> PlacedAs_;
-  std::uint64_t PlacedAsGeneration_ = 0;
   std::uint64_t MapGeneration_ = 0;
   bool MapMade_ = false;
   bool HeldOffChanged_ = false;
@@ -378,8 +344,7 @@
   return Impl_->listFor(Ip);
 }
 bool PlacementClient::owns(const EndpointKey &Endpoint) {
-  const HostState *Owner = Impl_->ownerOf(Endpoint);
-  return Owner != nullptr && Owner->Ip == Impl_->selfIp();
+  return Impl_->map().isOwner(Impl_->selfIp(), Endpoint);
 }
 
 } // namespace celerybeam
--- a/src/dispatch/internal/placementmap.cpp
+++ b/src/dispatch/internal/placementmap.cpp
@@ -29,6 +29,11 @@
   return &Placers_[It->second];
 }
 
+bool PlacementMap::isOwner(const std::string &Ip, const EndpointKey &Endpoint) {
+  const HostState *Owner = ownerOf(Endpoint);
+  return Owner != nullptr && Owner->Ip == Ip;
+}
+
 const HostState *
 PlacementMap::placerFor(std::uint64_t Prefix,
                         const std::vector<const FleetEndpoint *> &Usable) {
--- a/src/dispatch/placementclient.h
+++ b/src/dispatch/placementclient.h
@@ -65,10 +65,6 @@
   /// two and a half of its messages.
   static constexpr Duration PlacerSilence = std::chrono::milliseconds(500);
   static constexpr Duration CheckInterval = std::chrono::milliseconds(40);
-  /// A plain service of a region with no more endpoints goes to one placer as a
-  /// whole: its requests prefer no endpoint, and one queue before all slots
-  /// waits far less than a queue before each.
-  static constexpr std::size_t MostPlacedTogether = 32;
   /// Placers asked for one request before the own desk decides.
   static constexpr unsigned MostPlacers = 3;
 
--- a/src/dispatch/placementmap.h
+++ b/src/dispatch/placementmap.h
@@ -25,6 +25,7 @@
   /// The placer of an endpoint; null without placers. Holds until the placers
   /// are set again.
   const HostState *ownerOf(const EndpointKey &Endpoint);
+  bool isOwner(const std::string &Ip, const EndpointKey &Endpoint);
 
   /// The placer to ask for a request: that of the endpoint which its prompt's
   /// beginning prefers, so that equal beginnings meet at one placer and each
--- a/src/dispatch/tests/admissiontest.cpp
+++ b/src/dispatch/tests/admissiontest.cpp
@@ -13,6 +13,7 @@
 using testing::LoadReplay;
 using testing::ReplayedRequest;
 using testing::ReplayKind;
+using testing::ReplayPool;
 
 namespace {
 
--- a/src/dispatch/tests/placementtest.cpp
+++ b/src/dispatch/tests/placementtest.cpp
@@ -187,24 +187,6 @@
   BOOST_TEST(Served == 4);
 }
 
-// Many placers, few endpoints: a request waits only while no slot of its
-// service is free.
-BOOST_AUTO_TEST_CASE(fewPlainEndpointsHaveOneQueue) {
-  constexpr unsigned Hosts = 60;
-  Region R(Hosts);
-  for (const char *Id : {"a", "b", "c", "d"})
-    R.addEndpoint(Id, "plain");
-  BOOST_TEST(R.All.begin()
-                 ->second->Hosts.delegates(RegionId("kigali"))
-                 .Placers.size() > 3U);
-  std::vector<std::shared_ptr<Region::Outcome>> All;
-  for (unsigned I = 0; I < 8; ++I)
-    All.push_back(R.place(I * 7, R.Fixture.request(0), Bookings));
-  R.Time.runFor(20ms);
-  for (const auto &O : All)
-    BOOST_TEST(O->served());
-}
-
 BOOST_AUTO_TEST_CASE(placeThatIsGivenBackGoesToTheNext) {
   Region R(5);
   R.addEndpoint("a", "plain");
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -69,8 +69,6 @@
   /// The list holds until the endpoints change.
   const std::vector<const FleetEndpoint *> &
   usable(const PoolName &Pool, const RegionId &Region) const;
-  /// Grows whenever an endpoint comes, goes or changes.
-  std::uint64_t endpointGeneration() const;
   /// Any endpoint that is listed, usable or not; null when unknown.
   const FleetEndpoint *endpoint(const EndpointId &Id) const;
   const FleetEndpoint *endpoint(const EndpointKey &Key) const;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -49,7 +49,6 @@
 
   /// The lists made of the endpoints no longer hold.
   void endpointsChanged() {
-    ++Generation_;
     Usable_.clear();
     ByKey_.clear();
   }
@@ -98,7 +97,6 @@
   std::set<ZoneId> Evacuated_;
   std::map<EndpointId, Listed> Endpoints_;
   std::unordered_map<EndpointKey, Said> Said_;
-  std::uint64_t Generation_ = 0;
   std::map<std::pair<PoolName, RegionId>, std::vector<const FleetEndpoint *>>
       Usable_;
   std::unordered_map<EndpointKey, const FleetEndpoint *> ByKey_;
@@ -227,10 +225,6 @@
   return It->second;
 }
 
-std::uint64_t FleetView::endpointGeneration() const {
-  return Impl_->Generation_;
-}
-
 const FleetEndpoint *FleetView::endpoint(const EndpointId &Id) const {
   auto Found = Impl_->Endpoints_.find(Id);
   return Found == Impl_->Endpoints_.end() ? nullptr : &Found->second.Endpoint;
