Let a host that is cut off read the store ever more rarely

Cause: a host that hears nobody read all entries each second.

Change: the pause between such reads doubles from one second to ten.

Ruled out: reading old states only: the first read must find a host that has just started, and pages are what is paid for.

--- a/src/fleethost/internal/hostannouncer.cpp
+++ b/src/fleethost/internal/hostannouncer.cpp
@@ -1,5 +1,6 @@
 #include "fleethost/internal/hostannouncer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace celerybeam::detail {
@@ -30,9 +31,13 @@
   bool Messenger = Hooks_.IsMessenger();
   if (Messenger && !std::exchange(Announces_, true))
     announce();
-  bool ListDue = Messenger && Runtime_.Now() >= NextList_;
-  if ((Alone || ListDue) && !Listing_)
+  if (!Alone)
+    AlonePause_ = CheckEvery;
+  if ((Alone || Messenger) && Runtime_.Now() >= NextList_ && !Listing_) {
+    NextList_ = Runtime_.Now() + (Alone ? AlonePause_ : LaterListEvery);
+    AlonePause_ = std::min(2 * AlonePause_, LaterListEvery);
     list();
+  }
   later(CheckEvery, &HostAnnouncer::check);
 }
 
@@ -66,7 +71,6 @@
 void HostAnnouncer::list() {
   auto Self = shared_from_this();
   Listing_ = true;
-  NextList_ = Runtime_.Now() + LaterListEvery;
   // The first read must not miss a host that has just started.
   auto &List = HasListed_ ? Store_.ListStale : Store_.List;
   List(Prefix_, [Self](Result<StoreSnapshot> Got) {
--- a/src/fleethost/internal/hostannouncer.h
+++ b/src/fleethost/internal/hostannouncer.h
@@ -45,8 +45,10 @@
   /// How often a host looks whether it has to stand in the store or to read it.
   /// Greetings to the addresses that it was told are answered well within this.
   static constexpr Duration CheckEvery = std::chrono::seconds(1);
-  /// Reads of a host that hears others: partitions heal without them, but two
-  /// parts of a fleet may have forgotten each other.
+  /// Longest pause between two reads, and the pause of a messenger that hears
+  /// others: partitions heal without reads, but two parts of a fleet may have
+  /// forgotten each other. A host that goes on hearing nobody is cut off, and
+  /// most of the fleet may be: it reads ever more rarely.
   static constexpr Duration LaterListEvery = std::chrono::seconds(10);
 
 private:
@@ -64,6 +66,8 @@
   Hooks Hooks_;
   std::optional<LeaseId> Lease_;
   TimePoint NextList_{};
+  /// While it hears nobody; grows with each read.
+  Duration AlonePause_ = CheckEvery;
   bool Announces_ = false;
   bool Listing_ = false;
   bool HasListed_ = false;
--- a/src/fleethost/tests/hostannouncertest.cpp
+++ b/src/fleethost/tests/hostannouncertest.cpp
@@ -97,6 +97,16 @@
   BOOST_TEST(Lists == 1U);
 }
 
+// A third of the hosts is cut off from the others for long: calls are paid for,
+// and tell nothing new.
+BOOST_AUTO_TEST_CASE(hostThatIsCutOffReadsEverMoreRarely) {
+  Alone = true;
+  Announcer->start();
+  Time.runFor(HostAnnouncer::CheckEvery + 35s);
+  BOOST_TEST(Lists <= 7U);
+  BOOST_TEST(Lists >= 5U);
+}
+
 // The last messenger has died.
 BOOST_AUTO_TEST_CASE(hostThatBecomesAMessengerStandsInTheStore) {
   Reachable = false;
