--- a/src/dispatch/tests/admissiontest.cpp
+++ b/src/dispatch/tests/admissiontest.cpp
@@ -13,7 +13,6 @@
 using testing::LoadReplay;
 using testing::ReplayedRequest;
 using testing::ReplayKind;
-using testing::ReplayPool;
 
 namespace {
 
