Reckon another region's wait by its places and by time

Cause: RegionOutlook added the whole own time of each request that was sent to a region, divided by endpoints, whatever their slots, and nothing was worked off until the next news: 34 requests of 25 ms to an endpoint of 6 slots counted as 846 ms.

Change: regions tell their places and how many are free. What was sent since a message, less what free places take meanwhile, is the wait; a message does not know of the last round trip's sends; equal regions share what is sent away.

Test: regionoutlooktest replays a region without endpoints of a plain service beside two regions, at 110 and 400 requests a second (200 can be served).

Ruled out: that the regions were full: their hosts answered within 60 ms meanwhile.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -176,17 +176,19 @@
                                      const AttemptLog &Log) {
     if (Request.Forwarded)
       return std::nullopt;
+    Duration Own = Predictor_.ownTime(Pool, Request.PromptTokens);
     std::optional<AwayChoice> Best;
     for (const RegionId &Region : Hosts_.otherRegions()) {
       if (!isHome(Route, Region) || contains(Log.RegionsTried, Region))
         continue;
-      auto Wait = Regions_.wait(Region, Pool.Name);
+      auto Wait = Regions_.wait(Region, Pool.Name, Own);
       auto Host = Wait ? Hosts_.drawServing(Region) : std::nullopt;
       if (!Host)
         continue;
-      Duration Expected = *Wait + Settings_.RegionHop +
-                          Predictor_.ownTime(Pool, Request.PromptTokens);
-      if (Best && Best->Expected <= Expected)
+      Duration Expected = *Wait + Settings_.RegionHop + Own;
+      // Regions that are equally soon share what is sent away.
+      if (Best && (Best->Expected < Expected ||
+                   (Best->Expected == Expected && Runtime_.Random() % 2 == 0)))
         continue;
       Best = {*Host, Expected};
     }
@@ -408,6 +410,19 @@
     return Endpoints.size() * std::max(1U, Endpoints.front()->Slots);
   }
 
+  void addPlaces(const FleetEndpoint &E, const FleetPool &Pool,
+                 const Prediction &Expected, PoolOutlook &Outlook) const {
+    const EndpointLoad &Load = Loads_.at(E.Key);
+    if (Pool.Engine) {
+      ++Outlook.Places;
+      Outlook.FreePlaces += Expected.Ready && Load.AllPrefill == 0 ? 1 : 0;
+      return;
+    }
+    std::uint32_t Slots = std::max(1U, E.Slots);
+    Outlook.Places += Slots;
+    Outlook.FreePlaces += Slots - std::min(Slots, Load.InFlight);
+  }
+
   static Duration scaled(Duration D, double Factor) {
     return Duration(
         static_cast<Duration::rep>(static_cast<double>(D.count()) * Factor));
@@ -552,6 +567,7 @@
       Prediction P = Impl_->Predictor_.predict(*E, Pool, {}, Ordinary);
       Sum += P.Wait;
       ++Outlook.Endpoints;
+      Impl_->addPlaces(*E, Pool, P, Outlook);
     }
     if (Outlook.Endpoints > 0)
       Outlook.Wait = Sum / Outlook.Endpoints +
--- /dev/null
+++ b/src/dispatch/tests/regionoutlooktest.cpp
@@ -0,0 +1,167 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <deque>
+
+#include "dispatch/tests/dispatchfixture.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolName Plain("plain");
+constexpr Duration OneWay = 55ms;
+constexpr Duration Service = 60ms;
+constexpr Duration NewsInterval = 500ms;
+
+/// A region with one endpoint of a plain service. It serves what it is sent in
+/// order, and tells how it stands every half second.
+class FarRegion {
+public:
+  FarRegion(testing::DispatchFixture &Home, const std::string &Name,
+            unsigned Slots)
+      : Home_(Home), Region_(Name), FreeAt_(Slots) {
+    tell();
+  }
+
+  /// \return when the request that is sent now is answered at home.
+  TimePoint take() {
+    auto Soonest = std::min_element(FreeAt_.begin(), FreeAt_.end());
+    TimePoint Begin = std::max(*Soonest, Home_.Time.now() + OneWay);
+    *Soonest = Begin + Service;
+    return *Soonest + OneWay;
+  }
+
+  const RegionId &name() const { return Region_; }
+
+private:
+  void tell() {
+    TimePoint Now = Home_.Time.now();
+    auto Free = static_cast<std::uint32_t>(
+        std::count_if(FreeAt_.begin(), FreeAt_.end(),
+                      [Now](TimePoint At) { return At <= Now; }));
+    Duration Wait =
+        std::max(Duration::zero(),
+                 *std::min_element(FreeAt_.begin(), FreeAt_.end()) - Now);
+    PoolOutlook Said{poolHash(Plain), Wait, 1,
+                     static_cast<std::uint32_t>(FreeAt_.size()), Free};
+    Home_.Time.after(OneWay, [this, Said] {
+      HostState H;
+      H.Id = HostId(Region_.str() + "-1");
+      H.Ip = Region_.str();
+      H.Region = Region_;
+      H.Ready = true;
+      Home_.Hosts.heard(H);
+      Home_.Decisions.regions().heard(Region_, H.Id, Said);
+    });
+    Home_.Time.after(NewsInterval, [this] { tell(); });
+  }
+
+  testing::DispatchFixture &Home_;
+  RegionId Region_;
+  std::vector<TimePoint> FreeAt_;
+};
+
+/// A region without an endpoint of the plain service beside two that have one.
+struct RegionWithoutEndpoints : testing::DispatchFixture {
+  static constexpr Duration Deadline = 1s;
+  static constexpr Duration Span = 10s;
+
+  /// Sends requests at this rate. All figures are shares of them.
+  void replay(unsigned Rate) {
+    FleetRoute Bookings = route(RepeatKind::AtMostOnce, 0);
+    Bookings.LatencyTarget = 300ms;
+    Time.runFor(200ms);
+    unsigned Count = Rate * static_cast<unsigned>(Span / 1s);
+    for (unsigned I = 0; I < Count; ++I) {
+      RequestDescriptor R = request(0);
+      R.Deadline = Time.now() + Deadline;
+      AttemptLog Log;
+      DispatchDecision D = Decisions.choose(R, Bookings, Log);
+      if (const auto *Away = std::get_if<PassOn>(&D)) {
+        Decisions.passedOn(R, *Away, Log);
+        FarRegion &To = Away->Host.Region == Musanze.name() ? Musanze : Huye;
+        Duration Took = To.take() - Time.now();
+        Served += Took <= Deadline ? 1 : 0;
+        Late += Took > Deadline ? 1 : 0;
+        OnTime += Took <= Bookings.LatencyTarget ? 1 : 0;
+      }
+      Time.runFor(Duration(1s) / Rate);
+    }
+    for (double *Share : {&Served, &Late, &OnTime})
+      *Share /= Count;
+  }
+
+  FarRegion Musanze{*this, "musanze", 6};
+  FarRegion Huye{*this, "huye", 6};
+  double Served = 0;
+  /// Sent, but answered after the caller has left.
+  double Late = 0;
+  double OnTime = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RegionOutlookTests)
+
+BOOST_AUTO_TEST_CASE(waitIsTheMeanOverThePlaces) {
+  testing::VirtualTime Time(1);
+  RegionOutlook Outlook(Time.runtime());
+  const RegionId Region("huye");
+  Outlook.heard(Region, HostId("h1"), {poolHash(Plain), 100ms, 3, 3, 0});
+  Outlook.heard(Region, HostId("h2"), {poolHash(Plain), 500ms, 1, 1, 0});
+  BOOST_TEST((*Outlook.wait(Region, Plain, 60ms) == 200ms));
+  Outlook.sent(Region, Plain, 400ms);
+  BOOST_TEST((*Outlook.wait(Region, Plain, 60ms) == 300ms));
+  Time.runFor(RegionOutlook::MaxAge + 1ms);
+  BOOST_TEST(!Outlook.wait(Region, Plain, 60ms).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(freePlacesTakeWhatIsSent) {
+  testing::VirtualTime Time(1);
+  RegionOutlook Outlook(Time.runtime());
+  const RegionId Region("huye");
+  Outlook.heard(Region, HostId("h1"), {poolHash(Plain), 0ms, 1, 6, 6});
+  for (int I = 0; I < 6; ++I)
+    Outlook.sent(Region, Plain, 60ms);
+  BOOST_TEST((*Outlook.wait(Region, Plain, 60ms) == 0ms));
+  for (int I = 0; I < 100; ++I)
+    Outlook.sent(Region, Plain, 60ms);
+  BOOST_TEST((*Outlook.wait(Region, Plain, 60ms) > 500ms));
+  Time.runFor(400ms);
+  BOOST_TEST((*Outlook.wait(Region, Plain, 60ms) < 500ms));
+}
+
+// A message is a round trip behind: it knows of earlier sends only.
+BOOST_AUTO_TEST_CASE(whatWasSentLatelyOutlivesAMessage) {
+  testing::VirtualTime Time(1);
+  RegionOutlook Outlook(Time.runtime());
+  const RegionId Region("huye");
+  const PoolOutlook Full{poolHash(Plain), 0ms, 1, 2, 0};
+  Outlook.heard(Region, HostId("h1"), Full);
+  Outlook.sent(Region, Plain, 300ms);
+  Time.runFor(RegionOutlook::NewsLag);
+  Outlook.sent(Region, Plain, 100ms);
+  Time.runFor(1ms);
+  Outlook.heard(Region, HostId("h1"), Full);
+  BOOST_TEST((*Outlook.wait(Region, Plain, 60ms) == 50ms));
+}
+
+// 110 requests a second, of 200 that the other regions serve.
+BOOST_AUTO_TEST_CASE(aRegionWithoutEndpointsIsServedByTheOthers) {
+  RegionWithoutEndpoints Replay;
+  Replay.replay(110);
+  BOOST_TEST(Replay.Served > 0.99);
+  BOOST_TEST(Replay.OnTime > 0.9);
+}
+
+// 400 a second: what cannot be served is refused, and not sent in vain.
+BOOST_AUTO_TEST_CASE(otherRegionsAreNotFlooded) {
+  RegionWithoutEndpoints Replay;
+  Replay.replay(400);
+  BOOST_TEST(Replay.Served > 0.45);
+  BOOST_TEST(Replay.Late < 0.05);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/internal/newsexchange.cpp
+++ b/src/fleethost/internal/newsexchange.cpp
@@ -141,6 +141,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(Outlook.Wait)
             .count()));
     Told->set_endpoints(Outlook.Endpoints);
+    Told->set_places(Outlook.Places);
+    Told->set_free_places(Outlook.FreePlaces);
   }
   for (const std::string &Ip : farPlacers())
     send(Ip, Message);
@@ -313,7 +315,7 @@
     Parties_.Decisions.regions().heard(
         From.Region, From.Id,
         {Told.pool(), std::chrono::milliseconds(Told.wait_ms()),
-         Told.endpoints()});
+         Told.endpoints(), Told.places(), Told.free_places()});
   for (const auto &Told : Message.crashes())
     Parties_.Decisions.crashes().peerSaw({Told.fingerprint(), Told.event()});
   for (const auto &Told : Message.words())
