Weigh an endpoint's failures, notice silence, and send away what home refuses

Who had waited past its target was refused at home while another region would have answered it (away_ms 300, limit_ms 2,100): what home refuses is sent away, and a stalled attempt may move to another region. 3. Engines that went dark with open connections were trusted for 1.4 s more, and requests waited for them (usable 8, here_ms 2,800). An endpoint that has answered nothing for three times as long as its oldest request should take, and 250 ms, is waited for as long again, and checked at once; it stays trusted if the check is good. Shares of failures fade with 5 s, and free slots go before taken ones unless an endpoint fails more than a quarter.

Tried and dropped on the way: silence that takes an endpoint's trust before its check (refuses what a lost note made look silent; lostNotesLeaveNothingBehind was red).

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "dispatch/endpointreservations.h"
@@ -20,13 +21,29 @@
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(20);
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration MostRetryAfter = std::chrono::seconds(5);
+/// An endpoint is silent after this multiple of the time that its oldest
+/// request should take, and this much more: neighbours on its machine slow it
+/// down by less, and stalls of a moment end within the margin.
+constexpr int SilenceFactor = 3;
+constexpr Duration SilenceMargin = std::chrono::milliseconds(250);
 
 struct Candidate {
   const FleetEndpoint *Endpoint = nullptr;
   Prediction Expected;
   Duration Score{};
   bool Cold = false;
+  /// Not trusted, but better than nothing.
+  bool LastResort = false;
+  /// Of a plain service: every slot is taken, or it fails so often that a place
+  /// at another endpoint is waited for.
+  bool Busy = false;
   Address CopyFrom;
+
+  /// Whether a request goes here rather than there.
+  bool isBefore(const Candidate &Other) const {
+    return std::tie(LastResort, Busy, Score) <
+           std::tie(Other.LastResort, Other.Busy, Other.Score);
+  }
 };
 
 struct AwayChoice {
@@ -105,8 +122,23 @@
     return E.ColdUntil > Runtime_.Now() && Pool.ColdRequestsPerSecond > 0;
   }
 
-  /// An endpoint that wants nothing for now is waited for if no other is
-  /// sooner.
+  /// How much longer an endpoint is thought to be silent that works on requests
+  /// and has answered none of them for far longer than the oldest should take:
+  /// as long again. Zero for others.
+  ///
+  /// Answers to "all endpoints of a region go dark, and what is sent there
+  /// hangs": requests would wait for endpoints that make no progress.
+  Duration silenceAhead(const FleetEndpoint &E, const FleetPool &Pool) const {
+    auto Silence = Loads_.silence(E.Key);
+    if (!Silence)
+      return {};
+    Duration For = std::min(Silence->For, Health_.sinceGoodCheck(E.Key));
+    Duration Expected = Predictor_.ownTimeAt(E, Pool, Silence->Oldest);
+    return For > SilenceFactor * Expected + SilenceMargin ? For : Duration();
+  }
+
+  /// An endpoint that wants nothing for now, or is silent, is waited for if no
+  /// other is sooner.
   static void waitForRest(Candidate &C, Duration Rest, AttemptLog &Log) {
     ++Log.Seen.Resting;
     C.Expected.Ready = false;
@@ -142,10 +174,12 @@
       bool Trusted = Health_.isTrusted(E->Key);
       Log.Seen.Untrusted += Trusted ? 0 : 1;
       bool Trial = !Trusted && mayRepeat(Route.Kind) && Health_.mayTry(E->Key);
-      if (contains(Log.Tried, E->Key) || !(Trusted || Trial))
+      bool LastResort = !Trusted && !Trial && Health_.isLastResort(E->Key);
+      if (contains(Log.Tried, E->Key) || !(Trusted || Trial || LastResort))
         continue;
       Candidate C;
       C.Endpoint = E;
+      C.LastResort = LastResort;
       C.Cold = isCold(*E, Pool);
       if (C.Cold && !(owns(E->Key) &&
                       Cold_.wouldTake(E->Key, Pool.ColdRequestsPerSecond))) {
@@ -157,6 +191,11 @@
         C.Expected.Ready = false;
       if (Duration Rest = Fleet_.restOf(E->Key); Rest > Duration::zero())
         waitForRest(C, Rest, Log);
+      if (Duration Silence = silenceAhead(*E, Pool);
+          Silence > Duration::zero()) {
+        Health_.doubt(E->Key);
+        waitForRest(C, Silence, Log);
+      }
       if (C.Expected.CopiedTokens > 0)
         C.CopyFrom = Source.Endpoint->Where;
       C.Score = C.Expected.ToFirstOutput +
@@ -164,7 +203,8 @@
       if (Pool.Engine)
         C.Score += engineCost(C, Endpoints, Pool, Route) +
                    Settings_.PreferenceStep * Preferences[I];
-      if (!Best || C.Score < Best->Score)
+      C.Busy = !Pool.Engine && (!C.Expected.Ready || !Health_.isSound(E->Key));
+      if (!Best || C.isBefore(*Best))
         Best = C;
     }
     return Best;
@@ -247,7 +287,8 @@
       Log.Seen.Here = Home.Expected;
     if (Away)
       Log.Seen.Away = Away->Expected;
-    if (Away && isBetterAway(Away->Expected, Case, Home, Here.has_value()))
+    if (Away &&
+        isBetterAway(Away->Expected, Case, Home, Here && !Here->LastResort))
       return PassOn{Away->Host, Away->Expected};
     if (!Here)
       return refuseLate(Request, Log,
@@ -353,13 +394,13 @@
     return Case;
   }
 
-  /// Another region's endpoints are worth the transfer if the answer comes
-  /// clearly sooner, and on time unless that is out of reach at home.
+  /// Another region's endpoints are worth the transfer if home would refuse the
+  /// request, or if the answer comes clearly sooner, and on time.
   bool isBetterAway(Duration Expected, const AdmissionCase &Case,
-                    const Admission &Home, bool IsServedHere) const {
+                    const Admission &Home, bool IsServedWellHere) const {
     if (Case.Waited + Expected > Case.Latest)
       return false;
-    if (!IsServedHere)
+    if (!IsServedWellHere || !Home.Admitted)
       return true;
     bool OnTime = Case.SinceFirstAsked + Expected <= Case.LatencyTarget;
     return (OnTime || Case.IsOwedAShare) &&
@@ -519,6 +560,9 @@
 }
 
 void Dispatcher::end(const ServeAt &Choice, WorkId Id, AttemptOutcome Outcome) {
+  // The note of its first output may have been lost.
+  if (Outcome == AttemptOutcome::Answered)
+    Impl_->Loads_.firstOutput(Id);
   Impl_->Loads_.ended(Id);
   Impl_->Health_.ended(Choice.Endpoint.Key, Outcome);
 }
@@ -561,8 +605,9 @@
     Duration Sum{};
     for (const FleetEndpoint *E :
          Impl_->Fleet_.usable(Name, Impl_->Hosts_.self().Region)) {
-      if (!Impl_->owns(E->Key) || Impl_->isCold(*E, Pool) ||
-          !Impl_->Health_.isTrusted(E->Key))
+      bool Serves = Impl_->Health_.isTrusted(E->Key) ||
+                    Impl_->Health_.isLastResort(E->Key);
+      if (!Serves || !Impl_->owns(E->Key) || Impl_->isCold(*E, Pool))
         continue;
       Prediction P = Impl_->Predictor_.predict(*E, Pool, {}, Ordinary);
       Sum += P.Wait;
--- a/src/dispatch/internal/endpointhealth.cpp
+++ b/src/dispatch/internal/endpointhealth.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/endpointhealth.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace celerybeam {
 
@@ -10,14 +12,19 @@
     return;
   State &S = States_[Endpoint];
   double Failure = Outcome == AttemptOutcome::Answered ? 0 : 1;
+  S.FailureShare = failureShare(S);
   S.FailureShare += (Failure - S.FailureShare) * LatestWeight;
+  S.FailureAt = Runtime_.Now();
   if (Outcome == AttemptOutcome::Answered && S.Suspect)
     restore(S);
-  if (Outcome != AttemptOutcome::Broken) {
-    S.BrokenInRow = 0;
-    return;
+  if (Outcome == AttemptOutcome::Answered) {
+    ++S.AnsweredInRow;
+    ++S.AnsweredSinceRestored;
   }
-  if (++S.BrokenInRow >= BrokenLimit)
+  if (Outcome != AttemptOutcome::Broken)
+    return;
+  bool Sound = std::exchange(S.AnsweredInRow, 0) >= SoundAnswers;
+  if (!Sound)
     distrust(Endpoint);
 }
 
@@ -26,19 +33,28 @@
   if (S.Suspect)
     return;
   TimePoint Now = Runtime_.Now();
-  bool Relapsed = Now - S.RestoredAt < RelapseWithin;
+  bool Relapsed = Now - S.RestoredAt < RelapseWithin &&
+                  S.AnsweredSinceRestored < SoundAnswers;
   S.Penalty = Relapsed ? std::clamp(S.Penalty * 2, FirstPenalty, LongestPenalty)
                        : Duration::zero();
   S.Suspect = true;
+  S.CheckedGood = false;
   S.NextCheck = Now;
   S.TrustFrom = Now + S.Penalty;
   S.NextTrial = Now + std::max(TrialAfter, S.Penalty);
 }
 
+void EndpointHealth::doubt(const EndpointKey &Endpoint) {
+  State &S = States_[Endpoint];
+  if (S.Suspect || std::exchange(S.Doubted, true))
+    return;
+  S.NextCheck = Runtime_.Now();
+}
+
 void EndpointHealth::restore(State &S) {
   S.Suspect = false;
-  S.BrokenInRow = 0;
   S.RestoredAt = Runtime_.Now();
+  S.AnsweredSinceRestored = 0;
 }
 
 bool EndpointHealth::mayTry(const EndpointKey &Endpoint) const {
@@ -55,25 +71,53 @@
   State &S = States_[Endpoint];
   TimePoint Now = Runtime_.Now();
   S.NextCheck = std::max(Now + CheckInterval, S.TrustFrom);
+  S.CheckedGood = Healthy;
+  if (std::exchange(S.Doubted, false)) {
+    if (!Healthy)
+      distrust(Endpoint);
+    S.RestoredAt = Healthy ? Now : S.RestoredAt;
+  }
   if (Healthy && S.Suspect && Now >= S.TrustFrom)
     restore(S);
 }
 
+bool EndpointHealth::isLastResort(const EndpointKey &Endpoint) const {
+  auto Found = States_.find(Endpoint);
+  return Found != States_.end() && Found->second.CheckedGood &&
+         failureShare(Found->second) <= LastResortFailureShare;
+}
+
 bool EndpointHealth::isTrusted(const EndpointKey &Endpoint) const {
   auto Found = States_.find(Endpoint);
   return Found == States_.end() || !Found->second.Suspect;
 }
 
+Duration EndpointHealth::sinceGoodCheck(const EndpointKey &Endpoint) const {
+  auto Found = States_.find(Endpoint);
+  return Runtime_.Now() -
+         (Found == States_.end() ? TimePoint() : Found->second.RestoredAt);
+}
+
+double EndpointHealth::failureShare(const State &S) const {
+  return S.FailureShare *
+         std::exp(-static_cast<double>((Runtime_.Now() - S.FailureAt).count()) /
+                  static_cast<double>(FailureMemory.count()));
+}
+
 double EndpointHealth::failureShare(const EndpointKey &Endpoint) const {
   auto Found = States_.find(Endpoint);
-  return Found == States_.end() ? 0 : Found->second.FailureShare;
+  return Found == States_.end() ? 0 : failureShare(Found->second);
+}
+
+bool EndpointHealth::isSound(const EndpointKey &Endpoint) const {
+  return failureShare(Endpoint) <= SoundFailureShare;
 }
 
 std::vector<EndpointKey> EndpointHealth::dueForCheck() {
   std::vector<EndpointKey> Due;
   TimePoint Now = Runtime_.Now();
   for (auto &[Key, S] : States_) {
-    if (!S.Suspect || S.NextCheck > Now)
+    if (!(S.Suspect || S.Doubted) || S.NextCheck > Now)
       continue;
     S.NextCheck = Now + std::chrono::seconds(2);
     Due.push_back(Key);
--- a/src/dispatch/internal/loadbook.cpp
+++ b/src/dispatch/internal/loadbook.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/loadbook.h"
 
+#include <algorithm>
+
 namespace celerybeam {
 
 const LoadBook::Entry *LoadBook::find(const EndpointKey &Endpoint) const {
@@ -37,8 +39,11 @@
 
 void LoadBook::firstOutput(WorkId Id) {
   auto Found = Dispatches_.find(Id.Value);
-  if (Found != Dispatches_.end())
-    endWait(Id.Value, Found->second, Entries_[Found->second.Endpoint]);
+  if (Found == Dispatches_.end())
+    return;
+  Entry &E = Entries_[Found->second.Endpoint];
+  E.LastOutput = Runtime_.Now();
+  endWait(Id.Value, Found->second, E);
 }
 
 void LoadBook::ended(WorkId Id) {
@@ -76,6 +81,16 @@
   return E->Waiting.begin()->second;
 }
 
+std::optional<EndpointSilence>
+LoadBook::silence(const EndpointKey &Endpoint) const {
+  const Entry *E = find(Endpoint);
+  if (E == nullptr || E->Waiting.empty())
+    return std::nullopt;
+  const auto &[Id, SentAt] = *E->Waiting.begin();
+  return EndpointSilence{Runtime_.Now() - std::max(E->LastOutput, SentAt),
+                         Dispatches_.at(Id).Asked};
+}
+
 void LoadBook::forget(const EndpointKey &Endpoint) {
   auto Found = Entries_.find(Endpoint);
   // Work that is still under way has to be taken off when it ends.
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -55,6 +55,12 @@
   return Speed.ServiceMs > 0 ? fromMillis(Speed.ServiceMs) : AssumedService;
 }
 
+Duration Predictor::ownTimeAt(const FleetEndpoint &Endpoint,
+                              const FleetPool &Pool, const Work &Asked) const {
+  return fromMillis(millis(ownTime(Pool, Asked.UncachedTokens)) *
+                    std::max(1.0, slowness(Endpoint.Key)));
+}
+
 std::uint32_t Predictor::cachedTokens(const FleetEndpoint &Endpoint,
                                       const FleetPool &Pool,
                                       const RequestDescriptor &Request) const {
--- a/src/dispatch/loadbook.h
+++ b/src/dispatch/loadbook.h
@@ -39,6 +39,14 @@
   std::uint32_t MemoryTokens = 0;
 };
 
+/// An endpoint has requests and has answered none of them for a while.
+struct EndpointSilence {
+  /// Since its last first output, or since the oldest request was sent.
+  Duration For{};
+  /// What the oldest request asks of it.
+  Work Oldest;
+};
+
 /// The work in flight at each endpoint that was placed from here.
 ///
 /// Answers to "reports of load lag by some hundred milliseconds, and all hosts
@@ -61,6 +69,8 @@
   TimePoint lastRead(const EndpointKey &Endpoint) const;
   /// When the oldest prompt that waits there was sent; unset when none does.
   std::optional<TimePoint> oldestWaiting(const EndpointKey &Endpoint) const;
+  /// Unset when no request waits there for its first output.
+  std::optional<EndpointSilence> silence(const EndpointKey &Endpoint) const;
   void forget(const EndpointKey &Endpoint);
 
 private:
@@ -72,6 +82,7 @@
   struct Entry {
     EndpointLoad Load;
     TimePoint LastRead{};
+    TimePoint LastOutput{};
     ReadingDuty Duty;
     /// When each waiting prompt was sent, by number, the oldest first.
     std::map<std::uint64_t, TimePoint> Waiting;
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -56,6 +56,10 @@
   /// or to answer a plain request.
   Duration ownTime(const FleetPool &Pool, std::uint32_t Tokens) const;
 
+  /// The same for work in flight at one endpoint, as slow as it is now.
+  Duration ownTimeAt(const FleetEndpoint &Endpoint, const FleetPool &Pool,
+                     const Work &Asked) const;
+
   /// Time from a stream's first output to its end.
   Duration streamTime(const FleetPool &Pool,
                       std::uint32_t MaxOutputTokens) const;
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -111,6 +111,56 @@
   BOOST_TEST(is<ServeAt>(send(request(9000), Quotes)));
 }
 
+// A request that waited in vain until it could not be on time any more is not
+// refused while another region can still serve it.
+BOOST_AUTO_TEST_CASE(whatHomeWouldRefuseGoesToARegionThatServesIt) {
+  addEndpoint("a");
+  hearNeighbour(0ms);
+  FleetRoute Route = Quotes;
+  Route.FirstOutputPatience = 2400ms;
+  for (int I = 0; I < 40; ++I)
+    Decisions.held().add({PoolName("engines"),
+                          0,
+                          Time.now(),
+                          Time.now() + 1min,
+                          Time.now() + 1min,
+                          500ms,
+                          false,
+                          {}});
+  AttemptLog Log;
+  RequestDescriptor R = request(9000);
+  Log.Pool = PoolName("engines");
+  Log.Arrived = Time.now() - 1100ms;
+  BOOST_TEST(is<PassOn>(Decisions.choose(R, Route, Log)));
+}
+
+// All engines of the region go dark at once and their connections stay open:
+// what hangs there tells.
+BOOST_AUTO_TEST_CASE(silentEnginesGetNothingMore) {
+  FleetEndpoint E = addEndpoint("a");
+  BOOST_REQUIRE(is<ServeAt>(send(request(2000), Questions)));
+  Time.runFor(600ms);
+  BOOST_TEST(is<Hold>(send(request(1000), Questions)));
+  BOOST_TEST(Decisions.health().dueForCheck().size() == 1U);
+  BOOST_TEST(Decisions.health().isTrusted(E.Key));
+  // Others serve at once.
+  hearNeighbour(0ms);
+  BOOST_TEST(is<PassOn>(send(request(1000), Questions)));
+  Decisions.health().checked(E.Key, false);
+  BOOST_TEST(!Decisions.health().isTrusted(E.Key));
+}
+
+// A check shows that the engine is well: it only reads for long.
+BOOST_AUTO_TEST_CASE(silentEngineWithAGoodCheckGoesOn) {
+  FleetEndpoint E = addEndpoint("a");
+  BOOST_REQUIRE(is<ServeAt>(send(request(2000), Questions)));
+  Time.runFor(600ms);
+  BOOST_TEST(is<Hold>(send(request(1000), Questions)));
+  Decisions.health().dueForCheck();
+  Decisions.health().checked(E.Key, true);
+  BOOST_TEST(is<ServeAt>(send(request(1000), Questions)));
+}
+
 BOOST_AUTO_TEST_CASE(forwardedRequestIsNotPassedOn) {
   hearNeighbour(0ms);
   RequestDescriptor R = request(9000);
@@ -180,6 +230,22 @@
   BOOST_TEST(is<ServeAt>(send(request(1000), Quotes)));
 }
 
+// The only endpoint of a service breaks off now and then: it goes on being used
+// while its health check is good, and another region goes before it.
+BOOST_AUTO_TEST_CASE(lastEndpointIsUsedWhileItsCheckIsGood) {
+  FleetEndpoint E = addEndpoint("a");
+  for (int I = 0; I < 3; ++I) {
+    Decisions.health().ended(E.Key, AttemptOutcome::Broken);
+    Decisions.health().dueForCheck();
+    Decisions.health().checked(E.Key, true);
+  }
+  BOOST_REQUIRE(!Decisions.health().isTrusted(E.Key));
+  BOOST_TEST(is<ServeAt>(send(request(1000), Quotes)));
+  BOOST_TEST(Decisions.outlook().front().Endpoints == 1U);
+  hearNeighbour(0ms);
+  BOOST_TEST(is<PassOn>(send(request(1000), Quotes)));
+}
+
 // Only what may be repeated finds out whether a broken endpoint serves again.
 BOOST_AUTO_TEST_CASE(trialTakesARepeatableRequest) {
   addEndpoint("a");
@@ -262,6 +328,35 @@
   BOOST_TEST((std::get<Hold>(D).OnTimeUntil <= Time.now()));
 }
 
+// Some requests of a service fail by themselves: an endpoint that answered two
+// such does not stand idle while requests wait for the others.
+BOOST_AUTO_TEST_CASE(endpointThatFailedAFewRequestsIsNotLeftIdle) {
+  FleetEndpoint A = addEndpoint("a", "plain");
+  addEndpoint("b", "plain");
+  for (int I = 0; I < 2; ++I)
+    Decisions.health().ended(A.Key, AttemptOutcome::Failed);
+  // Two slots each.
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
+  BOOST_TEST(is<Hold>(send(request(0), Bookings)));
+}
+
+// One that fails most of them is, but only for as long as it is remembered.
+BOOST_AUTO_TEST_CASE(failuresAreForgotten) {
+  FleetEndpoint A = addEndpoint("a", "plain");
+  FleetEndpoint B = addEndpoint("b", "plain");
+  for (int I = 0; I < 8; ++I)
+    Decisions.health().ended(A.Key, AttemptOutcome::Failed);
+  for (int I = 0; I < 2; ++I)
+    BOOST_TEST(
+        (std::get<ServeAt>(send(request(0), Bookings)).Endpoint.Key == B.Key));
+  BOOST_TEST(is<Hold>(send(request(0), Bookings)));
+  Time.runFor(2 * EndpointHealth::FailureMemory);
+  Decisions.health().checked(B.Key, true);
+  BOOST_TEST(Decisions.health().isSound(A.Key));
+  BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
+}
+
 BOOST_AUTO_TEST_CASE(plainServiceTakesAsManyAsItsSlots) {
   addEndpoint("a", "plain");
   BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -132,6 +132,49 @@
   BOOST_TEST(Health.isTrusted(E));
 }
 
+// One that loses an answer now and then goes on being used; one that breaks all
+// that is in flight there is given up at once.
+BOOST_AUTO_TEST_CASE(endpointThatAnswersMostRequestsIsNotGivenUp) {
+  testing::VirtualTime Time(1);
+  EndpointHealth Health(Time.runtime());
+  const EndpointKey E{42};
+  unsigned Trusted = 0;
+  constexpr unsigned Requests = 3000;
+  for (unsigned I = 0; I < Requests; ++I) {
+    Trusted += Health.isTrusted(E) ? 1 : 0;
+    bool Lost = Time.random() % 100 < 3;
+    Health.ended(E, Lost ? AttemptOutcome::Broken : AttemptOutcome::Answered);
+    for (const EndpointKey &Key : Health.dueForCheck())
+      Health.checked(Key, true);
+    Time.runFor(10ms);
+  }
+  BOOST_TEST(Trusted > Requests * 97 / 100);
+  for (unsigned I = 0; I < EndpointHealth::SoundAnswers; ++I)
+    Health.ended(E, AttemptOutcome::Answered);
+  Health.ended(E, AttemptOutcome::Broken);
+  Health.ended(E, AttemptOutcome::Broken);
+  BOOST_TEST(!Health.isTrusted(E));
+}
+
+BOOST_AUTO_TEST_CASE(endpointWithAGoodCheckIsALastResort) {
+  testing::VirtualTime Time(1);
+  EndpointHealth Health(Time.runtime());
+  const EndpointKey E{42};
+  // Relapses until it has time without trust to serve.
+  for (int I = 0; I < 2; ++I) {
+    Health.ended(E, AttemptOutcome::Broken);
+    BOOST_TEST(!Health.isLastResort(E));
+    for (const EndpointKey &Key : Health.dueForCheck())
+      Health.checked(Key, true);
+  }
+  BOOST_TEST(!Health.isTrusted(E));
+  BOOST_TEST(Health.isLastResort(E));
+  // One that fails most requests is none.
+  for (int I = 0; I < 5; ++I)
+    Health.ended(E, AttemptOutcome::Failed);
+  BOOST_TEST(!Health.isLastResort(E));
+}
+
 // One whose health check fails while it would serve: one request now and then
 // finds out.
 BOOST_AUTO_TEST_CASE(endpointThatFailsItsChecksGetsATrial) {
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -44,6 +44,7 @@
                       {"status", R.Status},
                       {"outcome", R.Outcome},
                       {"run", executionName(R.Known)}};
+  add(Fields, "prompt_tokens", R.PromptTokens);
   if (!R.Attempts.empty())
     Fields.push_back({"attempts", R.Attempts});
   addInputs(Fields, R.Seen);
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -181,14 +181,13 @@
                                     const PlacementAnswer &Answer) {
           Self->placed(Id, Answer);
         });
-    Record_.Pool = Log_.Pool;
   }
 
   void placed(PlacementId Id, const PlacementAnswer &Answer) {
     Log_.Seen = Answer.Seen;
     if (const auto *Wait = std::get_if<Hold>(&*Answer.Decision)) {
       if (!std::exchange(Held_, true))
-        note("held", Wait->Expected, 0);
+        note("held", Wait->Expected);
       return;
     }
     Held_ = false;
@@ -231,7 +230,7 @@
     if (mayRepeat(Route_->Kind))
       Call.ReuseIdleAtMost = ReuseForRepeatable;
     note(Here_->Endpoint.Id.str(), Here_->Expected.ToFirstOutput,
-         Here_->Expected.UncachedTokens);
+         Here_->Expected);
     watchForStall(Here_->Expected.ToFirstOutput);
     beginCall(std::move(Call));
   }
@@ -252,15 +251,18 @@
              std::to_string(millisOf(Context_.Time.Now() - Request_.Arrived)));
     Call.ConnectTimeout = FarConnectTimeout;
     Call.ReuseIdleAtMost = HttpCaller::MaxIdleTime;
-    note("via " + Choice.Host.Id.str(), Choice.Expected, 0);
+    note("via " + Choice.Host.Id.str(), Choice.Expected);
     beginCall(std::move(Call));
   }
 
-  void note(const std::string &Where, Duration Expected, unsigned Uncached) {
+  void note(const std::string &Where, Duration Expected,
+            const Prediction &Reads = {}) {
     Record_.Attempts += (Record_.Attempts.empty() ? "" : "; ") + Where +
                         " expected_ms=" + std::to_string(millisOf(Expected));
-    if (Uncached > 0)
-      Record_.Attempts += " uncached=" + std::to_string(Uncached);
+    if (Reads.UncachedTokens > 0)
+      Record_.Attempts += " uncached=" + std::to_string(Reads.UncachedTokens);
+    if (Reads.CopiedTokens > 0)
+      Record_.Attempts += " copied=" + std::to_string(Reads.CopiedTokens);
   }
 
   void beginCall(HttpCallRequest Call) {
@@ -325,8 +327,9 @@
     Spare_.reset();
     SpareSought_ = false;
     const auto *There = std::get_if<ServeAt>(&*Answer.Decision);
-    bool Wanted = There != nullptr && !Over_ && Here_ && !GotOutput_ &&
-                  Log_.Sends == After.Sends &&
+    const auto *Away = std::get_if<PassOn>(&*Answer.Decision);
+    bool Wanted = (There != nullptr || Away != nullptr) && !Over_ && Here_ &&
+                  !GotOutput_ && Log_.Sends == After.Sends &&
                   Context_.Decisions.mayTryAgain(Descriptor_, *Route_, After);
     if (!Wanted)
       return Context_.Placement.end(Id, {});
@@ -334,7 +337,9 @@
     endHere(AttemptOutcome::Failed);
     Record_.Attempts += " stalled";
     Log_ = After;
-    serveAt(Id, *There);
+    if (There != nullptr)
+      return serveAt(Id, *There);
+    passOn(*Away);
   }
 
   void dropSpare() {
@@ -528,6 +533,8 @@
     Over_ = true;
     Record_.Status = Status;
     Record_.Outcome = Outcome;
+    Record_.Pool = Log_.Pool;
+    Record_.PromptTokens = Descriptor_.PromptTokens;
     Record_.Known = Log_.Known;
     Record_.Seen = Log_.Seen;
     Record_.Sends = Log_.Sends;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -61,6 +61,7 @@
   RequestId Id;
   RouteName Route;
   PoolName Pool;
+  unsigned PromptTokens = 0;
   std::uint64_t TablesVersion = 0;
   /// The final status; 0 when the caller left or the answer broke off.
   unsigned Status = 0;
