Follow the store through its return from an older copy

Cause: a mirror never went behind a revision it had shown, whatever the store's history. After a return from a copy (Store-Era rises, numbers go back and are given out again) new configuration and endpoints would have been ignored until the counter had caught up, removed keys would have lived on in peers' answers, and a lease's number, given to another host, would have been renewed for it.

The other prefix is listed at once. A host that stands in the store writes its entry again under a new lease, spread over a second. One log line for each return and settling with both revisions and rows awaited; metrics store_era and store_rows_awaited.

--- a/src/fleet/hoststate.h
+++ b/src/fleet/hoststate.h
@@ -21,8 +21,8 @@
   std::int64_t StartedAt = 0;
   bool Ready = false;
   bool Leaving = false;
-  StoreRevision OperatorRevision = 0;
-  StoreRevision EndpointRevision = 0;
+  StoreRevision OperatorRevision;
+  StoreRevision EndpointRevision;
   /// Whether it watches the store and was answered of late.
   bool Watches = false;
   /// Thousandths of processor cores that it may use, by which work is shared
--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -33,8 +33,7 @@
       if (!Got)
         return failed(Got.error(), &Impl::list);
       succeeded();
-      if (Got->AsOf >= AsOf_)
-        replaceAll(*Got);
+      takeList(*Got);
       Runtime_.After(FirstWatch, [Weak = weak_from_this()] {
         if (auto Self = Weak.lock())
           Self->watch();
@@ -48,8 +47,7 @@
         return failed(Got.error(), &Impl::list);
       succeeded();
       Confirmed_ = true;
-      if (Got->AsOf >= AsOf_)
-        replaceAll(*Got);
+      takeList(*Got);
       watch();
     }));
   }
@@ -59,7 +57,8 @@
       Idle_ = true;
       return;
     }
-    Hooks_.Watch(AsOf_, WatchWait, guarded([this](Result<StoreSnapshot> Got) {
+    Hooks_.Watch(AsOf_, WatchWait,
+                 guarded([this, After = AsOf_](Result<StoreSnapshot> Got) {
                    if (!Got && Got.error().Kind == ErrorKind::StoreConflict) {
                      succeeded();
                      return list();
@@ -67,6 +66,9 @@
                    if (!Got)
                      return failed(Got.error(), &Impl::watch);
                    succeeded();
+                   // Changes since a moment of another history.
+                   if (Got->AsOf.Era != After.Era)
+                     return list();
                    Confirmed_ = true;
                    apply(*Got);
                    watch();
@@ -81,6 +83,8 @@
                      AskingPeer_ = false;
                      if (!Got || Got->AsOf <= AsOf_)
                        return;
+                     if (Got->AsOf.Era > AsOf_.Era && isFilled())
+                       beginSettling(Got->AsOf);
                      if (Got->ChangesOnly)
                        apply(*Got);
                      else
@@ -121,10 +125,22 @@
     });
   }
 
+  void listBesideWatch() {
+    Hooks_.List(guarded([this](Result<StoreSnapshot> Got) {
+      if (Got)
+        return takeList(*Got);
+      Runtime_.After(LongestBackoff, [Weak = weak_from_this()] {
+        auto Self = Weak.lock();
+        if (Self && Self->isSettlingOver())
+          Self->listBesideWatch();
+      });
+    }));
+  }
+
   StoreSnapshot changesSince(StoreRevision Since) const {
     StoreSnapshot Copy;
     Copy.AsOf = AsOf_;
-    Copy.ChangesOnly = Since > 0 && Since >= RemovalsFrom_;
+    Copy.ChangesOnly = Since > StoreRevision() && Since >= RemovalsFrom_;
     for (const auto &[Key, Item] : Items_)
       if (!Copy.ChangesOnly || Item.At > Since)
         Copy.Items.push_back(Item);
@@ -135,6 +151,8 @@
     return Copy;
   }
 
+  bool isFilled() const { return AsOf_ > StoreRevision(); }
+
   bool isCurrent() const {
     if (Following_)
       return Runtime_.Now() - WatcherHeard_ <= FollowSilence;
@@ -142,8 +160,8 @@
            Runtime_.Now() - LastAnswer_ <= WatchWait + AnswerSlack;
   }
 
-  StoreRevision AsOf_ = 0;
-  StoreRevision LastChange_ = 0;
+  StoreRevision AsOf_;
+  StoreRevision LastChange_;
   bool Following_ = false;
 
 private:
@@ -192,8 +210,13 @@
     if (Held != Items_.end() && Held->second.At >= Change.At)
       return;
     LastChange_ = std::max(LastChange_, Change.At);
+    RemovedBefore_.erase(Change.Key);
     if (!Change.Removed) {
+      bool Same = Held != Items_.end() && Held->second.Value == Change.Value;
       Items_[Change.Key] = Change;
+      // Said again after the store's return.
+      if (Same && SettlesAt_)
+        return;
     } else if (Held == Items_.end()) {
       return;
     } else {
@@ -214,6 +237,85 @@
     AsOf_ = std::max(AsOf_, Changes.AsOf);
   }
 
+  /// Takes all keys as the store listed them.
+  void takeList(const StoreSnapshot &State) {
+    if (State.AsOf < AsOf_)
+      return;
+    if (State.AsOf.Era > AsOf_.Era && isFilled())
+      return takeListOfReturn(State);
+    if (SettlesAt_ && !isSettlingOver())
+      return takeListWhileSettling(State);
+    replaceAll(State);
+    if (SettlesAt_)
+      settled();
+  }
+
+  bool isSettlingOver() const {
+    return SettlesAt_ && Runtime_.Now() >= *SettlesAt_;
+  }
+
+  /// The first list after the store came back from an older copy. Its numbers
+  /// up to the copy are those of the time before.
+  void takeListOfReturn(const StoreSnapshot &State) {
+    beginSettling(State.AsOf);
+    takeListWhileSettling(State);
+    RemovalsFrom_ = AsOf_;
+  }
+
+  void beginSettling(StoreRevision After) {
+    for (const StoreChange &Removal : Removals_)
+      RemovedBefore_[Removal.Key] = Removal.At;
+    Removals_.clear();
+    RemovalsFrom_ = After;
+    SettlesAt_ = Runtime_.Now() + ReturnSettles;
+    if (Hooks_.Returned)
+      Hooks_.Returned({AsOf_, After, Items_.size(), false});
+    // A watch may wait for longer.
+    Runtime_.After(ReturnSettles, [Weak = weak_from_this()] {
+      auto Self = Weak.lock();
+      if (!Self || !Self->isSettlingOver())
+        return;
+      if (Self->Following_)
+        return Self->settled();
+      Self->listBesideWatch();
+    });
+  }
+
+  /// Takes what is surely newer than what is held, and what is new.
+  void takeListWhileSettling(const StoreSnapshot &State) {
+    for (const StoreChange &Item : State.Items)
+      if (!isOfOldCopy(Item))
+        applyOne(Item);
+    AsOf_ = std::max(AsOf_, State.AsOf);
+    LastChange_ = std::max(LastChange_, State.AsOf);
+  }
+
+  /// Whether a listed row may have been overwritten or removed before the store
+  /// went back.
+  bool isOfOldCopy(const StoreChange &Item) const {
+    if (auto Removed = RemovedBefore_.find(Item.Key);
+        Removed != RemovedBefore_.end())
+      return Item.At.Number <= Removed->second.Number;
+    auto Held = Items_.find(Item.Key);
+    return Held != Items_.end() && Held->second.At.Era < Item.At.Era &&
+           Held->second.Value != Item.Value &&
+           Item.At.Number <= Held->second.At.Number;
+  }
+
+  std::size_t awaited() const {
+    return static_cast<std::size_t>(
+        std::count_if(Items_.begin(), Items_.end(), [&](const auto &E) {
+          return E.second.At.Era < AsOf_.Era;
+        }));
+  }
+
+  void settled() {
+    SettlesAt_.reset();
+    RemovedBefore_.clear();
+    if (Hooks_.Returned)
+      Hooks_.Returned({AsOf_, AsOf_, awaited(), true});
+  }
+
   /// Takes a whole state that is at least as new as the one held.
   void replaceAll(const StoreSnapshot &State) {
     std::map<std::string, bool> Present;
@@ -229,7 +331,7 @@
       applyOne(Item);
     AsOf_ = std::max(AsOf_, State.AsOf);
     // Removals that a list shows are known by the list's revision only.
-    if (RemovalsFrom_ == 0)
+    if (RemovalsFrom_ == StoreRevision())
       RemovalsFrom_ = AsOf_;
   }
 
@@ -238,7 +340,11 @@
   std::map<std::string, StoreChange> Items_;
   /// The latest removals, and the revision from which on they are complete.
   std::deque<StoreChange> Removals_;
-  StoreRevision RemovalsFrom_ = 0;
+  StoreRevision RemovalsFrom_;
+  /// After the store's return from an older copy: until when rows of the time
+  /// before are awaited, and which were removed before.
+  std::optional<TimePoint> SettlesAt_;
+  std::map<std::string, StoreRevision> RemovedBefore_;
   /// Following, with no call to the store under way.
   bool Idle_ = false;
   TimePoint WatcherHeard_{};
@@ -262,6 +368,10 @@
 void StoreMirror::heardOf(StoreRevision Applied, bool Watches) {
   Impl_->heardOf(Applied, Watches);
 }
+void StoreMirror::storeReturned(std::uint64_t Era) {
+  if (Era > Impl_->AsOf_.Era && !Impl_->Following_ && Impl_->isFilled())
+    Impl_->listBesideWatch();
+}
 void StoreMirror::setFollowing(bool Following) {
   Impl_->setFollowing(Following);
 }
@@ -270,7 +380,7 @@
   return Impl_->changesSince(Since);
 }
 StoreRevision StoreMirror::lastChange() const { return Impl_->LastChange_; }
-bool StoreMirror::isFilled() const { return Impl_->AsOf_ > 0; }
+bool StoreMirror::isFilled() const { return Impl_->isFilled(); }
 bool StoreMirror::isCurrent() const { return Impl_->isCurrent(); }
 
 } // namespace celerybeam
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -16,7 +16,8 @@
   testing::VirtualTime Time{1};
   std::map<std::string, StoreChange> Keys;
   std::vector<StoreChange> History;
-  StoreRevision Now = 10;
+  std::uint64_t Era = 0;
+  std::uint64_t Now = 10;
   bool Reachable = true;
   bool HistoryGone = false;
   unsigned Lists = 0;
@@ -26,13 +27,15 @@
   std::vector<bool> HeardAfterOutage;
   StoreMirror Mirror{Time.runtime(), hooks()};
 
+  StoreRevision at(std::uint64_t Number) const { return {Era, Number}; }
+
   void put(const std::string &Key, const std::string &Value) {
-    Keys[Key] = {Key, Value, ++Now, false};
+    Keys[Key] = {Key, Value, {Era, ++Now}, false};
     History.push_back(Keys[Key]);
   }
   void remove(const std::string &Key) {
     Keys.erase(Key);
-    History.push_back({Key, "", ++Now, true});
+    History.push_back({Key, "", {Era, ++Now}, true});
   }
 
   StoreMirrorHooks hooks() {
@@ -58,7 +61,7 @@
 
   StoreSnapshot snapshot(const std::map<std::string, StoreChange> &From) const {
     StoreSnapshot S;
-    S.AsOf = Now;
+    S.AsOf = at(Now);
     for (const auto &[Key, Item] : From)
       S.Items.push_back(Item);
     return S;
@@ -76,11 +79,11 @@
   void watch(StoreRevision After, Duration Left,
              const StoreMirrorHooks::Answer &Answer) {
     StoreSnapshot S;
-    S.AsOf = Now;
+    S.AsOf = at(Now);
     for (const StoreChange &C : History)
-      if (C.At > After)
+      if (C.At.Number > After.Number)
         S.Items.push_back(C);
-    if (Reachable && HistoryGone) {
+    if (Reachable && (HistoryGone || After.Number > Now)) {
       HistoryGone = false;
       return Time.after(1ms, [Answer] {
         Answer(makeError(ErrorKind::StoreConflict, "compacted"));
@@ -93,9 +96,29 @@
     });
   }
 
+  /// The store's state, to come back to.
+  struct Copy {
+    std::map<std::string, StoreChange> Keys;
+    std::uint64_t Now = 0;
+  };
+  Copy copy() const { return {Keys, Now}; }
+
+  /// The store is away for a moment and comes back from a copy.
+  void comeBack(const Copy &Old) {
+    Reachable = false;
+    Time.runFor(StoreMirror::WatchWait + 200ms);
+    ++Era;
+    Keys = Old.Keys;
+    for (auto &[Key, Item] : Keys)
+      Item.At.Era = Era;
+    Now = Old.Now;
+    History.clear();
+    Reachable = true;
+  }
+
   std::map<std::string, std::string> held() const {
     std::map<std::string, std::string> All;
-    for (const StoreChange &C : Mirror.changesSince(0).Items)
+    for (const StoreChange &C : Mirror.changesSince({}).Items)
       All[C.Key] = C.Value;
     return All;
   }
@@ -161,9 +184,9 @@
   Mirror.start();
   Time.runFor(100ms);
   Reachable = false;
-  PeerKnows.AsOf = Now + 5;
-  PeerKnows.Items = {{"a", "2", Now + 5, false}};
-  Mirror.heardOf(Now + 5);
+  PeerKnows.AsOf = at(Now + 5);
+  PeerKnows.Items = {{"a", "2", at(Now + 5), false}};
+  Mirror.heardOf(at(Now + 5));
   Time.runFor(1s);
   BOOST_TEST((held() == Map{{"a", "2"}}));
 }
@@ -173,10 +196,10 @@
   put("a", "2");
   Mirror.start();
   Time.runFor(100ms);
-  PeerKnows.AsOf = Now - 1;
-  PeerKnows.Items = {{"a", "1", Now - 1, false}};
+  PeerKnows.AsOf = at(Now - 1);
+  PeerKnows.Items = {{"a", "1", at(Now - 1), false}};
   // The peer said that it knew more and was restarted before it was asked.
-  Mirror.heardOf(Now + 5);
+  Mirror.heardOf(at(Now + 5));
   Time.runFor(1s);
   BOOST_TEST((held() == Map{{"a", "2"}}));
 }
@@ -191,8 +214,8 @@
   unsigned Before = Watches;
   put("a", "2");
   put("b", "1");
-  PeerKnows = {{Keys["a"], Keys["b"]}, Now, true};
-  Mirror.heardOf(Now, true);
+  PeerKnows = {{Keys["a"], Keys["b"]}, at(Now), true};
+  Mirror.heardOf(at(Now), true);
   Time.runFor(200ms);
   BOOST_TEST((held() == Map{{"a", "2"}, {"b", "1"}}));
   Time.runFor(10s);
@@ -209,11 +232,11 @@
   Time.runFor(100ms);
   Mirror.setFollowing(true);
   BOOST_TEST(!Mirror.isCurrent());
-  Mirror.heardOf(Now, true);
+  Mirror.heardOf(at(Now), true);
   BOOST_TEST(Mirror.isCurrent());
   // Something that is missing here.
   Time.runFor(StoreMirror::FollowSilence + 1ms);
-  Mirror.heardOf(Now + 3, true);
+  Mirror.heardOf(at(Now + 3), true);
   BOOST_TEST(!Mirror.isCurrent());
 }
 
@@ -223,7 +246,7 @@
   put("b", "1");
   Mirror.start();
   Time.runFor(100ms);
-  StoreRevision Since = Now;
+  StoreRevision Since = at(Now);
   remove("a");
   put("b", "2");
   remove("b");
@@ -236,7 +259,7 @@
     Told[C.Key + (C.Removed ? " gone" : "")] = C.Value;
   BOOST_TEST((Told == Map{{"a gone", ""}, {"b", "3"}, {"b gone", ""}}));
   // Before the first list: removals are not known.
-  BOOST_TEST(!Mirror.changesSince(1).ChangesOnly);
+  BOOST_TEST(!Mirror.changesSince(at(1)).ChangesOnly);
 }
 
 BOOST_AUTO_TEST_CASE(knowsWhenItMayBeBehind) {
@@ -267,7 +290,7 @@
 
   Map heldByStale() const {
     Map All;
-    for (const StoreChange &C : Stale->changesSince(0).Items)
+    for (const StoreChange &C : Stale->changesSince({}).Items)
       All[C.Key] = C.Value;
     return All;
   }
@@ -295,9 +318,9 @@
   Stale->start();
   Time.runFor(100ms);
   Stale->setFollowing(true);
-  Stale->heardOf(Now, true);
+  Stale->heardOf(at(Now), true);
   Time.runFor(2 * StoreMirror::FirstWatch);
-  Stale->heardOf(Now, true);
+  Stale->heardOf(at(Now), true);
   BOOST_TEST((heldByStale() == Map{{"b", "1"}, {"c", "2"}}));
   BOOST_TEST(Stale->isCurrent());
   BOOST_TEST(StaleLists == 1U);
@@ -316,4 +339,134 @@
   BOOST_TEST(StaleLists == 1U);
 }
 
+// The copy is older than what was shown: nothing that was shown is taken back
+// while the operator and the endpoints have not written it again.
+BOOST_AUTO_TEST_CASE(whatWasShownHoldsWhenTheStoreComesBackOlder) {
+  put("config", "1");
+  put("gone", "x");
+  Mirror.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  put("config", "2");
+  remove("gone");
+  put("new", "y");
+  Time.runFor(200ms);
+  const Map Shown{{"config", "2"}, {"new", "y"}};
+  BOOST_REQUIRE((held() == Shown));
+  Heard.clear();
+  comeBack(Old);
+  Time.runFor(2s);
+  BOOST_TEST((held() == Shown));
+  BOOST_TEST(Heard.empty());
+  remove("gone");
+  put("config", "2");
+  put("new", "y");
+  Time.runFor(StoreMirror::ReturnSettles);
+  BOOST_TEST((held() == Shown));
+  BOOST_TEST(Heard.empty());
+}
+
+// Numbers are given out again: changes after the return are taken although the
+// counter has not caught up.
+BOOST_AUTO_TEST_CASE(changesAfterTheReturnAreTakenAtOnce) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  for (int I = 0; I < 50; ++I)
+    put("b", std::to_string(I));
+  Time.runFor(200ms);
+  comeBack(Old);
+  Time.runFor(1s);
+  put("a", "2");
+  put("c", "1");
+  Time.runFor(200ms);
+  BOOST_TEST(held()["a"] == "2");
+  BOOST_TEST(held()["c"] == "1");
+  remove("a");
+  Time.runFor(200ms);
+  BOOST_TEST(!held().contains("a"));
+}
+
+// What nobody writes again is gone in the end, and the store's word holds.
+BOOST_AUTO_TEST_CASE(whatIsNotWrittenAgainGoes) {
+  put("a", "1");
+  put("removed", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  put("a", "2");
+  put("b", "1");
+  remove("removed");
+  Time.runFor(200ms);
+  comeBack(Old);
+  Time.runFor(StoreMirror::ReturnSettles / 2);
+  BOOST_TEST((held() == Map{{"a", "2"}, {"b", "1"}}));
+  Time.runFor(StoreMirror::ReturnSettles + 1s);
+  BOOST_TEST((held() == Map{{"a", "1"}, {"removed", "1"}}));
+}
+
+// The counter has caught up before the watch is asked again: another prefix
+// tells of the return.
+BOOST_AUTO_TEST_CASE(aReturnThatAnotherPrefixShowedIsLookedUpAtOnce) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  put("b", "1");
+  Time.runFor(200ms);
+  comeBack(Old);
+  put("a", "2");
+  put("elsewhere", "1");
+  put("elsewhere", "2");
+  Mirror.storeReturned(Era);
+  Time.runFor(100ms);
+  BOOST_TEST((Mirror.lastChange() >= at(Now)));
+  BOOST_TEST(held()["a"] == "2");
+  BOOST_TEST(held()["b"] == "1");
+}
+
+// Hosts that follow hear of the later era from one that watches, and one that
+// still tells of the earlier era changes nothing.
+BOOST_AUTO_TEST_CASE(followersGoOnInTheLaterEra) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Mirror.setFollowing(true);
+  Time.runFor(StoreMirror::WatchWait + 1s);
+  StoreRevision Before = Mirror.lastChange();
+  PeerKnows = {{{"a", "2", {1, 3}, false}}, {1, 3}, false};
+  Mirror.heardOf({1, 3}, true);
+  Time.runFor(1s);
+  BOOST_TEST((held() == Map{{"a", "2"}}));
+  BOOST_TEST((Mirror.lastChange() == StoreRevision{1, 3}));
+  PeerKnows = {{{"a", "1", {0, 99}, false}}, {0, 99}, false};
+  Mirror.heardOf({0, 99}, true);
+  Time.runFor(1s);
+  BOOST_TEST((held() == Map{{"a", "2"}}));
+  BOOST_TEST((Before < Mirror.lastChange()));
+}
+
+BOOST_AUTO_TEST_CASE(theReturnIsToldOnce) {
+  std::vector<StoreReturn> Told;
+  auto H = hooks();
+  H.Returned = [&](const StoreReturn &Return) { Told.push_back(Return); };
+  StoreMirror Watching(Time.runtime(), H);
+  put("a", "1");
+  Watching.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  put("a", "2");
+  Time.runFor(200ms);
+  comeBack(Old);
+  Time.runFor(1s);
+  BOOST_REQUIRE(Told.size() == 1U);
+  BOOST_TEST(!Told[0].Settled);
+  BOOST_TEST((Told[0].Before == StoreRevision{0, 12}));
+  BOOST_TEST((Told[0].After == StoreRevision{1, 11}));
+  Time.runFor(StoreMirror::ReturnSettles);
+  BOOST_REQUIRE(Told.size() == 2U);
+  BOOST_TEST(Told[1].Settled);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /// Where hosts hand each other what they mirror of the store.
-/// A revision follows.
+/// A revision follows: its era, a dot and its number.
 const std::array<std::string, 2> SnapshotPaths = {"/mirror/operator/",
                                                   "/mirror/endpoints/"};
 constexpr unsigned Ok = 200;
@@ -41,13 +41,15 @@
 
 std::string serialize(const StoreSnapshot &Snapshot) {
   messages::MirrorSnapshot Message;
-  Message.set_as_of(Snapshot.AsOf);
+  Message.set_as_of(Snapshot.AsOf.Number);
+  Message.set_era(Snapshot.AsOf.Era);
   Message.set_changes_only(Snapshot.ChangesOnly);
   for (const StoreChange &Item : Snapshot.Items) {
     auto *Out = Message.add_items();
     Out->set_key(Item.Key);
     Out->set_value(Item.Value);
-    Out->set_at(Item.At);
+    Out->set_at(Item.At.Number);
+    Out->set_era(Item.At.Era);
     Out->set_removed(Item.Removed);
   }
   return Message.SerializeAsString();
@@ -60,14 +62,29 @@
                      "Another host's snapshot cannot be read; it is asked "
                      "again.");
   StoreSnapshot Snapshot;
-  Snapshot.AsOf = Message.as_of();
+  Snapshot.AsOf = {Message.era(), Message.as_of()};
   Snapshot.ChangesOnly = Message.changes_only();
   for (const auto &Item : Message.items())
     Snapshot.Items.push_back(
-        {Item.key(), Item.value(), Item.at(), Item.removed()});
+        {Item.key(), Item.value(), {Item.era(), Item.at()}, Item.removed()});
   return Snapshot;
 }
 
+std::string textOf(StoreRevision Revision) {
+  return std::to_string(Revision.Era) + "." + std::to_string(Revision.Number);
+}
+
+/// What cannot be read counts as zero: everything is handed over.
+StoreRevision revisionIn(std::string_view Text) {
+  StoreRevision Read;
+  const char *End = Text.data() + Text.size();
+  auto Era = std::from_chars(Text.data(), End, Read.Era);
+  if (Era.ec != std::errc() || Era.ptr == End || *Era.ptr != '.')
+    return {};
+  auto Number = std::from_chars(Era.ptr + 1, End, Read.Number);
+  return Number.ec == std::errc() ? Read : StoreRevision();
+}
+
 } // namespace
 
 class FleetHost::Impl : public std::enable_shared_from_this<Impl> {
@@ -252,6 +269,9 @@
                    AfterOutage ? StoreMirror::ReturnGrace : Duration::zero(),
                    Fleet_);
     };
+    H.Returned = [this, Part](const StoreReturn &Return) {
+      storeReturned(Part, Return);
+    };
     H.Reachability = [this, Part](bool Reachable, const std::string &Why) {
       if (Reachable)
         Log_.info("The store answers.", {{"prefix", prefixOf(Part)}});
@@ -265,6 +285,29 @@
     return H;
   }
 
+  void storeReturned(MirrorPart Part, const StoreReturn &Return) {
+    const char *Said = Return.Settled
+                           ? "The store's word is the whole truth again."
+                           : "The store came back from an older copy.";
+    Log_.warning(Said, {{"prefix", prefixOf(Part)},
+                        {"before", textOf(Return.Before)},
+                        {"after", textOf(Return.After)},
+                        {"awaited", Return.Awaited}});
+    Metrics_.set("store_era",
+                 "Times that the store came back older, by its word.", {},
+                 static_cast<double>(Return.After.Era));
+    Metrics_.set("store_rows_awaited",
+                 "Rows from before the store's return that it has not said "
+                 "again.",
+                 {{"prefix", prefixOf(Part)}},
+                 static_cast<double>(Return.Awaited));
+    if (Return.Settled)
+      return;
+    Announcer_->storeReturned(Return.After.Era);
+    for (StoreMirror *Mirror : {&Operator_, &Endpoints_})
+      Mirror->storeReturned(Return.After.Era);
+  }
+
   void askPeer(MirrorPart Part, StoreRevision Since,
                const StoreMirrorHooks::Answer &Answer) {
     const HostState *Best = nullptr;
@@ -289,7 +332,7 @@
     Call.To = Address(Best->Ip + ":" + Settings_.HostPort);
     Call.Head = {"GET",
                  SnapshotPaths.at(static_cast<std::size_t>(Part)) +
-                     std::to_string(Since),
+                     textOf(Since),
                  {{"Host", Best->Ip}}};
     Call.Timeout = SnapshotTimeout;
     auto Body = std::make_shared<std::string>();
@@ -326,9 +369,8 @@
           std::pair(&SnapshotPaths[1], &Endpoints_)}) {
       if (Request.Head.Method != "GET" || !Target.starts_with(*Path))
         continue;
-      StoreRevision Since = 0;
-      std::from_chars(Target.data() + Path->size(),
-                      Target.data() + Target.size(), Since);
+      StoreRevision Since =
+          revisionIn(std::string_view(Target).substr(Path->size()));
       return Answer->respond({Ok, {}}, serialize(Mirror->changesSince(Since)));
     }
     relayRequest(Context_, std::move(Request), std::move(Answer), true);
--- a/src/fleethost/internal/hostannouncer.cpp
+++ b/src/fleethost/internal/hostannouncer.cpp
@@ -24,6 +24,28 @@
   });
 }
 
+void HostAnnouncer::laterInRound(Duration D, void (HostAnnouncer::*Then)()) {
+  Runtime_.After(D, [Weak = weak_from_this(), Then, Round = Round_] {
+    auto Self = Weak.lock();
+    if (Self && !Self->Withdrawn_ && Self->Round_ == Round)
+      (Self.get()->*Then)();
+  });
+}
+
+void HostAnnouncer::storeReturned(std::uint64_t Era) {
+  if (Era <= Era_)
+    return;
+  Era_ = Era;
+  if (!Announces_)
+    return;
+  ++Round_;
+  Lease_.reset();
+  auto Spread = static_cast<Duration::rep>(
+      Runtime_.Random() %
+      static_cast<std::uint64_t>(AnnounceAgainWithin.count()));
+  laterInRound(Duration(Spread), &HostAnnouncer::announce);
+}
+
 void HostAnnouncer::start() { later(CheckEvery, &HostAnnouncer::check); }
 
 void HostAnnouncer::check() {
@@ -43,28 +65,32 @@
 
 void HostAnnouncer::announce() {
   auto Self = shared_from_this();
-  Store_.Grant(TimeToLive, [Self](Result<LeaseId> Got) {
-    if (Self->Withdrawn_)
+  Store_.Grant(TimeToLive, [Self, Round = Round_](Result<LeaseId> Got) {
+    if (Self->Withdrawn_ || Self->Round_ != Round)
       return;
     if (!Got)
-      return Self->later(RetryAfterFailure, &HostAnnouncer::announce);
+      return Self->laterInRound(RetryAfterFailure, &HostAnnouncer::announce);
     Self->Lease_ = *Got;
     Self->Store_.Put(
-        Self->Key_, Self->Ip_, *Got, [Self](const Result<void> &Put) {
-          Self->later(Put ? RenewEvery : RetryAfterFailure,
-                      Put ? &HostAnnouncer::renew : &HostAnnouncer::announce);
+        Self->Key_, Self->Ip_, *Got, [Self, Round](const Result<void> &Put) {
+          if (Self->Round_ == Round)
+            Self->laterInRound(Put ? RenewEvery : RetryAfterFailure,
+                               Put ? &HostAnnouncer::renew
+                                   : &HostAnnouncer::announce);
         });
   });
 }
 
 void HostAnnouncer::renew() {
   auto Self = shared_from_this();
-  Store_.Renew(*Lease_, [Self](const Result<void> &Renewed) {
+  Store_.Renew(*Lease_, [Self, Round = Round_](const Result<void> &Renewed) {
+    if (Self->Round_ != Round)
+      return;
     if (Renewed)
-      return Self->later(RenewEvery, &HostAnnouncer::renew);
+      return Self->laterInRound(RenewEvery, &HostAnnouncer::renew);
     bool Lost = Renewed.error().Kind == ErrorKind::LeaseLost;
-    Self->later(RetryAfterFailure,
-                Lost ? &HostAnnouncer::announce : &HostAnnouncer::renew);
+    Self->laterInRound(RetryAfterFailure,
+                       Lost ? &HostAnnouncer::announce : &HostAnnouncer::renew);
   });
 }
 
--- a/src/fleethost/internal/hostannouncer.h
+++ b/src/fleethost/internal/hostannouncer.h
@@ -35,6 +35,9 @@
                 std::string Key, std::string Ip, Hooks H);
 
   void start();
+  /// The store came back from an older copy: the entry and its lease are gone,
+  /// and the lease's number may be given to another.
+  void storeReturned(std::uint64_t Era);
   /// Removes the entry; the answer is not waited for.
   void withdraw();
 
@@ -42,6 +45,9 @@
   static constexpr Duration TimeToLive = std::chrono::seconds(30);
   /// Renewals of the lease, a third of its time.
   static constexpr Duration RenewEvery = std::chrono::seconds(10);
+  /// Entries that were lost are written again within this time, spread over the
+  /// hosts.
+  static constexpr Duration AnnounceAgainWithin = std::chrono::seconds(1);
   /// How often a host looks whether it has to stand in the store or to read it.
   /// Greetings to the addresses that it was told are answered well within this.
   static constexpr Duration CheckEvery = std::chrono::seconds(1);
@@ -57,6 +63,8 @@
   void check();
   void list();
   void later(Duration D, void (HostAnnouncer::*Then)());
+  /// A step of the present entry.
+  void laterInRound(Duration D, void (HostAnnouncer::*Then)());
 
   Runtime Runtime_;
   StoreAccess Store_;
@@ -65,6 +73,9 @@
   std::string Ip_;
   Hooks Hooks_;
   std::optional<LeaseId> Lease_;
+  std::uint64_t Era_ = 0;
+  /// Grows with each return of the store; steps of an entry of before end.
+  std::uint64_t Round_ = 0;
   TimePoint NextList_{};
   /// While it hears nobody; grows with each read.
   Duration AlonePause_ = CheckEvery;
--- a/src/fleethost/internal/newscodec.cpp
+++ b/src/fleethost/internal/newscodec.cpp
@@ -165,8 +165,10 @@
   Out.set_started_at(Host.StartedAt);
   Out.set_ready(Host.Ready);
   Out.set_leaving(Host.Leaving);
-  Out.set_operator_revision(Host.OperatorRevision);
-  Out.set_endpoint_revision(Host.EndpointRevision);
+  Out.set_operator_revision(Host.OperatorRevision.Number);
+  Out.set_operator_era(Host.OperatorRevision.Era);
+  Out.set_endpoint_revision(Host.EndpointRevision.Number);
+  Out.set_endpoint_era(Host.EndpointRevision.Era);
   Out.set_milli_cores(Host.MilliCores);
   Out.set_watches(Host.Watches);
   Out.set_age_ms(millis(Age));
@@ -181,8 +183,8 @@
   Host.StartedAt = In.started_at();
   Host.Ready = In.ready();
   Host.Leaving = In.leaving();
-  Host.OperatorRevision = In.operator_revision();
-  Host.EndpointRevision = In.endpoint_revision();
+  Host.OperatorRevision = {In.operator_era(), In.operator_revision()};
+  Host.EndpointRevision = {In.endpoint_era(), In.endpoint_revision()};
   Host.MilliCores = In.milli_cores();
   Host.Watches = In.watches();
   return Host;
--- a/src/fleethost/tests/hostannouncertest.cpp
+++ b/src/fleethost/tests/hostannouncertest.cpp
@@ -17,7 +17,7 @@
       ++Lists;
       Time.after(4ms, [Then] {
         StoreSnapshot All;
-        All.Items.push_back({"hosts/k9", "10.0.0.9", 3, false});
+        All.Items.push_back({"hosts/k9", "10.0.0.9", {0, 3}, false});
         Then(All);
       });
     };
@@ -32,8 +32,9 @@
         Then(makeError(ErrorKind::StoreUnreachable, "down"));
       });
     };
-    S.Renew = [this](LeaseId, const auto &Then) {
+    S.Renew = [this](LeaseId Lease, const auto &Then) {
       ++Renewals;
+      LastRenewed = Lease.Value;
       Time.after(4ms, [Then] { Then({}); });
     };
     S.Put = [this](const std::string &, const std::string &, LeaseId,
@@ -51,6 +52,7 @@
   unsigned Puts = 0;
   unsigned Renewals = 0;
   unsigned Ends = 0;
+  std::uint64_t LastRenewed = 0;
   bool Reachable = true;
   bool Messenger = false;
   bool Alone = false;
@@ -120,4 +122,24 @@
   BOOST_TEST(Puts == 1U);
 }
 
+// The store came back from an older copy: entry and lease are gone, and the
+// lease's number may belong to another host by now.
+BOOST_AUTO_TEST_CASE(entryIsWrittenAgainUnderANewLeaseAfterTheStoresReturn) {
+  Messenger = true;
+  Announcer->start();
+  Time.runFor(HostAnnouncer::CheckEvery + 100ms);
+  BOOST_REQUIRE(Puts == 1U);
+  Announcer->storeReturned(1);
+  // Both prefixes that are watched tell of it.
+  Announcer->storeReturned(1);
+  Time.runFor(HostAnnouncer::AnnounceAgainWithin + 100ms);
+  BOOST_TEST(Grants == 2U);
+  BOOST_TEST(Puts == 2U);
+  BOOST_TEST(Renewals == 0U);
+  Time.runFor(HostAnnouncer::TimeToLive);
+  BOOST_TEST(Renewals == 3U);
+  BOOST_TEST(LastRenewed == 2U);
+  BOOST_TEST(Puts == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
