Do not wait for engines without room; tell other regions how long late ones wait

A region told others only how long those wait that can be on time. And the time that late ones are forecast to get was reckoned from all that arrived, refused requests included. Now the demand counts what is admitted on time, and regions tell how much longer late ones wait. Grown Serra held prompts for 690 ms in the median that their engine then answered in 120 ms, on calm seconds: the engine that holds a beginning has 12 slots, all taken by streams, and as it read nothing its wait counted as nothing. An engine without room now counts the time until one of its streams ends, and stands behind engines that have room: they copy the beginning.

Tests: fullEngineIsNotWaitedForWhileOthersAreFree, red with the wait alone and without both.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -34,8 +34,8 @@
   bool Cold = false;
   /// Not trusted, but better than nothing.
   bool LastResort = false;
-  /// Of a plain service: every slot is taken, or it fails so often that a place
-  /// at another endpoint is waited for.
+  /// It has no room, and others may wait for its next place, too; or, of a
+  /// plain service, it fails so often that a place at another is waited for.
   bool Busy = false;
   Address CopyFrom;
 
@@ -203,7 +203,8 @@
       if (Pool.Engine)
         C.Score += engineCost(C, Endpoints, Pool, Route) +
                    Settings_.PreferenceStep * Preferences[I];
-      C.Busy = !Pool.Engine && (!C.Expected.Ready || !Health_.isSound(E->Key));
+      C.Busy =
+          !C.Expected.HasRoom || (!Pool.Engine && !Health_.isSound(E->Key));
       if (!Best || C.isBefore(*Best))
         Best = C;
     }
@@ -226,6 +227,9 @@
       if (!Host)
         continue;
       Duration Expected = *Wait + Settings_.RegionHop + Own;
+      // There it waits behind those that can be on time.
+      if (Runtime_.Now() + Expected > *Log.FirstAsked + Route.LatencyTarget)
+        Expected += Regions_.lateWait(Region, Pool.Name);
       // Regions that are equally soon share what is sent away.
       if (Best && (Best->Expected < Expected ||
                    (Best->Expected == Expected && Runtime_.Random() % 2 == 0)))
@@ -293,7 +297,7 @@
     if (!Here)
       return refuseLate(Request, Log,
                         Case.Waited + Away->Expected - Case.Latest);
-    noteAdmission(Request, Route, *Pool, Log, *Here, Home.Admitted);
+    noteAdmission(Request, Route, *Pool, Log, *Here, Home);
     if (!Home.Admitted)
       return refuseLate(Request, Log, Home.RetryAfter);
     if (Case.MustWait)
@@ -410,11 +414,12 @@
 
   void noteAdmission(const RequestDescriptor &Request, const FleetRoute &Route,
                      const FleetPool &Pool, const AttemptLog &Log,
-                     const Candidate &Here, bool Admitted) {
+                     const Candidate &Here, const Admission &Home) {
     if (!Log.Held) {
-      Forecast_.arrived(Pool.Name, workOf(Request, Pool, Here));
-      Shares_.decided(classOf(Route, Pool, Here), Admitted);
-    } else if (!Admitted) {
+      if (Home.Admitted && Home.Lane == QueueLane::OnTime)
+        Forecast_.arrived(Pool.Name, workOf(Request, Pool, Here));
+      Shares_.decided(classOf(Route, Pool, Here), Home.Admitted);
+    } else if (!Home.Admitted) {
       Shares_.failed(classOf(Route, Pool, Here));
     }
   }
@@ -614,13 +619,15 @@
       ++Outlook.Endpoints;
       Impl_->addPlaces(*E, Pool, P, Outlook);
     }
-    if (Outlook.Endpoints > 0)
-      Outlook.Wait = Sum / Outlook.Endpoints +
-                     Impl_->Forecast_.onTimeWait(
-                         Name,
-                         Impl_->Held_.ahead(Name, Ordinary.Rank, {},
-                                            Impl_->Runtime_.Now()),
-                         Impl_->placesOf(Pool));
+    TimePoint Now = Impl_->Runtime_.Now();
+    WorkAhead Ahead = Impl_->Held_.ahead(Name, Ordinary.Rank, Now, Now);
+    std::size_t Places = Impl_->placesOf(Pool);
+    if (Outlook.Endpoints > 0) {
+      Duration OnTime = Impl_->Forecast_.onTimeWait(Name, Ahead, Places);
+      Outlook.Wait = Sum / Outlook.Endpoints + OnTime;
+      Outlook.LateWait =
+          Impl_->Forecast_.lateWait(Name, Ahead, Places) - OnTime;
+    }
     All.push_back(Outlook);
   }
   return All;
--- a/src/dispatch/internal/predictor.cpp
+++ b/src/dispatch/internal/predictor.cpp
@@ -99,12 +99,13 @@
   if (Source.Tokens >= Cached + LeastCopy)
     P.CopiedTokens = Source.Tokens - Cached;
   P.UncachedTokens = Request.PromptTokens - Cached - P.CopiedTokens;
-  bool Fits =
+  P.HasRoom =
       Load.InFlight < Endpoint.Slots &&
       Needed + Load.MemoryTokens <= static_cast<double>(Capacity) * MemoryShare;
   std::uint32_t Waiting =
       Route.Rank == 0 ? Load.UrgentPrefill : Load.AllPrefill;
-  P.Ready = Fits && isPaced(Endpoint, Pool, Route, Waiting, P.UncachedTokens);
+  P.Ready =
+      P.HasRoom && isPaced(Endpoint, Pool, Route, Waiting, P.UncachedTokens);
   std::uint32_t Others =
       Load.AllPrefill - std::min(Load.AllPrefill, Load.UrgentPrefill);
   double Ahead = Route.Rank == 0
@@ -115,6 +116,8 @@
   // The oldest prompt in flight has been read in part.
   if (auto Oldest = Loads_.oldestWaiting(Endpoint.Key))
     WaitMs = std::max(WaitMs / 2, WaitMs - millis(Runtime_.Now() - *Oldest));
+  if (!P.HasRoom)
+    WaitMs += placeWaitMs(Endpoint, Pool, Load);
   P.Wait = fromMillis(WaitMs);
   P.ToFirstOutput =
       P.Wait + EngineOverhead + fromMillis(P.UncachedTokens * PerToken);
@@ -124,6 +127,17 @@
   return P;
 }
 
+double Predictor::placeWaitMs(const FleetEndpoint &Endpoint,
+                              const FleetPool &Pool,
+                              const EndpointLoad &Load) const {
+  // Its streams end one after the other, evenly over their length. Where memory
+  // is short, one of them makes room.
+  double Streams = std::max(1U, Load.InFlight);
+  double Ends =
+      Load.InFlight < Endpoint.Slots ? 1 : Load.InFlight - Endpoint.Slots + 1.0;
+  return speedOf(Pool.Name).StreamMs * Ends / Streams;
+}
+
 bool Predictor::isPaced(const FleetEndpoint &Endpoint, const FleetPool &Pool,
                         const FleetRoute &Route, std::uint32_t Waiting,
                         std::uint32_t Own) const {
@@ -152,7 +166,8 @@
   Prediction P;
   P.Wait = fromMillis(Service * Beyond / Slots);
   P.ToFirstOutput = P.Wait + fromMillis(Service);
-  P.Ready = Beyond <= 0;
+  P.HasRoom = Beyond <= 0;
+  P.Ready = P.HasRoom;
   return P;
 }
 
@@ -174,8 +189,10 @@
                          Duration Took) {
   if (MaxOutputTokens == 0)
     return;
-  double &Learned = Pools_[Pool].MsPerOutputToken;
-  Learned += (millis(Took) / MaxOutputTokens - Learned) * PoolWeight;
+  PoolSpeed &Speed = Pools_[Pool];
+  Speed.MsPerOutputToken +=
+      (millis(Took) / MaxOutputTokens - Speed.MsPerOutputToken) * PoolWeight;
+  Speed.StreamMs += (millis(Took) - Speed.StreamMs) * PoolWeight;
 }
 
 void Predictor::observed(const FleetEndpoint &Endpoint, const FleetPool &Pool,
--- a/src/dispatch/internal/regionoutlook.cpp
+++ b/src/dispatch/internal/regionoutlook.cpp
@@ -72,4 +72,20 @@
   return Ahead / Places;
 }
 
+Duration RegionOutlook::lateWait(const RegionId &Region,
+                                 const PoolName &Pool) const {
+  auto Found = Pools_.find({Region, poolHash(Pool)});
+  if (Found == Pools_.end())
+    return {};
+  Duration Sum{};
+  Duration::rep Places = 0;
+  for (const auto &[Placer, E] : Found->second.Placers) {
+    if (Runtime_.Now() - E.At > MaxAge)
+      continue;
+    Sum += E.Heard.LateWait * E.Heard.Places;
+    Places += E.Heard.Places;
+  }
+  return Places > 0 ? Sum / Places : Duration();
+}
+
 } // namespace celerybeam
--- a/src/dispatch/predictor.h
+++ b/src/dispatch/predictor.h
@@ -30,8 +30,10 @@
   std::uint32_t UncachedTokens = 0;
   /// Prompt tokens that it is to copy from another endpoint first.
   std::uint32_t CopiedTokens = 0;
-  /// Whether it may be sent now: the endpoint has a place and memory for it,
-  /// and its other streams would not pause for too long.
+  /// Whether the endpoint has a place and memory for it.
+  bool HasRoom = true;
+  /// Whether it may be sent now: there is room, and the endpoint's other
+  /// streams would not pause for too long.
   bool Ready = true;
 };
 
@@ -79,6 +81,8 @@
   static constexpr double AssumedMsPerToken = 0.016;
   /// Decoding time of a token before any stream was observed.
   static constexpr double AssumedMsPerOutputToken = 8;
+  /// Length of a stream before any was observed: some ten words.
+  static constexpr double AssumedStreamMs = 500;
   /// Time of a plain request before any was observed.
   static constexpr Duration AssumedService = std::chrono::milliseconds(60);
   /// Prompts may be read together for this share of the longest tolerable
@@ -119,6 +123,8 @@
     double MsPerToken = AssumedMsPerToken;
     double ServiceMs = 0;
     double MsPerOutputToken = AssumedMsPerOutputToken;
+    /// Mean length of a whole stream.
+    double StreamMs = AssumedStreamMs;
   };
 
   double slowness(const EndpointKey &Endpoint) const;
@@ -128,6 +134,14 @@
                            const RequestDescriptor &Request,
                            const FleetRoute &Route,
                            const PrefixSource &Source) const;
+  /// Time until an engine whose slots or memory are taken has room for one
+  /// more.
+  ///
+  /// Answers to "engines of few slots, all taken by streams, that read
+  /// nothing": to wait for one that holds a prompt's beginning takes longer
+  /// than to copy it to another.
+  double placeWaitMs(const FleetEndpoint &Endpoint, const FleetPool &Pool,
+                     const EndpointLoad &Load) const;
   /// Whether a prompt may join what an engine reads already without making
   /// its streams pause for too long.
   bool isPaced(const FleetEndpoint &Endpoint, const FleetPool &Pool,
--- a/src/dispatch/regionoutlook.h
+++ b/src/dispatch/regionoutlook.h
@@ -23,6 +23,8 @@
   /// at a time.
   std::uint32_t Places = 0;
   std::uint32_t FreePlaces = 0;
+  /// How much longer one waits that cannot be on time.
+  Duration LateWait{};
 };
 
 /// Hash of a pool's name.
@@ -50,6 +52,10 @@
   std::optional<Duration> wait(const RegionId &Region, const PoolName &Pool,
                                Duration OwnTime) const;
 
+  /// How much longer one waits there that cannot be on time; zero when the
+  /// region was not heard of late.
+  Duration lateWait(const RegionId &Region, const PoolName &Pool) const;
+
   /// Messages older than this no longer count.
   static constexpr Duration MaxAge = std::chrono::seconds(3);
   /// A message does not know of what was sent this long before it arrived: one
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -219,6 +219,36 @@
   BOOST_TEST(!Second.CopyFrom.empty());
 }
 
+// Engines of few slots: one that holds a beginning and has all slots taken by
+// streams reads nothing, and yet a request would wait there for long.
+BOOST_AUTO_TEST_CASE(fullEngineIsNotWaitedForWhileOthersAreFree) {
+  // One of the two is in the lane of long prompts.
+  for (auto [Full, Free] : {std::pair("a", "b"), std::pair("b", "a")}) {
+    FleetEndpoint A = addEndpoint(Full);
+    A.Slots = 12;
+    View.putEndpoint(A);
+    AttemptLog Log;
+    ServeAt AtA{A, {}, false, {}};
+    WorkId First = Decisions.begin(request(9000, 42), Quotes, AtA, Log);
+    Decisions.end(AtA, First, AttemptOutcome::Answered);
+    for (int I = 0; I < 12; ++I)
+      Decisions.loads().firstOutput(
+          Decisions.loads().started(A.Key, {0, 500, 0}));
+    FleetEndpoint B = addEndpoint(Free);
+    Time.runFor(1s);
+    auto D = send(request(9000, 42), Quotes);
+    BOOST_REQUIRE(is<ServeAt>(D));
+    auto Other = std::get<ServeAt>(D);
+    BOOST_TEST((Other.Endpoint.Key == B.Key));
+    BOOST_TEST(Other.Expected.CopiedTokens == 5000U);
+    for (const FleetEndpoint &E : {A, B}) {
+      View.removeEndpoint(E.Id, {});
+      Decisions.forget(E.Key);
+      Decisions.loads() = LoadBook(Time.runtime());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(brokenEndpointGetsNothingUntilChecked) {
   FleetEndpoint E = addEndpoint("a");
   auto D = std::get<ServeAt>(send(request(1000), Quotes));
--- a/src/fleethost/internal/newsexchange.cpp
+++ b/src/fleethost/internal/newsexchange.cpp
@@ -143,6 +143,9 @@
     Told->set_endpoints(Outlook.Endpoints);
     Told->set_places(Outlook.Places);
     Told->set_free_places(Outlook.FreePlaces);
+    Told->set_late_wait_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Outlook.LateWait)
+            .count()));
   }
   for (const std::string &Ip : farPlacers())
     send(Ip, Message);
@@ -315,7 +318,8 @@
     Parties_.Decisions.regions().heard(
         From.Region, From.Id,
         {Told.pool(), std::chrono::milliseconds(Told.wait_ms()),
-         Told.endpoints(), Told.places(), Told.free_places()});
+         Told.endpoints(), Told.places(), Told.free_places(),
+         std::chrono::milliseconds(Told.late_wait_ms())});
   for (const auto &Told : Message.crashes())
     Parties_.Decisions.crashes().peerSaw({Told.fingerprint(), Told.event()});
   for (const auto &Told : Message.words())
