Let a new placer hand out a cold endpoint's allowance only once its region is settled

Test: hostsThatStartTogetherDoNotFloodAColdEndpoint, red without the wait (7 of at most 6 with seven hosts).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -162,8 +162,10 @@
   std::optional<Refusal> admit(const RequestDescriptor &Request,
                                const FleetRoute &Route, AttemptLog &Log);
 
-  /// At which endpoints this host places requests; all without a hook.
-  void setOwned(std::function<bool(const EndpointKey &)> Owns);
+  /// At which endpoints this host places requests, and since when the region's
+  /// placers have been the same; all and always without hooks.
+  void setOwned(std::function<bool(const EndpointKey &)> Owns,
+                std::function<Duration()> SettledFor = {});
 
   /// Whether, after a failure, another attempt may be made; takes it from the
   /// common budget if so.
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -99,6 +99,12 @@
 
   bool owns(const EndpointKey &Key) const { return !Owns_ || Owns_(Key); }
 
+  /// Whether this host alone hands out what a cold endpoint bears.
+  bool mayHandOutCold(const EndpointKey &Key) const {
+    return owns(Key) &&
+           (!SettledFor_ || SettledFor_() >= ColdAllowance::SettleTime);
+  }
+
   /// Position of each endpoint in the order in which a prompt's beginning
   /// prefers them, 0 first.
   static std::vector<int>
@@ -181,7 +187,7 @@
       C.Endpoint = E;
       C.LastResort = LastResort;
       C.Cold = isCold(*E, Pool);
-      if (C.Cold && !(owns(E->Key) &&
+      if (C.Cold && !(mayHandOutCold(E->Key) &&
                       Cold_.wouldTake(E->Key, Pool.ColdRequestsPerSecond))) {
         ++Log.Seen.Cold;
         continue;
@@ -493,6 +499,7 @@
   EndpointReservations Reservations_;
   ReturningCallers Returning_;
   std::function<bool(const EndpointKey &)> Owns_;
+  std::function<Duration()> SettledFor_;
 };
 
 Dispatcher::Dispatcher(Runtime R, FleetView &Fleet, HostRegistry &Hosts,
@@ -512,8 +519,10 @@
   return Impl_->admit(Request, Route, Log);
 }
 
-void Dispatcher::setOwned(std::function<bool(const EndpointKey &)> Owns) {
+void Dispatcher::setOwned(std::function<bool(const EndpointKey &)> Owns,
+                          std::function<Duration()> SettledFor) {
   Impl_->Owns_ = std::move(Owns);
+  Impl_->SettledFor_ = std::move(SettledFor);
 }
 
 bool Dispatcher::mayTryAgain(const RequestDescriptor &Request,
--- a/src/dispatch/internal/placementclient.cpp
+++ b/src/dispatch/internal/placementclient.cpp
@@ -70,6 +70,7 @@
     if (Ips == PlacersTold_)
       return;
     PlacersTold_ = Ips;
+    PlacersSince_ = Runtime_.Now();
     if (Changed_)
       Changed_({"placers", Hosts_.self().Region.str(), Ips});
   }
@@ -294,6 +295,7 @@
   SendHook Send_;
   BeliefHook Changed_;
   std::string PlacersTold_;
+  TimePoint PlacersSince_{};
   std::uint64_t LastId_;
   std::unordered_map<std::uint64_t, Placement> Placements_;
   PlacementMap Map_;
@@ -343,6 +345,10 @@
 std::vector<ListedPlacement> PlacementClient::listFor(const std::string &Ip) {
   return Impl_->listFor(Ip);
 }
+Duration PlacementClient::settledFor() {
+  Impl_->map();
+  return Impl_->Runtime_.Now() - Impl_->PlacersSince_;
+}
 bool PlacementClient::owns(const EndpointKey &Endpoint) {
   return Impl_->map().isOwner(Impl_->selfIp(), Endpoint);
 }
--- a/src/dispatch/placementclient.h
+++ b/src/dispatch/placementclient.h
@@ -56,6 +56,8 @@
   std::vector<ListedPlacement> listFor(const std::string &Ip);
   /// Whether this host places at an endpoint.
   bool owns(const EndpointKey &Endpoint);
+  /// How long the region's placers have been the same, as this host sees them.
+  Duration settledFor();
 
   /// A placer that has not answered by then is asked again, and after as long
   /// again another one is: twice the time for which a host's share of its
--- a/src/dispatch/tests/placementtest.cpp
+++ b/src/dispatch/tests/placementtest.cpp
@@ -24,7 +24,8 @@
         Placement(Time.runtime(), View, Hosts, Decisions, Desk,
                   std::move(Send)) {
     Decisions.setOwned(
-        [this](const EndpointKey &Key) { return Placement.owns(Key); });
+        [this](const EndpointKey &Key) { return Placement.owns(Key); },
+        [this] { return Placement.settledFor(); });
   }
 
   FleetView View;
@@ -375,6 +376,40 @@
   }
 }
 
+// All hosts are killed and start together, and endpoints come back cold with
+// them: each host sees itself alone at first.
+BOOST_AUTO_TEST_CASE(hostsThatStartTogetherDoNotFloodAColdEndpoint) {
+  Region R(7);
+  R.Time.runFor(4s);
+  FleetEndpoint Cold = R.Fixture.addEndpoint("a", "engines", 60s);
+  for (const auto &[Ip, H] : R.All)
+    H->View.putEndpoint(Cold);
+  auto Ask = [&](unsigned At) {
+    auto O = R.place(At, R.Fixture.request(1000), Quotes);
+    R.Time.runFor(10ms);
+    bool Served = O->served();
+    R.All.at(R.ipOf(At))
+        ->Placement.end(
+            *O->Id,
+            {Served ? std::optional(AttemptOutcome::Answered) : std::nullopt});
+    return Served ? 1 : 0;
+  };
+  int Served = 0;
+  for (unsigned I = 0; I < 100; ++I)
+    Served += Ask(I % 7);
+  // Two a second, half as many more, and three.
+  BOOST_TEST(Served <= 6);
+  // They hear of each other, and one of them hands out what it bears.
+  for (Duration Past{}; Past < ColdAllowance::SettleTime; Past += 200ms)
+    R.beat();
+  Served = 0;
+  for (unsigned I = 0; I < 20; ++I) {
+    Served += Ask(I % 7);
+    R.beat();
+  }
+  BOOST_TEST(Served >= 3);
+}
+
 // News that grows with the square of the hosts: here each request costs its
 // own host's notes, however many there are.
 BOOST_AUTO_TEST_CASE(notesOfARequestDoNotGrowWithTheHosts) {
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -127,7 +127,8 @@
     Context_.Hooks.TablesCurrent = [this] { return Operator_.isCurrent(); };
     Context_.Hooks.IsInformed = [this] { return isInformed(); };
     Decisions_.setOwned(
-        [this](const EndpointKey &Key) { return Placement_.owns(Key); });
+        [this](const EndpointKey &Key) { return Placement_.owns(Key); },
+        [this] { return Placement_.settledFor(); });
     Context_.Hooks.Heard = [this](const EndpointWord &Word) {
       Fleet_.hear(Word);
       News_.tellWord(Word);
