Log what a stalled host does: refusals while reading, stalls, failed connects

A connection's own 400, 408, 413 and 431 left no line, nor did a process that stood still, and a connect that failed did not say after how long.

Change: log lines and counters only; no decision is touched.

Ruled out: a line for each timer that fires late; one a stall says the same.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -38,6 +38,9 @@
 /// Some times the entries of the largest fleet that the design is for.
 constexpr std::size_t MaxSnapshotBytes = 16U << 20U;
 constexpr Duration SlowTick = std::chrono::seconds(1);
+/// A tick that is later than this is logged: the process was held up for longer
+/// than the shortest time-out between hosts and endpoints.
+constexpr Duration NotedStall = std::chrono::milliseconds(250);
 
 std::string serialize(const StoreSnapshot &Snapshot) {
   messages::MirrorSnapshot Message;
@@ -134,6 +137,10 @@
       News_.tellWord(Word);
     };
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
+    Callers_.onRefused(
+        [this](const ReadRefusal &R) { tellRefused("caller", R); });
+    FromHosts_.onRefused(
+        [this](const ReadRefusal &R) { tellRefused("host", R); });
     Announcer_ = std::make_shared<detail::HostAnnouncer>(
         Time_, Hooks_.Store, Hooks_.HostPrefix,
         Hooks_.HostPrefix + Settings_.Self.Id.str(), Settings_.Self.Ip,
@@ -163,7 +170,11 @@
       News_.tick();
     });
     every(FleetView::TickInterval, [this] { Fleet_.tick(); });
-    every(HealthTick, [this] { checkHealth(); });
+    LastTick_ = Time_.Now();
+    every(HealthTick, [this] {
+      noteStall();
+      checkHealth();
+    });
     every(SlowTick, [this] {
       Caller_.tick();
       applyLimits();
@@ -431,6 +442,32 @@
     News_.note(Ip, Id, Answer);
   }
 
+  /// Tells that the process stood still: what arrived and what fell due
+  /// meanwhile is handled in one turn.
+  void noteStall() {
+    Duration Late = Time_.Now() - LastTick_ - HealthTick;
+    LastTick_ = Time_.Now();
+    if (Late < NotedStall)
+      return;
+    Log_.warning("Stood still.",
+                 {{"for_ms", Late / std::chrono::milliseconds(1)},
+                  {"in_flight", inFlight()}});
+    Metrics_.add("stalls_total", "Times that the process stood still.", {});
+  }
+
+  void tellRefused(const char *Caller, const ReadRefusal &Refusal) {
+    auto Id = findField(Refusal.Head.Fields, Hooks_.Names.RequestId);
+    Log_.info("Refused while reading.",
+              {{"request", std::string(Id.value_or(""))},
+               {"status", Refusal.Status},
+               {"why", Refusal.Why},
+               {"from", Refusal.From},
+               {"caller", Caller}});
+    Metrics_.add(
+        "refused_reading_total", "Requests refused before they were whole.",
+        {{"status", std::to_string(Refusal.Status)}, {"caller", Caller}});
+  }
+
   void checkHealth() {
     for (const EndpointKey &Key : Decisions_.health().dueForCheck())
       checkOne(Key);
@@ -536,6 +573,7 @@
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   bool Draining_ = false;
   TimePoint DrainStarted_{};
+  TimePoint LastTick_{};
 };
 
 FleetHost::FleetHost(EventLoop &Loop, HttpCaller &Caller,
--- a/src/relay/httpserver.h
+++ b/src/relay/httpserver.h
@@ -39,6 +39,16 @@
   virtual void onGone(std::function<void()> Gone) = 0;
 };
 
+/// A request that was refused while it was read, before any handler saw it.
+struct ReadRefusal {
+  unsigned Status = 0;
+  std::string Why;
+  /// Where the connection comes from, as "IP:PORT".
+  std::string From;
+  /// As far as the head has been read; empty otherwise.
+  HttpRequestHead Head;
+};
+
 /// What a server accepts. May change while it runs.
 struct HttpServerLimits {
   std::uint32_t HeaderBytes = 16384;
@@ -69,6 +79,8 @@
   /// Where it listens, with the port that was chosen if port 0 was asked.
   Address address() const;
   void setLimits(const HttpServerLimits &Limits);
+  /// Hears of each request that is refused while it is read.
+  void onRefused(std::function<void(const ReadRefusal &)> Hear);
 
   /// From now on each answer ends its connection.
   void closeAfterAnswers();
--- a/src/relay/internal/httpserver.cpp
+++ b/src/relay/internal/httpserver.cpp
@@ -116,6 +116,9 @@
 void HttpServer::setLimits(const HttpServerLimits &Limits) {
   Impl_->Shared_->Limits = Limits;
 }
+void HttpServer::onRefused(std::function<void(const ReadRefusal &)> Hear) {
+  Impl_->Shared_->Refused = std::move(Hear);
+}
 void HttpServer::closeAfterAnswers() {
   Impl_->Shared_->CloseAfterAnswers = true;
 }
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -396,7 +396,8 @@
     dropSpare();
     switch (End) {
     case AttemptEnd::NotConnected:
-      Record_.Attempts += " not_connected";
+      Record_.Attempts += " not_connected after_ms=" +
+                          std::to_string(millisOf(Attempt_->sinceSent()));
       if (!Here_)
         Context_.Hosts.unreachable(PeerIp_);
       endHere(AttemptOutcome::Broken);
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -162,12 +162,8 @@
   ClosesAfter_ = false;
   HttpServerRequest Request;
   Request.Arrived = Shared_->Time.Now();
-  Request.Head.Method = std::string(Message.method_string());
-  Request.Head.Target = std::string(Message.target());
+  Request.Head = headRead();
   HeadMethod_ = Message.method() == http::verb::head;
-  for (const auto &Field : Message)
-    Request.Head.Fields.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
   Request.Body =
       std::make_shared<const std::string>(std::move(Parser_->get().body()));
   Parser_.reset();
@@ -178,7 +174,32 @@
   Shared_->Handle(std::move(Request), shared_from_this());
 }
 
+HttpRequestHead ServerConnection::headRead() const {
+  const auto &Message = Parser_->get();
+  HttpRequestHead Head;
+  Head.Method = std::string(Message.method_string());
+  Head.Target = std::string(Message.target());
+  for (const auto &Field : Message)
+    Head.Fields.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  return Head;
+}
+
+void ServerConnection::tellRefused(unsigned Status, const char *Why) const {
+  if (!Shared_->Refused)
+    return;
+  ErrorCode Ignored;
+  auto Peer = Socket_.remote_endpoint(Ignored);
+  std::string From =
+      Ignored ? std::string()
+              : Peer.address().to_string() + ":" + std::to_string(Peer.port());
+  Shared_->Refused(
+      {Status, Why, std::move(From),
+       Parser_->is_header_done() ? headRead() : HttpRequestHead()});
+}
+
 void ServerConnection::refuse(unsigned Status, const char *Why) {
+  tellRefused(Status, Why);
   Stage_ = Stage::Answering;
   Timer_.cancel();
   ++Shared_->InFlight;
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -13,6 +13,7 @@
 /// What all connections of one server share.
 struct ServerShared {
   HttpServer::Handler Handle;
+  std::function<void(const ReadRefusal &)> Refused;
   HttpServerLimits Limits;
   Runtime Time;
   bool CloseAfterAnswers = false;
@@ -54,6 +55,8 @@
   /// Why the head's framing is not accepted; null if it is.
   const char *framingProblem() const;
   void refuse(unsigned Status, const char *Why);
+  void tellRefused(unsigned Status, const char *Why) const;
+  HttpRequestHead headRead() const;
   void send(std::string_view Bytes);
   void write();
   void answerComplete();
