Redesign timers and outgoing calls: a call that was sent never ends as unsent

What callers saw: a booking was refused with 503 and ran (REFUSED), or ran at two endpoints (TWICE).

Cause: a connect and its time-out fell due in the same turn of a loop that stood still. The connect's handler wrote the request and cancelled the timer, whose handler was queued already; it ended the call as NotConnected, which the relay takes for proof that nothing was sent.

Change: timers of the loop lie in one queue and are looked up when they run, so that one that was cancelled or set anew cannot run, whatever is queued. A call has states, each handler looks at them, and only Connecting ends as NotConnected. A kept connection that got bytes or its end while the loop stood still is not used.

Ruled out: a flag in the timer's handler alone: the next handler of this class would need its own.

--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -38,7 +38,7 @@
 
 enum class HttpCallEnd {
   Complete,
-  /// No connection: not a byte was sent.
+  /// No connection, or not wanted any more: not a byte was sent.
   NotConnected,
   /// The connection broke, was silent for too long, or gave bytes that are no
   /// answer. The request may have been read.
@@ -49,6 +49,10 @@
 /// What a call tells its owner, never on the calling stack; nothing after End
 /// or after cancel.
 struct HttpCallHooks {
+  /// Asked once, when the connection stands and not a byte has been sent; may
+  /// change the head, whose times may have grown old meanwhile. \return
+  /// whether it is still to be sent; otherwise the call ends as NotConnected.
+  std::function<bool(HttpRequestHead &)> BeforeSend;
   std::function<HeadVerdict(const HttpResponseHead &)> Head;
   /// \return whether the call goes on; otherwise it ends as broken.
   std::function<bool(std::string_view)> Body;
@@ -61,6 +65,8 @@
   virtual ~HttpCall() = default;
   /// Closes the connection; no hook is called any more.
   virtual void cancel() = 0;
+  /// Whether it has a connection on which other calls were answered before.
+  virtual bool isReused() const = 0;
 };
 
 /// Makes HTTP calls and keeps idle connections. Resends nothing on its own.
--- a/src/relay/internal/channelpool.cpp
+++ b/src/relay/internal/channelpool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "relay/httpcaller.h"
+#include "relay/internal/sockets.h"
 
 namespace celerybeam::detail {
 
@@ -19,7 +20,8 @@
   Found->second.pop_back();
   ErrorCode Ignored;
   C->Socket.cancel(Ignored);
-  return C;
+  // The loop may have stood still while bytes or the end came.
+  return isQuiet(C->Socket) ? std::move(C) : nullptr;
 }
 
 void ChannelPool::give(const Address &To, std::unique_ptr<Channel> C) {
--- a/src/relay/internal/eventloop.cpp
+++ b/src/relay/internal/eventloop.cpp
@@ -1,7 +1,9 @@
 #include "relay/eventloop.h"
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
+#include <optional>
 #include <random>
 
 #include "relay/internal/beast.h"
@@ -10,14 +12,6 @@
 
 namespace celerybeam {
 
-class EventLoop::Impl {
-public:
-  detail::asio::io_context Context_{1};
-  detail::asio::signal_set Stops_{Context_, SIGTERM, SIGINT};
-  detail::asio::signal_set Reloads_{Context_, SIGHUP};
-  std::mt19937_64 Random_{std::random_device{}()};
-};
-
 namespace {
 
 /// Monotonic time that counts suspension, unlike the steady clock.
@@ -46,27 +40,69 @@
 
 } // namespace
 
-EventLoop::EventLoop() : Impl_(std::make_unique<Impl>()) {
+class EventLoop::Impl {
+public:
+  explicit Impl(std::function<TimePoint()> Now) : Now_(std::move(Now)) {}
+  /// What timers hold may own sockets, which must not outlive the context.
+  ~Impl() { Timers_.clear(); }
+
+  TimerId after(Duration Delay, Task Work) {
+    TimerId Id = Timers_.add(Now_() + std::max(Delay, Duration::zero()),
+                             std::move(Work));
+    wakeInTime();
+    return Id;
+  }
+
+  /// Wakes the loop for the next timer. A wake-up that comes when its timer is
+  /// gone finds nothing due.
+  void wakeInTime() {
+    auto Next = Timers_.next();
+    if (!Next || (WakesAt_ && *WakesAt_ <= *Next))
+      return;
+    WakesAt_ = Next;
+    Wake_.expires_after(std::max(*Next - Now_(), Duration::zero()));
+    Wake_.async_wait([this](detail::ErrorCode Error) {
+      if (Error == detail::asio::error::operation_aborted)
+        return;
+      WakesAt_.reset();
+      Timers_.runDue(Now_());
+      wakeInTime();
+    });
+  }
+
+  std::function<TimePoint()> Now_;
+  TimerQueue Timers_;
+  detail::asio::io_context Context_{1};
+  detail::asio::steady_timer Wake_{Context_};
+  std::optional<TimePoint> WakesAt_;
+  detail::asio::signal_set Stops_{Context_, SIGTERM, SIGINT};
+  detail::asio::signal_set Reloads_{Context_, SIGHUP};
+  std::mt19937_64 Random_{std::random_device{}()};
+};
+
+EventLoop::EventLoop() : EventLoop(bootTime) {}
+EventLoop::EventLoop(std::function<TimePoint()> Now)
+    : Impl_(std::make_unique<Impl>(std::move(Now))) {
   std::signal(SIGPIPE, SIG_IGN);
 }
 EventLoop::~EventLoop() = default;
 
 Runtime EventLoop::runtime() {
   Runtime R;
-  R.Now = bootTime;
+  R.Now = Impl_->Now_;
   R.WallNow = wallTime;
   R.Random = [this] { return Impl_->Random_(); };
-  R.After = [this](Duration Delay, const Task &Work) {
-    auto Timer =
-        std::make_shared<detail::asio::steady_timer>(Impl_->Context_, Delay);
-    Timer->async_wait([Timer, Work](detail::ErrorCode Error) {
-      if (!Error)
-        Work();
-    });
+  R.After = [this](Duration Delay, Task Work) {
+    Impl_->after(Delay, std::move(Work));
   };
   return R;
 }
 
+TimerId EventLoop::after(Duration Delay, Task Work) {
+  return Impl_->after(Delay, std::move(Work));
+}
+TimerQueue &EventLoop::timers() { return Impl_->Timers_; }
+
 void EventLoop::run() { Impl_->Context_.run(); }
 void EventLoop::stop() { Impl_->Context_.stop(); }
 
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -5,6 +5,7 @@
 
 #include "relay/internal/channelpool.h"
 #include "relay/internal/sockets.h"
+#include "relay/timer.h"
 
 namespace celerybeam {
 
@@ -48,32 +49,48 @@
 
 class Call : public HttpCall, public std::enable_shared_from_this<Call> {
 public:
-  Call(asio::io_context &Context, std::shared_ptr<ChannelPool> Pool,
-       std::uint64_t &Made, HttpCallRequest Request, HttpCallHooks Hooks)
-      : Context_(Context), Pool_(std::move(Pool)), Made_(Made),
-        Request_(std::move(Request)), Hooks_(std::move(Hooks)), Timer_(Context),
-        Whole_(Context) {}
+  Call(EventLoop &Loop, std::shared_ptr<ChannelPool> Pool, std::uint64_t &Made,
+       HttpCallRequest Request, HttpCallHooks Hooks)
+      : Context_(Loop.context()), Pool_(std::move(Pool)), Made_(Made),
+        Request_(std::move(Request)), Hooks_(std::move(Hooks)),
+        ConnectTimer_(Loop), WholeTimer_(Loop) {}
 
   void start() {
     if (Request_.Timeout)
-      waitFor(Whole_, *Request_.Timeout, HttpCallEnd::TimedOut);
+      endIn(WholeTimer_, *Request_.Timeout, HttpCallEnd::TimedOut);
     Channel_ = Pool_->take(Request_.To, Request_.ReuseIdleAtMost);
-    if (Channel_)
-      return send();
+    Reused_ = Channel_ != nullptr;
+    // The hook that is asked before sending is never called on this stack.
+    if (Reused_)
+      return asio::post(Context_, [Self = shared_from_this()] {
+        if (Self->State_ == State::Connecting)
+          Self->send();
+      });
     connect();
   }
 
   void cancel() override {
-    Over_ = true;
     Hooks_ = {};
-    closeAll();
+    over();
   }
 
+  bool isReused() const override { return Reused_; }
+
 private:
-  void waitFor(asio::steady_timer &Timer, Duration D, HttpCallEnd End) {
-    Timer.expires_after(D);
-    Timer.async_wait([Self = shared_from_this(), End](ErrorCode Error) {
-      if (!Error)
+  /// What may happen next. Each handler looks at it, since it may have been
+  /// queued in an earlier state.
+  enum class State {
+    /// Not a byte has left; the only state that may end as NotConnected.
+    Connecting,
+    /// The request is on its way or with the other end.
+    Sent,
+    /// The owner has heard the end, or wants to hear nothing.
+    Over,
+  };
+
+  void endIn(Timer &T, Duration Delay, HttpCallEnd End) {
+    T.set(Delay, [Weak = weak_from_this(), End] {
+      if (auto Self = Weak.lock())
         Self->finish(End);
     });
   }
@@ -88,20 +105,25 @@
       return;
     }
     ++Made_;
-    waitFor(Timer_, Request_.ConnectTimeout, HttpCallEnd::NotConnected);
+    endIn(ConnectTimer_, Request_.ConnectTimeout, HttpCallEnd::NotConnected);
     Channel_->Socket.async_connect(
         *To, [Self = shared_from_this()](ErrorCode Error) {
-          if (Self->Over_)
+          if (Self->State_ != State::Connecting)
             return;
           if (Error)
             return Self->finish(HttpCallEnd::NotConnected);
-          Self->Timer_.cancel();
           setConnectionOptions(Self->Channel_->Socket, HttpCaller::AckTimeout);
           Self->send();
         });
   }
 
   void send() {
+    ConnectTimer_.cancel();
+    if (Hooks_.BeforeSend && !Hooks_.BeforeSend(Request_.Head))
+      return finish(HttpCallEnd::NotConnected);
+    if (State_ != State::Connecting)
+      return;
+    State_ = State::Sent;
     std::size_t Length = Request_.Body ? Request_.Body->size() : 0;
     HeadText_ = renderRequestHead(Request_.Head, Length);
     std::array<asio::const_buffer, 2> Parts = {asio::buffer(HeadText_)};
@@ -131,7 +153,7 @@
     Channel_->Socket.async_read_some(
         Channel_->Buffer.prepare(ReadBytes),
         [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
-          if (Self->Over_)
+          if (Self->State_ != State::Sent)
             return;
           Self->Channel_->Buffer.commit(Bytes);
           Self->parse(Error);
@@ -149,7 +171,7 @@
       if (!takeHead())
         return;
       takeBody();
-      if (Over_)
+      if (State_ == State::Over)
         return;
       if (Error == http::error::need_more || Used == 0)
         break;
@@ -180,10 +202,10 @@
       return true;
     switch (Hooks_.Head(headOf(*Parser_))) {
     case HeadVerdict::Take:
-      return !Over_;
+      return State_ != State::Over;
     case HeadVerdict::Skip:
       Skipping_ = true;
-      return !Over_;
+      return State_ != State::Over;
     case HeadVerdict::Spoiled:
       break;
     }
@@ -219,19 +241,19 @@
   }
 
   void finish(HttpCallEnd End) {
-    if (Over_)
+    if (State_ == State::Over)
       return;
-    Over_ = true;
-    closeAll();
+    over();
     auto Tell = std::move(Hooks_.End);
     Hooks_ = {};
     if (Tell)
       Tell(End);
   }
 
-  void closeAll() {
-    Timer_.cancel();
-    Whole_.cancel();
+  void over() {
+    State_ = State::Over;
+    ConnectTimer_.cancel();
+    WholeTimer_.cancel();
     if (Channel_) {
       ErrorCode Ignored;
       Channel_->Socket.close(Ignored);
@@ -243,15 +265,16 @@
   std::uint64_t &Made_;
   HttpCallRequest Request_;
   HttpCallHooks Hooks_;
-  asio::steady_timer Timer_;
-  asio::steady_timer Whole_;
+  Timer ConnectTimer_;
+  Timer WholeTimer_;
+  State State_ = State::Connecting;
   std::unique_ptr<Channel> Channel_;
   std::unique_ptr<Parser> Parser_;
   std::string HeadText_;
   bool Written_ = false;
   bool HeadSeen_ = false;
   bool Skipping_ = false;
-  bool Over_ = false;
+  bool Reused_ = false;
   unsigned Skipped_ = 0;
 };
 
@@ -260,10 +283,10 @@
 class HttpCaller::Impl {
 public:
   explicit Impl(EventLoop &Loop)
-      : Context_(Loop.context()),
+      : Loop_(Loop),
         Pool_(std::make_shared<detail::ChannelPool>(Loop.runtime())) {}
 
-  detail::asio::io_context &Context_;
+  EventLoop &Loop_;
   std::shared_ptr<detail::ChannelPool> Pool_;
   std::uint64_t Made_ = 0;
 };
@@ -274,7 +297,7 @@
 std::shared_ptr<HttpCall> HttpCaller::call(HttpCallRequest Request,
                                            HttpCallHooks Hooks) {
   auto Started =
-      std::make_shared<Call>(Impl_->Context_, Impl_->Pool_, Impl_->Made_,
+      std::make_shared<Call>(Impl_->Loop_, Impl_->Pool_, Impl_->Made_,
                              std::move(Request), std::move(Hooks));
   Started->start();
   return Started;
--- a/src/relay/internal/sockets.cpp
+++ b/src/relay/internal/sockets.cpp
@@ -1,5 +1,6 @@
 #include "relay/internal/sockets.h"
 
+#include <cerrno>
 #include <charconv>
 
 #include <netinet/tcp.h>
@@ -34,6 +35,13 @@
   return Tcp::endpoint(Ip, Port);
 }
 
+bool isQuiet(Tcp::socket &Socket) {
+  char Byte = 0;
+  ssize_t Got =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void setConnectionOptions(Tcp::socket &Socket, Duration AckTimeout) {
   ErrorCode Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
--- a/src/relay/internal/sockets.h
+++ b/src/relay/internal/sockets.h
@@ -17,6 +17,10 @@
 /// ignored: the connection works without these options.
 void setConnectionOptions(Tcp::socket &Socket, Duration AckTimeout);
 
+/// Whether an idle connection is open and holds no bytes that nobody asked
+/// for.
+bool isQuiet(Tcp::socket &Socket);
+
 } // namespace celerybeam::detail
 
 #endif
