Redesign callers' connections as states, one exchange for each turn

What callers saw: a request ran after its 408; a host ended (segmentation fault) by bytes behind a closing request; of three pipelined bookings the second ran twice and the third never; a caller that had closed its sending side got a part of its answer.

Cause: one stage, Idle, stood for the end of a request, of a refusal and of a connection, with a parser that was another request's or none. And a read was pending into the buffer while bytes were taken out of it: what came next was put where nobody looked, and old bytes were read again.

Change: six states, drawn in docs/design/http.md; what bytes mean follows from the state alone; a refused or closing connection only drains. Each request has an exchange with its turn's number. Reads wait without memory of the buffer. Requests in a row are parsed one a turn of the loop, not on the stack. A caller that does not read its answer is given up after the idle time-out.

Ruled out: keeping the pending read and never compacting the buffer: an idle connection would keep its memory.

--- a/src/relay/httpserver.h
+++ b/src/relay/httpserver.h
@@ -21,7 +21,7 @@
 };
 
 /// Answers one request. Every request gets exactly one of respond, endStream
-/// or abort.
+/// or abort; what comes after that does nothing.
 class HttpExchange {
 public:
   virtual ~HttpExchange() = default;
@@ -55,8 +55,12 @@
   std::uint32_t BodyBytes = 4U << 20U;
   /// From a request's first byte to the end of its head.
   Duration HeaderTimeout = std::chrono::seconds(3);
-  /// Longest silence between requests and inside a body.
+  /// Longest silence between requests, inside a body, and of a caller that
+  /// does not read its answer.
   Duration IdleTimeout = std::chrono::seconds(15);
+  /// From a request's first byte to its last: as long as a caller waits that
+  /// names no time.
+  Duration WholeTimeout = std::chrono::seconds(60);
   /// Connections at once; further ones are closed.
   std::size_t Connections = 2000;
 };
@@ -79,6 +83,8 @@
   /// Where it listens, with the port that was chosen if port 0 was asked.
   Address address() const;
   void setLimits(const HttpServerLimits &Limits);
+  /// Fields added to the answers by which the server itself refuses.
+  void setRefusalFields(HttpFields Fields);
   /// Hears of each request that is refused while it is read.
   void onRefused(std::function<void(const ReadRefusal &)> Hear);
 
--- a/src/relay/internal/httpserver.cpp
+++ b/src/relay/internal/httpserver.cpp
@@ -22,7 +22,7 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(EventLoop &Loop, Handler Handle)
-      : Context_(Loop.context()), Acceptor_(Context_), Pause_(Context_),
+      : Loop_(Loop), Acceptor_(Loop.context()), Pause_(Loop),
         Shared_(std::make_shared<ServerShared>()) {
     Shared_->Handle = std::move(Handle);
     Shared_->Time = Loop.runtime();
@@ -64,9 +64,9 @@
   }
 
   void acceptLater() {
-    Pause_.expires_after(AcceptPause);
-    Pause_.async_wait([Self = shared_from_this()](ErrorCode Error) {
-      if (!Error)
+    Pause_.set(AcceptPause, [Weak = weak_from_this()] {
+      auto Self = Weak.lock();
+      if (Self && !Self->Shared_->Stopped)
         Self->accept();
     });
   }
@@ -75,7 +75,7 @@
     if (Shared_->Open >= Shared_->Limits.Connections)
       return;
     auto Connection =
-        std::make_shared<ServerConnection>(std::move(Socket), Shared_);
+        std::make_shared<ServerConnection>(Loop_, std::move(Socket), Shared_);
     std::erase_if(Connections_,
                   [](const auto &Weak) { return Weak.expired(); });
     Connections_.push_back(Connection);
@@ -92,9 +92,9 @@
         Connection->closeIfIdle();
   }
 
-  asio::io_context &Context_;
+  EventLoop &Loop_;
   Tcp::acceptor Acceptor_;
-  asio::steady_timer Pause_;
+  Timer Pause_;
   std::shared_ptr<ServerShared> Shared_;
   std::list<std::weak_ptr<ServerConnection>> Connections_;
 };
@@ -116,6 +116,9 @@
 void HttpServer::setLimits(const HttpServerLimits &Limits) {
   Impl_->Shared_->Limits = Limits;
 }
+void HttpServer::setRefusalFields(HttpFields Fields) {
+  Impl_->Shared_->RefusalFields = std::move(Fields);
+}
 void HttpServer::onRefused(std::function<void(const ReadRefusal &)> Hear) {
   Impl_->Shared_->Refused = std::move(Hear);
 }
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -1,30 +1,40 @@
 #include "relay/internal/serverconnection.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "relay/answermemory.h"
+#include "relay/internal/serverexchange.h"
 #include "relay/internal/sockets.h"
 
 namespace celerybeam::detail {
 
 namespace {
 
+constexpr unsigned BadRequest = 400;
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned BodyTooLong = 413;
+constexpr unsigned HeadTooLong = 431;
+
 constexpr std::size_t ReadBytes = 4096;
 /// Bytes that may follow a request while it is answered.
 constexpr std::size_t MaxPipelined = 65536;
-/// Bytes of an answer that may wait for a caller that does not read.
-constexpr std::size_t MaxUnsent = 4U << 20U;
-/// How long a closed connection drains what the caller still sends, so that a
-/// reset does not destroy the answer on its way.
+/// Bytes of an answer that may wait for a caller that does not read: the
+/// longest answer that is held whole, with its head.
+constexpr std::size_t MaxUnsent = AnswerMemory::MostOfOneAnswer + 65536;
+/// How long a connection that has ended drains what the caller still sends.
 constexpr Duration Linger = std::chrono::milliseconds(500);
+/// Bytes that are drained at most; more are no rest of a refused request.
+constexpr std::size_t MaxDropped = 8U << 20U;
 /// Unacknowledged answers for longer than this mean that the caller is gone.
 constexpr Duration CallerAckTimeout = std::chrono::seconds(8);
 
 } // namespace
 
-ServerConnection::ServerConnection(Tcp::socket Socket,
+ServerConnection::ServerConnection(EventLoop &Loop, Tcp::socket Socket,
                                    std::shared_ptr<ServerShared> Shared)
-    : Socket_(std::move(Socket)), Shared_(std::move(Shared)),
-      Timer_(Socket_.get_executor()) {
+    : Socket_(std::move(Socket)), Shared_(std::move(Shared)), StateTimer_(Loop),
+      WholeTimer_(Loop), WriteTimer_(Loop) {
   ++Shared_->Open;
 }
 
@@ -32,75 +42,122 @@
 
 void ServerConnection::start() {
   setConnectionOptions(Socket_, CallerAckTimeout);
+  ErrorCode Error;
+  Socket_.non_blocking(true, Error);
+  if (Error)
+    return close();
   nextRequest();
 }
 
 void ServerConnection::nextRequest() {
-  Stage_ = Stage::Idle;
+  State_ = State::Idle;
   Parser_ = std::make_unique<Parser>();
   Parser_->header_limit(Shared_->Limits.HeaderBytes);
   Parser_->body_limit(Shared_->Limits.BodyBytes);
   Parser_->eager(true);
   SentContinue_ = false;
-  Gone_ = nullptr;
-  armTimer(Shared_->Limits.IdleTimeout);
+  StateTimer_.set(Shared_->Limits.IdleTimeout, [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->idleTimedOut();
+  });
   if (Buffer_.size() > 0)
-    return parse();
+    return parseLater();
   // An idle connection keeps no buffer.
-  if (!ReadPending_)
-    Buffer_ = {};
+  Buffer_ = {};
   read();
 }
 
-void ServerConnection::armTimer(Duration D) {
-  Timer_.expires_after(D);
-  Timer_.async_wait([Weak = weak_from_this()](ErrorCode Error) {
-    auto Self = Weak.lock();
-    if (Self && !Error)
-      Self->timedOut();
+void ServerConnection::parseLater() {
+  // Not on this stack: a caller may send many requests at once that are
+  // answered at once.
+  asio::post(Socket_.get_executor(), [Self = shared_from_this(), Turn = Turn_] {
+    if (Self->State_ == State::Idle && Self->Turn_ == Turn)
+      Self->parse();
   });
 }
 
-void ServerConnection::timedOut() {
-  if (Stage_ == Stage::Idle)
-    return close();
-  if (Stage_ == Stage::Reading)
-    refuse(408, "the request did not arrive in time"); // NOLINT: HTTP status
+void ServerConnection::idleTimedOut() {
+  if (State_ == State::Idle)
+    finish();
+}
+
+void ServerConnection::readTimedOut() {
+  if (State_ == State::Reading)
+    refuse(RequestTimeout, "the request did not arrive in time");
 }
 
 void ServerConnection::read() {
-  if (ReadPending_ || Stage_ == Stage::Closed)
+  if (ReadPending_ || State_ == State::Closed)
     return;
   ReadPending_ = true;
-  Socket_.async_read_some(
-      Buffer_.prepare(ReadBytes),
-      [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
-        Self->ReadPending_ = false;
-        Self->onRead(Error, Bytes);
-      });
+  // Waits without memory of the buffer: bytes may be taken out of it meanwhile.
+  Socket_.async_wait(Tcp::socket::wait_read,
+                     [Self = shared_from_this()](ErrorCode Error) {
+                       Self->ReadPending_ = false;
+                       Self->onReadable(Error);
+                     });
 }
 
-void ServerConnection::onRead(ErrorCode Error, std::size_t Bytes) {
-  if (Stage_ == Stage::Closed)
+void ServerConnection::onReadable(ErrorCode Error) {
+  if (State_ == State::Closed)
     return;
-  if (Error) {
-    if (Stage_ == Stage::Answering)
-      return callerGone();
-    return close();
-  }
-  Buffer_.commit(Bytes);
-  if (Stage_ == Stage::Answering) {
+  if (!Error)
+    Buffer_.commit(Socket_.read_some(Buffer_.prepare(ReadBytes), Error));
+  if (Error == asio::error::would_block)
+    return read();
+  if (Error)
+    return onReadEnd(Error);
+  switch (State_) {
+  case State::Idle:
+  case State::Reading:
+    return parse();
+  case State::Answering:
     if (Buffer_.size() < MaxPipelined)
       read();
     return;
+  case State::Finishing:
+  case State::Lingering:
+    return dropBytes();
+  case State::Closed:
+    return;
+  }
+}
+
+void ServerConnection::onReadEnd(ErrorCode Error) {
+  switch (State_) {
+  case State::Answering:
+    return callerGone();
+  case State::Finishing:
+    // A caller that has sent all it wants may still read its answer.
+    if (Error != asio::error::eof)
+      close();
+    return;
+  case State::Idle:
+    return finish();
+  case State::Reading:
+  case State::Lingering:
+  case State::Closed:
+    return close();
   }
-  parse();
+}
+
+void ServerConnection::dropBytes() {
+  Dropped_ += Buffer_.size();
+  Buffer_.consume(Buffer_.size());
+  if (Dropped_ > MaxDropped)
+    return close();
+  read();
 }
 
 void ServerConnection::parse() {
-  if (Stage_ == Stage::Idle) {
-    Stage_ = Stage::Reading;
-    armTimer(Shared_->Limits.HeaderTimeout);
+  if (State_ == State::Idle) {
+    State_ = State::Reading;
+    auto TimeOut = [Weak = weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->readTimedOut();
+    };
+    StateTimer_.set(Shared_->Limits.HeaderTimeout, TimeOut);
+    WholeTimer_.set(Shared_->Limits.WholeTimeout, TimeOut);
   }
   ErrorCode Error;
   while (Buffer_.size() > 0 && !Parser_->is_done()) {
@@ -109,30 +166,38 @@
     if (Error == http::error::need_more)
       break;
     if (Error == http::error::header_limit)
-      return refuse(431, "the head is too long"); // NOLINT: HTTP status
+      return refuse(HeadTooLong, "the head is too long");
     if (Error == http::error::body_limit)
-      return refuse(413, "the body is too long"); // NOLINT: HTTP status
+      return refuse(BodyTooLong, "the body is too long");
     if (Error)
-      return refuse(400, "the request is malformed"); // NOLINT: HTTP status
+      return refuse(BadRequest, "the request is malformed");
     if (Used == 0)
       break;
   }
   if (Parser_->is_header_done()) {
     if (const char *Problem = framingProblem())
-      return refuse(400, Problem); // NOLINT: HTTP status
-    if (!Parser_->is_done()) {
-      armTimer(Shared_->Limits.IdleTimeout);
-      if (!SentContinue_ && Parser_->get().count(http::field::expect) > 0) {
-        SentContinue_ = true;
-        send("HTTP/1.1 100 Continue\r\n\r\n");
-      }
-    }
+      return refuse(BadRequest, Problem);
+    if (!Parser_->is_done())
+      continueBody();
   }
+  if (State_ != State::Reading)
+    return;
   if (Parser_->is_done())
     return requestComplete();
   read();
 }
 
+void ServerConnection::continueBody() {
+  StateTimer_.set(Shared_->Limits.IdleTimeout, [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->readTimedOut();
+  });
+  if (SentContinue_ || Parser_->get().count(http::field::expect) == 0)
+    return;
+  SentContinue_ = true;
+  send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
 const char *ServerConnection::framingProblem() const {
   const auto &Head = Parser_->get();
   std::size_t Lengths = 0;
@@ -154,26 +219,6 @@
   return nullptr;
 }
 
-void ServerConnection::requestComplete() {
-  Stage_ = Stage::Answering;
-  Timer_.cancel();
-  const auto &Message = Parser_->get();
-  CallerKeeps_ = Message.keep_alive();
-  ClosesAfter_ = false;
-  HttpServerRequest Request;
-  Request.Arrived = Shared_->Time.Now();
-  Request.Head = headRead();
-  HeadMethod_ = Message.method() == http::verb::head;
-  Request.Body =
-      std::make_shared<const std::string>(std::move(Parser_->get().body()));
-  Parser_.reset();
-  ++Shared_->InFlight;
-  // Notices when the caller closes the connection.
-  if (Buffer_.size() < MaxPipelined)
-    read();
-  Shared_->Handle(std::move(Request), shared_from_this());
-}
-
 HttpRequestHead ServerConnection::headRead() const {
   const auto &Message = Parser_->get();
   HttpRequestHead Head;
@@ -185,6 +230,21 @@
   return Head;
 }
 
+void ServerConnection::requestComplete() {
+  HttpServerRequest Request;
+  Request.Arrived = Shared_->Time.Now();
+  Request.Head = headRead();
+  HeadMethod_ = Parser_->get().method() == http::verb::head;
+  Request.Body =
+      std::make_shared<const std::string>(std::move(Parser_->get().body()));
+  beginTurn(Parser_->get().keep_alive());
+  // Notices when the caller closes the connection.
+  if (Buffer_.size() < MaxPipelined)
+    read();
+  Shared_->Handle(std::move(Request),
+                  std::make_shared<ServerExchange>(shared_from_this(), Turn_));
+}
+
 void ServerConnection::tellRefused(unsigned Status, const char *Why) const {
   if (!Shared_->Refused)
     return;
@@ -200,17 +260,43 @@
 
 void ServerConnection::refuse(unsigned Status, const char *Why) {
   tellRefused(Status, Why);
-  Stage_ = Stage::Answering;
-  Timer_.cancel();
+  HeadMethod_ = false;
+  beginTurn(false);
+  HttpResponseHead Head{Status, Shared_->RefusalFields};
+  Head.Fields.push_back({"Content-Type", "text/plain"});
+  answerWhole(Head, std::string(Why) + "\n");
+}
+
+bool ServerConnection::isCurrent(TurnNumber Turn) const {
+  return State_ == State::Answering && Turn == Turn_;
+}
+
+void ServerConnection::beginTurn(bool Keeps) {
+  State_ = State::Answering;
+  ++Turn_.Value;
+  // Whatever comes from here on belongs to another request, if to any.
+  Parser_.reset();
+  StateTimer_.cancel();
+  WholeTimer_.cancel();
+  CallerKeeps_ = Keeps;
   ++Shared_->InFlight;
-  CallerKeeps_ = false;
-  HttpResponseHead Head{Status, {{"Content-Type", "text/plain"}}};
-  respond(std::move(Head), std::string(Why) + "\n");
 }
 
-void ServerConnection::respond(HttpResponseHead Head, std::string_view Body) {
-  if (Stage_ != Stage::Answering)
-    return;
+void ServerConnection::endTurn() {
+  --Shared_->InFlight;
+  // Its exchange is spent, also for what goes with the hook.
+  ++Turn_.Value;
+  auto Dropped = std::exchange(Gone_, nullptr);
+}
+
+void ServerConnection::respond(TurnNumber Turn, const HttpResponseHead &Head,
+                               std::string_view Body) {
+  if (isCurrent(Turn))
+    answerWhole(Head, Body);
+}
+
+void ServerConnection::answerWhole(const HttpResponseHead &Head,
+                                   std::string_view Body) {
   ClosesAfter_ = !CallerKeeps_ || Shared_->CloseAfterAnswers;
   std::string Out = renderResponseHead(
       Head, "Content-Length: " + std::to_string(Body.size()), ClosesAfter_);
@@ -220,34 +306,53 @@
   answerComplete();
 }
 
-void ServerConnection::beginStream(HttpResponseHead Head) {
+void ServerConnection::beginStream(TurnNumber Turn,
+                                   const HttpResponseHead &Head) {
+  if (!isCurrent(Turn))
+    return;
   ClosesAfter_ = !CallerKeeps_ || Shared_->CloseAfterAnswers;
   send(renderResponseHead(Head, "Transfer-Encoding: chunked", ClosesAfter_));
 }
 
-void ServerConnection::streamPiece(std::string_view Data) {
-  if (!Data.empty())
+void ServerConnection::streamPiece(TurnNumber Turn, std::string_view Data) {
+  if (isCurrent(Turn) && !Data.empty())
     send(renderChunk(Data));
 }
 
-void ServerConnection::endStream() {
+void ServerConnection::endStream(TurnNumber Turn) {
+  if (!isCurrent(Turn))
+    return;
   send(LastChunk);
   answerComplete();
 }
 
-void ServerConnection::abort() {
-  if (Stage_ == Stage::Answering)
-    --Shared_->InFlight;
-  Gone_ = nullptr;
-  close();
+void ServerConnection::abort(TurnNumber Turn) {
+  if (!isCurrent(Turn))
+    return;
+  endTurn();
+  // What is queued is the beginning of an answer that has no end.
+  Queued_.clear();
+  finish();
 }
 
-void ServerConnection::onGone(std::function<void()> Gone) {
-  Gone_ = std::move(Gone);
+void ServerConnection::onGone(TurnNumber Turn, std::function<void()> Gone) {
+  if (isCurrent(Turn))
+    Gone_ = std::move(Gone);
+}
+
+void ServerConnection::answerComplete() {
+  // The caller may have been found gone while the answer was queued.
+  if (State_ != State::Answering)
+    return;
+  endTurn();
+  if (ClosesAfter_)
+    finish();
+  else
+    nextRequest();
 }
 
 void ServerConnection::send(std::string_view Bytes) {
-  if (Stage_ == Stage::Closed)
+  if (State_ == State::Closed)
     return;
   Queued_ += Bytes;
   if (Queued_.size() > MaxUnsent)
@@ -257,67 +362,76 @@
 }
 
 void ServerConnection::write() {
-  Writing_ = std::exchange(Queued_, {});
-  asio::async_write(Socket_, asio::buffer(Writing_),
-                    [Self = shared_from_this()](ErrorCode Error, std::size_t) {
-                      Self->Writing_.clear();
-                      if (Self->Stage_ == Stage::Closed)
-                        return;
-                      if (Error && Self->Stage_ == Stage::Answering)
-                        return Self->callerGone();
-                      if (Error)
-                        return Self->close();
-                      if (!Self->Queued_.empty())
-                        return Self->write();
-                      if (Self->Stage_ == Stage::Idle && Self->ClosesAfter_)
-                        Self->close();
-                    });
+  if (Written_ == Writing_.size()) {
+    Writing_ = std::exchange(Queued_, {});
+    Written_ = 0;
+  }
+  WriteTimer_.set(Shared_->Limits.IdleTimeout, [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->callerGone();
+  });
+  Socket_.async_write_some(
+      asio::buffer(Writing_) + Written_,
+      [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
+        Self->onWritten(Error, Bytes);
+      });
 }
 
-void ServerConnection::answerComplete() {
-  if (Stage_ != Stage::Answering)
+void ServerConnection::onWritten(ErrorCode Error, std::size_t Bytes) {
+  if (State_ == State::Closed)
     return;
-  --Shared_->InFlight;
-  Gone_ = nullptr;
-  if (!ClosesAfter_)
-    return nextRequest();
-  // Closed once the answer is written.
-  Stage_ = Stage::Idle;
-  if (Writing_.empty())
-    close();
+  if (Error)
+    return callerGone();
+  Written_ += Bytes;
+  if (Written_ < Writing_.size() || !Queued_.empty())
+    return write();
+  Writing_.clear();
+  Written_ = 0;
+  WriteTimer_.cancel();
+  if (State_ == State::Finishing)
+    linger();
+}
+
+void ServerConnection::closeIfIdle() {
+  if (State_ == State::Idle && Buffer_.size() == 0)
+    finish();
+}
+
+void ServerConnection::finish() {
+  State_ = State::Finishing;
+  StateTimer_.cancel();
+  Parser_.reset();
+  dropBytes();
+  if (State_ == State::Finishing && Writing_.empty())
+    linger();
+}
+
+void ServerConnection::linger() {
+  State_ = State::Lingering;
+  ErrorCode Ignored;
+  Socket_.shutdown(Tcp::socket::shutdown_send, Ignored);
+  StateTimer_.set(Linger, [Self = shared_from_this()] { Self->close(); });
+  read();
 }
 
 void ServerConnection::callerGone() {
-  bool Answering = Stage_ == Stage::Answering;
-  auto Tell = std::exchange(Gone_, nullptr);
+  bool Answering = State_ == State::Answering;
+  auto Tell = std::move(Gone_);
   if (Answering)
-    --Shared_->InFlight;
-  Stage_ = Stage::Closed;
-  Timer_.cancel();
-  ErrorCode Ignored;
-  Socket_.close(Ignored);
+    endTurn();
+  close();
   if (Answering && Tell)
     Tell();
 }
 
-void ServerConnection::closeIfIdle() {
-  if (Stage_ == Stage::Idle && Writing_.empty())
-    close();
-}
-
 void ServerConnection::close() {
-  if (Stage_ == Stage::Closed)
-    return;
-  Stage_ = Stage::Closed;
-  Timer_.cancel();
+  State_ = State::Closed;
+  StateTimer_.cancel();
+  WholeTimer_.cancel();
+  WriteTimer_.cancel();
+  Parser_.reset();
   ErrorCode Ignored;
-  Socket_.shutdown(Tcp::socket::shutdown_send, Ignored);
-  // The socket closes with the last reference, after the linger.
-  Timer_.expires_after(Linger);
-  Timer_.async_wait([Self = shared_from_this()](ErrorCode) {
-    ErrorCode Ignored2;
-    Self->Socket_.close(Ignored2);
-  });
+  Socket_.close(Ignored);
 }
 
 } // namespace celerybeam::detail
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -7,6 +7,7 @@
 
 #include "relay/httpserver.h"
 #include "relay/internal/beast.h"
+#include "relay/timer.h"
 
 namespace celerybeam::detail {
 
@@ -14,6 +15,8 @@
 struct ServerShared {
   HttpServer::Handler Handle;
   std::function<void(const ReadRefusal &)> Refused;
+  /// Added to each answer by which a request is refused while it is read.
+  HttpFields RefusalFields;
   HttpServerLimits Limits;
   Runtime Time;
   bool CloseAfterAnswers = false;
@@ -22,61 +25,110 @@
   std::size_t InFlight = 0;
 };
 
+/// Numbers the turns of one connection: each request, and each time between
+/// two.
+struct TurnNumber {
+  std::uint64_t Value = 0;
+
+  auto operator<=>(const TurnNumber &) const = default;
+};
+
 /// One caller's connection: reads a request, waits for its answer, reads on.
-class ServerConnection : public HttpExchange,
-                         public std::enable_shared_from_this<ServerConnection> {
+///
+/// docs/design/http.md, "Connections of the gateway", draws its states and what
+/// each event does in them.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
-  ServerConnection(Tcp::socket Socket, std::shared_ptr<ServerShared> Shared);
-  ~ServerConnection() override;
+  ServerConnection(EventLoop &Loop, Tcp::socket Socket,
+                   std::shared_ptr<ServerShared> Shared);
+  ~ServerConnection();
 
   void start();
   /// Closes the connection if no request is under way.
   void closeIfIdle();
 
-  void respond(HttpResponseHead Head, std::string_view Body) override;
-  void beginStream(HttpResponseHead Head) override;
-  void streamPiece(std::string_view Data) override;
-  void endStream() override;
-  void abort() override;
-  void onGone(std::function<void()> Gone) override;
+  /// What the exchange of a turn may do; nothing once that turn has ended.
+  void respond(TurnNumber Turn, const HttpResponseHead &Head,
+               std::string_view Body);
+  void beginStream(TurnNumber Turn, const HttpResponseHead &Head);
+  void streamPiece(TurnNumber Turn, std::string_view Data);
+  void endStream(TurnNumber Turn);
+  void abort(TurnNumber Turn);
+  void onGone(TurnNumber Turn, std::function<void()> Gone);
 
 private:
   using Parser = http::request_parser<http::string_body>;
 
-  enum class Stage { Idle, Reading, Answering, Closed };
+  /// Also what bytes that arrive mean.
+  enum class State {
+    /// No byte of the next request has come.
+    Idle,
+    /// A request is read; the only state with a parser that has begun.
+    Reading,
+    /// A request is with the handler; bytes wait for the next turn.
+    Answering,
+    /// The last answer is being written; bytes are dropped.
+    Finishing,
+    /// All is written and our side is closed; bytes are dropped until the
+    /// other side closes, so that no reset destroys the answer on its way.
+    Lingering,
+    Closed,
+  };
 
   void nextRequest();
-  void armTimer(Duration D);
-  void timedOut();
+  void parseLater();
+  void idleTimedOut();
+  void readTimedOut();
   void read();
-  void onRead(ErrorCode Error, std::size_t Bytes);
+  void onReadable(ErrorCode Error);
+  void onReadEnd(ErrorCode Error);
+  void dropBytes();
   void parse();
+  void continueBody();
   void requestComplete();
   /// Why the head's framing is not accepted; null if it is.
   const char *framingProblem() const;
   void refuse(unsigned Status, const char *Why);
   void tellRefused(unsigned Status, const char *Why) const;
   HttpRequestHead headRead() const;
+  bool isCurrent(TurnNumber Turn) const;
+  void beginTurn(bool Keeps);
+  void endTurn();
+  void answerComplete();
+  void answerWhole(const HttpResponseHead &Head, std::string_view Body);
   void send(std::string_view Bytes);
   void write();
-  void answerComplete();
-  void close();
+  void onWritten(ErrorCode Error, std::size_t Bytes);
+  /// Ends the connection once all that is queued has been written.
+  void finish();
+  void linger();
+  /// The caller is lost: tells the handler and closes.
   void callerGone();
+  void close();
 
   Tcp::socket Socket_;
   std::shared_ptr<ServerShared> Shared_;
-  asio::steady_timer Timer_;
+  /// Of the state, set anew or cancelled with each change of it.
+  Timer StateTimer_;
+  /// From a request's first byte.
+  Timer WholeTimer_;
+  /// While bytes are being written.
+  Timer WriteTimer_;
   boost::beast::flat_buffer Buffer_;
   std::unique_ptr<Parser> Parser_;
-  Stage Stage_ = Stage::Idle;
+  State State_ = State::Idle;
+  TurnNumber Turn_;
   bool ReadPending_ = false;
+  std::size_t Dropped_ = 0;
+  /// Whether the turn's request lets the connection go on.
   bool CallerKeeps_ = true;
   bool ClosesAfter_ = false;
   bool HeadMethod_ = false;
   bool SentContinue_ = false;
   std::function<void()> Gone_;
-  /// Bytes being written, and those that follow.
+  /// Bytes being written, how many of them have been, and those that follow.
   std::string Writing_;
+  std::size_t Written_ = 0;
   std::string Queued_;
 };
 
--- a/src/relay/tests/rawpeer.cpp
+++ b/src/relay/tests/rawpeer.cpp
@@ -91,6 +91,11 @@
   asio::write(State_->Socket, asio::buffer(Bytes), Ignored);
 }
 
+void RawCaller::endSending() {
+  ErrorCode Ignored;
+  State_->Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
+}
+
 void RawCaller::close() {
   ErrorCode Ignored;
   State_->Socket.close(Ignored);
--- a/src/relay/tests/rawpeer.h
+++ b/src/relay/tests/rawpeer.h
@@ -56,6 +56,8 @@
             const std::string &Bytes);
 
   void send(const std::string &Bytes);
+  /// Closes its sending side; answers still come.
+  void endSending();
   void close();
 
   const std::string &received() const { return State_->Received; }
--- a/src/relay/tests/stalledlooptest.cpp
+++ b/src/relay/tests/stalledlooptest.cpp
@@ -93,4 +93,98 @@
   BOOST_TEST(ask(request("book")).starts_with("HTTP/1.1 200"));
 }
 
+// Three at once, so that bytes of the third arrive while those of the second
+// are still in the buffer.
+BOOST_AUTO_TEST_CASE(pipelinedRequestsRunOnceEach) {
+  std::vector<std::string> Ids;
+  addEndpoint("a", "plain", [&](const std::string &R) {
+    Ids.push_back(field(R, "Request-Id"));
+    return ran(R, "done");
+  });
+  const std::string First = request("book");
+  const std::string Second = request("book");
+  const std::string Third = request("book");
+  testing::RawCaller C(Loop, Front.address().str(), First);
+  // The second comes while the first is with its endpoint, the third while
+  // the second is.
+  testing::runUntil(Loop, [&] { return Caller.connectionsMade() == 1; });
+  C.send(Second);
+  testing::runUntil(Loop, [&] { return Caller.connectionsMade() == 2; });
+  C.send(Third);
+  testing::runUntil(Loop, [&] { return Done.size() >= 3; });
+  for (int Turns = 0; Turns < 20; ++Turns)
+    Loop.context().run_one_for(std::chrono::milliseconds(1));
+  BOOST_TEST(Ids == (std::vector<std::string>{"q1", "q2", "q3"}),
+             boost::test_tools::per_element());
+}
+
+// Answered without leaving the host, each on the stack of the one before if it
+// were parsed at once.
+BOOST_AUTO_TEST_CASE(manyRequestsAtOnceTakeNoStack) {
+  std::string All;
+  constexpr int Requests = 2000;
+  for (int I = 0; I < Requests; ++I)
+    All += "GET / HTTP/1.1\r\n\r\n";
+  testing::RawCaller C(Loop, Front.address().str(), All);
+  testing::runUntil(Loop, [&] {
+    std::size_t Answers = 0;
+    for (std::size_t At = C.received().find("HTTP/1.1 404");
+         At != std::string::npos;
+         At = C.received().find("HTTP/1.1 404", At + 1))
+      ++Answers;
+    return Answers == Requests;
+  });
+}
+
+// The answer to a caller that has closed its sending side is written out.
+BOOST_AUTO_TEST_CASE(halfClosedCallerGetsItsAnswerWhole) {
+  HttpServer Pages(Loop, [](const auto &, const auto &Answer) {
+    Answer->respond({200, {}}, std::string(3000000, 'x'));
+  });
+  BOOST_REQUIRE(Pages.listen(Address("127.0.0.1:0")));
+  testing::RawCaller C(Loop, Pages.address().str(),
+                       "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  C.endSending();
+  testing::runUntil(Loop, [&] { return C.closed(); });
+  BOOST_TEST(C.received().size() > 3000000U);
+}
+
+// A handler that keeps its exchange says nothing into the next turn.
+BOOST_AUTO_TEST_CASE(exchangeOfAnEarlierTurnDoesNothing) {
+  std::vector<std::shared_ptr<HttpExchange>> Kept;
+  HttpServer Pages(
+      Loop, [&](const auto &, const auto &Answer) { Kept.push_back(Answer); });
+  BOOST_REQUIRE(Pages.listen(Address("127.0.0.1:0")));
+  const std::string Get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  testing::RawCaller C(Loop, Pages.address().str(), Get + Get);
+  testing::runUntil(Loop, [&] { return Kept.size() == 1; });
+  Kept[0]->respond({200, {}}, "first");
+  testing::runUntil(Loop, [&] { return Kept.size() == 2; });
+  bool Gone = false;
+  Kept[1]->onGone([&] { Gone = true; });
+  Kept[0]->respond({200, {}}, "late");
+  Kept[0]->beginStream({200, {}});
+  Kept[0]->streamPiece("late");
+  Kept[0]->endStream();
+  Kept[0]->onGone([] {});
+  Kept[0]->abort();
+  Kept.erase(Kept.begin());
+  BOOST_TEST(Pages.inFlight() == 1U);
+  Kept[0]->respond({200, {}}, "second");
+  testing::runUntil(Loop, [&] { return C.received().ends_with("second"); });
+  BOOST_TEST(C.received().find("late") == std::string::npos);
+  BOOST_TEST(!Gone);
+}
+
+// A handler that forgets to answer does not leave its caller waiting.
+BOOST_AUTO_TEST_CASE(droppedExchangeEndsItsConnection) {
+  HttpServer Pages(Loop, [](const auto &, const auto &) {});
+  BOOST_REQUIRE(Pages.listen(Address("127.0.0.1:0")));
+  testing::RawCaller C(Loop, Pages.address().str(),
+                       "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  testing::runUntil(Loop, [&] { return C.closed(); });
+  BOOST_TEST(C.received().empty());
+  BOOST_TEST(Pages.inFlight() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
