Believe and make promises in one form; renew a request's times before it is sent

What callers could see: another entry host's own 408, 400 or 413 as an endpoint's answer, with its promise; an endpoint's signed 503 that does not say that it has not run, passed on as if it had; a refusal without an id, late on a kept connection, taken for this request's. A request whose connect stood still told its endpoint of time that was gone.

Cause: what an endpoint and what an entry host may say was read by the same rules.

Change: between hosts only one field says that a request has not run, and each own refusal of a host carries it. Statuses that promise are not passed on after a run. A refusal without an id counts only where no other request was answered before. The time left is written when the connection stands; a request without any is not sent.

Ruled out: refusing answers without an id altogether: endpoints that cannot read the id may say so without it.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -137,6 +137,7 @@
       News_.tellWord(Word);
     };
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
+    FromHosts_.setRefusalFields({{NotRunField, "1"}});
     Callers_.onRefused(
         [this](const ReadRefusal &R) { tellRefused("caller", R); });
     FromHosts_.onRefused(
--- a/src/relay/internal/answerhead.cpp
+++ b/src/relay/internal/answerhead.cpp
@@ -8,38 +8,65 @@
 
 constexpr unsigned FirstSuccess = 200;
 constexpr unsigned LastSuccess = 299;
+constexpr unsigned RequestTimeout = 408;
 constexpr unsigned Misdirected = 421;
+constexpr unsigned TooMany = 429;
+constexpr unsigned Unavailable = 503;
+
+/// Whether the other end says that the request has not run there. Entry hosts
+/// have one form for it, so that no status of their own is taken for an
+/// endpoint's.
+bool saysNotRun(const HttpResponseHead &Head, const WireNames &Names,
+                const AnswerSource &Source) {
+  if (Source.Host)
+    return findField(Head.Fields, NotRunField).has_value();
+  return Head.Status == Misdirected ||
+         findField(Head.Fields, Names.NotExecuted).has_value();
+}
 
 } // namespace
 
 AnswerKind classifyAnswer(const HttpResponseHead &Head, const WireNames &Names,
-                          const RequestId &Id) {
+                          const RequestId &Id, AnswerSource Source) {
   auto Said = findField(Head.Fields, Names.RequestId);
   if (Said && *Said != Id.str())
     return AnswerKind::OfAnother;
-  if (Head.Status == Misdirected || findField(Head.Fields, Names.NotExecuted) ||
-      findField(Head.Fields, NotRunField))
-    return AnswerKind::NotRun;
+  if (saysNotRun(Head, Names, Source))
+    // Without an id it may be another request's.
+    return Said || !Source.Reused ? AnswerKind::NotRun : AnswerKind::Spoiled;
   bool Success = Head.Status >= FirstSuccess && Head.Status <= LastSuccess;
   if (Success && (!Said || !findField(Head.Fields, Names.Signature)))
     return AnswerKind::Spoiled;
+  // A host that passes an answer on, or gives up after a run, says of which
+  // request it speaks.
+  if (Source.Host && !Said)
+    return AnswerKind::Spoiled;
   if (findField(Head.Fields, "Content-Encoding"))
     return AnswerKind::Spoiled;
   return AnswerKind::Answer;
 }
 
+bool promisesNotRun(unsigned Status) {
+  return Status == RequestTimeout || Status == Misdirected ||
+         Status == TooMany || Status == Unavailable;
+}
+
 HttpRequestHead outgoingHead(const HttpRequestHead &Arrived,
-                             const WireNames &Names, Duration TimeLeft) {
+                             const WireNames &Names) {
   HttpRequestHead Head = Arrived;
   removeConnectionFields(Head.Fields);
   removeField(Head.Fields, "Expect");
   for (const std::string &Name : Names.Reserved)
     removeField(Head.Fields, Name);
+  return Head;
+}
+
+void setTimeLeft(HttpRequestHead &Head, const WireNames &Names,
+                 Duration TimeLeft) {
   auto Millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(TimeLeft).count();
   setField(Head.Fields, Names.TimeLeft,
            std::to_string(std::max<std::int64_t>(1, Millis)));
-  return Head;
 }
 
 } // namespace celerybeam::detail
--- a/src/relay/internal/answerhead.h
+++ b/src/relay/internal/answerhead.h
@@ -18,14 +18,31 @@
   Spoiled,
 };
 
+/// Who answers, and on what connection.
+struct AnswerSource {
+  /// An entry host, which speaks for itself or passes an endpoint's answer on;
+  /// otherwise an endpoint.
+  bool Host = false;
+  /// Other requests were answered on the connection before, so that a second
+  /// copy of one of their answers may come late.
+  bool Reused = false;
+};
+
 AnswerKind classifyAnswer(const HttpResponseHead &Head, const WireNames &Names,
-                          const RequestId &Id);
+                          const RequestId &Id, AnswerSource Source);
+
+/// Whether a status by itself promises that a request has not run and will not.
+bool promisesNotRun(unsigned Status);
 
 /// The head of a request as an endpoint or another entry host gets it, without
 /// what concerns the caller's connection or only this system may set.
-/// \param TimeLeft  until its caller stops waiting; 1 ms at least is sent.
 HttpRequestHead outgoingHead(const HttpRequestHead &Arrived,
-                             const WireNames &Names, Duration TimeLeft);
+                             const WireNames &Names);
+
+/// Says how long the caller still waits.
+/// \param TimeLeft  1 ms at least is said.
+void setTimeLeft(HttpRequestHead &Head, const WireNames &Names,
+                 Duration TimeLeft);
 
 } // namespace celerybeam::detail
 
--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -11,16 +11,17 @@
 
 } // namespace
 
-Attempt::Attempt(RelayContext &Context, RequestId Id, bool Streams,
+Attempt::Attempt(RelayContext &Context, RequestId Id, bool ToHost, bool Streams,
                  EventCutter &Cutter, AttemptHooks Hooks)
-    : Context_(Context), Id_(std::move(Id)), Streams_(Streams), Cutter_(Cutter),
-      Hooks_(std::move(Hooks)), Held_(Context.Answers) {}
+    : Context_(Context), Id_(std::move(Id)), ToHost_(ToHost), Streams_(Streams),
+      Cutter_(Cutter), Hooks_(std::move(Hooks)), Held_(Context.Answers) {}
 
 void Attempt::start(HttpCallRequest Request) {
   Sent_ = Context_.Time.Now();
   Cutter_.beginRun();
   auto Self = shared_from_this();
   HttpCallHooks Hooks;
+  Hooks.BeforeSend = Hooks_.BeforeSend;
   Hooks.Head = [Self](const HttpResponseHead &Head) {
     return Self->takeHead(Head);
   };
@@ -42,7 +43,8 @@
 Duration Attempt::sinceSent() const { return Context_.Time.Now() - Sent_; }
 
 HeadVerdict Attempt::takeHead(const HttpResponseHead &Head) {
-  AnswerKind Kind = classifyAnswer(Head, Context_.Names, Id_);
+  AnswerKind Kind =
+      classifyAnswer(Head, Context_.Names, Id_, {ToHost_, Call_->isReused()});
   if (Kind == AnswerKind::Spoiled)
     return HeadVerdict::Spoiled;
   takeWillingness(Head);
--- a/src/relay/internal/attempt.h
+++ b/src/relay/internal/attempt.h
@@ -14,7 +14,7 @@
 
 /// How one send of a request ended.
 enum class AttemptEnd {
-  /// No connection: not a byte was sent.
+  /// No connection, or not wanted any more: not a byte was sent.
   NotConnected,
   /// It may have run; what came is no whole answer.
   Broken,
@@ -29,6 +29,8 @@
 /// What an attempt tells the relay, never on the calling stack of start;
 /// nothing after End or cancel.
 struct AttemptHooks {
+  /// As in HttpCallHooks.
+  std::function<bool(HttpRequestHead &)> BeforeSend;
   /// Whole events of a stream have come.
   std::function<void(std::string_view)> Events;
   /// The other end said that it leaves or wants a rest.
@@ -41,9 +43,10 @@
 /// come on the connection, also without end.
 class Attempt : public std::enable_shared_from_this<Attempt> {
 public:
+  /// \param ToHost  whether it goes to an entry host, not to an endpoint.
   /// \param Streams  whether a good answer is a stream of events.
   /// \param Cutter  cuts the events over all attempts of the request.
-  Attempt(RelayContext &Context, RequestId Id, bool Streams,
+  Attempt(RelayContext &Context, RequestId Id, bool ToHost, bool Streams,
           EventCutter &Cutter, AttemptHooks Hooks);
 
   void start(HttpCallRequest Request);
@@ -71,6 +74,7 @@
 
   RelayContext &Context_;
   RequestId Id_;
+  bool ToHost_;
   bool Streams_;
   EventCutter &Cutter_;
   AttemptHooks Hooks_;
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -144,17 +144,24 @@
   }
 
   void refuseCaller(unsigned Status, const std::string &Why) {
-    finishWith({Status, {{"Content-Type", "text/plain"}}}, Why + "\n",
+    HttpResponseHead Head{Status, {{"Content-Type", "text/plain"}}};
+    markNotRun(Head);
+    finishWith(std::move(Head), Why + "\n",
                Status == NotFound ? "no_route" : "bad_request");
   }
 
+  /// The form in which entry hosts tell each other that a request has not run.
+  void markNotRun(HttpResponseHead &Head) const {
+    if (FromHost_)
+      Head.Fields.push_back({NotRunField, "1"});
+  }
+
   void refuse(const Refusal &Why) {
     Record_.RetryAfter = Why.RetryAfter;
     HttpResponseHead Head{NotRun,
                           {{"Content-Type", "text/plain"},
                            {"Retry-After", secondsText(Why.RetryAfter)}}};
-    if (FromHost_)
-      Head.Fields.push_back({NotRunField, "1"});
+    markNotRun(Head);
     finishWith(std::move(Head), "not run: " + Why.Reason + "\n", Why.Reason);
   }
 
@@ -184,6 +191,9 @@
   }
 
   void placed(PlacementId Id, const PlacementAnswer &Answer) {
+    // The word may come in the turn in which the request ended.
+    if (Over_)
+      return Context_.Placement.end(Id, {});
     Log_.Seen = Answer.Seen;
     if (const auto *Wait = std::get_if<Hold>(&*Answer.Decision)) {
       if (!std::exchange(Held_, true))
@@ -204,8 +214,7 @@
   HttpCallRequest callTo(const Address &To) {
     HttpCallRequest Call;
     Call.To = To;
-    Call.Head = detail::outgoingHead(Request_.Head, Context_.Names,
-                                     TimeoutAt_ - Context_.Time.Now());
+    Call.Head = detail::outgoingHead(Request_.Head, Context_.Names);
     Call.Body = Request_.Body;
     return Call;
   }
@@ -247,8 +256,6 @@
       setField(Call.Head.Fields, Context_.Names.LastEventId, Cutter_.lastId());
     Allotted_ = Dispatcher::runsLeft(Descriptor_, *Route_, Log_);
     setField(Call.Head.Fields, RunsField, std::to_string(Allotted_));
-    setField(Call.Head.Fields, WaitedField,
-             std::to_string(millisOf(Context_.Time.Now() - Request_.Arrived)));
     Call.ConnectTimeout = FarConnectTimeout;
     Call.ReuseIdleAtMost = HttpCaller::MaxIdleTime;
     note("via " + Choice.Host.Id.str(), Choice.Expected);
@@ -269,16 +276,35 @@
     GotOutput_ = false;
     auto Self = shared_from_this();
     detail::AttemptHooks Hooks;
+    Hooks.BeforeSend = [Self](HttpRequestHead &Head) {
+      return Self->beforeSend(Head);
+    };
     Hooks.Events = [Self](std::string_view Events) {
       Self->takeEvents(Events);
     };
     Hooks.Said = [Self](const SaidWillingness &Said) { Self->heard(Said); };
     Hooks.End = [Self](AttemptEnd End) { Self->attemptEnded(End); };
-    Attempt_ = std::make_shared<Attempt>(
-        Context_, Descriptor_.Id, isStream(Route_->Kind), Cutter_, Hooks);
+    Attempt_ =
+        std::make_shared<Attempt>(Context_, Descriptor_.Id, !Here_,
+                                  isStream(Route_->Kind), Cutter_, Hooks);
     Attempt_->start(std::move(Call));
   }
 
+  bool isLate() const { return Context_.Time.Now() >= TimeoutAt_; }
+
+  /// Time may have passed since the decision, and all of it while the host
+  /// stood still.
+  bool beforeSend(HttpRequestHead &Head) {
+    if (Over_ || isLate())
+      return false;
+    TimePoint Now = Context_.Time.Now();
+    detail::setTimeLeft(Head, Context_.Names, TimeoutAt_ - Now);
+    if (!Here_)
+      setField(Head.Fields, WaitedField,
+               std::to_string(millisOf(Now - Request_.Arrived)));
+    return true;
+  }
+
   void heard(const SaidWillingness &Said) {
     if (Here_ && Context_.Hooks.Heard)
       Context_.Hooks.Heard({Here_->Endpoint.Key, Said.Leaving, Said.RestFor,
@@ -396,6 +422,8 @@
     dropSpare();
     switch (End) {
     case AttemptEnd::NotConnected:
+      if (isLate())
+        return timedOut();
       Record_.Attempts += " not_connected after_ms=" +
                           std::to_string(millisOf(Attempt_->sinceSent()));
       if (!Here_)
@@ -449,7 +477,10 @@
     Log_.Runs += Here_ ? 1 : runsThere();
     if (Attempt_->isEvents())
       return streamEnded();
-    bool Failed = Head.Status >= ServerFailure;
+    // Passed on, the status would say of a request that may have run that it
+    // has not.
+    bool FalsePromise = detail::promisesNotRun(Head.Status);
+    bool Failed = Head.Status >= ServerFailure || FalsePromise;
     if (!Failed) {
       firstOutput();
       Context_.Decisions.crashes().succeeded(Descriptor_.Fingerprint);
@@ -460,7 +491,7 @@
       return breakStream("endpoint_failed");
     if (!Failed)
       return finishWith(callerHead(), Attempt_->takeBody(), "answered");
-    if (Stamped && !Streaming_)
+    if (Stamped && !Streaming_ && !FalsePromise)
       Failure_ = {callerHead(), Attempt_->takeBody()};
     if (mayRepeat(Route_->Kind) &&
         Context_.Decisions.mayTryAgain(Descriptor_, *Route_, Log_))
