Bound what callers make a host hold: bodies, unread answers, connections of one

Pattern: callers that mean harm. Two thousand connections with a body of 4 MB each, or with an answer of 4 MB that nobody reads, are more than a host has; one caller that opens all connections kept the others out.

Change: ByteBudget (was AnswerMemory) also bounds the bodies of requests that are read or served, together, and the answers not yet sent. Beyond the first, a request is refused with 503 while it is read and has not run; beyond the second, a connection with more than 64 KB unsent is given up. At the bound of connections an idle one of the address with most of them makes room.

Ruled out: reserving a body's length from its head: claims without bytes would take the memory.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -433,6 +433,10 @@
     Limits.BodyBytes = L.BodyBytes;
     Limits.HeaderTimeout = L.HeaderTimeout;
     Limits.IdleTimeout = L.IdleTimeout;
+    // Two of the longest at least, so that none is refused for ever.
+    Limits.AllBodyBytes = std::max<std::size_t>(Settings_.AnswerMemoryBytes,
+                                                std::size_t{2} * L.BodyBytes);
+    Limits.AllUnsentBytes = Settings_.AnswerMemoryBytes;
     Callers_.setLimits(Limits);
   }
 
--- a/src/relay/httpserver.h
+++ b/src/relay/httpserver.h
@@ -43,7 +43,7 @@
 struct ReadRefusal {
   unsigned Status = 0;
   std::string Why;
-  /// Where the connection comes from, as "IP:PORT".
+  /// Where the connection comes from, without the port.
   std::string From;
   /// As far as the head has been read; empty otherwise.
   HttpRequestHead Head;
@@ -61,7 +61,14 @@
   /// From a request's first byte to its last: as long as a caller waits that
   /// names no time.
   Duration WholeTimeout = std::chrono::seconds(60);
-  /// Connections at once; further ones are closed.
+  /// Bodies of requests that are read or served, together; further requests
+  /// are refused with 503.
+  std::size_t AllBodyBytes = 32U << 20U;
+  /// Answers that wait for callers to read them, together; beyond that, those
+  /// who have more than a little waiting are given up.
+  std::size_t AllUnsentBytes = 32U << 20U;
+  /// Connections at once. For a further one, an idle one of the address that
+  /// has most of them is closed; if there is none, the new one is.
   std::size_t Connections = 2000;
 };
 
@@ -94,6 +101,9 @@
   void stopListening();
   /// Requests that have no complete answer yet.
   std::size_t inFlight() const;
+  /// Of requests that are read or served, and of answers not yet sent.
+  std::size_t bodyBytesHeld() const;
+  std::size_t unsentBytesHeld() const;
 
 private:
   class Impl;
--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -14,7 +14,8 @@
 Attempt::Attempt(RelayContext &Context, RequestId Id, bool ToHost, bool Streams,
                  EventCutter &Cutter, AttemptHooks Hooks)
     : Context_(Context), Id_(std::move(Id)), ToHost_(ToHost), Streams_(Streams),
-      Cutter_(Cutter), Hooks_(std::move(Hooks)), Held_(Context.Answers) {}
+      Cutter_(Cutter), Hooks_(std::move(Hooks)),
+      Held_(Context.Answers, ByteBudget::MostOfOneAnswer) {}
 
 void Attempt::start(HttpCallRequest Request) {
   Sent_ = Context_.Time.Now();
--- a/src/relay/internal/attempt.h
+++ b/src/relay/internal/attempt.h
@@ -82,7 +82,7 @@
   TimePoint Sent_{};
   HttpResponseHead Head_;
   std::string Body_;
-  AnswerMemory::Share Held_;
+  ByteBudget::Share Held_;
   bool NotRun_ = false;
   bool Events_ = false;
   bool Cancelled_ = false;
--- a/src/relay/internal/httpserver.cpp
+++ b/src/relay/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "relay/httpserver.h"
 
 #include <list>
+#include <map>
 #include <vector>
 
 #include "relay/internal/serverconnection.h"
@@ -72,7 +73,7 @@
   }
 
   void take(Tcp::socket Socket) {
-    if (Shared_->Open >= Shared_->Limits.Connections)
+    if (Shared_->Open >= Shared_->Limits.Connections && !makeRoom())
       return;
     auto Connection =
         std::make_shared<ServerConnection>(Loop_, std::move(Socket), Shared_);
@@ -82,6 +83,31 @@
     Connection->start();
   }
 
+  /// One caller with many connections must not keep the others out.
+  bool makeRoom() {
+    std::map<std::string, std::size_t> Counts;
+    const std::string *Most = nullptr;
+    for (const auto &Weak : Connections_) {
+      auto Connection = Weak.lock();
+      if (!Connection)
+        continue;
+      auto &[Ip, Count] = *Counts.try_emplace(Connection->peerIp(), 0).first;
+      ++Count;
+      if (Most == nullptr || Count > Counts.at(*Most))
+        Most = &Ip;
+    }
+    if (Most == nullptr)
+      return false;
+    // Oldest first.
+    for (const auto &Weak : Connections_) {
+      auto Connection = Weak.lock();
+      if (Connection && Connection->peerIp() == *Most &&
+          Connection->closeIfIdle())
+        return true;
+    }
+    return false;
+  }
+
   void stopListening() {
     Shared_->Stopped = true;
     ErrorCode Ignored;
@@ -115,6 +141,8 @@
 }
 void HttpServer::setLimits(const HttpServerLimits &Limits) {
   Impl_->Shared_->Limits = Limits;
+  Impl_->Shared_->Bodies.setLimit(Limits.AllBodyBytes);
+  Impl_->Shared_->Unsent.setLimit(Limits.AllUnsentBytes);
 }
 void HttpServer::setRefusalFields(HttpFields Fields) {
   Impl_->Shared_->RefusalFields = std::move(Fields);
@@ -127,5 +155,11 @@
 }
 void HttpServer::stopListening() { Impl_->stopListening(); }
 std::size_t HttpServer::inFlight() const { return Impl_->Shared_->InFlight; }
+std::size_t HttpServer::bodyBytesHeld() const {
+  return Impl_->Shared_->Bodies.held();
+}
+std::size_t HttpServer::unsentBytesHeld() const {
+  return Impl_->Shared_->Unsent.held();
+}
 
 } // namespace celerybeam
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -1,9 +1,8 @@
 #include "relay/internal/serverconnection.h"
 
-#include <algorithm>
+#include <limits>
 #include <utility>
 
-#include "relay/answermemory.h"
 #include "relay/internal/serverexchange.h"
 #include "relay/internal/sockets.h"
 
@@ -15,13 +14,20 @@
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned BodyTooLong = 413;
 constexpr unsigned HeadTooLong = 431;
+constexpr unsigned Unavailable = 503;
+/// When to come back to a host whose memory for requests is taken, in seconds:
+/// it serves or gives up many of them within that time.
+constexpr const char *MemoryWait = "0.5";
 
 constexpr std::size_t ReadBytes = 4096;
 /// Bytes that may follow a request while it is answered.
 constexpr std::size_t MaxPipelined = 65536;
 /// Bytes of an answer that may wait for a caller that does not read: the
 /// longest answer that is held whole, with its head.
-constexpr std::size_t MaxUnsent = AnswerMemory::MostOfOneAnswer + 65536;
+constexpr std::size_t MaxUnsent = ByteBudget::MostOfOneAnswer + 65536;
+/// Unsent bytes that a connection may have when the server's are taken up, so
+/// that those who do not read harm nobody who does.
+constexpr std::size_t AlwaysUnsent = 65536;
 /// How long a connection that has ended drains what the caller still sends.
 constexpr Duration Linger = std::chrono::milliseconds(500);
 /// Bytes that are drained at most; more are no rest of a refused request.
@@ -34,7 +40,9 @@
 ServerConnection::ServerConnection(EventLoop &Loop, Tcp::socket Socket,
                                    std::shared_ptr<ServerShared> Shared)
     : Socket_(std::move(Socket)), Shared_(std::move(Shared)), StateTimer_(Loop),
-      WholeTimer_(Loop), WriteTimer_(Loop) {
+      WholeTimer_(Loop), WriteTimer_(Loop),
+      Body_(Shared_->Bodies, std::numeric_limits<std::size_t>::max()),
+      Unsent_(Shared_->Unsent, MaxUnsent) {
   ++Shared_->Open;
 }
 
@@ -44,8 +52,10 @@
   setConnectionOptions(Socket_, CallerAckTimeout);
   ErrorCode Error;
   Socket_.non_blocking(true, Error);
+  auto Peer = Socket_.remote_endpoint(Error);
   if (Error)
     return close();
+  PeerIp_ = Peer.address().to_string();
   nextRequest();
 }
 
@@ -177,6 +187,8 @@
   if (Parser_->is_header_done()) {
     if (const char *Problem = framingProblem())
       return refuse(BadRequest, Problem);
+    if (!Body_.set(Parser_->get().body().size()))
+      return refuse(Unavailable, "no memory for more requests");
     if (!Parser_->is_done())
       continueBody();
   }
@@ -248,13 +260,8 @@
 void ServerConnection::tellRefused(unsigned Status, const char *Why) const {
   if (!Shared_->Refused)
     return;
-  ErrorCode Ignored;
-  auto Peer = Socket_.remote_endpoint(Ignored);
-  std::string From =
-      Ignored ? std::string()
-              : Peer.address().to_string() + ":" + std::to_string(Peer.port());
   Shared_->Refused(
-      {Status, Why, std::move(From),
+      {Status, Why, PeerIp_,
        Parser_->is_header_done() ? headRead() : HttpRequestHead()});
 }
 
@@ -264,6 +271,8 @@
   beginTurn(false);
   HttpResponseHead Head{Status, Shared_->RefusalFields};
   Head.Fields.push_back({"Content-Type", "text/plain"});
+  if (Status == Unavailable)
+    Head.Fields.push_back({"Retry-After", MemoryWait});
   answerWhole(Head, std::string(Why) + "\n");
 }
 
@@ -284,6 +293,7 @@
 
 void ServerConnection::endTurn() {
   --Shared_->InFlight;
+  Body_.set(0);
   // Its exchange is spent, also for what goes with the hook.
   ++Turn_.Value;
   auto Dropped = std::exchange(Gone_, nullptr);
@@ -355,7 +365,8 @@
   if (State_ == State::Closed)
     return;
   Queued_ += Bytes;
-  if (Queued_.size() > MaxUnsent)
+  std::size_t Unsent = Writing_.size() + Queued_.size();
+  if (!Unsent_.set(Unsent) && Unsent > AlwaysUnsent)
     return callerGone();
   if (Writing_.empty())
     write();
@@ -383,7 +394,10 @@
   if (Error)
     return callerGone();
   Written_ += Bytes;
-  if (Written_ < Writing_.size() || !Queued_.empty())
+  if (Written_ < Writing_.size())
+    return write();
+  Unsent_.set(Queued_.size());
+  if (!Queued_.empty())
     return write();
   Writing_.clear();
   Written_ = 0;
@@ -392,9 +406,11 @@
     linger();
 }
 
-void ServerConnection::closeIfIdle() {
-  if (State_ == State::Idle && Buffer_.size() == 0)
+bool ServerConnection::closeIfIdle() {
+  bool Idle = State_ == State::Idle && Buffer_.size() == 0;
+  if (Idle)
     finish();
+  return Idle;
 }
 
 void ServerConnection::finish() {
@@ -430,6 +446,8 @@
   WholeTimer_.cancel();
   WriteTimer_.cancel();
   Parser_.reset();
+  Body_.set(0);
+  Unsent_.set(0);
   ErrorCode Ignored;
   Socket_.close(Ignored);
 }
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "relay/bytebudget.h"
 #include "relay/httpserver.h"
 #include "relay/internal/beast.h"
 #include "relay/timer.h"
@@ -19,6 +20,8 @@
   HttpFields RefusalFields;
   HttpServerLimits Limits;
   Runtime Time;
+  ByteBudget Bodies{Limits.AllBodyBytes};
+  ByteBudget Unsent{Limits.AllUnsentBytes};
   bool CloseAfterAnswers = false;
   bool Stopped = false;
   std::size_t Open = 0;
@@ -44,8 +47,11 @@
   ~ServerConnection();
 
   void start();
-  /// Closes the connection if no request is under way.
-  void closeIfIdle();
+  /// Closes the connection if no request is under way. \return whether it
+  /// did.
+  bool closeIfIdle();
+  /// The other end's address without its port; empty when it is gone.
+  const std::string &peerIp() const { return PeerIp_; }
 
   /// What the exchange of a turn may do; nothing once that turn has ended.
   void respond(TurnNumber Turn, const HttpResponseHead &Head,
@@ -107,6 +113,7 @@
   void close();
 
   Tcp::socket Socket_;
+  std::string PeerIp_;
   std::shared_ptr<ServerShared> Shared_;
   /// Of the state, set anew or cancelled with each change of it.
   Timer StateTimer_;
@@ -126,6 +133,9 @@
   bool HeadMethod_ = false;
   bool SentContinue_ = false;
   std::function<void()> Gone_;
+  /// Of the request that is read or answered.
+  ByteBudget::Share Body_;
+  ByteBudget::Share Unsent_;
   /// Bytes being written, how many of them have been, and those that follow.
   std::string Writing_;
   std::size_t Written_ = 0;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -10,7 +10,7 @@
 #include "fleet/fleetview.h"
 #include "fleet/hostregistry.h"
 #include "framework/error.h"
-#include "relay/answermemory.h"
+#include "relay/bytebudget.h"
 #include "relay/httpcaller.h"
 #include "relay/httpserver.h"
 
@@ -111,7 +111,7 @@
   std::string HostPort;
   /// Set when the host leaves and takes no further requests.
   bool Refusing = false;
-  AnswerMemory Answers{DefaultAnswerMemory};
+  ByteBudget Answers{DefaultAnswerMemory};
   /// Where the host's own memory is not known.
   static constexpr std::size_t DefaultAnswerMemory = 16U << 20U;
 };
--- /dev/null
+++ b/src/relay/tests/callerboundstest.cpp
@@ -0,0 +1,102 @@
+// What callers that mean harm can make a host hold.
+
+#include <boost/test/unit_test.hpp>
+
+#include "relay/internal/sockets.h"
+#include "relay/tests/relayfixture.h"
+
+using namespace celerybeam;
+
+namespace {
+
+/// Serves pages of one size and counts the requests.
+class PageServer {
+public:
+  explicit PageServer(HttpServerLimits Limits, std::size_t PageBytes = 5)
+      : Server(Loop, [this, PageBytes](const auto &, const auto &Answer) {
+          ++Served;
+          Answer->respond({200, {}}, std::string(PageBytes, 'x'));
+        }) {
+    BOOST_REQUIRE(Server.listen(Address("127.0.0.1:0")));
+    Server.setLimits(Limits);
+  }
+
+  std::unique_ptr<testing::RawCaller> call(const std::string &Bytes,
+                                           const std::string &From) {
+    return std::make_unique<testing::RawCaller>(Loop, Server.address().str(),
+                                                Bytes, From);
+  }
+
+  EventLoop Loop;
+  HttpServer Server;
+  unsigned Served = 0;
+};
+
+const std::string Get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CallerBoundsTests)
+
+BOOST_AUTO_TEST_CASE(bodiesOfManyCallersAreBounded) {
+  HttpServerLimits Limits;
+  Limits.BodyBytes = 100000;
+  Limits.AllBodyBytes = 100000;
+  PageServer Pages(Limits);
+  const std::string Begun = "POST / HTTP/1.1\r\nHost: x\r\n"
+                            "Content-Length: 60000\r\n\r\n" +
+                            std::string(50000, 'x');
+  auto First = Pages.call(Begun, "127.0.0.1");
+  testing::runUntil(Pages.Loop,
+                    [&] { return Pages.Server.bodyBytesHeld() == 50000; });
+  auto Second = Pages.call(Begun + std::string(10000, 'x'), "127.0.0.1");
+  testing::runUntil(Pages.Loop, [&] { return Second->closed(); });
+  BOOST_TEST(Second->received().starts_with("HTTP/1.1 503"));
+  BOOST_TEST(Second->received().find("Retry-After: ") != std::string::npos);
+  BOOST_TEST(Pages.Server.bodyBytesHeld() <= Limits.AllBodyBytes);
+  // What the refused one held is free for the first.
+  First->send(std::string(10000, 'x'));
+  testing::runUntil(Pages.Loop, [&] { return Pages.Served == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(unreadAnswersAreBounded) {
+  HttpServerLimits Limits;
+  Limits.AllUnsentBytes = 20U << 20U;
+  constexpr std::size_t PageBytes = 3U << 20U;
+  PageServer Pages(Limits, PageBytes);
+  std::vector<std::unique_ptr<testing::RawCaller>> Callers;
+  for (int I = 0; I < 20; ++I) {
+    Callers.push_back(Pages.call(Get, "127.0.0.1"));
+    Callers.back()->stopReading();
+  }
+  std::size_t Most = 0;
+  testing::runUntil(Pages.Loop, [&] {
+    Most = std::max(Most, Pages.Server.unsentBytesHeld());
+    return Pages.Served == Callers.size();
+  });
+  BOOST_TEST(Most > 0U);
+  BOOST_TEST(Most <= Limits.AllUnsentBytes);
+  // A caller that reads is served meanwhile.
+  auto Reader = Pages.call(Get, "127.0.0.1");
+  testing::runUntil(Pages.Loop, [&] {
+    return Reader->closed() || Reader->received().size() > PageBytes;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(oneCallersConnectionsKeepNobodyOut) {
+  HttpServerLimits Limits;
+  Limits.Connections = 20;
+  PageServer Pages(Limits);
+  std::vector<std::unique_ptr<testing::RawCaller>> Greedy;
+  for (int I = 0; I < 40; ++I)
+    Greedy.push_back(Pages.call("", "127.0.0.2"));
+  for (int I = 0; I < 5; ++I) {
+    auto Other = Pages.call(Get, "127.0.0.3");
+    testing::runUntil(Pages.Loop, [&] {
+      return Other->closed() || Other->received().ends_with("xxxxx");
+    });
+    BOOST_TEST(Other->received().starts_with("HTTP/1.1 200"));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/tests/rawpeer.cpp
+++ b/src/relay/tests/rawpeer.cpp
@@ -79,8 +79,10 @@
 }
 
 RawCaller::RawCaller(EventLoop &Loop, const std::string &Address,
-                     const std::string &Bytes)
+                     const std::string &Bytes, const std::string &From)
     : State_(std::make_shared<State>(Loop)) {
+  State_->Socket.open(Tcp::v4());
+  State_->Socket.bind({asio::ip::make_address(From), 0});
   State_->Socket.connect(*parseEndpoint(celerybeam::Address(Address)));
   send(Bytes);
   State_->read();
@@ -107,7 +109,7 @@
       [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
         Self->Received.append(Self->Buffer.data(), Bytes);
         Self->Closed = static_cast<bool>(Error);
-        if (!Error)
+        if (!Error && Self->Reads)
           Self->read();
       });
 }
--- a/src/relay/tests/rawpeer.h
+++ b/src/relay/tests/rawpeer.h
@@ -52,10 +52,13 @@
 /// A caller that sends bytes and keeps what comes back.
 class RawCaller {
 public:
+  /// \param From  the IP number that it calls from.
   RawCaller(EventLoop &Loop, const std::string &Address,
-            const std::string &Bytes);
+            const std::string &Bytes, const std::string &From = "127.0.0.1");
 
   void send(const std::string &Bytes);
+  /// Leaves what comes from now on in the kernel.
+  void stopReading() { State_->Reads = false; }
   /// Closes its sending side; answers still come.
   void endSending();
   void close();
@@ -73,6 +76,7 @@
     std::array<char, 4096> Buffer{};
     std::string Received;
     bool Closed = false;
+    bool Reads = true;
   };
 
   std::shared_ptr<State> State_;
