--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -19,7 +19,6 @@
 /// it serves or gives up many of them within that time.
 constexpr const char *MemoryWait = "0.5";
 
-constexpr std::size_t ReadBytes = 4096;
 /// Bytes that may follow a request while it is answered.
 constexpr std::size_t MaxPipelined = 65536;
 /// Bytes of an answer that may wait for a caller that does not read: the
@@ -51,7 +50,6 @@
 void ServerConnection::start() {
   setConnectionOptions(Socket_, CallerAckTimeout);
   ErrorCode Error;
-  Socket_.non_blocking(true, Error);
   auto Peer = Socket_.remote_endpoint(Error);
   if (Error)
     return close();
@@ -100,23 +98,21 @@
   if (ReadPending_ || State_ == State::Closed)
     return;
   ReadPending_ = true;
-  // Waits without memory of the buffer: bytes may be taken out of it meanwhile.
-  Socket_.async_wait(Tcp::socket::wait_read,
-                     [Self = shared_from_this()](ErrorCode Error) {
-                       Self->ReadPending_ = false;
-                       Self->onReadable(Error);
-                     });
+  Socket_.async_read_some(
+      asio::buffer(In_),
+      [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
+        Self->ReadPending_ = false;
+        Self->onRead(Error, Bytes);
+      });
 }
 
-void ServerConnection::onReadable(ErrorCode Error) {
+void ServerConnection::onRead(ErrorCode Error, std::size_t Bytes) {
   if (State_ == State::Closed)
     return;
-  if (!Error)
-    Buffer_.commit(Socket_.read_some(Buffer_.prepare(ReadBytes), Error));
-  if (Error == asio::error::would_block)
-    return read();
   if (Error)
     return onReadEnd(Error);
+  Buffer_.commit(
+      asio::buffer_copy(Buffer_.prepare(Bytes), asio::buffer(In_, Bytes)));
   switch (State_) {
   case State::Idle:
   case State::Reading:
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -1,6 +1,7 @@
 #ifndef CELERYBEAM_RELAY_INTERNAL_SERVERCONNECTION_H
 #define CELERYBEAM_RELAY_INTERNAL_SERVERCONNECTION_H
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -86,7 +87,7 @@
   void idleTimedOut();
   void readTimedOut();
   void read();
-  void onReadable(ErrorCode Error);
+  void onRead(ErrorCode Error, std::size_t Bytes);
   void onReadEnd(ErrorCode Error);
   void dropBytes();
   void parse();
@@ -121,6 +122,9 @@
   Timer WholeTimer_;
   /// While bytes are being written.
   Timer WriteTimer_;
+  static constexpr std::size_t ReadBytes = 4096;
+  /// What a read that is under way fills: Buffer_ may be emptied meanwhile.
+  std::array<char, ReadBytes> In_{};
   boost::beast::flat_buffer Buffer_;
   std::unique_ptr<Parser> Parser_;
   State State_ = State::Idle;
