Timers of a connection use their owner without holding it

A Timer's task cannot run after its owner, so it needs no weak pointer, which costs an allocation and two counts each time that a timer is set.

--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -89,9 +89,9 @@
   };
 
   void endIn(Timer &T, Duration Delay, HttpCallEnd End) {
-    T.set(Delay, [Weak = weak_from_this(), End] {
-      if (auto Self = Weak.lock())
-        Self->finish(End);
+    T.set(Delay, [this, End] {
+      auto Self = shared_from_this();
+      finish(End);
     });
   }
 
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -64,10 +64,7 @@
   Parser_->body_limit(Shared_->Limits.BodyBytes);
   Parser_->eager(true);
   SentContinue_ = false;
-  StateTimer_.set(Shared_->Limits.IdleTimeout, [Weak = weak_from_this()] {
-    if (auto Self = Weak.lock())
-      Self->idleTimedOut();
-  });
+  StateTimer_.set(Shared_->Limits.IdleTimeout, [this] { idleTimedOut(); });
   if (Buffer_.size() > 0)
     return parseLater();
   // An idle connection keeps no buffer.
@@ -90,6 +87,7 @@
 }
 
 void ServerConnection::readTimedOut() {
+  auto Self = shared_from_this();
   if (State_ == State::Reading)
     refuse(RequestTimeout, "the request did not arrive in time");
 }
@@ -158,10 +156,7 @@
 void ServerConnection::parse() {
   if (State_ == State::Idle) {
     State_ = State::Reading;
-    auto TimeOut = [Weak = weak_from_this()] {
-      if (auto Self = Weak.lock())
-        Self->readTimedOut();
-    };
+    auto TimeOut = [this] { readTimedOut(); };
     StateTimer_.set(Shared_->Limits.HeaderTimeout, TimeOut);
     WholeTimer_.set(Shared_->Limits.WholeTimeout, TimeOut);
   }
@@ -196,10 +191,7 @@
 }
 
 void ServerConnection::continueBody() {
-  StateTimer_.set(Shared_->Limits.IdleTimeout, [Weak = weak_from_this()] {
-    if (auto Self = Weak.lock())
-      Self->readTimedOut();
-  });
+  StateTimer_.set(Shared_->Limits.IdleTimeout, [this] { readTimedOut(); });
   if (SentContinue_ || Parser_->get().count(http::field::expect) == 0)
     return;
   SentContinue_ = true;
@@ -373,10 +365,7 @@
     Writing_ = std::exchange(Queued_, {});
     Written_ = 0;
   }
-  WriteTimer_.set(Shared_->Limits.IdleTimeout, [Weak = weak_from_this()] {
-    if (auto Self = Weak.lock())
-      Self->callerGone();
-  });
+  WriteTimer_.set(Shared_->Limits.IdleTimeout, [this] { callerGone(); });
   Socket_.async_write_some(
       asio::buffer(Writing_) + Written_,
       [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
@@ -422,11 +411,12 @@
   State_ = State::Lingering;
   ErrorCode Ignored;
   Socket_.shutdown(Tcp::socket::shutdown_send, Ignored);
-  StateTimer_.set(Linger, [Self = shared_from_this()] { Self->close(); });
+  StateTimer_.set(Linger, [this] { close(); });
   read();
 }
 
 void ServerConnection::callerGone() {
+  auto Self = shared_from_this();
   bool Answering = State_ == State::Answering;
   auto Tell = std::move(Gone_);
   if (Answering)
--- a/src/relay/timer.h
+++ b/src/relay/timer.h
@@ -7,7 +7,8 @@
 
 /// One timer of an owner that may set it anew. Neither a task of an earlier
 /// setting nor any task after cancel or destruction runs, whatever the loop
-/// has queued. The loop must outlive it.
+/// has queued; so a task may use the owner without holding it. The loop must
+/// outlive it.
 class Timer {
 public:
   explicit Timer(EventLoop &Loop) : Loop_(Loop) {}
