Let the end of a timer's task use the queue, and the loop's end set no timers

Found by the review. Cause: runDue kept a place in the queue while the task that had run was destroyed; what it held could cancel that very place. A task destroyed with the loop could set a timer that then outlived the loop's context.

Change: tasks are destroyed when the queue is whole; a closing loop takes no timers.

No path of the product was found that reaches either.

--- a/src/relay/internal/eventloop.cpp
+++ b/src/relay/internal/eventloop.cpp
@@ -44,9 +44,15 @@
 public:
   explicit Impl(std::function<TimePoint()> Now) : Now_(std::move(Now)) {}
   /// What timers hold may own sockets, which must not outlive the context.
-  ~Impl() { Timers_.clear(); }
+  ~Impl() {
+    Closing_ = true;
+    Timers_.clear();
+  }
 
   TimerId after(Duration Delay, Task Work) {
+    // What is destroyed with the loop may still want to set timers.
+    if (Closing_)
+      return {};
     TimerId Id = Timers_.add(Now_() + std::max(Delay, Duration::zero()),
                              std::move(Work));
     wakeInTime();
@@ -71,6 +77,7 @@
   }
 
   std::function<TimePoint()> Now_;
+  bool Closing_ = false;
   TimerQueue Timers_;
   detail::asio::io_context Context_{1};
   detail::asio::steady_timer Wake_{Context_};
--- a/src/relay/internal/timerqueue.cpp
+++ b/src/relay/internal/timerqueue.cpp
@@ -10,7 +10,10 @@
   return Id;
 }
 
-void TimerQueue::cancel(const TimerId &Id) { Tasks_.erase(Id); }
+void TimerQueue::cancel(const TimerId &Id) {
+  // The task goes when the queue is whole again: its end may use the queue.
+  auto Dropped = Tasks_.extract(Id);
+}
 
 std::optional<TimePoint> TimerQueue::next() const {
   if (Tasks_.empty())
@@ -19,8 +22,9 @@
 }
 
 void TimerQueue::clear() {
-  // A task that goes may take the owner of another with it, which cancels it.
-  auto Dropped = std::exchange(Tasks_, {});
+  // The end of a task may cancel others and add new ones.
+  while (!Tasks_.empty())
+    auto Dropped = std::exchange(Tasks_, {});
 }
 
 void TimerQueue::runDue(TimePoint Now) {
@@ -32,10 +36,11 @@
       continue;
     }
     const TimerId Ran = Next->first;
-    Task Work = std::move(Next->second);
-    Tasks_.erase(Next);
-    Work();
-    // The task may have added and cancelled others.
+    {
+      auto Node = Tasks_.extract(Next);
+      Node.mapped()();
+    }
+    // The task, and its end, may have added and cancelled others.
     Next = Tasks_.lower_bound(Ran);
   }
 }
--- a/src/relay/tests/timerqueuetest.cpp
+++ b/src/relay/tests/timerqueuetest.cpp
@@ -54,6 +54,33 @@
   BOOST_TEST(Ran == 3);
 }
 
+// A task holds an object whose end cancels the next one.
+BOOST_AUTO_TEST_CASE(endOfATaskMayUseTheQueue) {
+  TimerQueue Queue;
+  bool Ran = false;
+  TimerId Second;
+  auto Cancels = std::shared_ptr<int>(new int(0), [&](int *Held) {
+    delete Held;
+    Queue.cancel(Second);
+    Queue.add(at(30), [] {});
+  });
+  TimerId First = Queue.add(at(10), [Held = std::move(Cancels)] {});
+  Second = Queue.add(at(20), [&] { Ran = true; });
+  Queue.runDue(at(20));
+  BOOST_TEST(!Ran);
+  BOOST_TEST((Queue.next() == at(30)));
+  Queue.clear();
+  BOOST_TEST(!Queue.next().has_value());
+  // The only one, cancelled.
+  auto Adds = std::shared_ptr<int>(new int(0), [&](int *Held) {
+    delete Held;
+    Queue.add(at(40), [] {});
+  });
+  First = Queue.add(at(10), [Held = std::move(Adds)] {});
+  Queue.cancel(First);
+  BOOST_TEST((Queue.next() == at(40)));
+}
+
 BOOST_AUTO_TEST_CASE(cancelOfATimerThatRanDoesNothing) {
   TimerQueue Queue;
   TimerId Id = Queue.add(at(1), [] {});
