--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -137,7 +137,12 @@
       News_.tellWord(Word);
     };
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
-    FromHosts_.setRefusalFields({{NotRunField, "1"}});
+    FromHosts_.setRefusalFields([this](const HttpRequestHead &Head) {
+      HttpFields Fields = {{NotRunField, "1"}};
+      if (auto Id = findField(Head.Fields, Hooks_.Names.RequestId))
+        Fields.push_back({Hooks_.Names.RequestId, std::string(*Id)});
+      return Fields;
+    });
     Callers_.onRefused(
         [this](const ReadRefusal &R) { tellRefused("caller", R); });
     FromHosts_.onRefused(
@@ -537,7 +542,9 @@
 
   void pollDrain(std::function<void()> Done) {
     Duration Passed = Time_.Now() - DrainStarted_;
-    bool Finished = inFlight() == 0 && Passed >= LateCallers;
+    bool Written =
+        Callers_.unsentBytesHeld() == 0 && FromHosts_.unsentBytesHeld() == 0;
+    bool Finished = inFlight() == 0 && Written && Passed >= LateCallers;
     if (Finished || Passed >= Settings_.Grace - KillMargin) {
       Log_.info("Stopped.", {{"cut_off", inFlight()}});
       return Done();
--- a/src/relay/httpserver.h
+++ b/src/relay/httpserver.h
@@ -67,8 +67,9 @@
   /// Answers that wait for callers to read them, together; beyond that, those
   /// who have more than a little waiting are given up.
   std::size_t AllUnsentBytes = 32U << 20U;
-  /// Connections at once. For a further one, an idle one of the address that
-  /// has most of them is closed; if there is none, the new one is.
+  /// Connections at once. For a further one, the oldest of the address that
+  /// has most of them is closed that has no whole request, idle ones first; if
+  /// there is none, the new one is.
   std::size_t Connections = 2000;
 };
 
@@ -90,8 +91,10 @@
   /// Where it listens, with the port that was chosen if port 0 was asked.
   Address address() const;
   void setLimits(const HttpServerLimits &Limits);
-  /// Fields added to the answers by which the server itself refuses.
-  void setRefusalFields(HttpFields Fields);
+  /// What the answers by which the server itself refuses say beside their
+  /// status, from the head as far as it was read.
+  void
+  setRefusalFields(std::function<HttpFields(const HttpRequestHead &)> Fields);
   /// Hears of each request that is refused while it is read.
   void onRefused(std::function<void(const ReadRefusal &)> Hear);
 
--- a/src/relay/internal/httpserver.cpp
+++ b/src/relay/internal/httpserver.cpp
@@ -1,7 +1,7 @@
 #include "relay/httpserver.h"
 
+#include <algorithm>
 #include <list>
-#include <map>
 #include <vector>
 
 #include "relay/internal/serverconnection.h"
@@ -85,26 +85,20 @@
 
   /// One caller with many connections must not keep the others out.
   bool makeRoom() {
-    std::map<std::string, std::size_t> Counts;
-    const std::string *Most = nullptr;
-    for (const auto &Weak : Connections_) {
-      auto Connection = Weak.lock();
-      if (!Connection)
-        continue;
-      auto &[Ip, Count] = *Counts.try_emplace(Connection->peerIp(), 0).first;
-      ++Count;
-      if (Most == nullptr || Count > Counts.at(*Most))
-        Most = &Ip;
-    }
-    if (Most == nullptr)
+    auto Most = std::max_element(
+        Shared_->OpenOf.begin(), Shared_->OpenOf.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; });
+    if (Most == Shared_->OpenOf.end())
       return false;
-    // Oldest first.
-    for (const auto &Weak : Connections_) {
-      auto Connection = Weak.lock();
-      if (Connection && Connection->peerIp() == *Most &&
-          Connection->closeIfIdle())
-        return true;
-    }
+    const std::string Ip = Most->first;
+    for (bool AlsoReading : {false, true})
+      // Oldest first.
+      for (const auto &Weak : Connections_) {
+        auto Connection = Weak.lock();
+        if (Connection && Connection->peerIp() == Ip &&
+            Connection->makesRoom(AlsoReading))
+          return true;
+      }
     return false;
   }
 
@@ -144,7 +138,8 @@
   Impl_->Shared_->Bodies.setLimit(Limits.AllBodyBytes);
   Impl_->Shared_->Unsent.setLimit(Limits.AllUnsentBytes);
 }
-void HttpServer::setRefusalFields(HttpFields Fields) {
+void HttpServer::setRefusalFields(
+    std::function<HttpFields(const HttpRequestHead &)> Fields) {
   Impl_->Shared_->RefusalFields = std::move(Fields);
 }
 void HttpServer::onRefused(std::function<void(const ReadRefusal &)> Hear) {
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -45,7 +45,16 @@
   ++Shared_->Open;
 }
 
-ServerConnection::~ServerConnection() { --Shared_->Open; }
+ServerConnection::~ServerConnection() {
+  --Shared_->Open;
+  leaveCount();
+}
+
+void ServerConnection::leaveCount() {
+  auto Found = Shared_->OpenOf.find(std::exchange(PeerIp_, {}));
+  if (Found != Shared_->OpenOf.end() && --Found->second == 0)
+    Shared_->OpenOf.erase(Found);
+}
 
 void ServerConnection::start() {
   setConnectionOptions(Socket_, CallerAckTimeout);
@@ -54,6 +63,7 @@
   if (Error)
     return close();
   PeerIp_ = Peer.address().to_string();
+  ++Shared_->OpenOf[PeerIp_];
   nextRequest();
 }
 
@@ -180,6 +190,9 @@
       return refuse(BadRequest, Problem);
     if (!Body_.set(Parser_->get().body().size()))
       return refuse(Unavailable, "no memory for more requests");
+    // Extensions of a chunk and trailers, which no limit of the parser bounds.
+    if (!Parser_->is_done() && Buffer_.size() > Shared_->Limits.HeaderBytes)
+      return refuse(BadRequest, "the framing of the body is too long");
     if (!Parser_->is_done())
       continueBody();
   }
@@ -245,19 +258,17 @@
                   std::make_shared<ServerExchange>(shared_from_this(), Turn_));
 }
 
-void ServerConnection::tellRefused(unsigned Status, const char *Why) const {
-  if (!Shared_->Refused)
-    return;
-  Shared_->Refused(
-      {Status, Why, PeerIp_,
-       Parser_->is_header_done() ? headRead() : HttpRequestHead()});
-}
-
 void ServerConnection::refuse(unsigned Status, const char *Why) {
-  tellRefused(Status, Why);
+  HttpRequestHead Asked;
+  if (Parser_->is_header_done())
+    Asked = headRead();
+  if (Shared_->Refused)
+    Shared_->Refused({Status, Why, PeerIp_, Asked});
   HeadMethod_ = false;
   beginTurn(false);
-  HttpResponseHead Head{Status, Shared_->RefusalFields};
+  HttpResponseHead Head{Status, {}};
+  if (Shared_->RefusalFields)
+    Head.Fields = Shared_->RefusalFields(Asked);
   Head.Fields.push_back({"Content-Type", "text/plain"});
   if (Status == Unavailable)
     Head.Fields.push_back({"Retry-After", MemoryWait});
@@ -328,8 +339,7 @@
   if (!isCurrent(Turn))
     return;
   endTurn();
-  // What is queued is the beginning of an answer that has no end.
-  Queued_.clear();
+  // What is queued is written, but without its end it does not look whole.
   finish();
 }
 
@@ -384,13 +394,23 @@
   Unsent_.set(Queued_.size());
   if (!Queued_.empty())
     return write();
-  Writing_.clear();
+  // Gives its memory back, too.
+  std::string().swap(Writing_);
   Written_ = 0;
   WriteTimer_.cancel();
   if (State_ == State::Finishing)
     linger();
 }
 
+bool ServerConnection::makesRoom(bool AlsoReading) {
+  bool Yields = (State_ == State::Idle && Buffer_.size() == 0) ||
+                (AlsoReading && State_ == State::Reading) ||
+                State_ == State::Lingering;
+  if (Yields)
+    close();
+  return Yields;
+}
+
 bool ServerConnection::closeIfIdle() {
   bool Idle = State_ == State::Idle && Buffer_.size() == 0;
   if (Idle)
@@ -422,8 +442,9 @@
   if (Answering)
     endTurn();
   close();
+  // Not on this stack: it may be the handler's own, in the middle of an answer.
   if (Answering && Tell)
-    Tell();
+    asio::post(Socket_.get_executor(), std::move(Tell));
 }
 
 void ServerConnection::close() {
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -17,8 +18,9 @@
 struct ServerShared {
   HttpServer::Handler Handle;
   std::function<void(const ReadRefusal &)> Refused;
-  /// Added to each answer by which a request is refused while it is read.
-  HttpFields RefusalFields;
+  /// Fields of an answer by which a request is refused while it is read, from
+  /// what has been read of its head.
+  std::function<HttpFields(const HttpRequestHead &)> RefusalFields;
   HttpServerLimits Limits;
   Runtime Time;
   ByteBudget Bodies{Limits.AllBodyBytes};
@@ -26,6 +28,8 @@
   bool CloseAfterAnswers = false;
   bool Stopped = false;
   std::size_t Open = 0;
+  /// Connections of each address.
+  std::map<std::string, std::size_t> OpenOf;
   std::size_t InFlight = 0;
 };
 
@@ -51,6 +55,10 @@
   /// Closes the connection if no request is under way. \return whether it
   /// did.
   bool closeIfIdle();
+  /// Closes at once if no request is under way that has been read whole.
+  /// \param AlsoReading  also when a request is being read. \return whether
+  /// it did.
+  bool makesRoom(bool AlsoReading);
   /// The other end's address without its port; empty when it is gone.
   const std::string &peerIp() const { return PeerIp_; }
 
@@ -82,6 +90,7 @@
     Closed,
   };
 
+  void leaveCount();
   void nextRequest();
   void parseLater();
   void idleTimedOut();
@@ -96,7 +105,6 @@
   /// Why the head's framing is not accepted; null if it is.
   const char *framingProblem() const;
   void refuse(unsigned Status, const char *Why);
-  void tellRefused(unsigned Status, const char *Why) const;
   HttpRequestHead headRead() const;
   bool isCurrent(TurnNumber Turn) const;
   void beginTurn(bool Keeps);
--- a/src/relay/tests/callerboundstest.cpp
+++ b/src/relay/tests/callerboundstest.cpp
@@ -99,4 +99,86 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(callersThatAreReadingMakeRoomToo) {
+  HttpServerLimits Limits;
+  Limits.Connections = 20;
+  PageServer Pages(Limits);
+  std::vector<std::unique_ptr<testing::RawCaller>> Greedy;
+  for (int I = 0; I < 40; ++I)
+    Greedy.push_back(Pages.call("G", "127.0.0.2"));
+  auto Other = Pages.call(Get, "127.0.0.3");
+  testing::runUntil(Pages.Loop, [&] {
+    return Other->closed() || Other->received().ends_with("xxxxx");
+  });
+  BOOST_TEST(Other->received().starts_with("HTTP/1.1 200"));
+}
+
+// Extensions of a chunk and trailers: the parser takes them for unfinished
+// lines and keeps them.
+BOOST_AUTO_TEST_CASE(framingWithoutEndIsRefused) {
+  for (const char *Begin : {"5;", "0\r\nA: "}) {
+    HttpServerLimits Limits;
+    PageServer Pages(Limits);
+    auto Caller = Pages.call("POST / HTTP/1.1\r\nHost: x\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n" +
+                                 std::string(Begin) + std::string(200000, 'a'),
+                             "127.0.0.1");
+    testing::runUntil(Pages.Loop, [&] { return Caller->closed(); });
+    BOOST_TEST(Caller->received().starts_with("HTTP/1.1 400"), Begin);
+    BOOST_TEST(Pages.Served == 0U);
+  }
+}
+
+// The stream's first bytes are what finds the caller gone.
+BOOST_FIXTURE_TEST_CASE(streamToACallerThatIsGivenUpHarmsNobody,
+                        testing::RelayFixture) {
+  addEndpoint("a", "plain", [](const std::string &R) {
+    return ran(R, std::string(4000000, 'x'));
+  });
+  addEndpoint("e", "engines", [](const std::string &R) {
+    return testing::RawServer::Answer{
+        streamHead(R) + event(1) + std::string(LastChunk), false, false};
+  });
+  testing::RawCaller C(Loop, Front.address().str(), request("look"));
+  C.stopReading();
+  testing::runUntil(Loop, [&] { return Done.size() == 1; });
+  HttpServerLimits Limits;
+  Limits.AllUnsentBytes = 1;
+  Front.setLimits(Limits);
+  C.send(request("draft"));
+  testing::runUntil(Loop, [&] { return Done.size() == 2; });
+  BOOST_TEST(Front.inFlight() == 0U);
+  BOOST_TEST(Front.unsentBytesHeld() == 0U);
+}
+
+// The end of the stream, an event that is not whole, is too much for it.
+BOOST_FIXTURE_TEST_CASE(endOfAStreamToACallerThatIsGivenUpHarmsNobody,
+                        testing::RelayFixture) {
+  addEndpoint("e", "engines", [](const std::string &R) {
+    return testing::RawServer::Answer{
+        streamHead(R) + event(1) + renderChunk(std::string(200000, 'x')) +
+            std::string(LastChunk),
+        false, false};
+  });
+  HttpServerLimits Limits;
+  Limits.AllUnsentBytes = 1;
+  Front.setLimits(Limits);
+  testing::RawCaller C(Loop, Front.address().str(), request("draft"));
+  testing::runUntil(Loop, [&] { return Done.size() == 1 && C.closed(); });
+  BOOST_TEST(!C.received().ends_with(LastChunk));
+}
+
+// What a task of the loop holds is destroyed with the loop.
+BOOST_AUTO_TEST_CASE(exchangeThatOutlivesTheLoopsRunEndsWithIt) {
+  for (int I = 0; I < 3; ++I) {
+    EventLoop Loop;
+    HttpServer Server(Loop, [&](const auto &, const auto &Answer) {
+      Loop.after(std::chrono::hours(1), [Answer] {});
+    });
+    BOOST_REQUIRE(Server.listen(Address("127.0.0.1:0")));
+    testing::RawCaller C(Loop, Server.address().str(), Get);
+    testing::runUntil(Loop, [&] { return Server.inFlight() == 1; });
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
