Host words only from hosts; an own stall is not held against the other end

Cause: an endpoint's own field of ours passed through a host and was believed by the next; a request that a host gives up as not run did not say so in the form between hosts, so that it counted as run; a connect that ended late because this host stood still made a sound endpoint doubtful and a sound host unreachable; a decision that grew old while the host stood still was carried out though the endpoint had left or its zone was evacuated.

Change: fields of ours are dropped from what callers and endpoints send and count only without an endpoint's signature; each refusal of a host has the form. The decision is looked at again when the connection stands. A kept connection is looked at when it is used.

--- a/src/relay/internal/answerhead.cpp
+++ b/src/relay/internal/answerhead.cpp
@@ -18,8 +18,10 @@
 /// endpoint's.
 bool saysNotRun(const HttpResponseHead &Head, const WireNames &Names,
                 const AnswerSource &Source) {
+  // A signed answer is an endpoint's, which a host only passes on.
   if (Source.Host)
-    return findField(Head.Fields, NotRunField).has_value();
+    return findField(Head.Fields, NotRunField) &&
+           !findField(Head.Fields, Names.Signature);
   return Head.Status == Misdirected ||
          findField(Head.Fields, Names.NotExecuted).has_value();
 }
@@ -46,6 +48,11 @@
   return AnswerKind::Answer;
 }
 
+void removeHostFields(HttpFields &Fields) {
+  for (const char *Name : {NotRunField, RunsField, WaitedField})
+    removeField(Fields, Name);
+}
+
 bool promisesNotRun(unsigned Status) {
   return Status == RequestTimeout || Status == Misdirected ||
          Status == TooMany || Status == Unavailable;
@@ -58,6 +65,7 @@
   removeField(Head.Fields, "Expect");
   for (const std::string &Name : Names.Reserved)
     removeField(Head.Fields, Name);
+  removeHostFields(Head.Fields);
   return Head;
 }
 
--- a/src/relay/internal/answerhead.h
+++ b/src/relay/internal/answerhead.h
@@ -31,6 +31,9 @@
 AnswerKind classifyAnswer(const HttpResponseHead &Head, const WireNames &Names,
                           const RequestId &Id, AnswerSource Source);
 
+/// Removes what only entry hosts say to each other.
+void removeHostFields(HttpFields &Fields);
+
 /// Whether a status by itself promises that a request has not run and will not.
 bool promisesNotRun(unsigned Status);
 
--- a/src/relay/internal/channelpool.cpp
+++ b/src/relay/internal/channelpool.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "relay/httpcaller.h"
-#include "relay/internal/sockets.h"
 
 namespace celerybeam::detail {
 
@@ -20,8 +19,7 @@
   Found->second.pop_back();
   ErrorCode Ignored;
   C->Socket.cancel(Ignored);
-  // The loop may have stood still while bytes or the end came.
-  return isQuiet(C->Socket) ? std::move(C) : nullptr;
+  return C;
 }
 
 void ChannelPool::give(const Address &To, std::unique_ptr<Channel> C) {
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -62,10 +62,8 @@
     Reused_ = Channel_ != nullptr;
     // The hook that is asked before sending is never called on this stack.
     if (Reused_)
-      return asio::post(Context_, [Self = shared_from_this()] {
-        if (Self->State_ == State::Connecting)
-          Self->send();
-      });
+      return asio::post(Context_,
+                        [Self = shared_from_this()] { Self->useKept(); });
     connect();
   }
 
@@ -95,6 +93,16 @@
     });
   }
 
+  void useKept() {
+    if (State_ != State::Connecting)
+      return;
+    // Bytes or its end may have come while the loop stood still.
+    if (isQuiet(Channel_->Socket))
+      return send();
+    Reused_ = false;
+    connect();
+  }
+
   void connect() {
     auto To = parseEndpoint(Request_.To);
     Channel_ = std::make_unique<Channel>(Context_);
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -44,6 +44,9 @@
 /// An idle connection to an endpoint is used again within this time, and only
 /// for requests that may be repeated: it may have died unnoticed.
 constexpr Duration ReuseForRepeatable = std::chrono::seconds(2);
+/// A time-out that comes later than this past its time shows that the host
+/// stood still; a busy loop is late by less.
+constexpr Duration OwnStallMargin = std::chrono::milliseconds(200);
 constexpr unsigned LowestPriority = 9;
 
 long millisOf(Duration D) {
@@ -176,9 +179,11 @@
       return refuse(
           {Context_.Time.Now() < TimeoutAt_ ? TablesWait : Duration::zero(),
            Why});
-    finishWith(
-        {failureStatus(Log_.Known, TimedOut), {{"Content-Type", "text/plain"}}},
-        Why + "\n", Why);
+    HttpResponseHead Head{failureStatus(Log_.Known, TimedOut),
+                          {{"Content-Type", "text/plain"}}};
+    if (provenNotRun(Log_.Known))
+      markNotRun(Head);
+    finishWith(std::move(Head), Why + "\n", Why);
   }
 
   void attempt() {
@@ -290,12 +295,23 @@
     Attempt_->start(std::move(Call));
   }
 
+  /// Whether the endpoint chosen may still be sent to: it may have been told
+  /// to leave, or its zone evacuated, while the connection was made.
+  bool mayStillServe() const {
+    const auto &Usable =
+        Context_.Fleet.usable(Here_->Endpoint.Pool, Here_->Endpoint.Region);
+    return std::any_of(Usable.begin(), Usable.end(), [&](const auto &E) {
+      return E->Key == Here_->Endpoint.Key;
+    });
+  }
+
   bool isLate() const { return Context_.Time.Now() >= TimeoutAt_; }
 
   /// Time may have passed since the decision, and all of it while the host
   /// stood still.
   bool beforeSend(HttpRequestHead &Head) {
-    if (Over_ || isLate())
+    Declined_ = Over_ || isLate() || (Here_ && !mayStillServe());
+    if (Declined_)
       return false;
     TimePoint Now = Context_.Time.Now();
     detail::setTimeLeft(Head, Context_.Names, TimeoutAt_ - Now);
@@ -402,7 +418,7 @@
   HttpResponseHead callerHead() {
     HttpResponseHead Head = Attempt_->head();
     removeConnectionFields(Head.Fields);
-    removeField(Head.Fields, RunsField);
+    detail::removeHostFields(Head.Fields);
     // What endpoints say of themselves is of use to entry hosts only.
     if (!FromHost_)
       removeField(Head.Fields, Context_.Names.Load);
@@ -426,9 +442,7 @@
         return timedOut();
       Record_.Attempts += " not_connected after_ms=" +
                           std::to_string(millisOf(Attempt_->sinceSent()));
-      if (!Here_)
-        Context_.Hosts.unreachable(PeerIp_);
-      endHere(AttemptOutcome::Broken);
+      notConnected();
       return attempt();
     case AttemptEnd::Broken:
       Record_.Attempts += " broken";
@@ -441,6 +455,22 @@
     }
   }
 
+  /// Tells of an endpoint or host that could not be reached. An end that comes
+  /// much later than a connect may take is this host's own standing still and
+  /// says nothing of the other end.
+  void notConnected() {
+    Duration Allowed = Here_ ? NearConnectTimeout : FarConnectTimeout;
+    bool OwnDoing = std::exchange(Declined_, false) ||
+                    Attempt_->sinceSent() > Allowed + OwnStallMargin;
+    if (!OwnDoing && Here_)
+      return endHere(AttemptOutcome::Broken);
+    if (!OwnDoing)
+      return Context_.Hosts.unreachable(PeerIp_);
+    if (Here_)
+      Context_.Placement.end(Place_, {});
+    Here_.reset();
+  }
+
   void refusedThere() {
     unsigned Status = Attempt_->head().Status;
     Record_.Attempts += " refused=" + std::to_string(Status);
@@ -599,6 +629,8 @@
   std::optional<PlacementId> Spare_;
   bool SpareSought_ = false;
   bool Held_ = false;
+  /// Whether the connection stood and the request was not sent after all.
+  bool Declined_ = false;
   std::shared_ptr<Attempt> Attempt_;
   TimePoint LastPiece_{};
   bool GotOutput_ = false;
