Never use a kept connection again for what must not be repeated

Cause: a call that may wait for no idle time ("zero always makes a new one") got a kept connection when it was given back in the same microsecond: a span of zero is not longer than zero. A booking could go on a connection that has died unnoticed, and on which a late refusal without an id may come.

Change: zero asks for a new connection, whatever the span.

Ruled out: `Span >= IdleAtMost` alone: it reads as a matter of one microsecond.

--- a/src/relay/internal/channelpool.cpp
+++ b/src/relay/internal/channelpool.cpp
@@ -14,7 +14,9 @@
     return nullptr;
   Idle &Newest = Found->second.back();
   Duration Span = Runtime_.Now() - Newest.Since;
-  if (Span > IdleAtMost || Span > Newest.C->KeepsFor)
+  // A span of zero is not longer than none.
+  bool AlwaysNew = IdleAtMost == Duration::zero();
+  if (AlwaysNew || Span > IdleAtMost || Span > Newest.C->KeepsFor)
     return nullptr;
   std::unique_ptr<Channel> C = std::move(Newest.C);
   Found->second.pop_back();
