Test promises, times left and kept connections one by one, on virtual time

A loop on a clock that a test drives does not wake by itself any more, as its comment says: its timer ran on the machine's time. The fixture can have a driven clock and the random numbers of a fixed seed.

--- a/src/relay/internal/eventloop.cpp
+++ b/src/relay/internal/eventloop.cpp
@@ -42,7 +42,9 @@
 
 class EventLoop::Impl {
 public:
-  explicit Impl(std::function<TimePoint()> Now) : Now_(std::move(Now)) {}
+  /// \param Wakes  whether the loop runs by itself what falls due.
+  Impl(std::function<TimePoint()> Now, bool Wakes)
+      : Now_(std::move(Now)), Wakes_(Wakes) {}
   /// What timers hold may own sockets, which must not outlive the context.
   ~Impl() { Timers_.clear(); }
 
@@ -57,7 +59,7 @@
   /// gone finds nothing due.
   void wakeInTime() {
     auto Next = Timers_.next();
-    if (!Next || (WakesAt_ && *WakesAt_ <= *Next))
+    if (!Wakes_ || !Next || (WakesAt_ && *WakesAt_ <= *Next))
       return;
     WakesAt_ = Next;
     Wake_.expires_after(std::max(*Next - Now_(), Duration::zero()));
@@ -71,6 +73,7 @@
   }
 
   std::function<TimePoint()> Now_;
+  bool Wakes_;
   TimerQueue Timers_;
   detail::asio::io_context Context_{1};
   detail::asio::steady_timer Wake_{Context_};
@@ -80,9 +83,11 @@
   std::mt19937_64 Random_{std::random_device{}()};
 };
 
-EventLoop::EventLoop() : EventLoop(bootTime) {}
+EventLoop::EventLoop() : Impl_(std::make_unique<Impl>(bootTime, true)) {
+  std::signal(SIGPIPE, SIG_IGN);
+}
 EventLoop::EventLoop(std::function<TimePoint()> Now)
-    : Impl_(std::make_unique<Impl>(std::move(Now))) {
+    : Impl_(std::make_unique<Impl>(std::move(Now), false)) {
   std::signal(SIGPIPE, SIG_IGN);
 }
 EventLoop::~EventLoop() = default;
--- /dev/null
+++ b/src/relay/tests/promisetest.cpp
@@ -0,0 +1,263 @@
+#include <boost/test/unit_test.hpp>
+
+#include "relay/tests/relayfixture.h"
+
+using namespace celerybeam;
+using testing::RawServer;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A virtual clock that exists before the host that reads it.
+struct DrivenTime {
+  TimePoint Now{std::chrono::seconds(1000)};
+};
+
+/// A host on virtual time.
+class DrivenHost : public DrivenTime, public testing::RelayFixture {
+public:
+  DrivenHost() : RelayFixture([this] { return Now; }) {}
+
+  /// Runs handlers until the condition holds; no time passes.
+  void runHandlersUntil(const std::function<bool()> &Holds) {
+    testing::runUntil(Loop, Holds);
+  }
+
+  /// A request whose connect is under way when the host stands still.
+  std::unique_ptr<testing::RawCaller> standStillAtConnect(milliseconds Span) {
+    auto C = std::make_unique<testing::RawCaller>(Loop, Front.address().str(),
+                                                  request("book"));
+    while (Caller.connectionsMade() == 0)
+      Loop.context().run_one();
+    Now += Span;
+    return C;
+  }
+
+  /// Another host that has endpoints for bookings.
+  RawServer &addOtherHost(RawServer::Script Script) {
+    constexpr const char *Ip = "127.0.0.7";
+    Other_ = std::make_unique<RawServer>(Loop, std::move(Script), Ip);
+    const std::string Where = Other_->address();
+    Context.HostPort = Where.substr(Where.find(':') + 1);
+    HostState H;
+    H.Id = HostId("m1");
+    H.Ip = Ip;
+    H.Region = RegionId("musanze");
+    H.Ready = true;
+    Hosts.heard(H);
+    constexpr unsigned Free = 6;
+    Decisions.regions().heard(
+        H.Region, H.Id,
+        {poolHash(PoolName("plain")), Duration::zero(), Free, Free, Free});
+    return *Other_;
+  }
+
+  /// The answer to a request that another host answers so, without an id.
+  std::string askThrough(const std::string &Status, const std::string &Fields) {
+    addOtherHost([=](const std::string &) {
+      return RawServer::Answer{"HTTP/1.1 " + Status + " No\r\n" + Fields +
+                                   "Content-Length: 4\r\n\r\nhost",
+                               false, false};
+    });
+    return ask(request("book"));
+  }
+
+private:
+  std::unique_ptr<RawServer> Other_;
+};
+
+std::string signedAnswer(const std::string &Request, const char *Status) {
+  return std::string("HTTP/1.1 ") + Status + " No\r\nRequest-Id: " +
+         testing::RelayFixture::field(Request, "Request-Id") +
+         "\r\nSignature: s\r\nContent-Length: 3\r\n\r\nbad";
+}
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PromiseTests, DrivenHost)
+
+// The endpoint has run it and says so by its signature; the status alone would
+// tell the caller that it has not.
+BOOST_AUTO_TEST_CASE(signedStatusThatPromisesIsNotPassedOn) {
+  const char *Status = "503";
+  addEndpoint("a", "plain", [&](const std::string &R) {
+    return RawServer::Answer{signedAnswer(R, Status), false, false};
+  });
+  for (const char *Each : {"408", "429", "503"})
+    for (const char *Route : {"book", "look"}) {
+      Status = Each;
+      std::string Answer = ask(request(Route));
+      BOOST_TEST_CONTEXT(Each << " " << Route) {
+        BOOST_TEST(Answer.starts_with("HTTP/1.1 502"));
+        BOOST_TEST(field(Answer, "Signature").empty());
+        BOOST_TEST(!contains(Answer, "bad"));
+      }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lookUpWithAFalsePromiseIsRepeatedElsewhere) {
+  unsigned Sent = 0;
+  auto Once = [&](const std::string &R) {
+    return Sent++ == 0 ? RawServer::Answer{signedAnswer(R, "503"), false, false}
+                       : ran(R, "done");
+  };
+  addEndpoint("a", "plain", Once);
+  addEndpoint("b", "plain", Once);
+  BOOST_TEST(ask(request("look")).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(Sent == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(bookingWithAFalsePromiseIsNotSentAgain) {
+  unsigned Sent = 0;
+  auto Promise = [&](const std::string &R) {
+    ++Sent;
+    return RawServer::Answer{signedAnswer(R, "503"), false, false};
+  };
+  addEndpoint("a", "plain", Promise);
+  addEndpoint("b", "plain", Promise);
+  BOOST_TEST(ask(request("book")).starts_with("HTTP/1.1 502"));
+  BOOST_TEST(Sent == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(endpointHearsTheTimeLeftWhenItIsSent) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  auto C = standStillAtConnect(milliseconds(2000));
+  runHandlersUntil([&] { return E.Requests.size() == 1; });
+  BOOST_TEST(field(E.Requests[0], "Time-Left") == "8000");
+}
+
+BOOST_AUTO_TEST_CASE(requestWithoutTimeLeftIsNotSent) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  auto C = standStillAtConnect(milliseconds(10001));
+  runHandlersUntil([&] { return Done.size() == 1; });
+  Loop.timers().runDue(Now);
+  runHandlersUntil([&] { return !C->received().empty(); });
+  BOOST_TEST(E.Requests.empty());
+  BOOST_TEST(E.ClosedByPeer == 1U);
+  BOOST_TEST(C->received().starts_with("HTTP/1.1 503"));
+}
+
+BOOST_AUTO_TEST_CASE(otherHostHearsTheTimesWhenItIsSent) {
+  RawServer &Other =
+      addOtherHost([](const std::string &R) { return ran(R, "done"); });
+  auto C = standStillAtConnect(milliseconds(2000));
+  runHandlersUntil([&] { return Done.size() == 1; });
+  BOOST_REQUIRE(Other.Requests.size() == 1U);
+  BOOST_TEST(field(Other.Requests[0], "Time-Left") == "8000");
+  BOOST_TEST(field(Other.Requests[0], WaitedField) == "2000");
+}
+
+BOOST_AUTO_TEST_CASE(otherHostsOwnRefusalIsItsPromiseOnly) {
+  for (const char *Status : {"400", "408", "413", "431"}) {
+    DrivenHost Asked;
+    std::string Answer =
+        Asked.askThrough(Status, std::string(NotRunField) + ": 1\r\n");
+    BOOST_TEST_CONTEXT(Status) {
+      BOOST_TEST(Answer.starts_with("HTTP/1.1 503"));
+      BOOST_TEST(!contains(Answer, "host"));
+      BOOST_TEST(!contains(Answer, NotRunField));
+    }
+  }
+}
+
+// Of an older version, say: nobody knows whether it has run.
+BOOST_AUTO_TEST_CASE(otherHostsWordWithoutPromiseIsNoAnswer) {
+  for (const char *Status : {"400", "408", "413", "431", "429", "503"}) {
+    DrivenHost Asked;
+    std::string Answer = Asked.askThrough(Status, {});
+    BOOST_TEST_CONTEXT(Status) {
+      BOOST_TEST(Answer.starts_with("HTTP/1.1 502"));
+      BOOST_TEST(!contains(Answer, "host"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// An HTTP caller and a server that acts while the loop stands still.
+class KeptConnection : public DrivenTime {
+public:
+  std::shared_ptr<HttpCall>
+  call(Duration ReuseIdleAtMost = std::chrono::seconds(2)) {
+    HttpCallRequest Request;
+    Request.To = Address("127.0.0.1:" +
+                         std::to_string(Listener.local_endpoint().port()));
+    Request.Head.Method = "GET";
+    Request.Head.Target = "/";
+    Request.ReuseIdleAtMost = ReuseIdleAtMost;
+    HttpCallHooks Hooks;
+    Hooks.End = [this](HttpCallEnd End) { Ends.push_back(End); };
+    return Caller.call(std::move(Request), std::move(Hooks));
+  }
+
+  /// One call that is answered, after which its connection is kept.
+  void keepOne() {
+    auto First = call();
+    auto Accepted = std::make_shared<bool>(false);
+    Listener.async_accept(
+        Server, [Accepted](detail::ErrorCode Error) { *Accepted = !Error; });
+    testing::runUntil(Loop, [&] { return *Accepted; });
+    answer();
+    testing::runUntil(Loop, [&] { return Ends.size() == 1; });
+    BOOST_REQUIRE((Ends[0] == HttpCallEnd::Complete));
+  }
+
+  void answer() {
+    boost::asio::write(Server, boost::asio::buffer(
+                                   std::string("HTTP/1.1 200 OK\r\n"
+                                               "Content-Length: 2\r\n\r\nok")));
+  }
+
+  EventLoop Loop{[this] { return Now; }};
+  HttpCaller Caller{Loop};
+  detail::Tcp::acceptor Listener{
+      Loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  detail::Tcp::socket Server{Loop.context()};
+  std::vector<HttpCallEnd> Ends;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(KeptConnectionTests, KeptConnection)
+
+BOOST_AUTO_TEST_CASE(quietOneIsUsedAgain) {
+  keepOne();
+  auto Second = call();
+  BOOST_TEST(Second->isReused());
+  BOOST_TEST(Caller.connectionsMade() == 1U);
+}
+
+// Also in the moment in which it was given back.
+BOOST_AUTO_TEST_CASE(noIdleTimeAlwaysMakesANewOne) {
+  keepOne();
+  auto Second = call(Duration::zero());
+  BOOST_TEST(!Second->isReused());
+  BOOST_TEST(Caller.connectionsMade() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(oneThatGotBytesMeanwhileIsNotUsed) {
+  keepOne();
+  answer();
+  auto Second = call();
+  BOOST_TEST(!Second->isReused());
+  BOOST_TEST(Caller.connectionsMade() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(oneThatWasClosedMeanwhileIsNotUsed) {
+  keepOne();
+  Server.close();
+  auto Second = call();
+  BOOST_TEST(!Second->isReused());
+  BOOST_TEST(Caller.connectionsMade() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/tests/rawpeer.cpp
+++ b/src/relay/tests/rawpeer.cpp
@@ -27,14 +27,15 @@
 
 } // namespace
 
-RawServer::RawServer(EventLoop &Loop, Script Reply)
-    : Acceptor_(Loop.context(), {asio::ip::make_address("127.0.0.1"), 0}),
+RawServer::RawServer(EventLoop &Loop, Script Reply, const char *Ip)
+    : Acceptor_(Loop.context(), {asio::ip::make_address(Ip), 0}),
       Reply_(std::move(Reply)) {
   accept();
 }
 
 std::string RawServer::address() const {
-  return "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port());
+  auto Where = Acceptor_.local_endpoint();
+  return Where.address().to_string() + ":" + std::to_string(Where.port());
 }
 
 void RawServer::accept() {
--- a/src/relay/tests/rawpeer.h
+++ b/src/relay/tests/rawpeer.h
@@ -25,7 +25,7 @@
   };
   using Script = std::function<Answer(const std::string &Request)>;
 
-  RawServer(EventLoop &Loop, Script Reply);
+  RawServer(EventLoop &Loop, Script Reply, const char *Ip = "127.0.0.1");
 
   std::string address() const;
   /// Whole requests in the order in which they came.
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -1,5 +1,7 @@
 #include "relay/tests/relayfixture.h"
 
+#include <random>
+
 #include <boost/test/unit_test.hpp>
 
 #include "framework/stablehash.h"
@@ -24,10 +26,19 @@
   return R;
 }
 
+/// The same with the random numbers of a fixed seed.
+Runtime seeded(Runtime R) {
+  R.Random = [Numbers = std::make_shared<std::mt19937_64>(1)] {
+    return (*Numbers)();
+  };
+  return R;
+}
+
 } // namespace
 
-RelayFixture::RelayFixture()
-    : Hosts(Time, self()),
+RelayFixture::RelayFixture(const std::function<TimePoint()> &Now)
+    : Loop(Now ? EventLoop(Now) : EventLoop()),
+      Time(Now ? seeded(Loop.runtime()) : Loop.runtime()), Hosts(Time, self()),
       Decisions(Time, Fleet, Hosts, {1, std::chrono::seconds(10), 100}),
       Desk(Time, Fleet, Decisions, self().Ip,
            [this](const std::string &Ip, PlacementId Id,
@@ -110,15 +121,20 @@
                                      const std::string &Pool,
                                      RawServer::Script Script) {
   Servers_.push_back(std::make_unique<RawServer>(Loop, std::move(Script)));
+  addEndpointAt(Id, Pool, Servers_.back()->address());
+  return *Servers_.back();
+}
+
+void RelayFixture::addEndpointAt(const std::string &Id, const std::string &Pool,
+                                 const std::string &Where) {
   FleetEndpoint E;
   E.Id = EndpointId(Id);
   E.Key = endpointKeyOf(E.Id, 1);
   E.Pool = PoolName(Pool);
-  E.Where = Address(Servers_.back()->address());
+  E.Where = Address(Where);
   E.Region = RegionId("kigali");
   E.Slots = 8;
   Fleet.putEndpoint(E);
-  return *Servers_.back();
 }
 
 std::string RelayFixture::field(const std::string &Head,
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -13,11 +13,16 @@
 /// One entry host on loopback with endpoints that a test scripts.
 class RelayFixture {
 public:
-  RelayFixture();
+  /// \param Now  a clock that the test drives, with the random numbers of a
+  /// fixed seed; unset: the machine's.
+  explicit RelayFixture(const std::function<TimePoint()> &Now = {});
 
   /// An endpoint of a pool. The script may use Ran to answer well.
   RawServer &addEndpoint(const std::string &Id, const std::string &Pool,
                          RawServer::Script Script);
+  /// An endpoint that a test drives from outside the loop.
+  void addEndpointAt(const std::string &Id, const std::string &Pool,
+                     const std::string &Where);
 
   /// The answer of an endpoint that has run the request.
   static RawServer::Answer ran(const std::string &Request,
@@ -36,7 +41,7 @@
   static std::string field(const std::string &Head, const std::string &Name);
 
   EventLoop Loop;
-  Runtime Time = Loop.runtime();
+  Runtime Time;
   HttpCaller Caller{Loop};
   FleetView Fleet{Time, {}};
   HostRegistry Hosts;
