--- a/src/relay/internal/channelpool.cpp
+++ b/src/relay/internal/channelpool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "relay/httpcaller.h"
+#include "relay/internal/sockets.h"
 
 namespace celerybeam::detail {
 
@@ -13,13 +14,16 @@
     return nullptr;
   Idle &Newest = Found->second.back();
   Duration Span = Runtime_.Now() - Newest.Since;
-  if (Span > IdleAtMost || Span > Newest.C->KeepsFor)
+  // A span of zero is not longer than none.
+  bool AlwaysNew = IdleAtMost == Duration::zero();
+  if (AlwaysNew || Span > IdleAtMost || Span > Newest.C->KeepsFor)
     return nullptr;
   std::unique_ptr<Channel> C = std::move(Newest.C);
   Found->second.pop_back();
   ErrorCode Ignored;
   C->Socket.cancel(Ignored);
-  return C;
+  // The loop may have stood still while bytes or the end came.
+  return isQuiet(C->Socket) ? std::move(C) : nullptr;
 }
 
 void ChannelPool::give(const Address &To, std::unique_ptr<Channel> C) {
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -96,7 +96,7 @@
   void useKept() {
     if (State_ != State::Connecting)
       return;
-    // Bytes or its end may have come while the loop stood still.
+    // Bytes or its end may have come since it was taken from the pool.
     if (isQuiet(Channel_->Socket))
       return send();
     Reused_ = false;
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -375,7 +375,7 @@
     Writing_ = std::exchange(Queued_, {});
     Written_ = 0;
   }
-  WriteTimer_.set(Shared_->Limits.IdleTimeout, [this] { callerGone(); });
+  WriteTimer_.set(Shared_->Limits.IdleTimeout, [this] { writeTimedOut(); });
   Socket_.async_write_some(
       asio::buffer(Writing_) + Written_,
       [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
@@ -383,11 +383,22 @@
       });
 }
 
+void ServerConnection::writeTimedOut() {
+  // The word of what was written may be queued behind this timer, if the loop
+  // stood still.
+  asio::post(Socket_.get_executor(),
+             [Self = shared_from_this(), Writes = Writes_] {
+               if (Self->State_ != State::Closed && Self->Writes_ == Writes)
+                 Self->callerGone();
+             });
+}
+
 void ServerConnection::onWritten(ErrorCode Error, std::size_t Bytes) {
   if (State_ == State::Closed)
     return;
   if (Error)
     return callerGone();
+  ++Writes_;
   Written_ += Bytes;
   if (Written_ < Writing_.size())
     return write();
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -113,6 +113,7 @@
   void answerWhole(const HttpResponseHead &Head, std::string_view Body);
   void send(std::string_view Bytes);
   void write();
+  void writeTimedOut();
   void onWritten(ErrorCode Error, std::size_t Bytes);
   /// Ends the connection once all that is queued has been written.
   void finish();
@@ -151,6 +152,8 @@
   /// Bytes being written, how many of them have been, and those that follow.
   std::string Writing_;
   std::size_t Written_ = 0;
+  /// Writes that have ended.
+  std::uint64_t Writes_ = 0;
   std::string Queued_;
 };
 
