Soak: hosts paused in series, hanging connects, hostile callers, plants

It didn't look at how a host process ended either.

In all soaks a host that ends without a signal of the soak breaks a promise, and so does an answer after its time. A caller's patience grows by the time for which the rough pauses held its host, by nothing else.

Ruled out: a connect that takes 55 ms in the kernel (needs rights).

Connects between hosts are not harmed.

--- a/tests/gateway/gatewayprocess.cpp
+++ b/tests/gateway/gatewayprocess.cpp
@@ -76,10 +76,12 @@
   waitpid(Process_, nullptr, 0);
 }
 
-void GatewayProcess::signal(int Number) const {
+void GatewayProcess::signal(int Number) {
   // The number of a process that was waited for may belong to another one.
-  if (!Ended_)
-    ::kill(Process_, Number);
+  if (Ended_)
+    return;
+  Signals_.insert(Number);
+  ::kill(Process_, Number);
 }
 
 bool GatewayProcess::hasEnded() {
@@ -87,6 +89,10 @@
   if (!Ended_ && waitpid(Process_, &Status, WNOHANG) == Process_) {
     Ended_ = true;
     ExitCode_ = WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
+    if (WIFSIGNALED(Status) && !Signals_.contains(WTERMSIG(Status)))
+      OwnEnd_ = "signal " + std::to_string(WTERMSIG(Status));
+    if (WIFEXITED(Status) && (ExitCode_ != 0 || !Signals_.contains(SIGTERM)))
+      OwnEnd_ = "exit status " + std::to_string(ExitCode_);
   }
   return Ended_;
 }
--- a/tests/gateway/gatewayprocess.h
+++ b/tests/gateway/gatewayprocess.h
@@ -2,6 +2,7 @@
 #define CELERYBEAM_TESTS_GATEWAY_GATEWAYPROCESS_H
 
 #include <filesystem>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,10 +38,13 @@
   GatewayProcess(const GatewayProcess &) = delete;
   GatewayProcess &operator=(const GatewayProcess &) = delete;
 
-  void signal(int Number) const;
+  void signal(int Number);
   /// Whether it has ended; its exit code then stands in ExitCode.
   bool hasEnded();
   int exitCode() const { return ExitCode_; }
+  /// How it ended, if it has and not by a signal that was sent with signal;
+  /// an end with status 0 after SIGTERM is no end of its own. Empty otherwise.
+  std::string ownEnd() const { return OwnEnd_; }
 
   static constexpr int CallerPort = 28144;
   static constexpr int ReadyPort = 28140;
@@ -50,6 +54,8 @@
   pid_t Process_ = 0;
   int ExitCode_ = -1;
   bool Ended_ = false;
+  std::set<int> Signals_;
+  std::string OwnEnd_;
 };
 
 } // namespace celerybeam::testing
--- a/tests/soak/endpointprocess.cpp
+++ b/tests/soak/endpointprocess.cpp
@@ -16,6 +16,9 @@
 constexpr unsigned Unavailable = 503;
 constexpr unsigned MostEvents = 12;
 constexpr unsigned BodyRepeats = 40;
+/// Above the 2.6 MB that loopback sockets buffer, below the 4 MiB that a server
+/// keeps of an answer.
+constexpr std::size_t BigBody = 4000000;
 constexpr Duration EventGap = std::chrono::milliseconds(25);
 
 class Endpoint {
@@ -131,7 +134,10 @@
 
 std::string endpointBody(const std::string &RequestId) {
   std::string Body;
-  for (unsigned I = 0; I < BodyRepeats; ++I)
+  std::size_t Repeats = RequestId.ends_with("-big")
+                            ? BigBody / (RequestId.size() + 1)
+                            : BodyRepeats;
+  for (std::size_t I = 0; I < Repeats; ++I)
     Body += RequestId + ";";
   return Body;
 }
--- a/tests/soak/endpointprocess.h
+++ b/tests/soak/endpointprocess.h
@@ -21,7 +21,8 @@
 int serveEndpoint(const EndpointOptions &Options);
 
 /// The body that an endpoint answers to a request, by which a caller knows that
-/// the answer is its own.
+/// the answer is its own. Longer for a request whose id ends with "-big" than
+/// what a kernel takes for a caller that reads nothing.
 std::string endpointBody(const std::string &RequestId);
 /// Events of the stream that answers a request.
 unsigned endpointEvents(const std::string &RequestId);
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -42,26 +42,54 @@
   Acceptor_.async_accept([this](ErrorCode Error, Tcp::socket Socket) {
     if (Error)
       return;
-    accept();
+    if (Mode_ != Mode::Hang)
+      accept();
     if (Mode_ == Mode::Refuse)
       return reset(Socket);
     auto L = std::make_shared<Link>(std::move(Socket), Loop_.context());
     Links_.insert(L);
-    auto To = parseEndpoint(Address(Target_));
-    if (!To)
-      return reset(L->Caller);
-    L->Target.async_connect(*To, [this, L](ErrorCode Failed) {
-      if (Failed) {
-        reset(L->Caller);
-        Links_.erase(L);
-        return;
-      }
-      pump(L, true);
-      pump(L, false);
-    });
+    if (Mode_ == Mode::LateConnect)
+      Loop_.runtime().After(ConnectTime, [this, L] { connect(L); });
+    else
+      connect(L);
+  });
+}
+
+void FaultProxy::connect(const std::shared_ptr<Link> &L) {
+  auto To = parseEndpoint(Address(Target_));
+  if (!To)
+    return reset(L->Caller);
+  L->Target.async_connect(*To, [this, L](ErrorCode Failed) {
+    if (Failed) {
+      reset(L->Caller);
+      Links_.erase(L);
+      return;
+    }
+    pump(L, true);
+    pump(L, false);
   });
 }
 
+void FaultProxy::setMode(Mode M) {
+  if (M == Mode_)
+    return;
+  bool Hung = std::exchange(Mode_, M) == Mode::Hang;
+  if (M == Mode::Hang) {
+    Acceptor_.cancel();
+    ::listen(Acceptor_.native_handle(), 0);
+    // A queue of length 0 takes one connection.
+    for (int I = 0; I < 2; ++I) {
+      Fillers_.emplace_back(Loop_.context());
+      Fillers_.back().async_connect(Acceptor_.local_endpoint(),
+                                    [](ErrorCode) {});
+    }
+  } else if (Hung) {
+    Fillers_.clear();
+    ::listen(Acceptor_.native_handle(), SOMAXCONN);
+    accept();
+  }
+}
+
 void FaultProxy::pump(const std::shared_ptr<Link> &L, bool ToTarget) {
   Tcp::socket &From = ToTarget ? L->Caller : L->Target;
   auto &Buffer = ToTarget ? L->FromCaller : L->FromTarget;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,7 @@
 
 #include "soak/endpointprocess.h"
 #include "soak/soakfaults.h"
+#include "soak/soakhostile.h"
 
 namespace {
 
@@ -22,22 +23,28 @@
 constexpr unsigned LastRequests = 60;
 constexpr double ServedInTheEnd = 0.9;
 constexpr std::size_t MostFaultsShown = 20;
+/// Hostile connections for each sound request.
+constexpr double HostileShare = 0.3;
 
 class Soak {
 public:
   Soak(const SoakOptions &Options)
       : Options_(Options), Random_(Options.Seed),
         World_(Loop_, Options, Judge_), Faults_(World_, Options.Seed),
-        Caller_(Loop_), Time_(Loop_.runtime()) {}
+        Caller_(Loop_), Hostile_(World_, Judge_, Options.Seed),
+        Time_(Loop_.runtime()) {}
 
   bool run() {
     Time_.After(std::chrono::seconds(3), [this] {
       EndsAt_ = Time_.Now() + Options_.Length;
       Faults_.start(Options_.Length);
       keepCalling();
+      if (Options_.Rough)
+        Hostile_.start(EndsAt_, HostileShare * Options_.RequestsPerSecond);
     });
     keepHosts();
     Loop_.run();
+    World_.restartEnded();
     Judge_.close(Time_.Now());
     report();
     return Judge_.broken().empty() && recovered() &&
@@ -48,7 +55,11 @@
   void keepHosts() {
     World_.restartEnded();
     constexpr Duration Look = std::chrono::milliseconds(300);
-    Time_.After(Look, [this] { keepHosts(); });
+    // What callers saw in time says nothing once the soak itself stood still.
+    Time_.After(Look, [this, Due = Time_.Now() + Look] {
+      MostLate_ = std::max(MostLate_, Time_.Now() - Due);
+      keepHosts();
+    });
   }
 
   void keepCalling() {
@@ -98,10 +109,15 @@
         "X-Attempt-Id: " + Id + "\r\nX-Deadline-Ms: 5000\r\n" +
         "Content-Length: " + std::to_string(Id.size()) + "\r\n\r\n" + Id;
     Judge_.sent(Id, Route, Host.start(), Time_.Now());
-    Caller_.call(Host.address(), Request, SoakJudge::CallerPatience,
-                 [this, Id, Also,
+    Duration Before = Host.stood(Time_.Now());
+    Duration Patience =
+        SoakJudge::CallerPatience +
+        (Options_.Rough ? SoakFaults::LongestPause : Duration{});
+    Caller_.call(Host.address(), Request, Patience,
+                 [this, Id, Also, &Host, Before,
                   What = Host.start() + " " + Route.Path](const CallResult &R) {
-                   Judge_.ended(Id, R, Time_.Now());
+                   TimePoint Now = Time_.Now();
+                   Judge_.ended(Id, R, Now, Host.stood(Now) - Before);
                    Also(What, R);
                  });
   }
@@ -114,8 +130,13 @@
     std::cout << "seed " << Options_.Seed << ": " << Judge_.requests()
               << " requests, " << Judge_.served() << " served, "
               << Judge_.refused() << " refused, " << Judge_.runs() << " runs, "
-              << Faults_.done().size() << " faults, " << ServedLast_
-              << " of the last " << LastRequests << " served\n";
+              << Faults_.done().size() << " faults, " << Hostile_.visits()
+              << " hostile, soak late by "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(
+                     MostLate_)
+                     .count()
+              << " ms, " << ServedLast_ << " of the last " << LastRequests
+              << " served\n";
     if (Caller_.strayAnswers() > 0)
       std::cout << "BROKEN whole answers: " << Caller_.strayAnswers()
                 << " connections got bytes without a request\n";
@@ -138,9 +159,12 @@
   SoakWorld World_;
   SoakFaults Faults_;
   SoakCaller Caller_;
+  SoakHostile Hostile_;
   Runtime Time_;
   TimePoint EndsAt_{};
   TimePoint LastCallAt_{};
+  /// How late the soak's own loop was at most.
+  Duration MostLate_{};
   unsigned Requests_ = 0;
   unsigned ServedLast_ = 0;
   std::vector<std::string> NotServedLast_;
@@ -162,6 +186,7 @@
   Options.Scale = Given["scale"].as<unsigned>();
   Options.RequestsPerSecond = Given["rate"].as<double>();
   Options.Plant = Given["plant"].as<std::string>();
+  Options.Rough = Given["rough"].as<bool>();
   bool Held = Soak(Options).run();
   // A planted fault must be found.
   return Held == Options.Plant.empty() ? 0 : 1;
@@ -180,6 +205,8 @@
       "how long faults are injected")(
       "scale", options::value<unsigned>()->default_value(1),
       "units of 5 entry hosts and 6 endpoints")(
+      "rough", options::bool_switch(),
+      "hosts paused in series, and hostile callers")(
       "rate", options::value<double>()->default_value(60), "requests a second")(
       "plant", options::value<std::string>()->default_value(""),
       "a fault of the endpoints that must be found: run-twice, run-refused, "
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -1,5 +1,6 @@
 #include "soak/soakfaults.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 
@@ -15,24 +16,33 @@
 /// From an entry that says that an endpoint leaves to its end.
 constexpr Duration DrainTime = std::chrono::milliseconds(1500);
 constexpr Duration EndpointRestart = std::chrono::milliseconds(700);
+/// A pause may be shorter than its time-out by this: both fall due closely.
+constexpr Duration Below = std::chrono::milliseconds(50);
+/// From hanging connects to the pause; within the time that a connect may take.
+constexpr Duration MostLead = std::chrono::milliseconds(250);
+/// Between the pauses of a series.
+constexpr Duration MostGap = std::chrono::milliseconds(700);
 
 } // namespace
 
 SoakFaults::SoakFaults(SoakWorld &World, std::uint64_t Seed)
-    : World_(World), Random_(Seed), Time_(World.Loop.runtime()) {}
+    : World_(World), Random_(Seed), PauseRandom_(~Seed),
+      Time_(World.Loop.runtime()) {}
 
 void SoakFaults::start(Duration Length) {
   Until_ = Time_.Now() + Length;
   next();
+  if (World_.rough())
+    pauseSeries();
 }
 
 void SoakFaults::later(Duration After, std::function<void()> Work) {
   Time_.After(After, std::move(Work));
 }
 
-Duration SoakFaults::draw(Duration Most) {
+Duration SoakFaults::draw(Duration Most, std::mt19937_64 &Random) {
   return Duration(static_cast<Duration::rep>(
-      Random_() % static_cast<std::uint64_t>(Most.count())));
+      Random() % static_cast<std::uint64_t>(Most.count())));
 }
 
 SoakHost &SoakFaults::anyHost() {
@@ -165,4 +175,69 @@
   later(draw(LongestFault), [this, Key] { World_.Store.remove(Key); });
 }
 
+void SoakFaults::pauseSeries() {
+  static constexpr std::array Timeouts = {
+      Duration(std::chrono::milliseconds(300)),
+      Duration(std::chrono::milliseconds(600)), SoakWorld::RoughHeader,
+      SoakWorld::RoughIdle, SoakWorld::WholeTime};
+  if (Time_.Now() >= Until_)
+    return;
+  Duration Length = Timeouts[PauseRandom_() % Timeouts.size()] - Below +
+                    draw(MostBeyond, PauseRandom_);
+  // Connects begin before the pause and complete in it.
+  Duration Lead = draw(MostLead, PauseRandom_);
+  if (PauseRandom_() % 2 == 0) {
+    Length += FaultProxy::SynRetry;
+    hangConnects(Lead + draw(FaultProxy::SynRetry - MostLead, PauseRandom_));
+  }
+  std::vector<SoakHost *> Hosts;
+  for (SoakHost &Host : World_.Hosts)
+    Hosts.push_back(&Host);
+  std::shuffle(Hosts.begin(), Hosts.end(), PauseRandom_);
+  Hosts.resize((Hosts.size() + 2) / 3);
+  Duration Crash = Lead + draw(Length, PauseRandom_);
+  if (PauseRandom_() % 2 == 0)
+    later(Crash, [this] { crashEndpoints(); });
+  later(Lead, [this, Hosts, Length] {
+    std::string Which;
+    for (SoakHost *Host : Hosts) {
+      Host->pause(Time_.Now());
+      Which += " " + Host->start();
+    }
+    note("pause" + Which + " for us " + std::to_string(Length.count()));
+  });
+  later(Lead + Length, [this, Hosts] {
+    for (SoakHost *Host : Hosts)
+      Host->resume(Time_.Now());
+    note("resume");
+    later(draw(MostGap, PauseRandom_), [this] { pauseSeries(); });
+  });
+}
+
+void SoakFaults::hangConnects(Duration Span) {
+  note("hang and delay connects");
+  for (SoakEndpoint &E : World_.Endpoints) {
+    auto Draw = PauseRandom_() % 3;
+    if (Draw == 0)
+      continue;
+    E.Way->setMode(Draw == 1 ? Mode::Hang : Mode::LateConnect);
+    // Without kept connections calls have to connect.
+    E.Way->resetAll();
+    later(Span, [&E] { E.Way->setMode(Mode::Pass); });
+  }
+}
+
+void SoakFaults::crashEndpoints() {
+  note("crash a third of the endpoints");
+  for (SoakEndpoint &E : World_.Endpoints) {
+    if (PauseRandom_() % 3 != 0)
+      continue;
+    World_.killEndpoint(E);
+    later(EndpointRestart, [this, &E] {
+      if (E.Process == 0)
+        World_.startEndpoint(E);
+    });
+  }
+}
+
 } // namespace celerybeam::testing
--- a/tests/soak/soakfaults.h
+++ b/tests/soak/soakfaults.h
@@ -24,6 +24,10 @@
 
   static constexpr Duration LongestGap = std::chrono::milliseconds(1500);
   static constexpr Duration LongestFault = std::chrono::milliseconds(3500);
+  /// A pause exceeds the time-out that it is drawn for by less than this.
+  static constexpr Duration MostBeyond = std::chrono::milliseconds(600);
+  static constexpr Duration LongestPause =
+      SoakWorld::WholeTime + MostBeyond + FaultProxy::SynRetry;
 
 private:
   struct Kind {
@@ -33,7 +37,8 @@
 
   void next();
   void later(Duration After, std::function<void()> Work);
-  Duration draw(Duration Most);
+  Duration draw(Duration Most) { return draw(Most, Random_); }
+  static Duration draw(Duration Most, std::mt19937_64 &Random);
   SoakHost &anyHost();
   SoakEndpoint &anyEndpoint();
   void note(const std::string &What);
@@ -54,8 +59,14 @@
   void changeTables();
   void evacuate();
 
+  void pauseSeries();
+  void hangConnects(Duration Span);
+  void crashEndpoints();
+
   SoakWorld &World_;
   std::mt19937_64 Random_;
+  /// Of the series of pauses, which leaves the order of the others as it is.
+  std::mt19937_64 PauseRandom_;
   Runtime Time_;
   TimePoint Until_{};
   std::vector<std::string> Done_;
--- a/tests/soak/soakjudge.cpp
+++ b/tests/soak/soakjudge.cpp
@@ -42,12 +42,20 @@
   C.Sent = Now;
 }
 
+void SoakJudge::sentWhole(const std::string &Id, TimePoint Now) {
+  Call &C = Calls_.at(Id);
+  C.InPart = false;
+  C.Sent = Now;
+}
+
 void SoakJudge::ran(const std::string &Id, const std::string &Region) {
   ++Runs_;
   auto Found = Calls_.find(Id);
   if (Found == Calls_.end())
     return fault("nothing runs unasked", Id, "was sent by nobody");
   Call &C = Found->second;
+  if (C.InPart)
+    fault("nothing runs unasked", Id, "ran and was not sent whole");
   ++C.Runs;
   if (C.Route.Once && C.Runs > 1)
     fault("at most once", Id, "ran " + std::to_string(C.Runs) + " times");
@@ -80,17 +88,19 @@
     S = {C.Route.Version, Now};
 }
 
-void SoakJudge::ended(const std::string &Id, const CallResult &R,
-                      TimePoint Now) {
+void SoakJudge::ended(const std::string &Id, const CallResult &R, TimePoint Now,
+                      Duration Stood) {
   Call &C = Calls_.at(Id);
   C.Ended = true;
   --Open_;
+  bool Waited = Now - C.Sent >= CallerPatience + Stood;
   if (!R.Whole) {
-    bool Waited = Now - C.Sent >= CallerPatience;
     if (R.Sent && Waited && R.Status == 0)
       fault("every request ends", Id, "got no answer in its time");
     return;
   }
+  if (Waited)
+    fault("every request ends", Id, "was answered after its time");
   if (R.Status == Ok) {
     ++Served_;
     checkBody(Id, C, R);
--- a/tests/soak/soakjudge.h
+++ b/tests/soak/soakjudge.h
@@ -29,11 +29,19 @@
   /// A caller sends a request to a start of a host.
   void sent(const std::string &Id, const SoakRoute &Route,
             const std::string &HostStart, TimePoint Now);
-  void ended(const std::string &Id, const CallResult &Result, TimePoint Now);
+  /// It is sent in parts, or not at all, and may not run before it is whole.
+  void sentInPart(const std::string &Id) { Calls_.at(Id).InPart = true; }
+  void sentWhole(const std::string &Id, TimePoint Now);
+  /// \param Stood  for how long its host stood still meanwhile.
+  void ended(const std::string &Id, const CallResult &Result, TimePoint Now,
+             Duration Stood = {});
   /// An endpoint began to run a request.
   void ran(const std::string &Id, const std::string &Region);
   /// At the end: requests that never ended.
   void close(TimePoint Now);
+  /// Something that no caller may see.
+  void fault(const std::string &Promise, const std::string &Id,
+             const std::string &What);
 
   const std::vector<std::string> &broken() const { return Broken_; }
   /// Requests that have not ended.
@@ -55,6 +63,7 @@
     std::string HostStart;
     TimePoint Sent{};
     bool Ended = false;
+    bool InPart = false;
     bool SaidNotRun = false;
     unsigned Runs = 0;
   };
@@ -63,8 +72,6 @@
     TimePoint At{};
   };
 
-  void fault(const std::string &Promise, const std::string &Id,
-             const std::string &What);
   void checkBody(const std::string &Id, const Call &C, const CallResult &R);
   void checkVersion(const std::string &Id, const Call &C, TimePoint Now);
 
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -50,6 +50,18 @@
   return Options.Ip + ":" + std::to_string(GatewayProcess::CallerPort);
 }
 
+void SoakHost::pause(TimePoint Now) {
+  Process->signal(SIGSTOP);
+  Paused = true;
+  PausedAt = Now;
+}
+
+void SoakHost::resume(TimePoint Now) {
+  Process->signal(SIGCONT);
+  StoodBefore = stood(Now);
+  Paused = false;
+}
+
 SoakWorld::SoakWorld(EventLoop &L, const SoakOptions &Options, SoakJudge &Judge)
     : Loop(L), Store(L), Options_(Options), Judge_(Judge) {
   for (unsigned I = 0; I < Options.Scale; ++I) {
@@ -114,8 +126,12 @@
 
 void SoakWorld::restartEnded() {
   for (SoakHost &Host : Hosts)
-    if (Host.Process->hasEnded())
+    if (Host.Process->hasEnded()) {
+      if (const std::string &How = Host.Process->ownEnd(); !How.empty())
+        Judge_.fault("no host ends by itself", "none",
+                     Host.start() + " ended with " + How);
       startHost(Host);
+    }
 }
 
 void SoakWorld::startEndpoint(SoakEndpoint &E) {
@@ -227,6 +243,12 @@
 void SoakWorld::nextTables() {
   ++Version_;
   auto Routes = routes();
+  auto Ms = [this](Duration Rough, int Otherwise) {
+    return Options_.Rough
+               ? std::chrono::duration_cast<std::chrono::milliseconds>(Rough)
+                     .count()
+               : Otherwise;
+  };
   json Tables = {
       {"version", 10 * Version_},
       {"routes",
@@ -237,8 +259,8 @@
       {"limits",
        {{"maxHeaderBytes", 16384},
         {"maxBodyBytes", 100000},
-        {"headerTimeoutMs", 3000},
-        {"idleTimeoutMs", 15000}}}};
+        {"headerTimeoutMs", Ms(RoughHeader, 3000)},
+        {"idleTimeoutMs", Ms(RoughIdle, 15000)}}}};
   Store.put("op/config", Tables.dump());
 }
 
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -28,6 +28,8 @@
   double RequestsPerSecond = 60;
   /// A fault of the endpoints that the checks must find.
   std::string Plant;
+  /// Hosts paused in series, and hostile callers.
+  bool Rough = false;
 };
 
 /// An entry host, its place in the fleet and its way to the store.
@@ -37,7 +39,17 @@
   std::unique_ptr<GatewayProcess> Process;
   unsigned Starts = 0;
   bool Stopping = false;
-
+  bool Paused = false;
+  TimePoint PausedAt{};
+  /// Of the pauses that have ended.
+  Duration StoodBefore{};
+
+  void pause(TimePoint Now);
+  void resume(TimePoint Now);
+  /// For how long it has stood still in pauses.
+  Duration stood(TimePoint Now) const {
+    return StoodBefore + (Paused ? Now - PausedAt : Duration{});
+  }
   std::string address() const;
   /// Names one start of it.
   std::string start() const {
@@ -78,6 +90,13 @@
 
   /// The routes that callers use now; the last is the one of this version.
   std::vector<SoakRoute> routes() const;
+  bool rough() const { return Options_.Rough; }
+
+  /// Time-outs of a rough soak's tables: short enough to be passed by a pause.
+  static constexpr Duration RoughHeader = std::chrono::milliseconds(800);
+  static constexpr Duration RoughIdle = std::chrono::milliseconds(1500);
+  /// The whole time of each request, as its caller says.
+  static constexpr Duration WholeTime = std::chrono::seconds(5);
 
   EventLoop &Loop;
   StoreStandIn Store;
