--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,6 +24,13 @@
   target_compile_options(${Target} PRIVATE -Wall -Wextra -Wpedantic -Werror
                                            -Wshadow=local -Wno-restrict)
   target_compile_definitions(${Target} PRIVATE BOOST_LOG_DYN_LINK)
+  if(CELERYBEAM_FUZZ)
+    # GCC is the compiler whose warnings are errors; clang does not know all of
+    # their names.
+    target_compile_options(${Target} PRIVATE -Wno-unknown-warning-option
+      -fsanitize=fuzzer-no-link,address,undefined
+      -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+  endif()
   if(CELERYBEAM_SANITIZE)
     target_compile_options(${Target} PRIVATE
       -fsanitize=${CELERYBEAM_SANITIZE} -fno-omit-frame-pointer)
--- /dev/null
+++ b/tests/fuzz/answerfuzz.cpp
@@ -0,0 +1,95 @@
+// Answers from endpoints: a call ends once, the same however the bytes are
+// split, and never as complete when its answer was cut.
+
+#include <optional>
+
+#include "fuzzing.h"
+#include "platform/wirenames.h"
+#include "relay/httpcaller.h"
+#include "relay/internal/answerhead.h"
+#include "wire.h"
+
+using namespace celerybeam;
+using fuzzing::expect;
+
+namespace {
+
+/// Splits of one input; more are not tried.
+constexpr std::size_t MostPieces = 24;
+constexpr int Turns = 4;
+
+/// What the call tells of an answer that comes in pieces, after which the
+/// endpoint closes.
+std::string played(std::string_view Bytes, std::size_t Piece, bool Head) {
+  const WireNames Names = platform::wireNames();
+  EventLoop Loop;
+  HttpCaller Caller(Loop);
+  fuzzing::WireListener Listener;
+  std::string Log;
+  unsigned Ends = 0;
+  HttpCallHooks Hooks;
+  Hooks.Head = [&](const HttpResponseHead &Said) {
+    expect(Ends == 0, "nothing comes after the end");
+    if (auto Load = findField(Said.Fields, Names.Load))
+      platform::decodeLoad(*Load);
+    auto Wants = platform::decodeWillingness(Said);
+    expect(Wants.RestFor >= Duration::zero() &&
+               Wants.RestFor <= platform::LongestRest,
+           "a rest has its limits");
+    auto Kind = detail::classifyAnswer(Said, Names, RequestId("q"));
+    Log += renderResponseHead(Said, "", false);
+    if (Kind == detail::AnswerKind::Spoiled)
+      return HeadVerdict::Spoiled;
+    return Kind == detail::AnswerKind::OfAnother ? HeadVerdict::Skip
+                                                 : HeadVerdict::Take;
+  };
+  Hooks.Body = [&](std::string_view Data) {
+    expect(Ends == 0, "nothing comes after the end");
+    Log += Data;
+    return true;
+  };
+  Hooks.End = [&](HttpCallEnd End) {
+    ++Ends;
+    if (End != HttpCallEnd::Complete)
+      Log = "broken";
+  };
+  HttpCallRequest Request;
+  Request.To = Address(Listener.address());
+  Request.Head = {Head ? "HEAD" : "POST", "/", {{"Host", "x"}}};
+  Request.Body = std::make_shared<const std::string>("b");
+  auto Call = Caller.call(std::move(Request), std::move(Hooks));
+  std::optional<fuzzing::Wire> Endpoint;
+  for (int I = 0; I < Turns; ++I) {
+    fuzzing::turn(Loop);
+    if (auto Next = Listener.accept())
+      Endpoint.emplace(std::move(*Next));
+  }
+  expect(Endpoint.has_value(), "the call connects");
+  std::string Received;
+  Endpoint->receive(Received);
+  for (; !Bytes.empty(); Bytes.remove_prefix(std::min(Piece, Bytes.size()))) {
+    Endpoint->send(Bytes.substr(0, Piece));
+    fuzzing::turn(Loop);
+  }
+  Endpoint->endSending();
+  for (int I = 0; I < Turns; ++I)
+    fuzzing::turn(Loop);
+  expect(Ends == 1, "a call ends once");
+  return Log;
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  fuzzing::Script Input(Data, Size);
+  unsigned First = Input.byte();
+  bool Head = First % 16 == 0;
+  std::size_t Piece = 1 + First / 2;
+  const std::string Bytes = Input.rest();
+  const std::string Whole = played(Bytes, Bytes.size() + 1, Head);
+  expect(played(Bytes, std::max(Piece, Bytes.size() / MostPieces + 1), Head) ==
+             Whole,
+         "pieces do not matter");
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/newsfuzz.cpp
@@ -0,0 +1,110 @@
+// Datagrams of other entry hosts: read, taken in, and written again.
+
+#include "dispatch/placementclient.h"
+#include "fleethost/internal/newscodec.h"
+#include "fleethost/internal/newsexchange.h"
+#include "fuzzing.h"
+#include "support/virtualtime.h"
+
+using namespace celerybeam;
+using fuzzing::expect;
+
+namespace {
+
+/// An entry host with all that exchanges news.
+struct Host {
+  Host() {
+    FleetTables Tables;
+    Tables.Version = 1;
+    FleetPool Pool;
+    Pool.Name = PoolName("p");
+    Pool.Engine = EngineRule{2, 1000, 0};
+    Tables.Pools[Pool.Name] = Pool;
+    Fleet.adoptTables(Tables);
+    FleetEndpoint E;
+    E.Id = EndpointId("e");
+    E.Key = EndpointKey{7};
+    E.Pool = Pool.Name;
+    E.Where = Address("10.0.1.1:80");
+    E.Region = RegionId("r");
+    E.Slots = 2;
+    Fleet.putEndpoint(E);
+  }
+
+  static HostState self() {
+    HostState H;
+    H.Id = HostId("k1");
+    H.Ip = "10.0.0.1";
+    H.Region = RegionId("r");
+    H.Ready = true;
+    return H;
+  }
+
+  testing::VirtualTime Time{1};
+  FleetView Fleet{Time.runtime(), {}};
+  HostRegistry Hosts{Time.runtime(), self()};
+  Dispatcher Decisions{
+      Time.runtime(), Fleet, Hosts, {1, std::chrono::seconds(10), 100}};
+  PlacementDesk Desk{
+      Time.runtime(), Fleet, Decisions, self().Ip,
+      [this](const std::string &Ip, PlacementId Id,
+             const PlacementAnswer &Answer) { News.note(Ip, Id, Answer); }};
+  PlacementClient Placement{
+      Time.runtime(),
+      Fleet,
+      Hosts,
+      Decisions,
+      Desk,
+      [this](const std::string &Ip, PlacementId Id, const PlacementNote &Note) {
+        News.note(Ip, Id, Note);
+      }};
+  detail::NewsExchange News{Time.runtime(),
+                            {Fleet, Hosts, Decisions, Desk, Placement},
+                            {[](const std::string &, const std::string &Bytes) {
+                               messages::FleetNews Sent;
+                               expect(Sent.ParseFromString(Bytes),
+                                      "what is sent can be read");
+                             },
+                             [](const HostState &) {}}};
+};
+
+/// Once read and written, a message stays the same.
+void checkCodec(const messages::FleetNews &In, const Host &H) {
+  for (const auto &Note : In.notes()) {
+    auto Read = detail::readNote(Note, H.Time.now(), H.Fleet);
+    if (!Read)
+      continue;
+    messages::PlacementNote Once;
+    detail::writeNote({Note.id()}, *Read, H.Time.now(), Once);
+    auto ReadAgain = detail::readNote(Once, H.Time.now(), H.Fleet);
+    expect(ReadAgain.has_value(), "a note that was written can be read");
+    messages::PlacementNote Twice;
+    detail::writeNote({Note.id()}, *ReadAgain, H.Time.now(), Twice);
+    expect(Once.SerializeAsString() == Twice.SerializeAsString(),
+           "and says the same");
+  }
+  for (const auto &Listed : In.listed()) {
+    messages::ListedPlacement Once;
+    detail::writeListed(detail::readListed(Listed), Once);
+    expect(Once.id() == Listed.id(), "a listed placement keeps its id");
+  }
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  std::string_view Bytes(reinterpret_cast<const char *>(Data), Size);
+  Host H;
+  messages::FleetNews Message;
+  if (Message.ParseFromArray(Data, static_cast<int>(Size)))
+    checkCodec(Message, H);
+  H.News.receive(Bytes);
+  H.News.tick();
+  H.Time.runFor(std::chrono::milliseconds(200));
+  H.News.receive(Bytes);
+  H.News.tick();
+  H.Time.runFor(std::chrono::seconds(1));
+  H.News.tick();
+  return 0;
+}
