--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -1,10 +1,12 @@
 #ifndef CELERYBEAM_RELAY_INTERNAL_SERVERCONNECTION_H
 #define CELERYBEAM_RELAY_INTERNAL_SERVERCONNECTION_H
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "relay/bytebudget.h"
 #include "relay/httpserver.h"
 #include "relay/internal/beast.h"
 #include "relay/timer.h"
@@ -19,6 +21,8 @@
   HttpFields RefusalFields;
   HttpServerLimits Limits;
   Runtime Time;
+  ByteBudget Bodies{Limits.AllBodyBytes};
+  ByteBudget Unsent{Limits.AllUnsentBytes};
   bool CloseAfterAnswers = false;
   bool Stopped = false;
   std::size_t Open = 0;
@@ -44,8 +48,11 @@
   ~ServerConnection();
 
   void start();
-  /// Closes the connection if no request is under way.
-  void closeIfIdle();
+  /// Closes the connection if no request is under way. \return whether it
+  /// did.
+  bool closeIfIdle();
+  /// The other end's address without its port; empty when it is gone.
+  const std::string &peerIp() const { return PeerIp_; }
 
   /// What the exchange of a turn may do; nothing once that turn has ended.
   void respond(TurnNumber Turn, const HttpResponseHead &Head,
@@ -80,7 +87,7 @@
   void idleTimedOut();
   void readTimedOut();
   void read();
-  void onReadable(ErrorCode Error);
+  void onRead(ErrorCode Error, std::size_t Bytes);
   void onReadEnd(ErrorCode Error);
   void dropBytes();
   void parse();
@@ -107,6 +114,7 @@
   void close();
 
   Tcp::socket Socket_;
+  std::string PeerIp_;
   std::shared_ptr<ServerShared> Shared_;
   /// Of the state, set anew or cancelled with each change of it.
   Timer StateTimer_;
@@ -114,6 +122,9 @@
   Timer WholeTimer_;
   /// While bytes are being written.
   Timer WriteTimer_;
+  static constexpr std::size_t ReadBytes = 4096;
+  /// What a read that is under way fills: Buffer_ may be emptied meanwhile.
+  std::array<char, ReadBytes> In_{};
   boost::beast::flat_buffer Buffer_;
   std::unique_ptr<Parser> Parser_;
   State State_ = State::Idle;
@@ -126,6 +137,9 @@
   bool HeadMethod_ = false;
   bool SentContinue_ = false;
   std::function<void()> Gone_;
+  /// Of the request that is read or answered.
+  ByteBudget::Share Body_;
+  ByteBudget::Share Unsent_;
   /// Bytes being written, how many of them have been, and those that follow.
   std::string Writing_;
   std::size_t Written_ = 0;
