--- a/src/relay/tests/callerboundstest.cpp
+++ b/src/relay/tests/callerboundstest.cpp
@@ -88,7 +88,9 @@
   Limits.Connections = 20;
   PageServer Pages(Limits);
   std::vector<std::unique_ptr<testing::RawCaller>> Greedy;
-  for (int I = 0; I < 40; ++I)
+  constexpr int Connections = 40;
+  Greedy.reserve(Connections);
+  for (int I = 0; I < Connections; ++I)
     Greedy.push_back(Pages.call("", "127.0.0.2"));
   for (int I = 0; I < 5; ++I) {
     auto Other = Pages.call(Get, "127.0.0.3");
@@ -104,7 +106,9 @@
   Limits.Connections = 20;
   PageServer Pages(Limits);
   std::vector<std::unique_ptr<testing::RawCaller>> Greedy;
-  for (int I = 0; I < 40; ++I)
+  constexpr int Connections = 40;
+  Greedy.reserve(Connections);
+  for (int I = 0; I < Connections; ++I)
     Greedy.push_back(Pages.call("G", "127.0.0.2"));
   auto Other = Pages.call(Get, "127.0.0.3");
   testing::runUntil(Pages.Loop, [&] {
