--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -232,8 +232,11 @@
   std::vector<std::string> entriesFor(const RegionId &Region,
                                       std::string_view Name) const {
     const FleetTablesPtr &Tables = Fleet_.tables();
-    return Hosts_.entriesFor(Region, Tables ? Tables->homesOf(Name)
-                                            : std::set<RegionId>());
+    std::set<RegionId> Homes =
+        Tables ? Tables->homesOf(Name) : std::set<RegionId>();
+    std::vector<std::string> Ips = Hosts_.entriesFor(Region, Homes);
+    logDirectoryAnswer(Region, Name, Homes, Ips);
+    return Ips;
   }
 
   void reload(const FleetHostSettings &Settings) {
@@ -253,6 +256,38 @@
             }};
   }
 
+  /// The ready hosts that this host knows, by region, itself included.
+  std::map<RegionId, std::size_t> readyHosts() const {
+    std::map<RegionId, std::size_t> Ready;
+    Ready[Settings_.Self.Region] = isReady() ? 1 : 0;
+    for (const HostState &Host : Hosts_.alive())
+      Ready[Host.Region] += Host.Ready && !Host.Leaving ? 1 : 0;
+    return Ready;
+  }
+
+  void logDirectoryAnswer(const RegionId &Region, std::string_view Name,
+                          const std::set<RegionId> &Homes,
+                          const std::vector<std::string> &Ips) const {
+    const FleetTablesPtr &Tables = Fleet_.tables();
+    std::string HomesText;
+    for (const RegionId &Home : Homes)
+      HomesText += (HomesText.empty() ? "" : " ") + Home.str();
+    std::string ReadyText;
+    for (const auto &[Where, Count] : readyHosts())
+      ReadyText += (ReadyText.empty() ? "" : " ") + Where.str() + "=" +
+                   std::to_string(Count);
+    Log_.info(
+        "Directory answered.",
+        {{"name", std::string(Name)},
+         {"caller_region", Region},
+         {"tables", Tables ? Tables->Version : 0},
+         {"homes", HomesText},
+         {"ready_hosts", ReadyText},
+         {"up_ms", (Time_.Now() - StartedAt_) / std::chrono::milliseconds(1)},
+         {"named", Ips.size()},
+         {"first", Ips.empty() ? std::string() : Ips.front()}});
+  }
+
   void logViewChange(const ViewChange &Change) {
     Log_.info("Fleet view changed.", {{"what", Change.What},
                                       {"subject", Change.Subject},
@@ -592,6 +627,7 @@
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
+  TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
   TimePoint DrainStarted_{};
   TimePoint LastTick_{};
