Lead callers only to homes of the requests that their host name gets

What callers saw (HOME): while the hosts of their region were restarted, the directory sent them to a region that is no home of their requests, and they kept that answer for seconds. Cause: the homes of a name were the intersection of the homes of all its routes. Short-lived routes with other homes made it empty, and empty meant all regions; so did missing tables and an unknown name. Class: a container whose emptiness means 'all'. Change: HomeRegions says whether it restricts; EntryDirectory weighs the routes of a name by the requests that they get and names another region only if at most 1 in 20 of them would be led astray (the rule's share). Without tables, for an unknown name, or within the first 3 s of a host no other region is named: the caller keeps the hosts that it knows and asks again. A name without recent requests gets the region that most of its routes allow after 15 s, so that nobody is refused for ever. Ruled out: the union of the homes in place of the intersection (a route would be led to a region that is only another's home).

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -84,10 +84,6 @@
     return Route.Pools.empty() ? PoolName() : Route.Pools.back().Pool;
   }
 
-  bool isHome(const FleetRoute &Route, const RegionId &Region) const {
-    return Route.Homes.empty() || Route.Homes.contains(Region);
-  }
-
   /// Endpoints of the region at which this host places requests. If it owns
   /// none, it places at all of them: no other host could be asked.
   std::vector<const FleetEndpoint *>
@@ -172,7 +168,7 @@
   std::optional<Candidate> bestLocal(const RequestDescriptor &Request,
                                      const FleetRoute &Route,
                                      const FleetPool &Pool, AttemptLog &Log) {
-    if (!isHome(Route, Hosts_.self().Region))
+    if (!Route.Homes.allows(Hosts_.self().Region))
       return std::nullopt;
     auto Endpoints = placeableEndpoints(Pool.Name);
     auto Preferences = preferences(Endpoints, Request.Levels);
@@ -235,7 +231,7 @@
     Duration ServiceTime = Predictor_.serviceTime(Pool, Request.PromptTokens);
     std::optional<RemoteChoice> Best;
     for (const RegionId &Region : Hosts_.otherRegions()) {
-      if (!isHome(Route, Region) || contains(Log.RegionsTried, Region))
+      if (!Route.Homes.allows(Region) || contains(Log.RegionsTried, Region))
         continue;
       auto Wait = Regions_.wait(Region, Pool.Name, ServiceTime);
       auto Host = Wait ? Hosts_.drawServing(Region) : std::nullopt;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -6,11 +6,11 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "blackboard/idtypes.h"
+#include "fleet/homeregions.h"
 #include "framework/runtime.h"
 
 namespace celerybeam {
@@ -57,8 +57,7 @@
   /// How many endpoints one request may run on, retries included.
   unsigned MaxEndpoints = 1;
   std::vector<WeightedPool> Pools;
-  /// Regions that may handle the request; empty means all.
-  std::set<RegionId> Homes;
+  HomeRegions Homes;
 };
 
 /// The operator's settings for the model engines of a pool.
@@ -108,9 +107,6 @@
   /// \param Path  as the caller sent it, with or without a query.
   const FleetRoute *find(std::string_view Host, std::string_view Path) const;
   const FleetPool *pool(const PoolName &Name) const;
-  /// Regions that every route of a host allows. Empty means all regions; it is
-  /// also empty when the routes have no region in common.
-  std::set<RegionId> homesOf(std::string_view Host) const;
 };
 
 using FleetTablesPtr = std::shared_ptr<const FleetTables>;
--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -73,13 +73,9 @@
   /// Addresses without a recent update, at most Max, drawn at random.
   std::vector<std::string> silentContacts(std::size_t Max) const;
 
-  /// Addresses for a caller in a region: ready hosts of the caller's region or,
-  /// when it has none, of another region, this host's region first. Where hosts
-  /// differ in size, a sample is drawn so that each host gets callers in
-  /// proportion to its size. \param Homes  other regions that the caller may be
-  /// sent to; empty means all.
-  std::vector<std::string> entriesFor(const RegionId &Region,
-                                      const std::set<RegionId> &Homes) const;
+  /// IP addresses of the ready hosts of a region. Where hosts differ in size, a
+  /// sample is drawn so that each host gets callers in proportion to its size.
+  std::vector<std::string> entriesIn(const RegionId &Region) const;
 
   /// Time without a message after which a host of this region counts as not
   /// alive and is not named to callers.
--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -17,21 +17,6 @@
   return Best;
 }
 
-std::set<RegionId> FleetTables::homesOf(std::string_view Host) const {
-  std::set<RegionId> Homes;
-  for (const FleetRoute &Route : Routes) {
-    if (Route.Host != Host || Route.Homes.empty())
-      continue;
-    if (Homes.empty())
-      Homes = Route.Homes;
-    else
-      std::erase_if(Homes, [&](const RegionId &Region) {
-        return !Route.Homes.contains(Region);
-      });
-  }
-  return Homes;
-}
-
 const FleetPool *FleetTables::pool(const PoolName &Name) const {
   auto Found = Pools.find(Name);
   return Found == Pools.end() ? nullptr : &Found->second;
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -283,27 +283,16 @@
   return Found;
 }
 
-std::vector<std::string>
-HostRegistry::entriesFor(const RegionId &Region,
-                         const std::set<RegionId> &Homes) const {
+std::vector<std::string> HostRegistry::entriesIn(const RegionId &Region) const {
   const HostState &Self = Impl_->Self_;
-  std::vector<RegionId> Order = {Region, Self.Region};
-  for (const RegionId &Other : otherRegions())
-    Order.push_back(Other);
-  for (const RegionId &Where : Order) {
-    if (Where != Region && !Homes.empty() && !Homes.contains(Where))
-      continue;
-    Hosts Found = serving(Where);
-    if (Self.Region == Where && Self.Ready && !Self.Leaving)
-      Found.insert(Found.begin(), Self);
-    Impl_->sampleBySize(Found);
-    std::vector<std::string> Ips;
-    for (const HostState &Host : Found)
-      Ips.push_back(Host.Ip);
-    if (!Ips.empty())
-      return Ips;
-  }
-  return {};
+  Hosts Found = serving(Region);
+  if (Self.Region == Region && Self.Ready && !Self.Leaving)
+    Found.insert(Found.begin(), Self);
+  Impl_->sampleBySize(Found);
+  std::vector<std::string> Ips;
+  for (const HostState &Host : Found)
+    Ips.push_back(Host.Ip);
+  return Ips;
 }
 
 } // namespace celerybeam
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 
+#include "fleet/entrydirectory.h"
 #include "fleethost/internal/hostannouncer.h"
 #include "fleethost/internal/requestlog.h"
 #include "fleethost/internal/updateexchange.h"
@@ -97,7 +98,7 @@
        FleetHostHooks Hooks)
       : Time_(Loop.runtime()), Caller_(Caller), Settings_(std::move(Settings)),
         Hooks_(std::move(Hooks)), Hosts_(Time_, Settings_.Self),
-        Fleet_(Time_, viewHooks()),
+        Fleet_(Time_, viewHooks()), Directory_(Time_, Hosts_, Fleet_),
         Decisions_(Time_, Fleet_, Hosts_, Settings_.RetryBounds,
                    Settings_.Dispatch),
         LocalPlacer_(Time_, Fleet_, Decisions_, Settings_.Self.Ip,
@@ -231,12 +232,9 @@
 
   std::vector<std::string> entriesFor(const RegionId &Region,
                                       std::string_view Name) const {
-    const FleetTablesPtr &Tables = Fleet_.tables();
-    std::set<RegionId> Homes =
-        Tables ? Tables->homesOf(Name) : std::set<RegionId>();
-    std::vector<std::string> Ips = Hosts_.entriesFor(Region, Homes);
-    logDirectoryAnswer(Region, Name, Homes, Ips);
-    return Ips;
+    EntryAnswer Answer = Directory_.answer(Region, Name);
+    logDirectoryAnswer(Region, Name, Answer);
+    return Answer.Ips;
   }
 
   void reload(const FleetHostSettings &Settings) {
@@ -266,26 +264,23 @@
   }
 
   void logDirectoryAnswer(const RegionId &Region, std::string_view Name,
-                          const std::set<RegionId> &Homes,
-                          const std::vector<std::string> &Ips) const {
+                          const EntryAnswer &Answer) const {
     const FleetTablesPtr &Tables = Fleet_.tables();
-    std::string HomesText;
-    for (const RegionId &Home : Homes)
-      HomesText += (HomesText.empty() ? "" : " ") + Home.str();
-    std::string ReadyText;
+    std::string Ready;
     for (const auto &[Where, Count] : readyHosts())
-      ReadyText += (ReadyText.empty() ? "" : " ") + Where.str() + "=" +
-                   std::to_string(Count);
+      Ready += (Ready.empty() ? "" : " ") + Where.str() + "=" +
+               std::to_string(Count);
     Log_.info(
         "Directory answered.",
         {{"name", std::string(Name)},
          {"caller_region", Region},
          {"tables", Tables ? Tables->Version : 0},
-         {"homes", HomesText},
-         {"ready_hosts", ReadyText},
+         {"ready_hosts", Ready},
          {"up_ms", (Time_.Now() - StartedAt_) / std::chrono::milliseconds(1)},
-         {"named", Ips.size()},
-         {"first", Ips.empty() ? std::string() : Ips.front()}});
+         {"why", Answer.Why},
+         {"region", Answer.Region},
+         {"stray_share", Answer.StrayShare},
+         {"named", Answer.Ips.size()}});
   }
 
   void logViewChange(const ViewChange &Change) {
@@ -570,6 +565,8 @@
 
   void record(const RequestRecord &R) {
     Log_.info("Request ended.", detail::logFieldsOf(R));
+    if (!R.Forwarded && !R.Route.empty())
+      Directory_.record(R.Route);
     RequestSample Sample;
     Sample.Route = R.Route;
     Sample.Outcome = R.Outcome;
@@ -616,6 +613,7 @@
   MetricsRegistry Metrics_;
   HostRegistry Hosts_;
   FleetView Fleet_;
+  EntryDirectory Directory_;
   Dispatcher Decisions_;
   PlacementServer LocalPlacer_;
   PlacementClient Placement_;
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -44,8 +44,8 @@
                       {"status", R.Status},
                       {"outcome", R.Outcome},
                       {"run", executionStateName(R.Execution)}};
-  if (!R.Homes.empty())
-    Fields.push_back({"homes", R.Homes});
+  if (R.Homes.isRestricted())
+    Fields.push_back({"homes", R.Homes.text()});
   add(Fields, "prompt_tokens", R.PromptTokens);
   if (!R.Attempts.empty())
     Fields.push_back({"attempts", R.Attempts});
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -45,8 +45,11 @@
     Out.add_tried(Key.Value);
   for (const RegionId &Region : Log.RegionsTried)
     Out.add_regions_tried(Region.str());
-  for (const RegionId &Region : Ask.Route.Homes)
+  for (const RegionId &Region : Ask.Route.Homes.regions())
     Out.add_homes(Region.str());
+  // A list without entries means no restriction.
+  if (Ask.Route.Homes.isRestricted() && Out.homes_size() == 0)
+    Out.add_homes("");
 }
 
 PlacementAsk readAsk(const messages::PlacementAsk &In, TimePoint Now) {
@@ -58,8 +61,11 @@
   Ask.Route.EventGapTarget = span(In.event_gap_ms());
   Ask.Route.Timeout = span(In.timeout_ms());
   Ask.Route.FirstOutputPatience = span(In.first_output_patience_ms());
+  std::set<RegionId> Homes;
   for (const std::string &Region : In.homes())
-    Ask.Route.Homes.insert(RegionId(Region));
+    Homes.insert(RegionId(Region));
+  if (!Homes.empty())
+    Ask.Route.Homes = HomeRegions::only(std::move(Homes));
   Ask.Request.Deadline = Now + span(In.left_ms());
   Ask.Request.Forwarded = In.forwarded();
   Ask.Request.PromptTokens = In.prompt_tokens();
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -106,8 +106,7 @@
     if (Route_ == nullptr)
       return noRoute();
     Record_.Route = Route_->Name;
-    for (const RegionId &Home : Route_->Homes)
-      Record_.Homes += (Record_.Homes.empty() ? "" : " ") + Home.str();
+    Record_.Homes = Route_->Homes;
     if (Context_.Refusing)
       return refuse({Duration::zero(), "leaving"});
     TimeoutAt_ =
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -65,9 +65,7 @@
   PoolName Pool;
   unsigned PromptTokens = 0;
   std::uint64_t TablesVersion = 0;
-  /// Regions that may handle the request, separated by blanks; empty when all
-  /// may.
-  std::string Homes;
+  HomeRegions Homes;
   /// The final status; 0 when the caller left or the response was interrupted.
   unsigned Status = 0;
   /// Short code of the outcome.
