Check the homes of a request again before it is sent, and carry them along

What callers saw (HOME): a request could run, or its body be sent, in a region that the operator had already excluded. Cause: a request kept the homes of the tables at its arrival while it was queued, connected, retried or forwarded; a host with older tables used its own. Class: a belief older than the request's next step. Change: the relay follows newer tables before each placement and when the connection stands; a forwarded request carries its homes and the version of the tables they come from, and the newer of the two tables decides. Ruled out: the other host's wrong lookup of the route alone; the sender's own region is affected, too. Measured: requesthomes 8 of 8 cases red before, green now (5 of them show the fault); relay and stalledloop green.

--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -65,12 +65,23 @@
 }
 
 /// The integer at the start of a text; 0 when there is none.
-unsigned numberIn(std::string_view Text) {
-  unsigned Number = 0;
+template <typename T = unsigned> T numberIn(std::string_view Text) {
+  T Number = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), Number);
   return Number;
 }
 
+HomeRegions parseHomes(std::string_view Text) {
+  std::set<RegionId> Regions;
+  while (!Text.empty()) {
+    std::size_t End = std::min(Text.find(' '), Text.size());
+    if (End > 0)
+      Regions.insert(RegionId(std::string(Text.substr(0, End))));
+    Text.remove_prefix(std::min(End + 1, Text.size()));
+  }
+  return HomeRegions::only(std::move(Regions));
+}
+
 class Relay : public std::enable_shared_from_this<Relay> {
 public:
   Relay(RelayContext &Context, HttpServerRequest Request,
@@ -106,7 +117,9 @@
     if (Route_ == nullptr)
       return noRoute();
     Record_.Route = Route_->Name;
-    Record_.Homes = Route_->Homes;
+    useHomes(Tables_->Version, Route_->Homes);
+    if (SenderTables_ > HomesVersion_)
+      useHomes(SenderTables_, SenderHomes_);
     if (Context_.Refusing)
       return refuse({Duration::zero(), "leaving"});
     TimeoutAt_ =
@@ -116,6 +129,27 @@
     attempt();
   }
 
+  void useHomes(std::uint64_t TablesVersion, const HomeRegions &Homes) {
+    HomesVersion_ = TablesVersion;
+    Record_.Homes = Homes;
+    if (Homes == Route_->Homes)
+      return;
+    FleetRoute Changed = *Route_;
+    Changed.Homes = Homes;
+    ChangedRoute_ = std::move(Changed);
+    Route_ = &*ChangedRoute_;
+  }
+
+  /// Follows homes that have changed since the request arrived. A route that
+  /// was removed meanwhile keeps its homes.
+  void updateHomes() {
+    const FleetTables &Newest = *Context_.Fleet.tables();
+    if (Newest.Version <= HomesVersion_)
+      return;
+    const FleetRoute *Found = Newest.find(Descriptor_.Host, Descriptor_.Target);
+    useHomes(Newest.Version, Found != nullptr ? Found->Homes : Route_->Homes);
+  }
+
   void waitForTables() {
     if (Context_.Time.Now() - Request_.Arrived >= MaxTablesWait)
       return refuse({TablesRetryAfter, "no_tables"});
@@ -140,8 +174,11 @@
       Descriptor_.RunsLeft = numberIn(*Runs);
     if (auto Waited = findField(Fields, WaitedField))
       Descriptor_.WaitedBefore = std::chrono::milliseconds(numberIn(*Waited));
-    removeField(Fields, RunsField);
-    removeField(Fields, WaitedField);
+    if (auto Version = findField(Fields, TablesField))
+      SenderTables_ = numberIn<std::uint64_t>(*Version);
+    if (auto Homes = findField(Fields, HomesField))
+      SenderHomes_ = parseHomes(*Homes);
+    detail::removeHostFields(Fields);
   }
 
   void noRoute() {
@@ -192,6 +229,7 @@
   }
 
   void attempt() {
+    updateHomes();
     LatestPlacement_ = Context_.Placement.place(
         Descriptor_, *Route_, Log_,
         [Self = shared_from_this()](PlacementId Id,
@@ -257,6 +295,7 @@
   void forwardToHost(const ForwardTo &Choice) {
     Target_.reset();
     PeerIp_ = Choice.Host.Ip;
+    PeerRegion_ = Choice.Host.Region;
     Record_.ForwardedToHost = true;
     Log_.RegionsTried.push_back(Choice.Host.Region);
     ++Log_.Sends;
@@ -266,7 +305,6 @@
       setField(Call.Head.Fields, Context_.Names.LastEventId,
                Splitter_.lastId());
     AllottedRuns_ = Dispatcher::runsLeft(Descriptor_, *Route_, Log_);
-    setField(Call.Head.Fields, RunsField, std::to_string(AllottedRuns_));
     Call.ConnectTimeout = RemoteConnectTimeout;
     Call.ReuseIdleAtMost = HttpCaller::MaxIdleTime;
     noteAttempt("via " + Choice.Host.Id.str(), Choice.Expected);
@@ -316,6 +354,12 @@
     });
   }
 
+  /// Whether the region of the current attempt is a home of the request.
+  bool isSentHome() const {
+    return Route_->Homes.allows(Target_ ? Context_.Hosts.self().Region
+                                        : PeerRegion_);
+  }
+
   bool isPastDeadline() const { return Context_.Time.Now() >= TimeoutAt_; }
 
   /// Checks the request again before it is sent, because time may have passed
@@ -325,14 +369,29 @@
         Ended_ || isPastDeadline() || (Target_ && !isTargetUsable());
     if (SendDeclined_)
       return false;
+    updateHomes();
+    SendDeclined_ = !isSentHome();
+    if (SendDeclined_) {
+      Record_.Attempts += " outside_homes";
+      return false;
+    }
     TimePoint Now = Context_.Time.Now();
     detail::setTimeLeft(Head, Context_.Names, TimeoutAt_ - Now);
     if (!Target_)
-      setField(Head.Fields, WaitedField,
-               std::to_string(millisOf(Now - Request_.Arrived)));
+      setHostFields(Head);
     return true;
   }
 
+  /// Adds the fields that another entry host reads with takeHostFields.
+  void setHostFields(HttpRequestHead &Head) {
+    setField(Head.Fields, RunsField, std::to_string(AllottedRuns_));
+    setField(Head.Fields, WaitedField,
+             std::to_string(millisOf(Context_.Time.Now() - Request_.Arrived)));
+    setField(Head.Fields, TablesField, std::to_string(HomesVersion_));
+    if (Route_->Homes.isRestricted())
+      setField(Head.Fields, HomesField, Route_->Homes.text());
+  }
+
   void reportAvailability(const ReportedAvailability &Availability) {
     if (Target_ && Context_.Hooks.EndpointReported)
       Context_.Hooks.EndpointReported(
@@ -357,6 +416,7 @@
   void seekAlternative() {
     if (!Target_)
       return;
+    updateHomes();
     AttemptLog After = Log_;
     After.Execution = ExecutionState::Unknown;
     After.Runs += 1;
@@ -628,13 +688,22 @@
   RequestDescriptor Descriptor_;
   FleetTablesPtr Tables_;
   const FleetRoute *Route_ = nullptr;
+  /// The route with homes of other tables than Tables_, if these differ.
+  std::optional<FleetRoute> ChangedRoute_;
+  /// The version of the tables that the homes come from.
+  std::uint64_t HomesVersion_ = 0;
+  /// Tables and homes by which another host has forwarded the request.
+  std::uint64_t SenderTables_ = 0;
+  HomeRegions SenderHomes_;
   AttemptLog Log_;
   RequestRecord Record_;
   TimePoint TimeoutAt_{};
   bool Ended_ = false;
   /// The endpoint of the current attempt.
   std::optional<ServeAt> Target_;
+  /// The host and the region that the current attempt is forwarded to.
   std::string PeerIp_;
+  RegionId PeerRegion_;
   /// Runs that were allotted to the other entry host.
   unsigned AllottedRuns_ = 0;
   /// The most recently requested placement, and the one in use.
--- a/src/relay/internal/responsehead.cpp
+++ b/src/relay/internal/responsehead.cpp
@@ -51,7 +51,8 @@
 }
 
 void removeHostFields(HttpFields &Fields) {
-  for (const char *Name : {NotRunField, RunsField, WaitedField})
+  for (const char *Name :
+       {NotRunField, RunsField, WaitedField, TablesField, HomesField})
     removeField(Fields, Name);
 }
 
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -127,6 +127,11 @@
 inline constexpr const char *RunsField = "Celerybeam-Runs";
 /// In a request: milliseconds since it arrived at the forwarding host.
 inline constexpr const char *WaitedField = "Celerybeam-Waited-Ms";
+/// In a request: the version of the tables that its homes come from.
+inline constexpr const char *TablesField = "Celerybeam-Tables";
+/// In a request: its home regions, separated by blanks; missing when all
+/// regions may handle it.
+inline constexpr const char *HomesField = "Celerybeam-Homes";
 
 } // namespace celerybeam
 
