Follow the homes of the request's own route, also when it is removed

What callers would see (HOME): a request whose route is removed while it is queued, connected or retried runs, or its body is sent, outside the homes of its route. Cause: the relay looked the path up in the newest tables and took the homes of whatever route begins it now, also of a shorter prefix. Change: the homes follow the route of the same name; a removed route keeps its last homes. Ruled out: to bind both routes' homes; the request is still placed by the pools of its own route. Measured: the new case of requesthomes, red before (2 checks), green now.

--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -106,6 +106,8 @@
   /// The route of this host with the longest matching path prefix, or null.
   /// \param Path  as the caller sent it, with or without a query.
   const FleetRoute *find(std::string_view Host, std::string_view Path) const;
+  /// The route of this name, or null.
+  const FleetRoute *route(const RouteName &Name) const;
   const FleetPool *pool(const PoolName &Name) const;
 };
 
--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleettypes.h"
 
+#include <algorithm>
+
 #include "framework/stablehash.h"
 
 namespace celerybeam {
@@ -17,6 +19,13 @@
   return Best;
 }
 
+const FleetRoute *FleetTables::route(const RouteName &Name) const {
+  auto Found =
+      std::find_if(Routes.begin(), Routes.end(),
+                   [&](const FleetRoute &Route) { return Route.Name == Name; });
+  return Found == Routes.end() ? nullptr : &*Found;
+}
+
 const FleetPool *FleetTables::pool(const PoolName &Name) const {
   auto Found = Pools.find(Name);
   return Found == Pools.end() ? nullptr : &Found->second;
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -146,7 +146,7 @@
     const FleetTables &Newest = *Context_.Fleet.tables();
     if (Newest.Version <= HomesVersion_)
       return;
-    const FleetRoute *Found = Newest.find(Descriptor_.Host, Descriptor_.Target);
+    const FleetRoute *Found = Newest.route(Route_->Name);
     useHomes(Newest.Version, Found != nullptr ? Found->Homes : Route_->Homes);
   }
 
--- a/src/relay/tests/requesthomestest.cpp
+++ b/src/relay/tests/requesthomestest.cpp
@@ -169,6 +169,24 @@
   BOOST_TEST(field(Other.Requests[0], "Celerybeam-Homes") == "kigali musanze");
 }
 
+// HOME: the route was removed, and a shorter prefix with other homes is left.
+BOOST_AUTO_TEST_CASE(removedRouteDoesNotTakeTheHomesOfAnotherRoute) {
+  RawServer &E = addEndpointIn("a");
+  RawServer &Other = addOtherHost();
+  moveHomes(HomeRegions::only({Musanze}));
+  auto C = sendUntilConnect();
+  FleetTables Tables = *Fleet.tables();
+  ++Tables.Version;
+  Tables.Routes.resize(1);
+  Tables.Routes[0].Name = RouteName("main");
+  Tables.Routes[0].PathPrefix = "/";
+  Tables.Routes[0].Homes = HomeRegions::only({Kigali});
+  BOOST_REQUIRE(Fleet.adoptTables(std::move(Tables)));
+  awaitEnd();
+  BOOST_TEST(E.Requests.empty());
+  BOOST_TEST(Other.Requests.size() == 1U);
+}
+
 // A caller cannot set what hosts tell each other.
 BOOST_AUTO_TEST_CASE(callersFieldsForHostsAreIgnored) {
   RawServer &E = addEndpointIn("a");
