--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -60,18 +60,23 @@
     WithheldHead = Head;
   }
 
-  void putTables(int Version, const std::string &Path) {
+  static json route(const std::string &Prefix, const json &Homes) {
+    return {{"name", "r" + Prefix}, {"hostname", "x.example"},
+            {"pathPrefix", Prefix}, {"routeType", "unsafe"},
+            {"timeoutMs", 9000},    {"targetLatencyMs", 500},
+            {"priority", 2},        {"backend", "app"},
+            {"homeRegions", Homes}, {"maxAttempts", 1}};
+  }
+
+  /// \param Homes  of the main route; each also has a route of its own below
+  /// it.
+  void putTables(int Version, const std::string &Path,
+                 const std::vector<std::string> &Homes = {}) {
+    json Routes = {route("/" + Path + "/", Homes)};
+    for (const std::string &Home : Homes)
+      Routes.push_back(route("/" + Path + "/" + Home + "/", {Home}));
     json Tables = {{"version", Version},
-                   {"routes",
-                    {{{"name", "r1"},
-                      {"hostname", "x.example"},
-                      {"pathPrefix", "/" + Path + "/"},
-                      {"routeType", "unsafe"},
-                      {"timeoutMs", 9000},
-                      {"targetLatencyMs", 500},
-                      {"priority", 2},
-                      {"backend", "app"},
-                      {"maxAttempts", 1}}}},
+                   {"routes", Routes},
                    {"services",
                     {{{"name", "app"},
                       {"healthPath", "/healthz"},
@@ -139,9 +144,11 @@
   }
 
   /// The hosts that the directory of a host names.
-  std::size_t named(const std::string &Ip) {
-    std::string Answer = get(Ip, GatewayProcess::DirectoryPort,
-                             "/-/resolve?name=x.example&region=north");
+  std::size_t named(const std::string &Ip,
+                    const std::string &CallerRegion = "north") {
+    std::string Answer =
+        get(Ip, GatewayProcess::DirectoryPort,
+            "/-/resolve?name=x.example&region=" + CallerRegion);
     auto Body = Answer.find("\r\n\r\n");
     if (!Answer.starts_with("HTTP/1.1 200") || Body == std::string::npos)
       return 0;
@@ -221,6 +228,17 @@
   until([&] { return named(FirstIp) == 2; });
 }
 
+// HOME: homes that exclude each other were taken for none.
+BOOST_AUTO_TEST_CASE(directoryLeadsNobodyOutsideDisjointHomes) {
+  startHost("n1", FirstIp);
+  until([&] { return named(FirstIp, "south") == 1U; });
+  putTables(4, "reserve", {"south", "west"});
+  until([&] { return says(book(FirstIp, "reserve"), "503"); });
+  BOOST_TEST(named(FirstIp, "south") == 0U);
+  BOOST_TEST(named(FirstIp, "north") == 1U);
+  BOOST_TEST(Ran.empty());
+}
+
 BOOST_AUTO_TEST_CASE(frozenHostComesBack) {
   startBoth();
   Hosts["n2"]->signal(SIGSTOP);
