Count the requests with homes, from a sample that can show the share (HOME)

What callers would see: led outside the homes of their requests after a single request, or where few of a name's requests have homes; and no answer for ever when a region is lost and 1 in 10 requests may only run there. Cause: EntryDirectory divided by all requests of a name, decided from one request on, and had no bound in time. Change: the share is that of the requests with homes, as the rule counts them; fewer than 20 recent requests decide nothing, and fewer than 20 stray ones that are at most 1 in 20 of all count as none. After 15 s without a ready host (HostRegistry::sinceServing) the caller's region counts as lost: then a region that may handle some of the requests is named. Ruled out: a bound on the refusal that starts with the directory's own start; it would lead callers away in each restart later than that.

--- a/src/fleet/entrydirectory.h
+++ b/src/fleet/entrydirectory.h
@@ -30,7 +30,9 @@
 /// callers go elsewhere". Callers ask by host name, which has routes with
 /// different homes; the requests that each route gets decide which homes count.
 /// What is not known leads nobody to another region: a caller without an answer
-/// keeps the hosts that it knows and asks again. Not thread-safe.
+/// keeps the hosts that it knows and asks again. Only for a lost region it is
+/// enough that another one may handle some of its callers' requests. Not
+/// thread-safe.
 class EntryDirectory {
 public:
   EntryDirectory(Runtime R, const HostRegistry &Hosts, const FleetView &Fleet);
@@ -41,25 +43,32 @@
   /// Hosts for the callers of a region that send requests to a host name.
   EntryAnswer answer(const RegionId &CallerRegion, std::string_view Name) const;
 
-  /// Largest share of a name's requests that may be led to a region that is no
-  /// home of theirs.
+  /// Largest share of a name's requests with homes that may be led to a region
+  /// that is none of these.
   static constexpr double MaxStrayShare = 0.05;
+  /// Fewer recent requests cannot show such a share.
+  static constexpr double MinCountedRequests = 1 / MaxStrayShare;
   /// A host that has just started does not know yet that a region has no hosts.
   static constexpr Duration ListeningTime = HostRegistry::ReportedSilence;
-  /// How long it takes at most to learn which routes of a name get requests.
-  static constexpr Duration LearningTime = std::chrono::seconds(15);
+  /// A region that has had no hosts for this long is not just restarting.
+  static constexpr Duration LostAfter = std::chrono::seconds(15);
 
 private:
   /// How the requests to a host name divide over its routes.
   struct Demand {
     std::vector<std::pair<const FleetRoute *, double>> Routes;
-    /// Whether requests were counted; otherwise each route counts as one.
+    /// Requests on all routes, and on those with homes.
+    double All = 0;
+    double Restricted = 0;
+    /// Whether enough requests were counted; otherwise each route counts as
+    /// one.
     bool Counted = false;
   };
 
   Demand demandOf(std::string_view Name) const;
-  static double strayShare(const Demand &Of, const RegionId &Region);
-  bool mayLeadTo(const Demand &Of, double StrayShare) const;
+  /// Requests for which the region is no home.
+  static double strayRequests(const Demand &Of, const RegionId &Region);
+  static bool mayLeadAstray(const Demand &Of, double Stray, bool RegionLost);
   EntryAnswer answerElsewhere(const RegionId &CallerRegion,
                               std::string_view Name) const;
 
--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -76,6 +76,9 @@
   /// IP addresses of the ready hosts of a region. Where hosts differ in size, a
   /// sample is drawn so that each host gets callers in proportion to its size.
   std::vector<std::string> entriesIn(const RegionId &Region) const;
+  /// Time since a host of the region was last known to be ready; since the
+  /// start when none was.
+  Duration sinceServing(const RegionId &Region) const;
 
   /// Time without a message after which a host of this region counts as not
   /// alive and is not named to callers.
--- a/src/fleet/internal/entrydirectory.cpp
+++ b/src/fleet/internal/entrydirectory.cpp
@@ -4,13 +4,6 @@
 
 namespace celerybeam {
 
-namespace {
-
-/// With fewer recent requests of a name it is unknown which routes they use.
-constexpr double MinCountedRequests = 1;
-
-} // namespace
-
 EntryDirectory::EntryDirectory(Runtime R, const HostRegistry &Hosts,
                                const FleetView &Fleet)
     : Runtime_(std::move(R)), Hosts_(Hosts), Fleet_(Fleet), Traffic_(Runtime_),
@@ -18,39 +11,38 @@
 
 EntryDirectory::Demand EntryDirectory::demandOf(std::string_view Name) const {
   Demand Found;
-  double Sum = 0;
   for (const FleetRoute &Route : Fleet_.tables()->Routes) {
     if (Route.Host != Name)
       continue;
-    double Weight = Traffic_.weight(Route.Name);
-    Sum += Weight;
-    Found.Routes.emplace_back(&Route, Weight);
+    Found.Routes.emplace_back(&Route, Traffic_.weight(Route.Name));
+    Found.All += Found.Routes.back().second;
   }
-  Found.Counted = Sum >= MinCountedRequests;
-  if (!Found.Counted)
-    for (auto &[Route, Weight] : Found.Routes)
-      Weight = 1;
+  Found.Counted = Found.All >= MinCountedRequests;
+  if (!Found.Counted) {
+    for (auto &[Route, Requests] : Found.Routes)
+      Requests = 1;
+    Found.All = static_cast<double>(Found.Routes.size());
+  }
+  for (const auto &[Route, Requests] : Found.Routes)
+    Found.Restricted += Route->Homes.isRestricted() ? Requests : 0;
   return Found;
 }
 
-double EntryDirectory::strayShare(const Demand &Of, const RegionId &Region) {
-  double Sum = 0;
+double EntryDirectory::strayRequests(const Demand &Of, const RegionId &Region) {
   double Stray = 0;
-  for (const auto &[Route, Weight] : Of.Routes) {
-    Sum += Weight;
-    Stray += Route->Homes.allows(Region) ? 0 : Weight;
-  }
-  return Sum > 0 ? Stray / Sum : 0;
+  for (const auto &[Route, Requests] : Of.Routes)
+    Stray += Route->Homes.allows(Region) ? 0 : Requests;
+  return Stray;
 }
 
-bool EntryDirectory::mayLeadTo(const Demand &Of, double StrayShare) const {
-  if (Of.Counted)
-    return StrayShare <= MaxStrayShare;
-  // After LearningTime the name's requests are too rare to tell its routes
-  // apart. Its callers must not stay without an answer for as long as their
-  // region has no hosts.
-  bool Rare = Runtime_.Now() - StartedAt_ >= LearningTime;
-  return Rare ? StrayShare < 1 : StrayShare == 0;
+bool EntryDirectory::mayLeadAstray(const Demand &Of, double Stray,
+                                   bool RegionLost) {
+  if (RegionLost)
+    return Stray < Of.All;
+  if (!Of.Counted)
+    return Stray == 0;
+  bool Few = Stray < MinCountedRequests && Stray <= MaxStrayShare * Of.All;
+  return Few || Stray <= MaxStrayShare * Of.Restricted;
 }
 
 EntryAnswer EntryDirectory::answer(const RegionId &CallerRegion,
@@ -73,18 +65,21 @@
   for (const RegionId &Region : Hosts_.otherRegions())
     Regions.push_back(Region);
   std::erase(Regions, CallerRegion);
-  std::vector<std::pair<double, RegionId>> ByShare;
+  std::vector<std::pair<double, RegionId>> ByStray;
   for (const RegionId &Region : Regions)
-    ByShare.emplace_back(strayShare(Of, Region), Region);
+    ByStray.emplace_back(strayRequests(Of, Region), Region);
   std::stable_sort(
-      ByShare.begin(), ByShare.end(),
+      ByStray.begin(), ByStray.end(),
       [](const auto &A, const auto &B) { return A.first < B.first; });
-  for (const auto &[Share, Region] : ByShare) {
-    if (!mayLeadTo(Of, Share))
+  bool Lost = Hosts_.sinceServing(CallerRegion) >= LostAfter;
+  for (const auto &[Stray, Region] : ByStray) {
+    double Share = Stray > 0 ? Stray / Of.All : 0;
+    if (!mayLeadAstray(Of, Stray, Lost))
       return {{}, {}, Share, "no_home_has_hosts"};
     auto Ips = Hosts_.entriesIn(Region);
     if (!Ips.empty())
-      return {std::move(Ips), Region, Share, "another_region"};
+      return {std::move(Ips), Region, Share,
+              Lost ? "region_lost" : "another_region"};
   }
   return {{}, {}, 0, "no_hosts"};
 }
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -19,6 +19,8 @@
 struct KnownHost {
   HostState State;
   TimePoint LastUpdate{};
+  /// Last update in which it was ready and not leaving.
+  std::optional<TimePoint> LastServing;
   TimePoint HeldOffUntil{};
   bool ReceivedDirectly = false;
 };
@@ -35,7 +37,19 @@
 class HostRegistry::Impl {
 public:
   Impl(Runtime R, HostState Self)
-      : Runtime_(std::move(R)), Self_(std::move(Self)) {}
+      : Runtime_(std::move(R)), Self_(std::move(Self)),
+        StartedAt_(Runtime_.Now()) {}
+
+  static bool isServing(const HostState &Host) {
+    return Host.Ready && !Host.Leaving;
+  }
+
+  static void update(KnownHost &Host, const HostState &State, TimePoint At) {
+    Host.State = State;
+    Host.LastUpdate = At;
+    if (isServing(State))
+      Host.LastServing = At;
+  }
 
   Duration longestSilence(const KnownHost &Host) const {
     bool InOwnRegion = Host.State.Region == Self_.Region;
@@ -83,7 +97,7 @@
 
   bool serves(const HostState &Host) const {
     auto Found = Hosts_.find(Host.Ip);
-    return Host.Ready && !Host.Leaving && Found != Hosts_.end() &&
+    return isServing(Host) && Found != Hosts_.end() &&
            Found->second.HeldOffUntil <= Runtime_.Now();
   }
 
@@ -121,6 +135,9 @@
 
   Runtime Runtime_;
   HostState Self_;
+  TimePoint StartedAt_;
+  /// Last time at which this host stopped serving.
+  std::optional<TimePoint> SelfServedUntil_;
   /// By IP address: a host that is replaced may keep its name.
   std::map<std::string, KnownHost> Hosts_;
   std::set<std::string> Contacts_;
@@ -140,6 +157,8 @@
 
 void HostRegistry::setSelf(const HostState &Self) {
   bool Changed = differForOthers(Impl_->Self_, Self);
+  if (Impl::isServing(Impl_->Self_))
+    Impl_->SelfServedUntil_ = Impl_->Runtime_.Now();
   Impl_->Self_ = Self;
   if (Changed)
     Impl_->stateChanged();
@@ -161,8 +180,7 @@
     return false;
   bool Changed =
       New || differForOthers(Entry.State, Host) || !Impl_->isAlive(Entry);
-  Entry.State = Host;
-  Entry.LastUpdate = Now;
+  Impl::update(Entry, Host, Now);
   Entry.ReceivedDirectly = true;
   if (Changed)
     Impl_->stateChanged();
@@ -182,8 +200,7 @@
   bool Changed = New || differForOthers(Entry.State, Host) || !WasAlive;
   if (UpdatedAt - Entry.LastUpdate > DirectUpdateInterval)
     Entry.ReceivedDirectly = false;
-  Entry.State = Host;
-  Entry.LastUpdate = UpdatedAt;
+  Impl::update(Entry, Host, UpdatedAt);
   Impl_->Contacts_.insert(Host.Ip);
   if (Changed)
     Impl_->stateChanged();
@@ -286,7 +303,7 @@
 std::vector<std::string> HostRegistry::entriesIn(const RegionId &Region) const {
   const HostState &Self = Impl_->Self_;
   Hosts Found = serving(Region);
-  if (Self.Region == Region && Self.Ready && !Self.Leaving)
+  if (Self.Region == Region && Impl::isServing(Self))
     Found.insert(Found.begin(), Self);
   Impl_->sampleBySize(Found);
   std::vector<std::string> Ips;
@@ -295,4 +312,18 @@
   return Ips;
 }
 
+Duration HostRegistry::sinceServing(const RegionId &Region) const {
+  TimePoint Now = Impl_->Runtime_.Now();
+  TimePoint Last = Impl_->StartedAt_;
+  if (Region == Impl_->Self_.Region) {
+    if (Impl::isServing(Impl_->Self_))
+      return Duration::zero();
+    Last = std::max(Last, Impl_->SelfServedUntil_.value_or(Last));
+  }
+  for (const auto &[Ip, Host] : Impl_->Hosts_)
+    if (Host.State.Region == Region && Host.LastServing)
+      Last = std::max(Last, *Host.LastServing);
+  return Now - Last;
+}
+
 } // namespace celerybeam
--- a/src/fleet/tests/entrydirectorytest.cpp
+++ b/src/fleet/tests/entrydirectorytest.cpp
@@ -115,6 +115,15 @@
   BOOST_TEST(entriesFor("temirtau").empty());
 }
 
+// HOME: the directory's own region comes first only if it is a home.
+BOOST_AUTO_TEST_CASE(ownRegionOfTheDirectoryIsNotNamedOutsideHomes) {
+  Hosts.setSelf(host("10.2.0.1", "temirtau"));
+  adopt({route("/", {Karaganda, Balkhash})});
+  BOOST_TEST((entriesFor("karaganda") == Ips{"10.3.0.1"}));
+  adopt({route("/", {Karaganda})});
+  BOOST_TEST(entriesFor("karaganda").empty());
+}
+
 BOOST_AUTO_TEST_CASE(theHomesOfTheRouteThatGetsTheRequestsCount) {
   adoptRoutesWithDisjointHomes();
   Hosts.received(host("10.1.0.1", "karaganda"));
@@ -159,11 +168,40 @@
 BOOST_AUTO_TEST_CASE(callersOfARareNameAreNotRefusedForever) {
   adopt({route("/", {}), route("/a/", {Karaganda}), route("/b/", {Temirtau})});
   BOOST_TEST(entriesFor("temirtau").empty());
-  Time.runFor(EntryDirectory::LearningTime);
+  Time.runFor(EntryDirectory::LostAfter);
   Hosts.received(host("10.3.0.1", "balkhash"));
   BOOST_TEST((entriesFor("temirtau") == Ips{"10.3.0.1"}));
 }
 
+// HOME: one request decided for all callers of a name.
+BOOST_AUTO_TEST_CASE(oneRequestDoesNotTellTheRoutesOfANameApart) {
+  adopt({route("/", {}), route("/a/", {Karaganda}), route("/b/", {Temirtau})});
+  BOOST_TEST(entriesFor("temirtau").empty());
+  receiveRequests("/", 1);
+  BOOST_TEST(entriesFor("temirtau").empty());
+}
+
+// HOME: the rule counts the requests with homes, not all of them.
+BOOST_AUTO_TEST_CASE(fewRequestsWithHomesAreNotAllLedAstray) {
+  adopt({route("/", {}), route("/a/", {Karaganda, Temirtau})});
+  receiveRequests("/", 960);
+  receiveRequests("/a/", 40);
+  BOOST_TEST(entriesFor("temirtau").empty());
+}
+
+// A region is lost for good: few requests that only it may handle kept all its
+// callers without an answer.
+BOOST_AUTO_TEST_CASE(callersOfALostRegionAreNotRefusedForAFewRequests) {
+  adopt({route("/", {}), route("/a/", {Temirtau})});
+  for (int Second = 0; Second < 120; ++Second) {
+    receiveRequests("/", 9);
+    receiveRequests("/a/", 1);
+    Time.runFor(1s);
+    Hosts.received(host("10.3.0.1", "balkhash"));
+  }
+  BOOST_TEST((entriesFor("temirtau") == Ips{"10.3.0.1"}));
+}
+
 // The lists of hosts are rebuilt while the regions are gone through.
 BOOST_AUTO_TEST_CASE(answerUsesNoListOfHostsThatWasReplaced) {
   adopt({route("/", {})});
