Let a placer without a request's pool send the request back

What callers saw: 503 for a route of a new service, from hosts whose tables have it, while the tables of the region's placer were older. Cause: the placer refused with unknown_pool, and the host that asked, which knew the pool, passed that on. Class: a host that answers before it knows. Ruled out: to trust a refusal by the version of the tables, which the notes do not carry.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -161,6 +161,9 @@
   DispatchDecision choose(const RequestDescriptor &Request,
                           const FleetRoute &Route, AttemptLog &Log);
 
+  /// Whether the tables in force have this pool.
+  bool knowsPool(const PoolName &Pool) const;
+
   /// The part of a choice that does not depend on the state of endpoints: draws
   /// the pool, counts the request, and refuses what nothing can serve.
   std::optional<Refusal> admit(const RequestDescriptor &Request,
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -538,6 +538,11 @@
   return Impl_->choose(Request, Route, Log);
 }
 
+bool Dispatcher::knowsPool(const PoolName &Pool) const {
+  const FleetTablesPtr &Tables = Impl_->Fleet_.tables();
+  return Tables && Tables->pool(Pool) != nullptr;
+}
+
 std::optional<Refusal> Dispatcher::admit(const RequestDescriptor &Request,
                                          const FleetRoute &Route,
                                          AttemptLog &Log) {
--- a/src/dispatch/internal/placementserver.cpp
+++ b/src/dispatch/internal/placementserver.cpp
@@ -48,6 +48,12 @@
     It->second.Ip = Ip;
     It->second.Ask = std::move(Ask);
     It->second.ChangedAt = Runtime_.Now();
+    if (Ip != SelfIp_ && !Decisions_.knowsPool(It->second.Ask.Log.Pool)) {
+      // The host that asks has newer tables. It asks another placer, or places
+      // the request itself.
+      Placements_.erase(It);
+      return Reply_(Ip, Id, {});
+    }
     hostOf(Ip).Placements.insert(Id.Value);
     decide(Id);
   }
--- a/src/dispatch/tests/placementtest.cpp
+++ b/src/dispatch/tests/placementtest.cpp
@@ -174,6 +174,23 @@
 
 BOOST_AUTO_TEST_SUITE(PlacementTests)
 
+// The placer's tables are older than those of the host that asks.
+BOOST_AUTO_TEST_CASE(placerWithoutTheNewPoolDoesNotRefuseItsRequests) {
+  Region R(3);
+  FleetRoute Route = Bookings;
+  Route.Pools = {{PoolName("new"), 1}};
+  FleetTables Tables = *R.Fixture.View.tables();
+  ++Tables.Version;
+  Tables.Pools[PoolName("new")].Name = PoolName("new");
+  for (const auto &[Ip, H] : R.All)
+    if (Ip != Region::ipOf(R.placer()))
+      H->View.adoptTables(Tables);
+  R.addEndpoint("n", "new");
+  auto Placed = R.place(R.other(), R.Fixture.request(0), Route);
+  R.Time.runFor(500ms);
+  BOOST_TEST(Placed->served());
+}
+
 // A burst that comes in over all hosts at once is placed as over one: two plain
 // endpoints with two slots each take four.
 BOOST_AUTO_TEST_CASE(burstOverManyHostsFillsEachSlotOnce) {
