Do not name hosts that were silent for 7 s or longer

What callers would see (DRAIN): a directory names a killed host of another region for up to 13 s; the rule allows stableWindowMs + 3 s, which is 8 s. Cause: hosts that are known from others' reports only count as alive for 13 s, for naming, too. Change: HostRegistry::entriesIn leaves out hosts without an update for MaxEntrySilence. Ruled out: to shorten RemoteReportedSilence, which forwarding uses with its own hold-off.

--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -93,6 +93,9 @@
   /// wall-clock start times, and the wall clock may have jumped back in
   /// between: after a longer silence the latest message counts.
   static constexpr Duration MaxMessageDelay = std::chrono::milliseconds(500);
+  /// A host without an update for longer is not named to callers: it may have
+  /// been killed. Reports come often enough to lose one.
+  static constexpr Duration MaxEntrySilence = std::chrono::seconds(7);
   /// How long an unreachable host gets no requests.
   static constexpr Duration HoldOff = std::chrono::milliseconds(1000);
   /// Hosts without updates for longer no longer count as known.
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -303,6 +303,9 @@
 std::vector<std::string> HostRegistry::entriesIn(const RegionId &Region) const {
   const HostState &Self = Impl_->Self_;
   Hosts Found = serving(Region);
+  std::erase_if(Found, [this](const HostState &Host) {
+    return silence(Host.Ip).value_or(Duration::max()) > MaxEntrySilence;
+  });
   if (Self.Region == Region && Impl::isServing(Self))
     Found.insert(Found.begin(), Self);
   Impl_->sampleBySize(Found);
--- a/src/fleet/tests/hostregistrytest.cpp
+++ b/src/fleet/tests/hostregistrytest.cpp
@@ -59,6 +59,14 @@
   BOOST_TEST(Hosts.serving(RegionId("kigali")).size() == 1U);
 }
 
+// DRAIN: a host of another region that was killed 8 s ago is still named.
+BOOST_AUTO_TEST_CASE(reportedHostIsNotNamedLongAfterItsLastUpdate) {
+  Hosts.hostReported(host("10.1.0.1", "huye"), 0ms);
+  Time.runFor(8s);
+  Hosts.hostReported(host("10.1.0.2", "huye"), 0ms);
+  BOOST_TEST((Hosts.entriesIn(RegionId("huye")) == Ips{"10.1.0.2"}));
+}
+
 BOOST_AUTO_TEST_CASE(unreachableHostGetsNoRequestsForAWhile) {
   Hosts.received(host("10.1.0.1", "huye"));
   Hosts.unreachable("10.1.0.1");
