--- a/src/fleet/tests/entrydirectorytest.cpp
+++ b/src/fleet/tests/entrydirectorytest.cpp
@@ -202,6 +202,15 @@
   BOOST_TEST((entriesFor("temirtau") == Ips{"10.3.0.1"}));
 }
 
+// HOME: a region without callers of its own counts no requests.
+BOOST_AUTO_TEST_CASE(directoryWithoutCallersDoesNotNameItselfOutsideHomes) {
+  HostRegistry Away(Time.runtime(), host("10.3.0.1", "balkhash"));
+  EntryDirectory Idle(Time.runtime(), Away, View);
+  adopt({route("/", {}), route("/a/", {Karaganda, Temirtau})});
+  Time.runFor(EntryDirectory::LostAfter - 1ms);
+  BOOST_TEST(Idle.answer(Temirtau, Name).Ips.empty());
+}
+
 // The lists of hosts are rebuilt while the regions are gone through.
 BOOST_AUTO_TEST_CASE(answerUsesNoListOfHostsThatWasReplaced) {
   adopt({route("/", {})});
