Pass a resumed stream on only if it goes on after the last event

Cause: EventSplitter dropped events with a lower number and went on with the run, took events without a number as they came, and streamEnded passed on whatever was left of a complete body. Its mark "out of order" also outlived the run, so that a third run that was right could not end the stream.

Change: the first event of a run that resumes a stream must have a number above the last one delivered. Otherwise the run ends at once as broken off, nothing more of it is passed on, and another attempt follows or the stream is cut off. A resumed run without an event does not end the stream. Comments are passed on and decide nothing. The record says out_of_order. The test repeatedEventsAreDropped expected the events after the repeated ones to be passed on, which joins two runs; runThatRepeatsEventsIsNotJoined replaces it and expects none of that run.

--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -81,17 +81,17 @@
     return true;
   }
   std::string Whole = Splitter_.take(Data);
-  if (Splitter_.isEndless())
-    return false;
+  // The hook may destroy the splitter.
+  bool Continue = !Splitter_.isEndless() && !Splitter_.outOfOrder();
   if (Whole.empty() || Cancelled_)
-    return true;
+    return Continue;
   auto Self = shared_from_this();
   InEventsHook_ = true;
   Hooks_.Events(Whole);
   InEventsHook_ = false;
   if (Cancelled_)
     Hooks_ = {};
-  return true;
+  return Continue;
 }
 
 void Attempt::ended(HttpCallEnd End) {
@@ -108,7 +108,7 @@
     return Notify(AttemptEnd::NotRun);
   if (!Events_)
     return Notify(AttemptEnd::Answered);
-  Notify(Splitter_.outOfOrder() ? AttemptEnd::Broken : AttemptEnd::StreamEnded);
+  Notify(Splitter_.mayEnd() ? AttemptEnd::StreamEnded : AttemptEnd::Broken);
 }
 
 } // namespace celerybeam::detail
--- a/src/relay/internal/eventsplitter.cpp
+++ b/src/relay/internal/eventsplitter.cpp
@@ -1,6 +1,8 @@
 #include "relay/eventsplitter.h"
 
+#include <algorithm>
 #include <charconv>
+#include <vector>
 
 namespace celerybeam {
 
@@ -22,54 +24,87 @@
   return std::string_view::npos;
 }
 
-std::string_view idOf(std::string_view Event) {
-  std::size_t Begin = 0;
-  while (Begin < Event.size()) {
-    std::size_t End = std::min(Event.find('\n', Begin), Event.size());
-    std::string_view Line = Event.substr(Begin, End - Begin);
-    if (Line.starts_with(IdField)) {
-      Line.remove_prefix(IdField.size());
-      while (!Line.empty() && Line.front() == ' ')
-        Line.remove_prefix(1);
-      while (!Line.empty() && Line.back() == '\r')
-        Line.remove_suffix(1);
-      return Line;
-    }
-    Begin = End + 1;
+/// The lines of an event, without their ends.
+std::vector<std::string_view> linesOf(std::string_view Event) {
+  std::vector<std::string_view> Lines;
+  while (!Event.empty()) {
+    std::size_t End = std::min(Event.find('\n'), Event.size());
+    std::string_view Line = Event.substr(0, End);
+    while (!Line.empty() && Line.back() == '\r')
+      Line.remove_suffix(1);
+    if (!Line.empty())
+      Lines.push_back(Line);
+    Event.remove_prefix(std::min(End + 1, Event.size()));
+  }
+  return Lines;
+}
+
+std::string_view idOf(const std::vector<std::string_view> &Lines) {
+  for (std::string_view Line : Lines) {
+    if (!Line.starts_with(IdField))
+      continue;
+    Line.remove_prefix(IdField.size());
+    while (!Line.empty() && Line.front() == ' ')
+      Line.remove_prefix(1);
+    return Line;
   }
   return {};
 }
 
+std::optional<std::uint64_t> numberOf(std::string_view Id) {
+  std::uint64_t Number = 0;
+  auto Read = std::from_chars(Id.data(), Id.data() + Id.size(), Number);
+  if (Read.ec != std::errc() || Read.ptr != Id.data() + Id.size())
+    return std::nullopt;
+  return Number;
+}
+
+/// Whether all lines are comments, which many servers send as keep-alives.
+bool isComment(const std::vector<std::string_view> &Lines) {
+  return std::all_of(Lines.begin(), Lines.end(),
+                     [](std::string_view Line) { return Line.front() == ':'; });
+}
+
 } // namespace
 
+void EventSplitter::beginRun() {
+  Partial_.clear();
+  OutOfOrder_ = false;
+  AwaitsContinuation_ = Delivered_ > 0;
+}
+
 bool EventSplitter::accept(std::string_view Event) {
-  std::string_view Id = idOf(Event);
-  if (Id.empty())
+  const auto Lines = linesOf(Event);
+  if (isComment(Lines))
     return true;
-  std::uint64_t Number = 0;
-  auto Read = std::from_chars(Id.data(), Id.data() + Id.size(), Number);
-  if (Read.ec == std::errc() && Read.ptr == Id.data() + Id.size()) {
-    if (LastNumber_ && Number <= *LastNumber_) {
-      OutOfOrder_ = true;
-      return false;
-    }
+  std::string_view Id = idOf(Lines);
+  std::optional<std::uint64_t> Number = numberOf(Id);
+  if (Number ? LastNumber_ && *Number <= *LastNumber_ : AwaitsContinuation_)
+    return false;
+  if (Number)
     LastNumber_ = Number;
-  }
-  LastId_ = std::string(Id);
+  if (!Id.empty())
+    LastId_ = std::string(Id);
+  AwaitsContinuation_ = false;
+  ++Delivered_;
   return true;
 }
 
 std::string EventSplitter::take(std::string_view Bytes) {
+  if (OutOfOrder_)
+    return {};
   Partial_ += Bytes;
   std::string Whole;
   std::string_view Remaining = Partial_;
   for (std::size_t End = endOfEvent(Remaining); End != std::string_view::npos;
        End = endOfEvent(Remaining)) {
     std::string_view Event = Remaining.substr(0, End);
-    if (accept(Event)) {
-      Whole += Event;
-      ++Delivered_;
+    if (!accept(Event)) {
+      OutOfOrder_ = true;
+      Partial_.clear();
+      return Whole;
     }
+    Whole += Event;
     Remaining.remove_prefix(End);
   }
   Partial_.erase(0, Partial_.size() - Remaining.size());
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -518,7 +518,7 @@
       notConnected();
       return attempt();
     case AttemptEnd::Broken:
-      Record_.Attempts += " broken";
+      Record_.Attempts += Splitter_.outOfOrder() ? " out_of_order" : " broken";
       return attemptBroken();
     case AttemptEnd::NotRun:
       return refusedByPeer();
--- a/src/relay/tests/eventsplittertest.cpp
+++ b/src/relay/tests/eventsplittertest.cpp
@@ -25,12 +25,18 @@
   BOOST_TEST(Splitter.take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
 
-BOOST_AUTO_TEST_CASE(repeatedEventsAreDropped) {
+BOOST_AUTO_TEST_CASE(runThatRepeatsEventsIsNotJoined) {
   EventSplitter Splitter;
   Splitter.take("id: 1\n\nid: 2\n\n");
   Splitter.beginRun();
-  BOOST_TEST(Splitter.take("id: 2\n\nid: 3\n\n") == "id: 3\n\n");
+  BOOST_TEST(Splitter.take("id: 2\n\nid: 3\n\n").empty());
   BOOST_TEST(Splitter.outOfOrder());
+  BOOST_TEST(Splitter.take("id: 3\n\n").empty());
+  BOOST_TEST(Splitter.lastId() == "2");
+  Splitter.beginRun();
+  BOOST_TEST(!Splitter.mayEnd());
+  BOOST_TEST(Splitter.take("id: 3\n\n") == "id: 3\n\n");
+  BOOST_TEST(Splitter.mayEnd());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -141,6 +141,25 @@
   Fleet.putEndpoint(E);
 }
 
+RawServer &RelayFixture::addOtherHost(const std::string &Pool,
+                                      RawServer::Script Script) {
+  constexpr const char *Ip = "127.0.0.7";
+  Servers_.push_back(std::make_unique<RawServer>(Loop, std::move(Script), Ip));
+  const std::string Where = Servers_.back()->address();
+  Context.HostPort = Where.substr(Where.find(':') + 1);
+  HostState H;
+  H.Id = HostId("m1");
+  H.Ip = Ip;
+  H.Region = RegionId("musanze");
+  H.Ready = true;
+  Hosts.received(H);
+  constexpr unsigned Free = 6;
+  Decisions.regions().received(
+      H.Region, H.Id,
+      {poolHash(PoolName(Pool)), Duration::zero(), Free, Free, Free});
+  return *Servers_.back();
+}
+
 std::string RelayFixture::field(const std::string &Head,
                                 const std::string &Name) {
   auto At = Head.find("\r\n" + Name + ": ");
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -25,6 +25,9 @@
   void addEndpointAt(const std::string &Id, const std::string &Pool,
                      const std::string &Where);
 
+  /// Adds a host in musanze that has room in the pool and responds as scripted.
+  RawServer &addOtherHost(const std::string &Pool, RawServer::Script Script);
+
   /// The response of an endpoint that has run the request.
   static RawServer::Answer ran(const std::string &Request,
                                const std::string &Body);
--- a/src/relay/tests/requesthomestest.cpp
+++ b/src/relay/tests/requesthomestest.cpp
@@ -9,7 +9,6 @@
 
 const RegionId Kigali("kigali");
 const RegionId Musanze("musanze");
-constexpr const char *OtherIp = "127.0.0.7";
 
 /// A host in kigali that hears of another one in musanze.
 class Fixture : public testing::RelayFixture {
@@ -36,21 +35,8 @@
   }
 
   RawServer &addOtherHost() {
-    Other_ = std::make_unique<RawServer>(
-        Loop, [](const std::string &R) { return ran(R, "done"); }, OtherIp);
-    const std::string Where = Other_->address();
-    Context.HostPort = Where.substr(Where.find(':') + 1);
-    HostState H;
-    H.Id = HostId("m1");
-    H.Ip = OtherIp;
-    H.Region = Musanze;
-    H.Ready = true;
-    Hosts.received(H);
-    constexpr unsigned Free = 6;
-    Decisions.regions().received(
-        H.Region, H.Id,
-        {poolHash(PoolName("plain")), Duration::zero(), Free, Free, Free});
-    return *Other_;
+    return RelayFixture::addOtherHost(
+        "plain", [](const std::string &R) { return ran(R, "done"); });
   }
 
   /// Sends a request and returns while the connect to where it is sent is in
@@ -78,9 +64,6 @@
   }
 
   HttpServer FromHosts;
-
-private:
-  std::unique_ptr<RawServer> Other_;
 };
 
 bool hasStatus(const std::string &Answer, const char *Status) {
