Do not resume a stream after an event without a number

Cause: a resumable stream was sent again after any break, also when the last event delivered had no place that another run could go on from.

Change: EventSplitter::mayResume says whether another run can go on; the relay asks it after a break and cuts the stream off otherwise. Only numbers become Last-Event-Id.

Ruled out: refusing such streams altogether. A complete run is passed on as it is; unnumberedLastEventOfANumberedStreamIsPassedOn keeps that so.

Measured: on the code before, streamWithoutIdsIsNotResumed and streamWithOtherIdsIsNotResumed fail (2 requests sent, stream complete).

--- a/src/relay/eventsplitter.h
+++ b/src/relay/eventsplitter.h
@@ -24,8 +24,12 @@
 
   /// Bytes after the last whole event of the current run.
   const std::string &partial() const { return Partial_; }
-  /// Id of the last event delivered, as received; empty before the first.
+  /// Id of the last event delivered that has a number, as received; empty
+  /// before the first.
   const std::string &lastId() const { return LastId_; }
+  /// Whether another run can go on after the last event delivered, or from the
+  /// beginning if there was none. An event without a number has no known place.
+  bool mayResume() const { return MayResume_; }
   /// Whether the current run does not continue the stream: an event's number
   /// was not above the previous one, or the first event of a resumed run had no
   /// number.
@@ -50,6 +54,7 @@
   std::string LastId_;
   std::optional<std::uint64_t> LastNumber_;
   std::uint64_t Delivered_ = 0;
+  bool MayResume_ = true;
   bool OutOfOrder_ = false;
   /// Whether the current run has resumed the stream and no event of it has been
   /// delivered.
--- a/src/relay/internal/eventsplitter.cpp
+++ b/src/relay/internal/eventsplitter.cpp
@@ -81,10 +81,11 @@
   std::optional<std::uint64_t> Number = numberOf(Id);
   if (Number ? LastNumber_ && *Number <= *LastNumber_ : AwaitsContinuation_)
     return false;
-  if (Number)
+  if (Number) {
     LastNumber_ = Number;
-  if (!Id.empty())
     LastId_ = std::string(Id);
+  }
+  MayResume_ = Number.has_value();
   AwaitsContinuation_ = false;
   ++Delivered_;
   return true;
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -568,7 +568,8 @@
     if (Target_)
       Context_.Decisions.crashes().recordCrash(Descriptor_.Fingerprint);
     endPlacement(AttemptOutcome::Broken);
-    if (Context_.Decisions.mayRetry(Descriptor_, *Route_, Log_))
+    if (Splitter_.mayResume() &&
+        Context_.Decisions.mayRetry(Descriptor_, *Route_, Log_))
       return attempt();
     giveUp(false, "endpoint_broke_off");
   }
--- a/src/relay/tests/resumedstreamtest.cpp
+++ b/src/relay/tests/resumedstreamtest.cpp
@@ -201,6 +201,29 @@
   BOOST_TEST(Sent.size() == 3U);
 }
 
+// ORDER: events without ids came twice.
+BOOST_AUTO_TEST_CASE(streamWithoutIdsIsNotResumed) {
+  First = [](const std::string &R) {
+    return RawServer::Answer{streamHead(R) + renderChunk("data: a\n\n"), true,
+                             false};
+  };
+  ReceivedStream Got = play({stream("data: a\n\ndata: b\n\n")});
+  BOOST_TEST(Got.Body == "data: a\n\n");
+  BOOST_TEST(!Got.Complete);
+  BOOST_TEST(Sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(streamWithOtherIdsIsNotResumed) {
+  First = [](const std::string &R) {
+    return RawServer::Answer{streamHead(R) + renderChunk("id: x\ndata: a\n\n"),
+                             true, false};
+  };
+  ReceivedStream Got = play({stream("id: x\ndata: a\n\n")});
+  BOOST_TEST(Got.Body == "id: x\ndata: a\n\n");
+  BOOST_TEST(!Got.Complete);
+  BOOST_TEST(Sent.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(unnumberedLastEventOfANumberedStreamIsPassedOn) {
   const std::string Done = "data: [DONE]\n\n";
   First = stream(FirstEvents + Done);
