Take a stream that leaves the form of events for broken off

Cause: streamEnded passed on what was left after the last whole event, and the splitter took any lines before an empty line for an event. A body without a length gives the parser nothing by which it could tell an error head from the events.

Change: once a stream has numbered events, lines without a number that have neither "data:" nor "event:" end the run as broken off, and so does a body that ends inside an event, whatever its framing says. Comments and empty lines may follow the last event. Streams without numbers are passed on as before.

Ruled out: taking the proper end of the framing for the end of the stream.

Measured: on the code before, streamThatEndsInsideAnEventIsNotComplete, streamThatEndsInsideAnEventIsResumed and errorHeadInsideAnUnframedStreamIsNotPassedOn fail. With the change test_relay passes (92 tests).

--- a/src/relay/eventsplitter.h
+++ b/src/relay/eventsplitter.h
@@ -31,12 +31,13 @@
   /// beginning if there was none. An event without a number has no known place.
   bool mayResume() const { return MayResume_; }
   /// Whether the current run does not continue the stream: an event's number
-  /// was not above the previous one, or the first event of a resumed run had no
-  /// number.
+  /// was not above the previous one, the first event of a resumed run had no
+  /// number, or data that is no event followed a numbered event.
   bool outOfOrder() const { return OutOfOrder_; }
-  /// Whether the stream may end here. A resumed run without any event is not
-  /// known to be the rest of the stream.
-  bool mayEnd() const { return !OutOfOrder_ && !AwaitsContinuation_; }
+  /// Whether the stream may end here. A numbered stream does not end inside an
+  /// event, and a resumed run without any event is not known to be the rest of
+  /// the stream.
+  bool mayEnd() const;
   /// Whether the incomplete event exceeds MaxEventBytes, so that the data is
   /// not an event stream.
   bool isEndless() const { return Partial_.size() > MaxEventBytes; }
--- a/src/relay/internal/eventsplitter.cpp
+++ b/src/relay/internal/eventsplitter.cpp
@@ -65,8 +65,20 @@
                      [](std::string_view Line) { return Line.front() == ':'; });
 }
 
+/// Whether the lines have a field that an event consists of.
+bool isEvent(const std::vector<std::string_view> &Lines) {
+  return std::any_of(Lines.begin(), Lines.end(), [](std::string_view Line) {
+    return Line.starts_with("data:") || Line.starts_with("event:");
+  });
+}
+
 } // namespace
 
+bool EventSplitter::mayEnd() const {
+  bool InsideEvent = LastNumber_ && !isComment(linesOf(Partial_));
+  return !OutOfOrder_ && !AwaitsContinuation_ && !InsideEvent;
+}
+
 void EventSplitter::beginRun() {
   Partial_.clear();
   OutOfOrder_ = false;
@@ -79,7 +91,10 @@
     return true;
   std::string_view Id = idOf(Lines);
   std::optional<std::uint64_t> Number = numberOf(Id);
-  if (Number ? LastNumber_ && *Number <= *LastNumber_ : AwaitsContinuation_)
+  bool Continues =
+      Number ? !LastNumber_ || *Number > *LastNumber_
+             : !AwaitsContinuation_ && (!LastNumber_ || isEvent(Lines));
+  if (!Continues)
     return false;
   if (Number) {
     LastNumber_ = Number;
--- a/src/relay/tests/eventsplittertest.cpp
+++ b/src/relay/tests/eventsplittertest.cpp
@@ -39,4 +39,21 @@
   BOOST_TEST(Splitter.mayEnd());
 }
 
+BOOST_AUTO_TEST_CASE(numberedStreamDoesNotEndInsideAnEvent) {
+  for (const char *Tail : {"id: 2\nda", "id: 2\ndata: b\n", "<html>", "i"}) {
+    EventSplitter Splitter;
+    Splitter.take("id: 1\n\n");
+    BOOST_TEST(Splitter.mayEnd());
+    Splitter.take(Tail);
+    BOOST_TEST(!Splitter.mayEnd(), Tail);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(commentsAndEmptyLinesMayFollowTheLastEvent) {
+  EventSplitter Splitter;
+  const std::string Stream = "id: 1\n\n\n: end\r\n";
+  BOOST_TEST(Splitter.take(Stream) + Splitter.partial() == Stream);
+  BOOST_TEST(Splitter.mayEnd());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/tests/resumedstreamtest.cpp
+++ b/src/relay/tests/resumedstreamtest.cpp
@@ -237,6 +237,31 @@
   BOOST_TEST(Sent.size() == 1U);
 }
 
+// ORDER: an incomplete last event was passed on and the stream ended.
+BOOST_AUTO_TEST_CASE(streamThatEndsInsideAnEventIsNotComplete) {
+  First = stream(FirstEvents + "id: 3\nda");
+  expectCutAfterFirstEvents(play({}));
+}
+
+BOOST_AUTO_TEST_CASE(streamThatEndsInsideAnEventIsResumed) {
+  First = stream(FirstEvents + "id: 3\nda");
+  ReceivedStream Got = play({stream(eventText(3))});
+  BOOST_TEST(Got.Body == FirstEvents + eventText(3));
+  BOOST_TEST(Got.Complete);
+}
+
+// MIXED: the head of an error was passed on inside a stream without a length.
+BOOST_AUTO_TEST_CASE(errorHeadInsideAnUnframedStreamIsNotPassedOn) {
+  First = [](const std::string &R) {
+    return RawServer::Answer{
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + field(R, "Request-Id") +
+            "\r\nSignature: s\r\n\r\n" + FirstEvents +
+            whole("500 Oops", "", HtmlText)(R).Bytes,
+        true, false};
+  };
+  expectCutAfterFirstEvents(play({}));
+}
+
 BOOST_AUTO_TEST_CASE(errorHeadInsideAFramedStreamIsNotPassedOn) {
   First = [](const std::string &R) {
     // The long event moves the error into a later read than the first events.
