--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -518,7 +518,7 @@
       notConnected();
       return attempt();
     case AttemptEnd::Broken:
-      Record_.Attempts += " broken";
+      Record_.Attempts += Splitter_.outOfOrder() ? " out_of_order" : " broken";
       return attemptBroken();
     case AttemptEnd::NotRun:
       return refusedByPeer();
@@ -568,7 +568,8 @@
     if (Target_)
       Context_.Decisions.crashes().recordCrash(Descriptor_.Fingerprint);
     endPlacement(AttemptOutcome::Broken);
-    if (Context_.Decisions.mayRetry(Descriptor_, *Route_, Log_))
+    if (Splitter_.mayResume() &&
+        Context_.Decisions.mayRetry(Descriptor_, *Route_, Log_))
       return attempt();
     giveUp(false, "endpoint_broke_off");
   }
