Take a response without an id only as the first on its connection

Cause: only connections out of the pool counted as used; one on which a response was skipped did not. And the rule held for refusals and successes only. Change: a skipped response marks the connection as used, too; any response without an id on a used connection is invalid. Ruled out: believing no refusal without an id at all; a host's refusal of a new connection has none, and no older word can be on that connection.

--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -69,7 +69,8 @@
   virtual ~HttpCall() = default;
   /// Closes the connection. No hook is called afterwards.
   virtual void cancel() = 0;
-  /// Whether the call uses a connection that has already served other calls.
+  /// Whether the call uses a connection that has already served other calls, or
+  /// that has delivered a response to another request.
   virtual bool isReused() const = 0;
 };
 
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -76,7 +76,7 @@
     close();
   }
 
-  bool isReused() const override { return Reused_; }
+  bool isReused() const override { return Reused_ || SkippedOther_; }
 
 private:
   /// Determines what may happen next. Each handler checks it, because the
@@ -221,6 +221,7 @@
       return State_ != State::Ended;
     case HeadVerdict::Skip:
       Skipping_ = true;
+      SkippedOther_ = true;
       return State_ != State::Ended;
     case HeadVerdict::Invalid:
       break;
@@ -292,6 +293,8 @@
   bool HeadSeen_ = false;
   bool Skipping_ = false;
   bool Reused_ = false;
+  /// Whether a response to another request was skipped.
+  bool SkippedOther_ = false;
   unsigned Skipped_ = 0;
 };
 
--- a/src/relay/internal/responsehead.cpp
+++ b/src/relay/internal/responsehead.cpp
@@ -34,10 +34,11 @@
   auto ReceivedId = findField(Head.Fields, Names.RequestId);
   if (ReceivedId && *ReceivedId != Id.str())
     return ResponseKind::OtherRequest;
+  // It may belong to another request on the connection.
+  if (!ReceivedId && Source.Reused)
+    return ResponseKind::Invalid;
   if (reportsNotRun(Head, Names, Source))
-    // Without an id it may belong to another request on the connection.
-    return ReceivedId || !Source.Reused ? ResponseKind::NotRun
-                                        : ResponseKind::Invalid;
+    return ResponseKind::NotRun;
   bool Success = Head.Status >= FirstSuccess && Head.Status <= LastSuccess;
   if (Success && (!ReceivedId || !findField(Head.Fields, Names.Signature)))
     return ResponseKind::Invalid;
--- a/src/relay/internal/responsehead.h
+++ b/src/relay/internal/responsehead.h
@@ -26,7 +26,7 @@
   /// endpoint's response; otherwise it is an endpoint.
   bool Host = false;
   /// The connection has already served other requests, so a late duplicate of
-  /// one of their responses may arrive on it.
+  /// one of their responses may arrive on it, or such a response has arrived.
   bool Reused = false;
 };
 
--- a/src/relay/tests/responseheadtest.cpp
+++ b/src/relay/tests/responseheadtest.cpp
@@ -72,6 +72,12 @@
                 ResponseKind::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(responseWithoutIdOnAUsedConnectionIsInvalid) {
+  for (unsigned Status : {200U, 302U, 400U, 404U, 413U, 421U, 500U, 503U})
+    for (ResponseSource Source : {UsedEndpoint, UsedHost})
+      BOOST_TEST((kindOf(Status, {}, Source) == ResponseKind::Invalid));
+}
+
 // Endpoints and hosts state with different fields that a request has not run. A
 // field of the other kind must have no effect.
 BOOST_AUTO_TEST_CASE(notRunFieldOfTheOtherKindIsIgnored) {
--- /dev/null
+++ b/src/relay/tests/staleresponsetest.cpp
@@ -0,0 +1,64 @@
+#include <boost/test/unit_test.hpp>
+
+#include "relay/tests/relayfixture.h"
+
+using namespace celerybeam;
+using testing::RawServer;
+
+namespace {
+
+/// An endpoint's statement that it has not run a request; without an id if that
+/// is empty.
+std::string refusal(const std::string &Id) {
+  std::string IdLine = Id.empty() ? "" : "Request-Id: " + Id + "\r\n";
+  return "HTTP/1.1 503 No\r\n" + IdLine +
+         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Two endpoints that write the same bytes before, or instead of, their
+/// response to each request, and a clock that stands still.
+class FaultyEndpoints : public testing::RelayFixture {
+public:
+  using Bytes = std::function<std::string(const std::string &Request)>;
+
+  FaultyEndpoints()
+      : RelayFixture([] { return TimePoint(std::chrono::seconds(1000)); }) {}
+
+  void addBoth(const Bytes &Written) {
+    for (const char *Id : {"a", "b"})
+      Endpoints_.push_back(
+          &addEndpoint(Id, "plain", [Written](const std::string &R) {
+            return RawServer::Answer{Written(R), false, false};
+          }));
+  }
+
+  /// Sends a request and runs it to its end. \return the caller's status.
+  unsigned statusOf(const std::string &Request) {
+    std::size_t Before = Done.size();
+    testing::RawCaller C(Loop, Front.address().str(), Request);
+    testing::runUntil(Loop, [&] { return Done.size() > Before; });
+    return Done.back().Status;
+  }
+
+  std::size_t sent() const {
+    std::size_t Sum = 0;
+    for (const RawServer *E : Endpoints_)
+      Sum += E->Requests.size();
+    return Sum;
+  }
+
+private:
+  std::vector<RawServer *> Endpoints_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StaleResponseTests, FaultyEndpoints)
+
+BOOST_AUTO_TEST_CASE(refusalWithoutIdAfterASkippedResponseIsInvalid) {
+  addBoth([](const std::string &) { return refusal("other") + refusal(""); });
+  BOOST_TEST(statusOf(request("book")) == 502U);
+  BOOST_TEST(sent() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
