Take a response with the ids of two requests for none of theirs

Cause: only the first id field of a head was read. Change: all are read; a response with this request's id and another is invalid. The same id twice is one id. Ruled out: skipping such a response; it may be the only one. No endpoint is known to send this.

--- a/src/relay/internal/responsehead.cpp
+++ b/src/relay/internal/responsehead.cpp
@@ -31,20 +31,24 @@
 ResponseKind classifyResponse(const HttpResponseHead &Head,
                               const WireNames &Names, const RequestId &Id,
                               ResponseSource Source) {
-  auto ReceivedId = findField(Head.Fields, Names.RequestId);
-  if (ReceivedId && *ReceivedId != Id.str())
-    return ResponseKind::OtherRequest;
+  bool OwnId = false;
+  bool OtherId = false;
+  for (const HttpField &F : Head.Fields)
+    if (sameFieldName(F.Name, Names.RequestId))
+      (F.Value == Id.str() ? OwnId : OtherId) = true;
+  if (OtherId)
+    return OwnId ? ResponseKind::Invalid : ResponseKind::OtherRequest;
   // It may belong to another request on the connection.
-  if (!ReceivedId && Source.Reused)
+  if (!OwnId && Source.Reused)
     return ResponseKind::Invalid;
   if (reportsNotRun(Head, Names, Source))
     return ResponseKind::NotRun;
   bool Success = Head.Status >= FirstSuccess && Head.Status <= LastSuccess;
-  if (Success && (!ReceivedId || !findField(Head.Fields, Names.Signature)))
+  if (Success && (!OwnId || !findField(Head.Fields, Names.Signature)))
     return ResponseKind::Invalid;
   // A host that forwards a response, or gives up after a run, always sends the
   // request's id.
-  if (Source.Host && !ReceivedId)
+  if (Source.Host && !OwnId)
     return ResponseKind::Invalid;
   if (findField(Head.Fields, "Content-Encoding"))
     return ResponseKind::Invalid;
--- a/src/relay/internal/responsehead.h
+++ b/src/relay/internal/responsehead.h
@@ -15,8 +15,9 @@
   /// It belongs to an earlier request on the connection.
   OtherRequest,
   /// Cannot be used as the response: a success without the request's id or
-  /// without a signature, a body that was recoded on the way, or a response
-  /// without an id that may belong to another request or be a host's own.
+  /// without a signature, a body that was recoded on the way, a response with
+  /// the ids of two requests, or one without an id that may belong to another
+  /// request or be a host's own.
   Invalid,
 };
 
--- a/src/relay/tests/responseheadtest.cpp
+++ b/src/relay/tests/responseheadtest.cpp
@@ -72,6 +72,18 @@
                 ResponseKind::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(responseWithIdsOfTwoRequestsIsInvalid) {
+  for (ResponseSource Source : {Endpoint, UsedEndpoint, Host, UsedHost})
+    for (const HttpFields &Ids :
+         {HttpFields{OwnId, OtherId}, HttpFields{OtherId, OwnId}})
+      for (const HttpField &Claim : {NotExecuted, NotRunBetweenHosts, Signed})
+        BOOST_TEST(
+            (kindOf(Claim.Name == Signed.Name ? 200 : 503,
+                    {Ids[0], Claim, Ids[1]}, Source) == ResponseKind::Invalid));
+  BOOST_TEST((kindOf(503, {OwnId, OwnId, NotExecuted}, UsedEndpoint) ==
+              ResponseKind::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(responseWithoutIdOnAUsedConnectionIsInvalid) {
   for (unsigned Status : {200U, 302U, 400U, 404U, 413U, 421U, 500U, 503U})
     for (ResponseSource Source : {UsedEndpoint, UsedHost})
