Keep the fields of a trailer out of a response's head

What callers saw (REFUSED, TWICE): a failed booking whose chunked response had the fields of a refusal in its trailer went to a second endpoint, or was answered 503, if the whole response arrived in one read; in two reads it was a failure. Cause: the parser adds trailer fields to the head, and the head was copied only after the parser had consumed all that had arrived. Change: the parser copies the head when it ends; the keep-alive time is read from that copy, too. Measured: trailerFieldsDoNotMakeARefusal red before (503 for 502, sent to 2 endpoints for 1), test_relay green now.

--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -25,21 +25,28 @@
 /// it.
 constexpr Duration CloseMargin = std::chrono::milliseconds(700);
 
-using Parser = http::response_parser<http::string_body>;
-
-HttpResponseHead headOf(const Parser &P) {
-  HttpResponseHead Head;
-  Head.Status = P.get().result_int();
-  for (const auto &Field : P.get())
-    Head.Fields.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  return Head;
-}
+/// A parser that keeps the head as it was before the fields of a trailer were
+/// added to it.
+class Parser : public http::response_parser<http::string_body> {
+public:
+  const HttpResponseHead &head() const { return Head_; }
+
+private:
+  void on_header_impl(ErrorCode &Error) override {
+    Error = {};
+    Head_.Status = get().result_int();
+    for (const auto &Field : get())
+      Head_.Fields.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
+  }
+
+  HttpResponseHead Head_;
+};
 
 /// The keep-alive time that the response states; unset if it states none.
-std::optional<Duration> keepAliveOf(const Parser &P) {
-  std::string_view Text(P.get()["Keep-Alive"].data(),
-                        P.get()["Keep-Alive"].size());
+std::optional<Duration> keepAliveOf(const HttpResponseHead &Head) {
+  std::string_view Text =
+      findField(Head.Fields, "Keep-Alive").value_or(std::string_view());
   auto At = Text.find("timeout=");
   if (At == std::string_view::npos)
     return std::nullopt;
@@ -216,7 +223,7 @@
     }
     if (!Hooks_.Head)
       return true;
-    switch (Hooks_.Head(headOf(*Parser_))) {
+    switch (Hooks_.Head(Parser_->head())) {
     case HeadVerdict::Accept:
       return State_ != State::Ended;
     case HeadVerdict::Skip:
@@ -251,7 +258,7 @@
     // Bytes after the response belong to no request; the connection is then not
     // reused.
     if (KeepAlive && Written_ && Channel_->Buffer.size() == 0) {
-      if (auto KeepAliveTime = keepAliveOf(*Parser_))
+      if (auto KeepAliveTime = keepAliveOf(Parser_->head()))
         Channel_->KeepAliveFor = *KeepAliveTime - CloseMargin;
       Pool_->put(Request_.To, std::move(Channel_));
     }
--- a/src/relay/tests/staleresponsetest.cpp
+++ b/src/relay/tests/staleresponsetest.cpp
@@ -61,4 +61,14 @@
   BOOST_TEST(sent() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(trailerFieldsDoNotMakeARefusal) {
+  addBoth([](const std::string &R) {
+    return "HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n"
+           "0\r\nRequest-Id: " +
+           field(R, "Request-Id") + "\r\nNot-Executed: 1\r\n\r\n";
+  });
+  BOOST_TEST(statusOf(request("book")) == 502U);
+  BOOST_TEST(sent() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
