Skip no response for a HEAD request, and keep none of its connections

What callers saw (REFUSED, TWICE): a HEAD booking was sent to a second endpoint, or answered 503, because the body of a response to another request was read as the next response on the connection. Cause: whether a response has a body depends on the method of its request. A skipped response was read with the method of the request under way: its body was left in the stream for a HEAD request, and a late copy of a HEAD request's response would swallow as many bytes of the next one. Change: a response to another request ends a HEAD call as Broken, and the connection of a HEAD call goes to no other call. Ruled out: remembering the methods used on a connection; HEAD requests are rare. Measured: headRequestDoesNotSkipAResponse (503 for 502, sent to 2 endpoints for 1) and connectionOfAHeadRequestIsNotReused red before, test_relay green now.

--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -160,6 +160,11 @@
     read();
   }
 
+  /// Responses to HEAD requests have a length and no body. Without the method
+  /// of its request, the end of a response is unknown; so no response is
+  /// skipped for such a request, and its connection serves no other call.
+  bool isHead() const { return Request_.Head.Method == "HEAD"; }
+
   void startParser() {
     Parser_ = std::make_unique<Parser>();
     Parser_->header_limit(MaxHeadBytes);
@@ -167,7 +172,7 @@
     // error when a head ends exactly at the end of a read.
     Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     Parser_->eager(true);
-    Parser_->skip(Request_.Head.Method == "HEAD");
+    Parser_->skip(isHead());
     HeadSeen_ = false;
     Skipping_ = false;
   }
@@ -227,6 +232,8 @@
     case HeadVerdict::Accept:
       return State_ != State::Ended;
     case HeadVerdict::Skip:
+      if (isHead())
+        break;
       Skipping_ = true;
       SkippedOther_ = true;
       return State_ != State::Ended;
@@ -257,7 +264,7 @@
     }
     // Bytes after the response belong to no request; the connection is then not
     // reused.
-    if (KeepAlive && Written_ && Channel_->Buffer.size() == 0) {
+    if (KeepAlive && Written_ && !isHead() && Channel_->Buffer.size() == 0) {
       if (auto KeepAliveTime = keepAliveOf(Parser_->head()))
         Channel_->KeepAliveFor = *KeepAliveTime - CloseMargin;
       Pool_->put(Request_.To, std::move(Channel_));
--- a/src/relay/tests/staleresponsetest.cpp
+++ b/src/relay/tests/staleresponsetest.cpp
@@ -15,6 +15,11 @@
          "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+std::string withLength(const std::string &Head, const std::string &Body) {
+  return Head + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
 /// Two endpoints that write the same bytes before, or instead of, their
 /// response to each request, and a clock that stands still.
 class FaultyEndpoints : public testing::RelayFixture {
@@ -51,6 +56,9 @@
   std::vector<RawServer *> Endpoints_;
 };
 
+/// The same request as another method without a body in its response.
+std::string asHead(const std::string &Post) { return "HEAD" + Post.substr(4); }
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(StaleResponseTests, FaultyEndpoints)
@@ -71,4 +79,25 @@
   BOOST_TEST(sent() == 1U);
 }
 
+// Whether a skipped response has a body depends on the method of its request.
+BOOST_AUTO_TEST_CASE(headRequestDoesNotSkipAResponse) {
+  addBoth([](const std::string &R) {
+    return withLength("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n",
+                      refusal(field(R, "Request-Id")));
+  });
+  BOOST_TEST(statusOf(asHead(request("book"))) == 502U);
+  BOOST_TEST(sent() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(connectionOfAHeadRequestIsNotReused) {
+  addBoth([](const std::string &R) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + field(R, "Request-Id") +
+           "\r\nSignature: s\r\nContent-Length: 4\r\n\r\n";
+  });
+  for (unsigned Made : {1U, 2U}) {
+    BOOST_TEST(statusOf(asHead(request("look"))) == 200U);
+    BOOST_TEST(Caller.connectionsMade() == Made);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
