--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -25,21 +25,28 @@
 /// it.
 constexpr Duration CloseMargin = std::chrono::milliseconds(700);
 
-using Parser = http::response_parser<http::string_body>;
-
-HttpResponseHead headOf(const Parser &P) {
-  HttpResponseHead Head;
-  Head.Status = P.get().result_int();
-  for (const auto &Field : P.get())
-    Head.Fields.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  return Head;
-}
+/// A parser that keeps the head as it was before the fields of a trailer were
+/// added to it.
+class Parser : public http::response_parser<http::string_body> {
+public:
+  const HttpResponseHead &head() const { return Head_; }
+
+private:
+  void on_header_impl(ErrorCode &Error) override {
+    Error = {};
+    Head_.Status = get().result_int();
+    for (const auto &Field : get())
+      Head_.Fields.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
+  }
+
+  HttpResponseHead Head_;
+};
 
 /// The keep-alive time that the response states; unset if it states none.
-std::optional<Duration> keepAliveOf(const Parser &P) {
-  std::string_view Text(P.get()["Keep-Alive"].data(),
-                        P.get()["Keep-Alive"].size());
+std::optional<Duration> keepAliveOf(const HttpResponseHead &Head) {
+  std::string_view Text =
+      findField(Head.Fields, "Keep-Alive").value_or(std::string_view());
   auto At = Text.find("timeout=");
   if (At == std::string_view::npos)
     return std::nullopt;
@@ -76,7 +83,7 @@
     close();
   }
 
-  bool isReused() const override { return Reused_; }
+  bool isReused() const override { return Reused_ || SkippedOther_; }
 
 private:
   /// Determines what may happen next. Each handler checks it, because the
@@ -153,6 +160,11 @@
     read();
   }
 
+  /// Responses to HEAD requests have a length and no body. Without the method
+  /// of its request, the end of a response is unknown; so no response is
+  /// skipped for such a request, and its connection serves no other call.
+  bool isHead() const { return Request_.Head.Method == "HEAD"; }
+
   void startParser() {
     Parser_ = std::make_unique<Parser>();
     Parser_->header_limit(MaxHeadBytes);
@@ -160,7 +172,7 @@
     // error when a head ends exactly at the end of a read.
     Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     Parser_->eager(true);
-    Parser_->skip(Request_.Head.Method == "HEAD");
+    Parser_->skip(isHead());
     HeadSeen_ = false;
     Skipping_ = false;
   }
@@ -216,11 +228,14 @@
     }
     if (!Hooks_.Head)
       return true;
-    switch (Hooks_.Head(headOf(*Parser_))) {
+    switch (Hooks_.Head(Parser_->head())) {
     case HeadVerdict::Accept:
       return State_ != State::Ended;
     case HeadVerdict::Skip:
+      if (isHead())
+        break;
       Skipping_ = true;
+      SkippedOther_ = true;
       return State_ != State::Ended;
     case HeadVerdict::Invalid:
       break;
@@ -249,8 +264,8 @@
     }
     // Bytes after the response belong to no request; the connection is then not
     // reused.
-    if (KeepAlive && Written_ && Channel_->Buffer.size() == 0) {
-      if (auto KeepAliveTime = keepAliveOf(*Parser_))
+    if (KeepAlive && Written_ && !isHead() && Channel_->Buffer.size() == 0) {
+      if (auto KeepAliveTime = keepAliveOf(Parser_->head()))
         Channel_->KeepAliveFor = *KeepAliveTime - CloseMargin;
       Pool_->put(Request_.To, std::move(Channel_));
     }
@@ -292,6 +307,8 @@
   bool HeadSeen_ = false;
   bool Skipping_ = false;
   bool Reused_ = false;
+  /// Whether a response to another request was skipped.
+  bool SkippedOther_ = false;
   unsigned Skipped_ = 0;
 };
 
--- a/src/relay/internal/responsehead.h
+++ b/src/relay/internal/responsehead.h
@@ -15,8 +15,9 @@
   /// It belongs to an earlier request on the connection.
   OtherRequest,
   /// Cannot be used as the response: a success without the request's id or
-  /// without a signature, a body that was recoded on the way, or a response
-  /// without an id that may belong to another request or be a host's own.
+  /// without a signature, a body that was recoded on the way, a response with
+  /// the ids of two requests, or one without an id that may belong to another
+  /// request or be a host's own.
   Invalid,
 };
 
@@ -26,7 +27,7 @@
   /// endpoint's response; otherwise it is an endpoint.
   bool Host = false;
   /// The connection has already served other requests, so a late duplicate of
-  /// one of their responses may arrive on it.
+  /// one of their responses may arrive on it, or such a response has arrived.
   bool Reused = false;
 };
 
