--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -73,6 +73,10 @@
   virtual bool isReused() const = 0;
 };
 
+/// Whether a call to this address can connect: it is the IP address of one host
+/// and a port, without a zone id or brackets.
+bool isCallable(const Address &To);
+
 /// Makes HTTP calls and pools idle connections. Never resends a request by
 /// itself.
 class HttpCaller {
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -297,6 +297,14 @@
 
 } // namespace
 
+bool isCallable(const Address &To) {
+  // A zone id may hold any characters, which then go into header fields.
+  bool Plain = To.str().find('%') == std::string::npos;
+  auto Where = parseEndpoint(To);
+  return Plain && Where && Where->port() != 0 &&
+         !Where->address().is_unspecified() && !Where->address().is_multicast();
+}
+
 class HttpCaller::Impl {
 public:
   explicit Impl(EventLoop &Loop)
--- a/tests/fuzz/rowsfuzz.cpp
+++ b/tests/fuzz/rowsfuzz.cpp
@@ -4,6 +4,7 @@
 #include "fleet/fleetview.h"
 #include "fuzzing.h"
 #include "platform/tabledecoder.h"
+#include "relay/httpcaller.h"
 #include "support/virtualtime.h"
 
 using namespace celerybeam;
@@ -19,6 +20,7 @@
   if (!Entry)
     return expect(!Entry.error().Message.empty(), "a refusal says why");
   expect(Entry->Region == RegionId("r"), "it lies in its zone's region");
+  expect(isCallable(Entry->Where) && Entry->Slots > 0, "it can be used");
   Fleet.putEndpoint(*Entry);
   Fleet.removeEndpoint(Entry->Id, std::chrono::seconds(1));
 }
