Show that an endpoint that is never reached costs few attempts

An entry of another writer may name a well-formed address at which nothing answers. No fault was found: the first attempt makes it suspect, its health checks fail, and from then on one repeatable request each 2 s tries it; the request goes on to another endpoint, and a booking is sent there at most once. An attempt without a connection counts as no run.

Measured: endpointThatIsNeverReachedCostsFewAttempts passes on the code as it is: at most 11 of 2,000 requests in 20 s of virtual time, at most one booking.

--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -390,6 +390,40 @@
   BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
 }
 
+// An entry may name an address at which nothing ever answers. After the first
+// attempt only a trial goes there now and then, and never a booking.
+BOOST_AUTO_TEST_CASE(endpointThatIsNeverReachedCostsFewAttempts) {
+  FleetEndpoint Dead = addEndpoint("a", "plain");
+  addEndpoint("b", "plain");
+  unsigned Bookable = 0;
+  unsigned Attempts = 0;
+  for (int I = 0; I < 2000; ++I) {
+    const FleetRoute &Route = I % 2 == 0 ? LookUps : Bookings;
+    RequestDescriptor R = request(0);
+    AttemptLog Log;
+    DispatchDecision D = Decisions.choose(R, Route, Log);
+    for (auto *At = std::get_if<ServeAt>(&D); At != nullptr;
+         At = std::get_if<ServeAt>(&D)) {
+      DispatchId Id = Decisions.begin(R, Route, *At, Log);
+      bool Reached = At->Endpoint.Key != Dead.Key;
+      Decisions.end(
+          *At, Id, Reached ? AttemptOutcome::Answered : AttemptOutcome::Broken);
+      Attempts += Reached ? 0 : 1;
+      Bookable += !Reached && !mayRepeat(Route.Kind) ? 1 : 0;
+      if (Reached)
+        break;
+      D = Decisions.choose(R, Route, Log);
+    }
+    BOOST_TEST(is<ServeAt>(D));
+    for (const EndpointKey &Key : Decisions.health().dueForCheck())
+      Decisions.health().recordCheck(Key, Key != Dead.Key);
+    Time.runFor(10ms);
+  }
+  // One at first and one each TrialAfter, in 20 s.
+  BOOST_TEST(Attempts <= 11U);
+  BOOST_TEST(Bookable <= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(plainServiceTakesOneRequestPerSlot) {
   addEndpoint("a", "plain");
   BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
