Count the slots of the endpoints that serve, each its own

What callers saw: nothing yet; requests of a service are queued until their time is up instead of being refused or forwarded while another has room.

Cause: the wait in the queue was predicted for as many slots as the first endpoint of the pool has, times the endpoints, whether they serve or not. One entry that sorts first and has many slots, even of an endpoint that was given up, makes the wait of its pool look like none.

Change: the slots are summed over the endpoints that get ordinary requests, as `outlook` tells them apart already. An engine counts as one slot, as before.

Ruled out: bounding slots at the entry alone: 65,536 pass there, and an endpoint that is down counted with any number.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -480,11 +480,18 @@
     return Wait;
   }
 
+  /// Whether requests other than trials are sent to it.
+  bool serves(const EndpointKey &Key) const {
+    return Health_.isTrusted(Key) || Health_.isLastResort(Key);
+  }
+
+  /// Slots of the endpoints that serve; an engine counts as one.
   std::size_t slotsOf(const FleetPool &Pool) const {
-    auto Endpoints = placeableEndpoints(Pool.Name);
-    if (Pool.Engine || Endpoints.empty())
-      return Endpoints.size();
-    return Endpoints.size() * std::max(1U, Endpoints.front()->Slots);
+    std::size_t Slots = 0;
+    for (const FleetEndpoint *E : placeableEndpoints(Pool.Name))
+      if (serves(E->Key))
+        Slots += Pool.Engine ? 1 : std::max(1U, E->Slots);
+    return Slots;
   }
 
   void addSlots(const FleetEndpoint &E, const FleetPool &Pool,
@@ -648,9 +655,8 @@
     Duration Sum{};
     for (const FleetEndpoint *E :
          Impl_->Fleet_.usable(Name, Impl_->Hosts_.self().Region)) {
-      bool Serves = Impl_->Health_.isTrusted(E->Key) ||
-                    Impl_->Health_.isLastResort(E->Key);
-      if (!Serves || !Impl_->owns(E->Key) || Impl_->isCold(*E, Pool))
+      if (!Impl_->serves(E->Key) || !Impl_->owns(E->Key) ||
+          Impl_->isCold(*E, Pool))
         continue;
       Prediction P = Impl_->Predictor_.predict(*E, Pool, {}, Ordinary);
       Sum += P.Wait;
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -424,6 +424,36 @@
   BOOST_TEST(Bookable <= 1U);
 }
 
+BOOST_AUTO_TEST_CASE(slotsOfOneEndpointSayNothingOfTheOthers) {
+  auto countAdmitted = [](testing::DispatchFixture &Host) {
+    unsigned Admitted = 0;
+    for (int I = 0; I < 1000; ++I) {
+      DispatchDecision D = Host.send(Host.request(0), LookUps);
+      Admitted += is<Refusal>(D) ? 0 : 1;
+      if (const auto *Wait = std::get_if<Enqueue>(&D)) {
+        QueuedRequest Queued;
+        Queued.Pool = PoolName("plain");
+        Queued.Rank = Wait->Rank;
+        Queued.OnTimeUntil = Wait->OnTimeUntil;
+        Queued.ReevaluateAt = Wait->ReevaluateAt;
+        Queued.Occupancy = Wait->Occupancy;
+        Host.Decisions.queue().add(Queued);
+      }
+    }
+    return Admitted;
+  };
+  testing::DispatchFixture Alone;
+  Alone.addEndpoint("b", "plain");
+  addEndpoint("b", "plain");
+  FleetEndpoint Odd = addEndpoint("a", "plain");
+  Odd.Slots = 1U << 16U;
+  View.putEndpoint(Odd);
+  Decisions.health().markSuspect(Odd.Key);
+  unsigned Possible = countAdmitted(Alone);
+  BOOST_TEST(Possible < 1000U);
+  BOOST_TEST(countAdmitted(*this) <= 2 * Possible);
+}
+
 BOOST_AUTO_TEST_CASE(plainServiceTakesOneRequestPerSlot) {
   addEndpoint("a", "plain");
   BOOST_TEST(is<ServeAt>(send(request(0), Bookings)));
