Show with real processes that odd entries end no host

Two hosts read, watch and pass on ten odd entries: 1 MiB of opening brackets, a number too large, bytes that are no text, keys with odd characters, and addresses, starts and slots out of range. They go on, use no runner of these and follow the removal and the return of the only good one.

--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -86,12 +86,33 @@
     Store.put("op/config", Tables.dump());
   }
 
+  json entry() const {
+    return {{"backend", "app"},     {"address", Endpoint.address().str()},
+            {"zone", "north-a"},    {"slots", 6},
+            {"state", "ready"},     {"coldRemainingMs", 0},
+            {"born", 1700000000000}};
+  }
+
   void putEndpoint(const std::string &Id) {
-    json Entry = {{"backend", "app"},     {"address", Endpoint.address().str()},
-                  {"zone", "north-a"},    {"slots", 6},
-                  {"state", "ready"},     {"coldRemainingMs", 0},
-                  {"born", 1700000000000}};
-    Store.put("servers/" + Id, Entry.dump());
+    Store.put("servers/" + Id, entry().dump());
+  }
+
+  /// Writes what another writer may leave among the endpoints' entries.
+  void putOddEntries() {
+    constexpr std::size_t Levels = 1U << 20U;
+    Store.put("servers/a1", std::string(Levels, '['));
+    Store.put("servers/a2", "{\"backend\":\"app\",\"slots\":1e400}");
+    Store.put("servers/a3", "\xff\xfe{");
+    Store.put("servers/a4 &after=x", entry().dump());
+    Store.put("servers/a5\r\nX: 1", entry().dump());
+    Store.put("servers/", entry().dump());
+    for (const json &Odd :
+         {json{{"address", "127.0.0.1:99999999999"}}, json{{"born", 1e30}},
+          json{{"address", "127.0.0.1:0"}}, json{{"slots", 4294967295U}}}) {
+      json Entry = entry();
+      Entry.update(Odd);
+      Store.put("servers/a" + Odd.dump(), Entry.dump());
+    }
   }
 
   void startHost(const std::string &Name, const std::string &Ip) {
@@ -203,6 +224,24 @@
   BOOST_TEST(says(book(FirstIp), "404"));
 }
 
+// Read in the first list, in a watch and from another host.
+BOOST_AUTO_TEST_CASE(oddEntriesEndNoHostAndTheOthersAreFollowed) {
+  putOddEntries();
+  startBoth();
+  BOOST_TEST(says(book(FirstIp), "200"));
+  putOddEntries();
+  Store.remove("servers/e1");
+  until([&] {
+    return says(book(FirstIp), "503") && says(book(SecondIp), "503");
+  });
+  putEndpoint("e2");
+  until([&] {
+    return says(book(FirstIp), "200") && says(book(SecondIp), "200");
+  });
+  for (const auto &[Name, Host] : Hosts)
+    BOOST_TEST(!Host->hasEnded());
+}
+
 BOOST_AUTO_TEST_CASE(servesWhileTheStoreIsAwayAndTeachesANewHost) {
   startHost("n1", FirstIp);
   until([&] { return isReady(FirstIp); });
