--- a/src/relay/tests/promisetest.cpp
+++ b/src/relay/tests/promisetest.cpp
@@ -185,6 +185,38 @@
   }
 }
 
+// A booking may use a connection to another host that has served others.
+BOOST_AUTO_TEST_CASE(earlierRefusalOfOtherHostIsNotTakenAsNotRun) {
+  auto Refusal = [](const std::string &Id) {
+    return "HTTP/1.1 503 No\r\n" + Id + std::string(NotRunField) +
+           ": 1\r\nContent-Length: 0\r\n\r\n";
+  };
+  struct Case {
+    const char *Id;
+    const char *Status;
+  };
+  for (Case Each :
+       {Case{"Request-Id: q1\r\n", "HTTP/1.1 200"}, Case{"", "HTTP/1.1 502"}}) {
+    VirtualTimeHost Tested;
+    RawServer &Other = Tested.addOtherHost([&](const std::string &R) {
+      auto Own = ran(R, "own");
+      if (field(R, "Request-Id") == "q1")
+        Own.Bytes = Refusal("Request-Id: q1\r\n");
+      else
+        Own.Bytes = Refusal(Each.Id) + Own.Bytes;
+      return Own;
+    });
+    BOOST_TEST_CONTEXT(Each.Status) {
+      BOOST_TEST(
+          Tested.ask(Tested.request("book")).starts_with("HTTP/1.1 503"));
+      BOOST_TEST(Other.Requests.size() == 1U);
+      BOOST_TEST(Tested.ask(Tested.request("book")).starts_with(Each.Status));
+      BOOST_TEST(Other.Requests.size() == 2U);
+      BOOST_TEST(Tested.Caller.connectionsMade() == 1U);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace {
@@ -258,6 +290,15 @@
   BOOST_TEST(Caller.connectionsMade() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(connectionThatReceivesBytesBeforeTheSendIsNotUsed) {
+  leaveOneIdle();
+  auto Second = call();
+  BOOST_REQUIRE(Second->isReused());
+  answer();
+  testing::runUntil(Loop, [&] { return Caller.connectionsMade() == 2; });
+  BOOST_TEST(!Second->isReused());
+}
+
 BOOST_AUTO_TEST_CASE(closedConnectionIsNotReused) {
   leaveOneIdle();
   Server.close();
--- a/src/relay/tests/staleresponsetest.cpp
+++ b/src/relay/tests/staleresponsetest.cpp
@@ -32,11 +32,14 @@
   void addBoth(const Bytes &Written) {
     for (const char *Id : {"a", "b"})
       Endpoints_.push_back(
-          &addEndpoint(Id, "plain", [Written](const std::string &R) {
-            return RawServer::Answer{Written(R), false, false};
+          &addEndpoint(Id, "plain", [this, Written](const std::string &R) {
+            return RawServer::Answer{Written(R), Closes, false};
           }));
   }
 
+  /// Whether the endpoints close their connections after the bytes.
+  bool Closes = false;
+
   /// Sends a request and runs it to its end. \return the caller's status.
   unsigned statusOf(const std::string &Request) {
     std::size_t Before = Done.size();
@@ -100,4 +103,89 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(skippedResponseOfAnyFramingIsReadToItsEnd) {
+  const std::string Other = "Request-Id: other\r\nNot-Executed: 1\r\n";
+  // What a response of this request looks like; the id is that of the request.
+  const std::string Own = refusal("q1");
+  const std::string Chunk = renderChunk(Own);
+  const std::vector<std::string> Responses = {
+      withLength("HTTP/1.1 503 No\r\n" + Other, Own),
+      withLength("HTTP/1.0 503 No\r\nConnection: keep-alive\r\n" + Other, Own),
+      "HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n" + Other + "\r\n" +
+          Chunk + "0;a=\"b\"\r\nRequest-Id: q1\r\n\r\n",
+      "HTTP/1.1 204 No\r\n" + Other + "\r\n",
+      "HTTP/1.1 304 No\r\nContent-Length: 9\r\n" + Other + "\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n" + refusal("other"),
+      "HTTP/1.1 103 Hints\r\nRequest-Id: q1\r\nNot-Executed: 1\r\n\r\n" +
+          refusal("other"),
+      refusal("Q1"),
+      refusal("q1 q1"),
+      refusal("other") + refusal("other")};
+  for (const std::string &Stale : Responses) {
+    FaultyEndpoints Tested;
+    Tested.addBoth(
+        [&](const std::string &R) { return Stale + ran(R, "own").Bytes; });
+    BOOST_TEST_CONTEXT(Stale) {
+      BOOST_TEST(Tested.ask(Tested.request("book")).ends_with("\r\n\r\nown"));
+      BOOST_TEST(Tested.sent() == 1U);
+    }
+  }
+}
+
+// Where it ends is unknown, so what follows is not read as a response.
+BOOST_AUTO_TEST_CASE(nothingIsReadAfterASkippedResponseWithoutLength) {
+  for (const char *Head :
+       {"HTTP/1.1 503 No\r\n", "HTTP/1.0 503 No\r\nContent-Length: 0\r\n",
+        "HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n"}) {
+    FaultyEndpoints Tested;
+    Tested.Closes = true;
+    Tested.addBoth([&](const std::string &) {
+      return Head + std::string("Request-Id: other\r\n\r\n") + refusal("q1");
+    });
+    BOOST_TEST_CONTEXT(Head) {
+      BOOST_TEST(Tested.statusOf(Tested.request("book")) == 502U);
+      BOOST_TEST(Tested.sent() == 1U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refusalAfterTheOwnHeadIsNotBelieved) {
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nSignature: s\r\n";
+  struct Case {
+    std::string Begun;
+    unsigned Status;
+  };
+  for (const Case &Each :
+       {Case{Head + "Transfer-Encoding: chunked\r\n\r\n", 502},
+        Case{Head + "Transfer-Encoding: chunked\r\n\r\n" + renderChunk("own"),
+             502},
+        Case{Head + "Content-Length: 999\r\n\r\nown", 502},
+        Case{withLength(Head, "own"), 200}}) {
+    FaultyEndpoints Tested;
+    Tested.Closes = true;
+    Tested.addBoth(
+        [&](const std::string &) { return Each.Begun + refusal("q1"); });
+    BOOST_TEST_CONTEXT(Each.Begun) {
+      BOOST_TEST(Tested.statusOf(Tested.request("book")) == Each.Status);
+      BOOST_TEST(Tested.sent() == 1U);
+    }
+  }
+}
+
+// Another endpoint may have the same address, for example after a restart.
+BOOST_AUTO_TEST_CASE(bookingIsSentAgainOnANewConnectionOnly) {
+  unsigned Sent = 0;
+  RawServer Server(Loop, [&](const std::string &R) {
+    return RawServer::Answer{++Sent == 1 ? refusal(field(R, "Request-Id"))
+                                         : ran(R, "own").Bytes,
+                             false, false};
+  });
+  addEndpointAt("a", "plain", Server.address());
+  addEndpointAt("b", "plain", Server.address());
+  BOOST_TEST(statusOf(request("book")) == 200U);
+  BOOST_TEST(Sent == 2U);
+  BOOST_TEST(Caller.connectionsMade() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
