--- a/src/relay/tests/staleresponsetest.cpp
+++ b/src/relay/tests/staleresponsetest.cpp
@@ -108,18 +108,20 @@
   // What a response of this request looks like; the id is that of the request.
   const std::string Own = refusal("q1");
   const std::string Chunk = renderChunk(Own);
-  for (const std::string &Stale :
-       {withLength("HTTP/1.1 503 No\r\n" + Other, Own),
-        withLength("HTTP/1.0 503 No\r\nConnection: keep-alive\r\n" + Other,
-                   Own),
-        "HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n" + Other + "\r\n" +
-            Chunk + "0;a=\"b\"\r\nRequest-Id: q1\r\n\r\n",
-        "HTTP/1.1 204 No\r\n" + Other + "\r\n",
-        "HTTP/1.1 304 No\r\nContent-Length: 9\r\n" + Other + "\r\n",
-        "HTTP/1.1 100 Continue\r\n\r\n" + refusal("other"),
-        "HTTP/1.1 103 Hints\r\nRequest-Id: q1\r\nNot-Executed: 1\r\n\r\n" +
-            refusal("other"),
-        refusal("Q1"), refusal("q1 q1"), refusal("other") + refusal("other")}) {
+  const std::vector<std::string> Responses = {
+      withLength("HTTP/1.1 503 No\r\n" + Other, Own),
+      withLength("HTTP/1.0 503 No\r\nConnection: keep-alive\r\n" + Other, Own),
+      "HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n" + Other + "\r\n" +
+          Chunk + "0;a=\"b\"\r\nRequest-Id: q1\r\n\r\n",
+      "HTTP/1.1 204 No\r\n" + Other + "\r\n",
+      "HTTP/1.1 304 No\r\nContent-Length: 9\r\n" + Other + "\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n" + refusal("other"),
+      "HTTP/1.1 103 Hints\r\nRequest-Id: q1\r\nNot-Executed: 1\r\n\r\n" +
+          refusal("other"),
+      refusal("Q1"),
+      refusal("q1 q1"),
+      refusal("other") + refusal("other")};
+  for (const std::string &Stale : Responses) {
     FaultyEndpoints Tested;
     Tested.addBoth(
         [&](const std::string &R) { return Stale + ran(R, "own").Bytes; });
