Show that timeouts, refusals and the caller's own event id keep a stream's form

Cause of the lint part: BOOST_REQUIRE evaluates its argument in a loop, and clang-tidy reported a use after the move in two fixtures.

Change: tests only. A stream is cut off when its placement is refused; the later Last-Event-Id replaces the caller's.

--- a/src/relay/tests/requesthomestest.cpp
+++ b/src/relay/tests/requesthomestest.cpp
@@ -26,7 +26,8 @@
     ++Tables.Version;
     for (FleetRoute &Route : Tables.Routes)
       Route.Homes = Homes;
-    BOOST_REQUIRE(Fleet.adoptTables(std::move(Tables)));
+    bool Adopted = Fleet.adoptTables(std::move(Tables));
+    BOOST_REQUIRE(Adopted);
   }
 
   RawServer &addEndpointIn(const std::string &Id) {
--- a/src/relay/tests/resumedstreamtest.cpp
+++ b/src/relay/tests/resumedstreamtest.cpp
@@ -76,7 +76,8 @@
     ++Tables.Version;
     for (FleetRoute &Route : Tables.Routes)
       Route.MaxEndpoints = Most;
-    BOOST_REQUIRE(Fleet.adoptTables(std::move(Tables)));
+    bool Adopted = Fleet.adoptTables(std::move(Tables));
+    BOOST_REQUIRE(Adopted);
   }
 
   /// A complete chunked stream of a text.
@@ -285,6 +286,32 @@
   BOOST_TEST(Got.Complete);
 }
 
+BOOST_AUTO_TEST_CASE(refusedPlacementCutsAStreamOff) {
+  addEndpoint("a", "engines", [this](const std::string &R) {
+    Fleet.removeEndpoint(EndpointId("a"), Duration::zero());
+    return First(R);
+  });
+  expectCutAfterFirstEvents(parseStream(ask(request("ask"))));
+  BOOST_REQUIRE(Done.size() == 1U);
+  BOOST_TEST(Done[0].Outcome == "stream_broken_no_endpoint");
+}
+
+// The caller resumes its stream, and the host resumes it again.
+BOOST_AUTO_TEST_CASE(laterEventIdReplacesTheCallers) {
+  allowEndpoints(2);
+  auto InTurn = [this](const std::string &R) {
+    Sent.push_back(R);
+    return Sent.size() == 1 ? First(R) : stream(eventText(3))(R);
+  };
+  addEndpoint("a", "engines", InTurn);
+  addEndpoint("b", "engines", InTurn);
+  ReceivedStream Got = parseStream(ask(request("ask", "Last-Event-Id: 0\r\n")));
+  BOOST_TEST(Got.Body == FirstEvents + eventText(3));
+  BOOST_REQUIRE(Sent.size() == 2U);
+  BOOST_TEST(field(Sent[0], "Last-Event-Id") == "0");
+  BOOST_TEST(field(Sent[1], "Last-Event-Id") == "2");
+}
+
 BOOST_AUTO_TEST_CASE(timeoutCutsAStreamOff) {
   addEndpoint("a", "engines", [](const std::string &R) {
     return RawServer::Answer{streamHead(R) + renderChunk(FirstEvents), false,
