Accept a cold time of any length from an endpoint

What callers saw: nothing yet; with undefined behaviour in a host after a health answer whose `X-Cold-Ms` is beyond 292 years.

Cause: the milliseconds of the field became nanoseconds without a bound, and were added to the clock; both overflow. Such an endpoint counted as warm.

Change: `noteCold` takes milliseconds and keeps them between zero and one hour.

Ruled out: the entry's `coldRemainingMs`, which the decoder bounds; the back-off of an answer, which `decodeWillingness` bounds.

Measured: coldTimeOfAnyLengthFits fails on the code before ("ColdUntil > now"); all tests of fleet pass after.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -59,8 +59,11 @@
   /// unless the store was unreachable.
   void removeEndpoint(const EndpointId &Id, Duration Grace);
   /// Records that an endpoint reported to this host that it stays cold for this
-  /// long.
-  void noteCold(const EndpointId &Id, Duration Remaining);
+  /// long. Any number is accepted; a time is at least zero and at most
+  /// MaxColdTime.
+  void noteCold(const EndpointId &Id, std::chrono::milliseconds Remaining);
+  static constexpr std::chrono::milliseconds MaxColdTime =
+      std::chrono::hours(1);
   /// Records that another endpoint responded at its address. It stays unusable
   /// until its entry names another address or start time.
   void noteMoved(const EndpointId &Id);
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -175,10 +175,13 @@
   Impl_->changed("endpoint", Id.str(), "gone");
 }
 
-void FleetView::noteCold(const EndpointId &Id, Duration Remaining) {
+void FleetView::noteCold(const EndpointId &Id,
+                         std::chrono::milliseconds Remaining) {
   auto Found = Impl_->Endpoints_.find(Id);
   if (Found != Impl_->Endpoints_.end())
-    Found->second.Endpoint.ColdUntil = Impl_->Runtime_.Now() + Remaining;
+    Found->second.Endpoint.ColdUntil =
+        Impl_->Runtime_.Now() +
+        std::clamp(Remaining, std::chrono::milliseconds::zero(), MaxColdTime);
 }
 
 void FleetView::noteMoved(const EndpointId &Id) {
--- a/src/fleet/tests/fleetviewtest.cpp
+++ b/src/fleet/tests/fleetviewtest.cpp
@@ -143,6 +143,15 @@
   BOOST_TEST(usable() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(coldTimeOfAnyLengthFits) {
+  View.putEndpoint(endpoint("a"));
+  const FleetEndpoint *E = View.endpoint(EndpointId("a"));
+  View.noteCold(E->Id, std::chrono::milliseconds::max());
+  BOOST_TEST((E->ColdUntil > Time.now()));
+  View.noteCold(E->Id, std::chrono::milliseconds::min());
+  BOOST_TEST((E->ColdUntil == Time.now()));
+}
+
 BOOST_AUTO_TEST_CASE(backOffEndsByItself) {
   View.putEndpoint(endpoint("a"));
   EndpointKey Key = endpoint("a").Key;
