--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -425,7 +425,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(slotsOfOneEndpointSayNothingOfTheOthers) {
-  auto countAdmitted = [](testing::DispatchFixture &Host) {
+  auto CountAdmitted = [](testing::DispatchFixture &Host) {
     unsigned Admitted = 0;
     for (int I = 0; I < 1000; ++I) {
       DispatchDecision D = Host.send(Host.request(0), LookUps);
@@ -449,9 +449,9 @@
   Odd.Slots = 1U << 16U;
   View.putEndpoint(Odd);
   Decisions.health().markSuspect(Odd.Key);
-  unsigned Possible = countAdmitted(Alone);
+  unsigned Possible = CountAdmitted(Alone);
   BOOST_TEST(Possible < 1000U);
-  BOOST_TEST(countAdmitted(*this) <= 2 * Possible);
+  BOOST_TEST(CountAdmitted(*this) <= 2 * Possible);
 }
 
 BOOST_AUTO_TEST_CASE(plainServiceTakesOneRequestPerSlot) {
