Send a request again to the same address on a new connection only

What callers saw: a look-up that an endpoint was running was answered 503 "not run", and the endpoint was noted as moved, when an endpoint at an address of an earlier one had refused it with 421 and wrote that refusal once more. Cause: Tried holds endpoints, not addresses. A listed endpoint may have the address of another (421); the look-up then came with the same id on the kept connection, where the id doesn't tell the two sendings apart. Change: the relay notes the addresses to which a request was sent; a kept connection is used for the first sending to an address only. Ruled out: bookings to endpoints, which always use a new connection, and other hosts, of which a request reaches one a region; dropping each connection that gave a refusal, which costs a new connection for each refused request.

--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <set>
 #include <utility>
 
 #include "relay/eventsplitter.h"
@@ -259,9 +260,14 @@
     giveUp(false, Why.Reason);
   }
 
-  HttpCallRequest callTo(const Address &To) {
+  /// \param ReuseIdleAtMost  see HttpCallRequest. An address to which the
+  /// request was sent before gets it on a new connection: on the earlier one, a
+  /// late copy of the earlier response would have the right id.
+  HttpCallRequest callTo(const Address &To, Duration ReuseIdleAtMost) {
     HttpCallRequest Call;
     Call.To = To;
+    bool SentBefore = !SentTo_.insert(To).second;
+    Call.ReuseIdleAtMost = SentBefore ? Duration::zero() : ReuseIdleAtMost;
     Call.Head = detail::outgoingHead(Request_.Head, Context_.Names);
     Call.Body = Request_.Body;
     return Call;
@@ -273,7 +279,9 @@
     Log_.Tried.push_back(Choice.Endpoint.Key);
     ++Log_.Sends;
     const WireNames &Names = Context_.Names;
-    HttpCallRequest Call = callTo(Target_->Endpoint.Where);
+    HttpCallRequest Call =
+        callTo(Target_->Endpoint.Where,
+               mayRepeat(Route_->Kind) ? ReuseForRepeatable : Duration::zero());
     setField(Call.Head.Fields, Names.ExpectedEndpoint,
              Target_->Endpoint.Id.str());
     if (Descriptor_.PromptTokens > 0)
@@ -284,8 +292,6 @@
     if (!Splitter_.lastId().empty())
       setField(Call.Head.Fields, Names.LastEventId, Splitter_.lastId());
     Call.ConnectTimeout = LocalConnectTimeout;
-    if (mayRepeat(Route_->Kind))
-      Call.ReuseIdleAtMost = ReuseForRepeatable;
     noteAttempt(Target_->Endpoint.Id.str(), Target_->Expected.ToFirstOutput,
                 Target_->Expected);
     watchForStall(Target_->Expected.ToFirstOutput);
@@ -300,13 +306,13 @@
     Log_.RegionsTried.push_back(Choice.Host.Region);
     ++Log_.Sends;
     HttpCallRequest Call =
-        callTo(Address(Choice.Host.Ip + ":" + Context_.HostPort));
+        callTo(Address(Choice.Host.Ip + ":" + Context_.HostPort),
+               HttpCaller::MaxIdleTime);
     if (!Splitter_.lastId().empty())
       setField(Call.Head.Fields, Context_.Names.LastEventId,
                Splitter_.lastId());
     AllottedRuns_ = Dispatcher::runsLeft(Descriptor_, *Route_, Log_);
     Call.ConnectTimeout = RemoteConnectTimeout;
-    Call.ReuseIdleAtMost = HttpCaller::MaxIdleTime;
     noteAttempt("via " + Choice.Host.Id.str(), Choice.Expected);
     beginCall(std::move(Call));
   }
@@ -704,6 +710,8 @@
   /// The host and the region that the current attempt is forwarded to.
   std::string PeerIp_;
   RegionId PeerRegion_;
+  /// The addresses to which the request was sent.
+  std::set<Address> SentTo_;
   /// Runs that were allotted to the other entry host.
   unsigned AllottedRuns_ = 0;
   /// The most recently requested placement, and the one in use.
--- a/src/relay/tests/staleresponsetest.cpp
+++ b/src/relay/tests/staleresponsetest.cpp
@@ -188,4 +188,23 @@
   BOOST_TEST(Caller.connectionsMade() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(lookUpSentAgainToAnAddressIsNotTakenForRefusedTwice) {
+  unsigned Sent = 0;
+  RawServer Server(Loop, [&](const std::string &R) {
+    std::string Earlier =
+        "HTTP/1.1 421 No\r\nRequest-Id: " + field(R, "Request-Id") +
+        "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    if (++Sent == 1)
+      return RawServer::Answer{Earlier, false, false};
+    // The refusal comes once more on the connection on which it was sent.
+    bool SameConnection = Caller.connectionsMade() == 1;
+    return RawServer::Answer{
+        (SameConnection ? Earlier : "") + ran(R, "own").Bytes, false, false};
+  });
+  addEndpointAt("a", "plain", Server.address());
+  addEndpointAt("b", "plain", Server.address());
+  BOOST_TEST(statusOf(request("look")) == 200U);
+  BOOST_TEST(Sent == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
