Mend three findings of the linter

Cause: clang-tidy on the joined tree: a vector without reserve in a loop, a move inside BOOST_REQUIRE, a chain of string additions. Change: these three places; no behaviour. Measured: entrydirectory, requesthomes, gateway_processes green; the linter is clean on the three files.

--- a/src/fleet/internal/entrydirectory.cpp
+++ b/src/fleet/internal/entrydirectory.cpp
@@ -66,6 +66,7 @@
     Regions.push_back(Region);
   std::erase(Regions, CallerRegion);
   std::vector<std::pair<double, RegionId>> ByStray;
+  ByStray.reserve(Regions.size());
   for (const RegionId &Region : Regions)
     ByStray.emplace_back(strayRequests(Of, Region), Region);
   std::stable_sort(
--- a/src/relay/tests/requesthomestest.cpp
+++ b/src/relay/tests/requesthomestest.cpp
@@ -165,7 +165,8 @@
   Tables.Routes[0].Name = RouteName("main");
   Tables.Routes[0].PathPrefix = "/";
   Tables.Routes[0].Homes = HomeRegions::only({Kigali});
-  BOOST_REQUIRE(Fleet.adoptTables(std::move(Tables)));
+  bool Adopted = Fleet.adoptTables(std::move(Tables));
+  BOOST_REQUIRE(Adopted);
   awaitEnd();
   BOOST_TEST(E.Requests.empty());
   BOOST_TEST(Other.Requests.size() == 1U);
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -72,9 +72,13 @@
   /// it.
   void putTables(int Version, const std::string &Path,
                  const std::vector<std::string> &Homes = {}) {
-    json Routes = {route("/" + Path + "/", Homes)};
-    for (const std::string &Home : Homes)
-      Routes.push_back(route("/" + Path + "/" + Home + "/", {Home}));
+    const std::string Prefix = "/" + Path + "/";
+    json Routes = {route(Prefix, Homes)};
+    for (const std::string &Home : Homes) {
+      std::string Below = Prefix;
+      Below.append(Home).append("/");
+      Routes.push_back(route(Below, {Home}));
+    }
     json Tables = {{"version", Version},
                    {"routes", Routes},
                    {"services",
