Log how each response was framed and how it ended

Cause: `Request ended.` told neither how an endpoint framed its response (length, chunks, the end of its connection), nor how that ended, nor how many bytes and events came, nor in what form the caller got it.

Change: HttpCall::progress tells framing, body bytes and the other side's close or reset; `attempts` has them for each attempt with the events delivered and the bytes of an unfinished one; `sent_as` says how the end was marked for the caller. No logic changes. Test: recordTellsHowAResponseEnded.

--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -44,6 +44,8 @@
                       {"status", R.Status},
                       {"outcome", R.Outcome},
                       {"run", executionStateName(R.Execution)}};
+  if (!R.SentAs.empty())
+    Fields.push_back({"sent_as", R.SentAs});
   if (R.Homes.isRestricted())
     Fields.push_back({"homes", R.Homes.text()});
   add(Fields, "prompt_tokens", R.PromptTokens);
--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -63,6 +63,26 @@
   std::function<void(HttpCallEnd)> End;
 };
 
+/// How a response states where its body ends.
+enum class ResponseFraming {
+  /// By a length, or by a status or method that allows no body.
+  Length,
+  Chunks,
+  /// By the end of the connection.
+  Close,
+};
+
+/// How the other end left the connection.
+enum class PeerClose { None, Closed, Reset };
+
+/// What a call has received of its response.
+struct ResponseProgress {
+  /// Unset before the head.
+  std::optional<ResponseFraming> Framing;
+  std::uint64_t BodyBytes = 0;
+  PeerClose Peer = PeerClose::None;
+};
+
 /// A call in progress.
 class HttpCall {
 public:
@@ -72,6 +92,7 @@
   /// Whether the call uses a connection that has already served other calls, or
   /// that has delivered a response to another request.
   virtual bool isReused() const = 0;
+  virtual const ResponseProgress &progress() const = 0;
 };
 
 /// Whether a call to this address can connect: it is the IP address of one host
--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -9,6 +9,30 @@
 constexpr unsigned Ok = 200;
 constexpr unsigned Misdirected = 421;
 
+const char *nameOf(ResponseFraming Framing) {
+  switch (Framing) {
+  case ResponseFraming::Length:
+    return "length";
+  case ResponseFraming::Chunks:
+    return "chunks";
+  case ResponseFraming::Close:
+    return "close";
+  }
+  return "";
+}
+
+const char *nameOf(PeerClose Close) {
+  switch (Close) {
+  case PeerClose::None:
+    return "open";
+  case PeerClose::Closed:
+    return "closed";
+  case PeerClose::Reset:
+    return "reset";
+  }
+  return "";
+}
+
 } // namespace
 
 Attempt::Attempt(RelayContext &Context, RequestId Id, bool ToHost, bool Streams,
@@ -94,7 +118,22 @@
   return Continue;
 }
 
+std::string Attempt::describeReceived() const {
+  const ResponseProgress &Got = Call_ ? Call_->progress() : Progress_;
+  std::string Text = std::string(" peer=") + nameOf(Got.Peer);
+  if (!Got.Framing)
+    return Text;
+  Text += std::string(" framing=") + nameOf(*Got.Framing) +
+          " bytes=" + std::to_string(Got.BodyBytes);
+  if (Events_)
+    Text += " events=" + std::to_string(Splitter_.delivered()) +
+            " rest=" + std::to_string(Splitter_.partial().size());
+  return Text;
+}
+
 void Attempt::ended(HttpCallEnd End) {
+  if (Call_)
+    Progress_ = Call_->progress();
   Call_.reset();
   // The hook may start another attempt, which destroys this one.
   auto Notify = std::move(Hooks_.End);
--- a/src/relay/internal/attempt.h
+++ b/src/relay/internal/attempt.h
@@ -62,6 +62,8 @@
   bool isEvents() const { return Events_; }
   /// Whether the response is awaited or being received.
   bool isUnderWay() const { return Call_ != nullptr; }
+  /// What was received of the response, for the log.
+  std::string describeReceived() const;
   Duration sinceSent() const;
   /// The slowness that the endpoint reported; see ReportedLoad.
   std::optional<double> slowness() const { return Slowness_; }
@@ -83,6 +85,8 @@
   EventSplitter &Splitter_;
   AttemptHooks Hooks_;
   std::shared_ptr<HttpCall> Call_;
+  /// Of the call, once that has ended.
+  ResponseProgress Progress_;
   TimePoint Sent_{};
   HttpResponseHead Head_;
   std::string Body_;
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -57,6 +57,12 @@
   return std::chrono::seconds(Seconds);
 }
 
+ResponseFraming framingOf(const Parser &Response) {
+  if (Response.chunked())
+    return ResponseFraming::Chunks;
+  return Response.need_eof() ? ResponseFraming::Close : ResponseFraming::Length;
+}
+
 class Call : public HttpCall, public std::enable_shared_from_this<Call> {
 public:
   Call(EventLoop &Loop, std::shared_ptr<ChannelPool> Pool,
@@ -84,6 +90,7 @@
   }
 
   bool isReused() const override { return Reused_ || SkippedOther_; }
+  const ResponseProgress &progress() const override { return Progress_; }
 
 private:
   /// Determines what may happen next. Each handler checks it, because the
@@ -184,6 +191,9 @@
           if (Self->State_ != State::Sent)
             return;
           Self->Channel_->Buffer.commit(Bytes);
+          if (Error)
+            Self->Progress_.Peer = Error == asio::error::eof ? PeerClose::Closed
+                                                             : PeerClose::Reset;
           Self->parse(Error);
         });
   }
@@ -226,6 +236,7 @@
       Skipping_ = true;
       return true;
     }
+    Progress_.Framing = framingOf(*Parser_);
     if (!Hooks_.Head)
       return true;
     switch (Hooks_.Head(Parser_->head())) {
@@ -236,6 +247,7 @@
         break;
       Skipping_ = true;
       SkippedOther_ = true;
+      Progress_.Framing.reset();
       return State_ != State::Ended;
     case HeadVerdict::Invalid:
       break;
@@ -248,6 +260,8 @@
     std::string &Body = Parser_->get().body();
     if (Body.empty())
       return;
+    if (!Skipping_)
+      Progress_.BodyBytes += Body.size();
     bool Continue = Skipping_ || !Hooks_.Body || Hooks_.Body(Body);
     Body.clear();
     if (!Continue)
@@ -310,6 +324,7 @@
   /// Whether a response to another request was skipped.
   bool SkippedOther_ = false;
   unsigned Skipped_ = 0;
+  ResponseProgress Progress_;
 };
 
 } // namespace
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -454,9 +454,10 @@
                   Context_.Decisions.mayRetry(Descriptor_, *Route_, After);
     if (!Wanted)
       return Context_.Placement.end(Id, {});
+    Record_.Attempts += " stalled";
+    noteReceived();
     Attempt_->cancel();
     endPlacement(AttemptOutcome::Failed);
-    Record_.Attempts += " stalled";
     Log_ = After;
     if (Local != nullptr)
       return serveAt(Id, *Local);
@@ -525,15 +526,19 @@
       return attempt();
     case AttemptEnd::Broken:
       Record_.Attempts += Splitter_.outOfOrder() ? " out_of_order" : " broken";
+      noteReceived();
       return attemptBroken();
     case AttemptEnd::NotRun:
       return refusedByPeer();
     case AttemptEnd::Answered:
     case AttemptEnd::StreamEnded:
+      noteReceived();
       return responseReceived();
     }
   }
 
+  void noteReceived() { Record_.Attempts += Attempt_->describeReceived(); }
+
   /// Reports an endpoint or host that could not be reached. A failure that
   /// comes much later than the connect time-out allows is due to a stall of
   /// this host and does not indicate a fault of the other end.
@@ -624,11 +629,13 @@
       return finishWith(callerHead(), Splitter_.partial(), "answered");
     Exchange_->streamPiece(Splitter_.partial());
     Exchange_->endStream();
+    Record_.SentAs = "chunks";
     done(Ok, "answered");
   }
 
   void breakStream(const std::string &Why) {
     Exchange_->abort();
+    Record_.SentAs = "cut";
     done(0, "stream_broken_" + Why);
   }
 
@@ -653,8 +660,10 @@
   bool isAttemptUnderWay() const { return Attempt_ && Attempt_->isUnderWay(); }
 
   void cancelAttempts(AttemptOutcome Outcome) {
-    if (isAttemptUnderWay())
+    if (isAttemptUnderWay()) {
+      noteReceived();
       Attempt_->cancel();
+    }
     dropAlternative();
     endPlacement(Outcome);
     // The latest placement may still be requested or queued.
@@ -670,6 +679,7 @@
     if (FromHost_)
       setField(Head.Fields, RunsField, std::to_string(Log_.Runs));
     Exchange_->respond(std::move(Head), Body);
+    Record_.SentAs = "length";
     done(Status, Outcome);
   }
 
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -70,6 +70,9 @@
   unsigned Status = 0;
   /// Short code of the outcome.
   std::string Outcome;
+  /// How the end of the response was marked for the caller: "length", "chunks"
+  /// or, for a stream that was broken off, "cut". Empty if there was none.
+  std::string SentAs;
   /// All attempts in order, each with the values that decided it.
   std::string Attempts;
   ExecutionState Execution = ExecutionState::NotSent;
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -221,6 +221,26 @@
   BOOST_TEST(field(Second.Requests[0], "Last-Event-Id") == "2");
 }
 
+BOOST_AUTO_TEST_CASE(recordTellsHowAResponseEnded) {
+  addEndpoint("e1", "engines", [](const std::string &R) {
+    return RawServer::Answer{
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + field(R, "Request-Id") +
+            "\r\nSignature: s\r\n\r\nid: 1\ndata: t\n\nid: ",
+        true, false};
+  });
+  addEndpoint("e2", "plain",
+              [](const std::string &R) { return ran(R, "booked"); });
+  ask(request("draft"));
+  BOOST_TEST(Done.back().Attempts.find(
+                 "peer=closed framing=close bytes=19 events=1 rest=4") !=
+             std::string::npos);
+  BOOST_TEST(Done.back().SentAs == "cut");
+  ask(request("book"));
+  BOOST_TEST(Done.back().Attempts.find("peer=open framing=length bytes=6") !=
+             std::string::npos);
+  BOOST_TEST(Done.back().SentAs == "length");
+}
+
 BOOST_AUTO_TEST_CASE(callerDisconnectEndsTheRun) {
   RawServer &E = addEndpoint("a", "engines", [](const std::string &R) {
     return RawServer::Answer{streamHead(R) + event(1), false, false};
