Show that cut unframed responses reach callers as complete (failing)

A scripted endpoint's response is cut after each of its bytes, by a close and by a reset: unframed, with a length and in chunks; streams with numbered events, events without a number, comments, CR LF and another field first, on the routes of both stream kinds; bodies on the routes of the other two; HTTP/1.0; heads behind an interim and behind a skipped response.

--- /dev/null
+++ b/src/relay/tests/brokenresponsetest.cpp
@@ -0,0 +1,200 @@
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "relay/tests/relayfixture.h"
+
+using namespace celerybeam;
+using testing::RawServer;
+using testing::RelayFixture;
+
+namespace {
+
+enum class Framing { Close, Length, Chunks };
+
+/// A response of which an endpoint sends only the beginning.
+struct Sample {
+  std::string Name;
+  std::string Route;
+  /// Parts of the body; for a stream, events and comments.
+  std::vector<std::string> Parts = {};
+  Framing Mark = Framing::Close;
+  std::string Version = "HTTP/1.1";
+  /// Bytes before the head; "ID" stands for the request's id.
+  std::string Before = {};
+};
+
+/// A response as the caller received it.
+struct Received {
+  unsigned Status = 0;
+  bool Complete = false;
+  std::string Body;
+};
+
+Received parseResponse(const std::string &Text) {
+  Received R;
+  auto HeadEnd = Text.find("\r\n\r\n");
+  if (HeadEnd == std::string::npos)
+    return R;
+  R.Status = std::stoul(Text.substr(Text.find(' ')));
+  std::string Body = Text.substr(HeadEnd + 4);
+  std::string Length = RelayFixture::field(Text, "Content-Length");
+  if (!Length.empty()) {
+    R.Body = Body;
+    R.Complete = Body.size() == std::stoul(Length);
+    return R;
+  }
+  for (std::size_t At = 0; At < Body.size();) {
+    std::size_t Size = std::stoul(Body.substr(At), nullptr, 16);
+    At = Body.find("\r\n", At) + 2;
+    R.Complete = Size == 0;
+    R.Body += Body.substr(At, Size);
+    At += Size + 2;
+  }
+  return R;
+}
+
+class Endpoint {
+public:
+  Endpoint(Sample S, const std::string &Request) : Sample_(std::move(S)) {
+    const std::string Id = RelayFixture::field(Request, "Request-Id");
+    std::string Before = Sample_.Before;
+    if (auto At = Before.find("ID"); At != std::string::npos)
+      Before.replace(At, 2, Id);
+    Text_ = Before + Sample_.Version + " 200 OK\r\nRequest-Id: " + Id +
+            "\r\nSignature: s\r\n";
+    std::size_t Length = 0;
+    for (const std::string &Part : Sample_.Parts)
+      Length += Part.size();
+    if (Sample_.Mark == Framing::Length)
+      Text_ += "Content-Length: " + std::to_string(Length) + "\r\n";
+    if (Sample_.Mark == Framing::Chunks)
+      Text_ += "Transfer-Encoding: chunked\r\n";
+    Text_ += "\r\n";
+    BodyAt_ = Text_.size();
+    bool HasEvent = false;
+    for (const std::string &Part : Sample_.Parts) {
+      Text_ += Sample_.Mark == Framing::Chunks ? renderChunk(Part) : Part;
+      HasEvent = HasEvent || Part.front() != ':';
+      if (HasEvent)
+        Borders_.insert(Text_.size());
+    }
+    if (Sample_.Mark == Framing::Chunks)
+      Text_ += LastChunk;
+  }
+
+  const std::string &text() const { return Text_; }
+
+  /// Whether nothing distinguishes the first bytes from a whole response.
+  bool looksWhole(std::size_t Bytes, bool Reset) const {
+    if (Sample_.Mark != Framing::Close)
+      return Bytes == Text_.size();
+    bool Stream = Sample_.Route == "draft" || Sample_.Route == "ask";
+    return !Reset && (Stream ? Borders_.count(Bytes) > 0 : Bytes > BodyAt_);
+  }
+
+private:
+  Sample Sample_;
+  std::string Text_;
+  std::size_t BodyAt_ = 0;
+  /// The ends of events in the text, and of comments after an event.
+  std::set<std::size_t> Borders_;
+};
+
+/// Plays a sample that is cut after each of its bytes. The caller never gets a
+/// complete success out of a response that is not one.
+void cutAtEachByte(const Sample &S, bool Reset) {
+  const std::size_t Size = Endpoint(S, "\r\nRequest-Id: q1\r\n").text().size();
+  for (std::size_t Bytes = 0; Bytes <= Size; ++Bytes) {
+    RelayFixture Host([] { return TimePoint(std::chrono::hours(1)); });
+    Host.addEndpoint(
+        "e1", S.Route == "book" || S.Route == "look" ? "plain" : "engines",
+        [&](const std::string &Request) {
+          return RawServer::Answer{Endpoint(S, Request).text().substr(0, Bytes),
+                                   true, Reset};
+        });
+    Received Got = parseResponse(Host.ask(Host.request(S.Route)));
+    Endpoint Whole(S, "\r\nRequest-Id: q1\r\n");
+    bool Success = Got.Status == 200 && Got.Complete;
+    BOOST_TEST_CONTEXT(S.Name << " on " << S.Route << ", "
+                              << (Reset ? "reset" : "closed") << " after "
+                              << Bytes << " of " << Size << " bytes") {
+      if (Success)
+        BOOST_TEST(Whole.looksWhole(Bytes, Reset));
+      if (Bytes == Size && !Reset)
+        BOOST_TEST(Success);
+    }
+  }
+}
+
+const std::vector<std::string> Numbered = {"id: 1\ndata: aa\n\n",
+                                           "id: 2\ndata: bb\n\n"};
+const std::vector<std::string> Plain = {"booked"};
+
+std::vector<Sample> unframedStreams() {
+  std::vector<Sample> Samples;
+  for (const char *Route : {"draft", "ask"}) {
+    Samples.push_back({"numbered events", Route, Numbered});
+    Samples.push_back({"events without a number",
+                       Route,
+                       {"data: aa\n\n", "data: [DONE]\n\n"}});
+    Samples.push_back(
+        {"a comment first", Route, {": hi\n\n", "id: 1\ndata: aa\n\n"}});
+    Samples.push_back(
+        {"a comment last", Route, {"id: 1\ndata: aa\n\n", ": hi\n\n"}});
+    Samples.push_back({"lines that end with CR LF",
+                       Route,
+                       {"id: 1\r\ndata: aa\r\n\r\n", "data: b\r\n\r\n"}});
+    Samples.push_back(
+        {"another field first", Route, {"version: 3\nid: 1\ndata: aa\n\n"}});
+  }
+  return Samples;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(BrokenResponseTests)
+
+BOOST_AUTO_TEST_CASE(unframedStreamThatIsCutIsNotComplete) {
+  for (const Sample &S : unframedStreams())
+    cutAtEachByte(S, false);
+}
+
+BOOST_AUTO_TEST_CASE(unframedStreamThatIsResetIsNotComplete) {
+  for (const Sample &S : unframedStreams())
+    cutAtEachByte(S, true);
+}
+
+BOOST_AUTO_TEST_CASE(framedStreamThatIsCutIsNotComplete) {
+  for (Framing Mark : {Framing::Length, Framing::Chunks})
+    for (bool Reset : {false, true})
+      cutAtEachByte({"numbered events", "ask", Numbered, Mark}, Reset);
+}
+
+BOOST_AUTO_TEST_CASE(responseThatIsCutInItsHeadIsNotComplete) {
+  for (const char *Route : {"book", "look"})
+    for (bool Reset : {false, true})
+      for (Framing Mark : {Framing::Close, Framing::Length, Framing::Chunks})
+        cutAtEachByte({"a body", Route, Plain, Mark}, Reset);
+}
+
+BOOST_AUTO_TEST_CASE(responseOfAnOlderVersionThatIsCutIsNotComplete) {
+  for (Framing Mark : {Framing::Close, Framing::Length})
+    cutAtEachByte({"HTTP/1.0", "book", Plain, Mark, "HTTP/1.0"}, false);
+}
+
+BOOST_AUTO_TEST_CASE(headThatIsCutAfterAnInterimResponseIsNotComplete) {
+  cutAtEachByte({"after 100", "book", Plain, Framing::Length, "HTTP/1.1",
+                 "HTTP/1.1 100 Continue\r\nRequest-Id: ID\r\n\r\n"},
+                false);
+}
+
+BOOST_AUTO_TEST_CASE(headThatIsCutAfterASkippedResponseIsNotComplete) {
+  cutAtEachByte({"after another response", "book", Plain, Framing::Length,
+                 "HTTP/1.1",
+                 "HTTP/1.1 200 OK\r\nRequest-Id: late\r\nSignature: s\r\n"
+                 "Content-Length: 4\r\n\r\nlate"},
+                false);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
