Do not take the end of a connection for the end of a response

Cause: a response with neither a length nor chunks ends with its connection, and HttpCaller reported that as Complete, the same as a marked end. Only EventSplitter looked further, and only after an event with a number: a stream that was cut before that, or whose events have no numbers, was sent on with a Content-Length that fitted what had come; so was an empty success whose endpoint stopped behind the head. The class: a missing mark of the end taken for the end.

Ruled out: cut heads, also behind an interim or a skipped response, in HTTP/1.0 and in refusals; two lengths, a length beside chunks; resets; marked responses. All are in the test and were safe before. Not to be told: a body, or a stream between two events, that ends by a plain close.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -548,7 +548,10 @@
       return HeadVerdict::Accept;
     };
     Hooks.End = [this, Key, Healthy, Id = E->Id](HttpCallEnd End) {
-      bool Good = End == HttpCallEnd::Complete && *Healthy;
+      // The head alone tells an endpoint's health.
+      bool Answered =
+          End == HttpCallEnd::Complete || End == HttpCallEnd::Unmarked;
+      bool Good = Answered && *Healthy;
       Decisions_.health().recordCheck(Key, Good);
       Log_.info("Endpoint checked.", {{"endpoint", Id}, {"healthy", Good}});
       Metrics_.add("health_checks_total", "Health checks of endpoints.",
--- a/src/relay/eventsplitter.h
+++ b/src/relay/eventsplitter.h
@@ -34,10 +34,13 @@
   /// was not above the previous one, the first event of a resumed run had no
   /// number, or data that is no event followed a numbered event.
   bool outOfOrder() const { return OutOfOrder_; }
-  /// Whether the stream may end here. A numbered stream does not end inside an
-  /// event, and a resumed run without any event is not known to be the rest of
-  /// the stream.
+  /// Whether the stream may end here when its end was marked. A numbered stream
+  /// does not end inside an event, and a resumed run without any event is not
+  /// known to be the rest of the stream.
   bool mayEnd() const;
+  /// Whether the stream may end here when only its connection has ended: the
+  /// last line is complete, belongs to no event, and follows one.
+  bool mayEndUnmarked() const;
   /// Whether the incomplete event exceeds MaxEventBytes, so that the data is
   /// not an event stream.
   bool isEndless() const { return Partial_.size() > MaxEventBytes; }
--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -39,7 +39,11 @@
 };
 
 enum class HttpCallEnd {
+  /// The response marked its own end, and that was received.
   Complete,
+  /// The response had neither a length nor chunks and ended with its
+  /// connection. It may have been broken off; only its content can tell.
+  Unmarked,
   /// No connection was made, or BeforeSend declined. Nothing was sent.
   NotConnected,
   /// The connection broke, left sent bytes unacknowledged for longer than
--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr unsigned Ok = 200;
+constexpr unsigned FirstNoSuccess = 300;
 constexpr unsigned Misdirected = 421;
 
 const char *nameOf(ResponseFraming Framing) {
@@ -140,14 +141,27 @@
   Hooks_ = {};
   if (!Notify)
     return;
-  if (End != HttpCallEnd::Complete)
+  bool Ended = End == HttpCallEnd::Complete || End == HttpCallEnd::Unmarked;
+  if (!Ended)
     return Notify(End == HttpCallEnd::NotConnected ? AttemptEnd::NotConnected
                                                    : AttemptEnd::Broken);
   if (NotRun_)
     return Notify(AttemptEnd::NotRun);
-  if (!Events_)
-    return Notify(AttemptEnd::Answered);
-  Notify(Splitter_.mayEnd() ? AttemptEnd::StreamEnded : AttemptEnd::Broken);
+  if (!isWhole(End))
+    return Notify(AttemptEnd::Broken);
+  Notify(Events_ ? AttemptEnd::StreamEnded : AttemptEnd::Answered);
+}
+
+bool Attempt::isWhole(HttpCallEnd End) const {
+  if (End == HttpCallEnd::Complete)
+    return !Events_ || Splitter_.mayEnd();
+  // Entry hosts mark the end of every response.
+  if (ToHost_)
+    return false;
+  if (Events_)
+    return Splitter_.mayEndUnmarked();
+  bool Success = Head_.Status < FirstNoSuccess;
+  return !Success || !Body_.empty();
 }
 
 } // namespace celerybeam::detail
--- a/src/relay/internal/attempt.h
+++ b/src/relay/internal/attempt.h
@@ -77,6 +77,8 @@
   void takeAvailability(const HttpResponseHead &Head);
   bool takeBody(std::string_view Data);
   void ended(HttpCallEnd End);
+  /// Whether a response that has ended so may be passed on as complete.
+  bool isWhole(HttpCallEnd End) const;
 
   RelayContext &Context_;
   RequestId Id_;
--- a/src/relay/internal/eventsplitter.cpp
+++ b/src/relay/internal/eventsplitter.cpp
@@ -79,6 +79,13 @@
   return !OutOfOrder_ && !AwaitsContinuation_ && !InsideEvent;
 }
 
+bool EventSplitter::mayEndUnmarked() const {
+  bool AfterBlankLine = Partial_.empty() ||
+                        (Partial_.back() == '\n' && linesOf(Partial_).empty());
+  return !OutOfOrder_ && !AwaitsContinuation_ && Delivered_ > 0 &&
+         AfterBlankLine;
+}
+
 void EventSplitter::beginRun() {
   Partial_.clear();
   OutOfOrder_ = false;
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -283,7 +283,8 @@
         Channel_->KeepAliveFor = *KeepAliveTime - CloseMargin;
       Pool_->put(Request_.To, std::move(Channel_));
     }
-    finish(HttpCallEnd::Complete);
+    finish(Progress_.Framing == ResponseFraming::Close ? HttpCallEnd::Unmarked
+                                                       : HttpCallEnd::Complete);
   }
 
   void finish(HttpCallEnd End) {
--- a/src/relay/tests/brokenresponsetest.cpp
+++ b/src/relay/tests/brokenresponsetest.cpp
@@ -183,6 +183,54 @@
     cutAtEachByte({"HTTP/1.0", "book", Plain, Mark, "HTTP/1.0"}, false);
 }
 
+BOOST_AUTO_TEST_CASE(unmarkedResponseOfAnotherHostIsNotComplete) {
+  for (const char *Route : {"ask", "look"}) {
+    RelayFixture Host([] { return TimePoint(std::chrono::hours(1)); });
+    const bool Stream = Route == std::string("ask");
+    Sample S{"from a host", Route, Stream ? Numbered : Plain};
+    Host.addOtherHost(
+        Stream ? "engines" : "plain", [&](const std::string &Request) {
+          return RawServer::Answer{Endpoint(S, Request).text(), true, false};
+        });
+    Received Got = parseResponse(Host.ask(Host.request(Route)));
+    BOOST_TEST(!(Got.Status == 200 && Got.Complete), Route);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refusalThatIsCutInItsHeadIsNotBelieved) {
+  const std::string Refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  for (std::size_t Bytes = 0; Bytes < Refusal.size(); ++Bytes) {
+    RelayFixture Host([] { return TimePoint(std::chrono::hours(1)); });
+    RawServer &Server =
+        Host.addEndpoint("e1", "plain", [&](const std::string &) {
+          return RawServer::Answer{Refusal.substr(0, Bytes), true, false};
+        });
+    Received Got = parseResponse(Host.ask(Host.request("book")));
+    BOOST_TEST(Got.Status == 502U, "cut after " << Bytes);
+    BOOST_TEST(Server.Requests.size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(responseWithTwoLengthsIsInvalid) {
+  for (const char *Framing :
+       {"Content-Length: 6\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 6\r\n",
+        "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 6\r\n"}) {
+    RelayFixture Host([] { return TimePoint(std::chrono::hours(1)); });
+    Host.addEndpoint("e1", "plain", [&](const std::string &Request) {
+      return RawServer::Answer{"HTTP/1.1 200 OK\r\nRequest-Id: " +
+                                   RelayFixture::field(Request, "Request-Id") +
+                                   "\r\nSignature: s\r\n" + Framing +
+                                   "\r\n6\r\nbooked\r\n0\r\n\r\n",
+                               true, false};
+    });
+    Received Got = parseResponse(Host.ask(Host.request("book")));
+    BOOST_TEST(Got.Status == 502U, Framing);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(headThatIsCutAfterAnInterimResponseIsNotComplete) {
   cutAtEachByte({"after 100", "book", Plain, Framing::Length, "HTTP/1.1",
                  "HTTP/1.1 100 Continue\r\nRequest-Id: ID\r\n\r\n"},
--- a/tests/fuzz/answerfuzz.cpp
+++ b/tests/fuzz/answerfuzz.cpp
@@ -54,7 +54,9 @@
   };
   Hooks.End = [&](HttpCallEnd End) {
     ++Ends;
-    if (End != HttpCallEnd::Complete)
+    if (End == HttpCallEnd::Unmarked)
+      Log += "unmarked";
+    else if (End != HttpCallEnd::Complete)
       Log = "broken";
   };
   HttpCallRequest Request;
