Send streams without chunks to callers with HTTP/1.0

What callers saw: a caller with HTTP/1.0 got a stream in chunks, whose lengths it reads as text of the body, and a broken-off stream ended by a plain close, which is the normal end of a response for it.

Change: such a caller gets the stream up to the end of its connection, and the connection is reset unless the stream's end was written, also when the process dies.

--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// HTTP/1.1, in the form that the parser uses.
+constexpr unsigned FirstVersionWithChunks = 11;
 constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned BodyTooLong = 413;
@@ -252,6 +254,7 @@
   Request.Arrived = Shared_->Time.Now();
   Request.Head = headRead();
   IsHeadRequest_ = Parser_->get().method() == http::verb::head;
+  CallerKnowsChunks_ = Parser_->get().version() >= FirstVersionWithChunks;
   Request.Body =
       std::make_shared<const std::string>(std::move(Parser_->get().body()));
   beginTurn(Parser_->get().keep_alive());
@@ -291,6 +294,7 @@
   StateTimer_.cancel();
   WholeTimer_.cancel();
   CallerKeepsAlive_ = KeepAlive;
+  EndsByClose_ = false;
   ++Shared_->InFlight;
 }
 
@@ -325,20 +329,38 @@
                                    const HttpResponseHead &Head) {
   if (!isCurrent(Turn))
     return;
-  ClosesAfterResponse_ = !CallerKeepsAlive_ || Shared_->CloseAfterResponses;
-  send(renderResponseHead(Head, "Transfer-Encoding: chunked",
+  EndsByClose_ = !CallerKnowsChunks_;
+  ClosesAfterResponse_ =
+      EndsByClose_ || !CallerKeepsAlive_ || Shared_->CloseAfterResponses;
+  // Until its end is written, any close resets the connection, also when the
+  // process dies.
+  if (EndsByClose_)
+    setResetOnClose(true);
+  send(renderResponseHead(Head,
+                          EndsByClose_ ? "" : "Transfer-Encoding: chunked",
                           ClosesAfterResponse_));
 }
 
+void ServerConnection::setResetOnClose(bool Reset) {
+  ErrorCode Ignored;
+  Socket_.set_option(asio::socket_base::linger(Reset, 0), Ignored);
+}
+
 void ServerConnection::streamPiece(TurnNumber Turn, std::string_view Data) {
-  if (isCurrent(Turn) && !Data.empty())
+  if (!isCurrent(Turn) || Data.empty())
+    return;
+  if (EndsByClose_)
+    send(Data);
+  else
     send(renderChunk(Data));
 }
 
 void ServerConnection::endStream(TurnNumber Turn) {
   if (!isCurrent(Turn))
     return;
-  send(LastChunk);
+  if (!EndsByClose_)
+    send(LastChunk);
+  EndsByClose_ = false;
   responseComplete();
 }
 
@@ -346,6 +368,8 @@
   if (!isCurrent(Turn))
     return;
   endTurn();
+  if (EndsByClose_)
+    return close();
   // Queued bytes are still written, but without its end the response is
   // recognizably incomplete.
   finish();
@@ -449,6 +473,8 @@
 
 void ServerConnection::linger() {
   State_ = State::Lingering;
+  if (!CallerKnowsChunks_)
+    setResetOnClose(false);
   ErrorCode Ignored;
   Socket_.shutdown(Tcp::socket::shutdown_send, Ignored);
   StateTimer_.set(LingerTime, [this] { close(); });
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -117,6 +117,7 @@
   bool isCurrent(TurnNumber Turn) const;
   void beginTurn(bool KeepAlive);
   void endTurn();
+  void setResetOnClose(bool Reset);
   void responseComplete();
   void sendWholeResponse(const HttpResponseHead &Head, std::string_view Body);
   void send(std::string_view Bytes);
@@ -155,6 +156,10 @@
   bool CallerKeepsAlive_ = true;
   bool ClosesAfterResponse_ = false;
   bool IsHeadRequest_ = false;
+  /// Whether the caller's version of HTTP has chunked bodies.
+  bool CallerKnowsChunks_ = true;
+  /// Whether the end of the connection will mark the end of the response.
+  bool EndsByClose_ = false;
   bool SentContinue_ = false;
   std::function<void()> DisconnectHook_;
   /// Memory of the body of the request that is received or served.
--- a/src/relay/tests/brokenresponsetest.cpp
+++ b/src/relay/tests/brokenresponsetest.cpp
@@ -231,6 +231,53 @@
   }
 }
 
+namespace {
+
+/// Plays a chunked stream to a caller with HTTP/1.0, which knows no chunks.
+/// \param Bytes  after how many bytes the endpoint closes the connection.
+struct OlderCaller {
+  explicit OlderCaller(std::size_t Bytes)
+      : Host([] { return TimePoint(std::chrono::hours(1)); }) {
+    Host.addEndpoint("e1", "engines", [Bytes](const std::string &Request) {
+      return RawServer::Answer{streamText(Request).substr(0, Bytes), true,
+                               false};
+    });
+    std::string Request = Host.request("draft");
+    Request.replace(Request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    testing::RawCaller Caller(Host.Loop, Host.Front.address().str(), Request);
+    testing::runUntil(Host.Loop, [&] { return Caller.closed(); });
+    Received = Caller.received();
+    WasReset = Caller.wasReset();
+  }
+
+  static std::string streamText(const std::string &Request) {
+    return Endpoint({"", "draft", Numbered, Framing::Chunks}, Request).text();
+  }
+
+  RelayFixture Host;
+  std::string Received;
+  bool WasReset = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(olderCallerReceivesAStreamUpToTheEndOfItsConnection) {
+  OlderCaller Whole(std::string::npos);
+  BOOST_TEST(Whole.Received.find("chunked") == std::string::npos);
+  BOOST_TEST(Whole.Received.ends_with("\r\n\r\n" + Numbered[0] + Numbered[1]));
+  BOOST_TEST(!Whole.WasReset);
+}
+
+BOOST_AUTO_TEST_CASE(brokenStreamOfAnOlderCallerEndsWithAReset) {
+  const std::size_t Size =
+      OlderCaller::streamText("\r\nRequest-Id: q1\r\n").size();
+  for (std::size_t Missing = 1; Missing < LastChunk.size() + Numbered[1].size();
+       ++Missing) {
+    OlderCaller Cut(Size - Missing);
+    BOOST_TEST(Cut.WasReset, "without the last " << Missing << " bytes");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(headThatIsCutAfterAnInterimResponseIsNotComplete) {
   cutAtEachByte({"after 100", "book", Plain, Framing::Length, "HTTP/1.1",
                  "HTTP/1.1 100 Continue\r\nRequest-Id: ID\r\n\r\n"},
--- a/src/relay/tests/rawpeer.cpp
+++ b/src/relay/tests/rawpeer.cpp
@@ -110,6 +110,7 @@
       [Self = shared_from_this()](ErrorCode Error, std::size_t Bytes) {
         Self->Received.append(Self->Buffer.data(), Bytes);
         Self->Closed = static_cast<bool>(Error);
+        Self->WasReset = Error == asio::error::connection_reset;
         if (!Error && Self->Reads)
           Self->read();
       });
--- a/src/relay/tests/rawpeer.h
+++ b/src/relay/tests/rawpeer.h
@@ -65,6 +65,8 @@
 
   const std::string &received() const { return State_->Received; }
   bool closed() const { return State_->Closed; }
+  /// Whether the connection ended with a reset.
+  bool wasReset() const { return State_->WasReset; }
 
 private:
   /// Stays alive until the last read has ended, possibly longer than the
@@ -77,6 +79,7 @@
     std::array<char, 4096> Buffer{};
     std::string Received;
     bool Closed = false;
+    bool WasReset = false;
     bool Reads = true;
   };
 
