Keep the shared retry budget for the same windows at all hosts

Cause: each host kept its limit for the ten seconds before its own latest retry. The shares add up only if all count the same time: while load moves from one region to the next, the hosts of the first count their peak before it, those of the second theirs after it, and together they count more requests than any window has. The class: parts of a sum that are bounded at different times.

Change: every window from its first retry on has a limit made of the same parts at each host: a third follows the requests of the window before, two thirds its own requests. So the sum is below the limit of one of the two windows. Slices are a fortieth of a window.

A restarted host still begins with a fresh share of the slack.

--- a/src/dispatch/internal/sharedretrybudget.cpp
+++ b/src/dispatch/internal/sharedretrybudget.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/sharedretrybudget.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace celerybeam {
 
@@ -28,24 +29,37 @@
 
 bool SharedRetryBudget::take(const PoolName &Pool, std::size_t Hosts) {
   Slice &Now = current(Pool);
-  double Requests = 0;
-  double Extra = 0;
-  // Extra sends of the oldest slice count, its requests do not: the window
-  // holds at most a part of it.
-  for (const Slice &S : Rings_[Pool]) {
-    std::int64_t Age = Now.Number - S.Number;
-    if (Age < static_cast<std::int64_t>(Slices))
-      Requests += S.Requests;
-    if (Age <= static_cast<std::int64_t>(Slices))
-      Extra += S.Extra;
-  }
-  double Share =
-      Bounds_.Ratio * Requests +
+  double Slack =
       Bounds_.Slack / static_cast<double>(std::max<std::size_t>(1, Hosts));
-  if (Extra + 1 > Share)
+  if (!fits(Rings_[Pool], Slack))
     return false;
   Now.Extra += 1;
   return true;
 }
 
+bool SharedRetryBudget::fits(const Ring &Slots, double Slack) const {
+  constexpr std::size_t Ages = std::tuple_size_v<Ring>;
+  // Sums over the slices that are younger than an age, in slices.
+  std::array<double, Ages + 1> Requests{};
+  std::array<double, Ages + 1> Extra{};
+  std::int64_t Newest = sliceNumber();
+  for (std::size_t Age = 0; Age < Ages; ++Age) {
+    std::int64_t Number = Newest - static_cast<std::int64_t>(Age);
+    const Slice &S = Slots[static_cast<std::size_t>(Number) % Ages];
+    bool Current = S.Number == Number;
+    Requests[Age + 1] = Requests[Age] + (Current ? S.Requests : 0);
+    Extra[Age + 1] = Extra[Age] + (Current ? S.Extra : 0);
+  }
+  // A window begins somewhere in its first slice. All extra sends of that slice
+  // count, but no requests of slices that are in a whole window only in part.
+  for (std::size_t First = 0; First <= Slices; ++First) {
+    double Own = Requests[std::min(First + 1, Slices)];
+    double Earlier = Requests[First + Slices] - Requests[First + 1];
+    double Counted = (1 - EarlierShare) * Own + EarlierShare * Earlier;
+    if (Extra[First + 1] + 1 > Bounds_.Ratio * Counted + Slack)
+      return false;
+  }
+  return true;
+}
+
 } // namespace celerybeam
--- a/src/dispatch/sharedretrybudget.h
+++ b/src/dispatch/sharedretrybudget.h
@@ -12,7 +12,7 @@
 
 /// Limits on the extra sends (retries) of all hosts together, in any window.
 struct RetryBudgetBounds {
-  /// Extra sends for each request.
+  /// Extra sends for each request; see SharedRetryBudget for those that count.
   double Ratio = 0.2;
   Duration Window = std::chrono::seconds(10);
   /// Extra sends beyond that, over all hosts.
@@ -23,8 +23,13 @@
 ///
 /// Handles this load pattern: "endpoints fail and every host retries at once".
 /// The shares of all hosts add up to the limit without a message between them,
-/// since each counts its own requests and an equal part of the slack. Not
-/// thread-safe.
+/// since each counts its own requests and an equal part of the slack. They do
+/// so only because all hosts count the requests of the same times: load that
+/// moves between hosts must not count in an earlier window at one of them and
+/// in a later one at another. A part of the limit follows the requests of the
+/// window before, so that retries need not wait for new requests; the rest
+/// follows those of the window itself, for hosts whose load has just begun.
+/// Not thread-safe.
 class SharedRetryBudget {
 public:
   SharedRetryBudget(Runtime R, RetryBudgetBounds Bounds);
@@ -38,15 +43,20 @@
   bool take(const PoolName &Pool, std::size_t Hosts);
 
 private:
-  static constexpr std::size_t Slices = 10;
+  /// Slices of a window.
+  static constexpr std::size_t Slices = 40;
+  /// Part of the limit that follows the requests of the window before.
+  static constexpr double EarlierShare = 1.0 / 3;
   struct Slice {
     std::int64_t Number = -1;
     double Requests = 0;
     double Extra = 0;
   };
-  /// One more than a window has: the oldest slice is still in it in part.
-  using Ring = std::array<Slice, Slices + 1>;
+  /// The oldest window that is not over, and the window before it.
+  using Ring = std::array<Slice, 2 * Slices + 1>;
 
+  /// Whether one more send keeps the limit in each window that is not over.
+  bool fits(const Ring &Slots, double Slack) const;
   Slice &current(const PoolName &Pool);
   std::int64_t sliceNumber() const;
 
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -83,6 +83,44 @@
   }
 }
 
+// BUDGET: the load moves from one region's hosts to another's while endpoints
+// fail, and each host retries as often as it may.
+BOOST_AUTO_TEST_CASE(retryBudgetHoldsWhileLoadMovesBetweenHosts) {
+  testing::VirtualTime Time(1);
+  constexpr double Ratio = 0.2;
+  constexpr unsigned Slack = 20;
+  constexpr std::size_t Hosts = 2;
+  std::vector<SharedRetryBudget> Budgets(
+      Hosts, SharedRetryBudget(Time.runtime(), {Ratio, 10s, Slack}));
+  std::vector<TimePoint> Requests;
+  std::vector<TimePoint> Taken;
+  for (int Step = 0; Step < 400; ++Step) {
+    bool Moved = Step >= 130;
+    for (int I = 0; I < 10; ++I) {
+      Budgets[Moved ? 1 : 0].request(Pool);
+      Requests.push_back(Time.now());
+    }
+    bool Failing = Step >= 110;
+    for (SharedRetryBudget &Budget : Budgets)
+      while (Failing && Budget.take(Pool, Hosts))
+        Taken.push_back(Time.now());
+    Time.runFor(100ms);
+  }
+  const auto Within = [](const std::vector<TimePoint> &Times, TimePoint From) {
+    return std::count_if(Times.begin(), Times.end(), [&](TimePoint T) {
+      return T >= From && T - From < 10s;
+    });
+  };
+  for (TimePoint From : Taken) {
+    auto Counted =
+        std::max({Within(Requests, From), Within(Requests, From - 5s),
+                  Within(Requests, From - 10s)});
+    BOOST_TEST(Within(Taken, From) <=
+               Ratio * static_cast<double>(Counted) + Slack);
+  }
+  BOOST_TEST(Taken.size() > 400U);
+}
+
 // Cold endpoints return while requests are waiting for them, and the host that
 // places there changes twice within a second.
 BOOST_AUTO_TEST_CASE(coldEndpointStaysWithinItsRateLimit) {
