Free a slot of the soak's endpoint once only

Cause: in the stand-in, not in the gateway. The logs show that the endpoints e1 and e2 answered each request of the quiet end with 503, although no request was running there. An endpoint that was frozen handles a due response and the loss of its caller in one turn of its loop; each freed the request's slot, the unsigned count of busy slots wrapped, and from then on the endpoint refused everything.

Change: a request frees its slot once. The soak checks as much as before.

Ruled out: an endpoint that a host takes for moved and never tries again: no line "left its address" in any log of the failing plays.

--- a/tests/soak/endpointprocess.cpp
+++ b/tests/soak/endpointprocess.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <iostream>
 #include <random>
+#include <utility>
 
 #include "framework/stablehash.h"
 #include "relay/httpserver.h"
@@ -78,21 +79,18 @@
     if (isPlanted("run-refused"))
       return refuse(Unavailable, Id, *Answer);
     ++Busy_;
-    auto Gone = std::make_shared<bool>(false);
-    Answer->onDisconnect([this, Gone] {
-      *Gone = true;
-      --Busy_;
-    });
+    auto HasSlot = std::make_shared<bool>(true);
+    Answer->onDisconnect([this, HasSlot] { release(HasSlot); });
     constexpr unsigned MostMs = 90;
     auto Work = std::chrono::milliseconds(5 + Random_() % MostMs);
     Loop_.runtime().After(
-        Work, [this, Id, Answer, Gone,
+        Work, [this, Id, Answer, HasSlot,
                Streams = Request.Head.Target.starts_with("/s")] {
-          if (*Gone)
+          if (!*HasSlot)
             return;
           if (Streams)
-            return stream(Id, Answer, Gone, 1);
-          --Busy_;
+            return stream(Id, Answer, HasSlot, 1);
+          release(HasSlot);
           HttpResponseHead Head = head(Ok, Id);
           Head.Fields.push_back({"X-Response-Stamp", Options_.Id});
           Answer->respond(std::move(Head),
@@ -102,8 +100,8 @@
 
   void stream(const std::string &Id,
               const std::shared_ptr<HttpExchange> &Answer,
-              const std::shared_ptr<bool> &Gone, unsigned Next) {
-    if (*Gone)
+              const std::shared_ptr<bool> &HasSlot, unsigned Next) {
+    if (!*HasSlot)
       return;
     if (Next == 1) {
       HttpResponseHead Head = head(Ok, Id);
@@ -112,17 +110,24 @@
       Answer->beginStream(std::move(Head));
     }
     if (Next > endpointEvents(Id)) {
-      --Busy_;
+      release(HasSlot);
       return Answer->endStream();
     }
     if (!isPlanted("skip-event"))
       Answer->streamPiece("id: " + std::to_string(Next) + "\ndata: " + Id +
                           "\n\n");
-    Loop_.runtime().After(EventGap, [this, Id, Answer, Gone, Next] {
-      stream(Id, Answer, Gone, Next + 1);
+    Loop_.runtime().After(EventGap, [this, Id, Answer, HasSlot, Next] {
+      stream(Id, Answer, HasSlot, Next + 1);
     });
   }
 
+  /// Frees a request's slot once: the response and the loss of the caller may
+  /// come in one turn of the loop.
+  void release(const std::shared_ptr<bool> &HasSlot) {
+    if (std::exchange(*HasSlot, false))
+      --Busy_;
+  }
+
   EndpointOptions Options_;
   std::mt19937_64 Random_;
   EventLoop Loop_;
