--- a/src/relay/eventsplitter.h
+++ b/src/relay/eventsplitter.h
@@ -39,7 +39,8 @@
   /// known to be the rest of the stream.
   bool mayEnd() const;
   /// Whether the stream may end here when only its connection has ended: the
-  /// last line is complete, belongs to no event, and follows one.
+  /// current run has delivered an event, and at most blank lines follow what
+  /// was delivered.
   bool mayEndUnmarked() const;
   /// Whether the incomplete event exceeds MaxEventBytes, so that the data is
   /// not an event stream.
