Log why a request was not retried and what a caller left

Cause: an attempt that may not be retried ended as endpoint_failed, whatever stopped it, and nothing told what the retry budget was. Change: each decision on a retry stands in the attempts of Request ended. with its verdict and, when the budget was asked, its inputs: requests and extra sends of the window, slack, hosts, how long the process has counted. left_while tells what a request waited for when its caller left. mayRetry returns the decision instead of a bool; no decision has changed.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -175,10 +175,10 @@
   void setOwnership(std::function<bool(const EndpointKey &)> Owns,
                     std::function<Duration()> PlacersStableFor = {});
 
-  /// Whether another attempt may be made after a failure; if so, takes it from
-  /// the shared retry budget.
-  bool mayRetry(const RequestDescriptor &Request, const FleetRoute &Route,
-                const AttemptLog &Log);
+  /// Decides whether another attempt may be made after a failure; if so, takes
+  /// it from the shared retry budget.
+  RetryDecision mayRetry(const RequestDescriptor &Request,
+                         const FleetRoute &Route, const AttemptLog &Log);
 
   /// Number of endpoints on which the request may still run.
   static unsigned runsLeft(const RequestDescriptor &Request,
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -562,14 +562,21 @@
   Impl_->PlacersStableFor_ = std::move(PlacersStableFor);
 }
 
-bool Dispatcher::mayRetry(const RequestDescriptor &Request,
-                          const FleetRoute &Route, const AttemptLog &Log) {
-  if (!maySend(Log.Execution, Route.Kind) ||
-      runsLeft(Request, Route, Log) == 0 ||
-      Log.Sends >= Route.MaxEndpoints + MaxRefusedSends ||
-      Request.Deadline - Impl_->Runtime_.Now() < MinTimeLeft)
-    return false;
-  return Impl_->Budget_.take(Log.Pool, Impl_->Hosts_.knownHosts());
+RetryDecision Dispatcher::mayRetry(const RequestDescriptor &Request,
+                                   const FleetRoute &Route,
+                                   const AttemptLog &Log) {
+  if (!maySend(Log.Execution, Route.Kind))
+    return {RetryVerdict::MayHaveRun, std::nullopt};
+  if (runsLeft(Request, Route, Log) == 0)
+    return {RetryVerdict::NoRunsLeft, std::nullopt};
+  if (Log.Sends >= Route.MaxEndpoints + MaxRefusedSends)
+    return {RetryVerdict::TooManySends, std::nullopt};
+  if (Request.Deadline - Impl_->Runtime_.Now() < MinTimeLeft)
+    return {RetryVerdict::NoTimeLeft, std::nullopt};
+  RetryBudgetCheck Check =
+      Impl_->Budget_.take(Log.Pool, Impl_->Hosts_.knownHosts());
+  return {Check.Allowed ? RetryVerdict::Allowed : RetryVerdict::BudgetUsedUp,
+          Check};
 }
 
 unsigned Dispatcher::runsLeft(const RequestDescriptor &Request,
--- a/src/dispatch/internal/sharedretrybudget.cpp
+++ b/src/dispatch/internal/sharedretrybudget.cpp
@@ -6,7 +6,7 @@
 namespace celerybeam {
 
 SharedRetryBudget::SharedRetryBudget(Runtime R, RetryBudgetBounds Bounds)
-    : Runtime_(std::move(R)), Bounds_(Bounds) {}
+    : Runtime_(std::move(R)), StartedAt_(Runtime_.Now()), Bounds_(Bounds) {}
 
 std::int64_t SharedRetryBudget::sliceNumber() const {
   auto Length = std::max<std::int64_t>(
@@ -27,14 +27,23 @@
   current(Pool).Requests += 1;
 }
 
-bool SharedRetryBudget::take(const PoolName &Pool, std::size_t Hosts) {
+RetryBudgetCheck SharedRetryBudget::take(const PoolName &Pool,
+                                         std::size_t Hosts) {
   Slice &Now = current(Pool);
-  double Slack =
+  RetryBudgetCheck Check;
+  Check.Hosts = Hosts;
+  Check.Slack =
       Bounds_.Slack / static_cast<double>(std::max<std::size_t>(1, Hosts));
-  if (!fits(Rings_[Pool], Slack))
-    return false;
-  Now.Extra += 1;
-  return true;
+  Check.CountedFor = Runtime_.Now() - StartedAt_;
+  for (const Slice &S : Rings_[Pool]) {
+    bool InWindow = S.Number > Now.Number - static_cast<std::int64_t>(Slices);
+    Check.Requests += InWindow ? S.Requests : 0;
+    Check.Extra += InWindow ? S.Extra : 0;
+  }
+  Check.Allowed = fits(Rings_[Pool], Check.Slack);
+  if (Check.Allowed)
+    Now.Extra += 1;
+  return Check;
 }
 
 bool SharedRetryBudget::fits(const Ring &Slots, double Slack) const {
--- a/src/dispatch/sharedretrybudget.h
+++ b/src/dispatch/sharedretrybudget.h
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "blackboard/idtypes.h"
+#include "dispatch/retrydecision.h"
 #include "framework/runtime.h"
 
 namespace celerybeam {
@@ -38,9 +39,9 @@
 
   /// Counts a request for the pool.
   void request(const PoolName &Pool);
-  /// Takes one extra send. \param Hosts  number of hosts that share the slack.
-  /// \return false when the share is used up.
-  bool take(const PoolName &Pool, std::size_t Hosts);
+  /// Takes one extra send, unless the share is used up.
+  /// \param Hosts  number of hosts that share the slack.
+  RetryBudgetCheck take(const PoolName &Pool, std::size_t Hosts);
 
 private:
   /// Slices of a window.
@@ -61,6 +62,7 @@
   std::int64_t sliceNumber() const;
 
   Runtime Runtime_;
+  TimePoint StartedAt_;
   RetryBudgetBounds Bounds_;
   std::map<PoolName, Ring> Rings_;
 };
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -300,8 +300,8 @@
     AttemptLog Fresh;
     Decisions.choose(R, LookUps, Fresh);
   }
-  BOOST_TEST(!Decisions.mayRetry(R, Bookings, Log));
-  BOOST_TEST(Decisions.mayRetry(R, LookUps, Log));
+  BOOST_TEST(!Decisions.mayRetry(R, Bookings, Log).isAllowed());
+  BOOST_TEST(Decisions.mayRetry(R, LookUps, Log).isAllowed());
 }
 
 BOOST_AUTO_TEST_CASE(bookingRefusedByAnEndpointMayBeRetried) {
@@ -314,7 +314,7 @@
   Log.Pool = PoolName("plain");
   Log.Sends = 1;
   Log.Execution = ExecutionState::RefusedByEndpoint;
-  BOOST_TEST(Decisions.mayRetry(R, Bookings, Log));
+  BOOST_TEST(Decisions.mayRetry(R, Bookings, Log).isAllowed());
 }
 
 BOOST_AUTO_TEST_CASE(runsAtTheForwardingHostCount) {
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -44,7 +44,7 @@
     SharedRetryBudget Budget(Time.runtime(), {0.2, 10s, 116});
     for (int I = 0; I < 100; ++I)
       Budget.request(Pool);
-    while (Budget.take(Pool, Hosts))
+    while (Budget.take(Pool, Hosts).Allowed)
       ++Taken;
   }
   BOOST_TEST(Taken <= 0.2 * 1500 + 116);
@@ -54,10 +54,10 @@
 BOOST_AUTO_TEST_CASE(retryBudgetRefillsWithTime) {
   testing::VirtualTime Time(1);
   SharedRetryBudget Budget(Time.runtime(), {0.2, 10s, 10});
-  while (Budget.take(Pool, 1))
+  while (Budget.take(Pool, 1).Allowed)
     ;
   Time.runFor(11s);
-  BOOST_TEST(Budget.take(Pool, 1));
+  BOOST_TEST(Budget.take(Pool, 1).Allowed);
 }
 
 // BUDGET: failures shortly before the end of a slice, and again a little less
@@ -70,7 +70,7 @@
   for (int Step = 0; Step < 400; ++Step) {
     Budget.request(Pool);
     bool Failing = Step >= 8 && Step % 100 < 10;
-    while (Failing && Budget.take(Pool, 1))
+    while (Failing && Budget.take(Pool, 1).Allowed)
       Taken.push_back(Time.now());
     Time.runFor(100ms);
   }
@@ -102,7 +102,7 @@
     }
     bool Failing = Step >= 110;
     for (SharedRetryBudget &Budget : Budgets)
-      while (Failing && Budget.take(Pool, Hosts))
+      while (Failing && Budget.take(Pool, Hosts).Allowed)
         Taken.push_back(Time.now());
     Time.runFor(100ms);
   }
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -46,6 +46,8 @@
                       {"run", executionStateName(R.Execution)}};
   if (!R.SentAs.empty())
     Fields.push_back({"sent_as", R.SentAs});
+  if (!R.LeftWhile.empty())
+    Fields.push_back({"left_while", R.LeftWhile});
   if (R.Homes.isRestricted())
     Fields.push_back({"homes", R.Homes.text()});
   add(Fields, "prompt_tokens", R.PromptTokens);
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -343,6 +343,7 @@
 
   void beginCall(HttpCallRequest Call) {
     GotOutput_ = false;
+    IsSent_ = false;
     auto Self = shared_from_this();
     detail::AttemptHooks Hooks;
     Hooks.BeforeSend = [Self](HttpRequestHead &Head) {
@@ -398,6 +399,7 @@
     detail::setTimeLeft(Head, Context_.Names, deadline() - Now);
     if (!Target_)
       setHostFields(Head);
+    IsSent_ = true;
     return true;
   }
 
@@ -465,7 +467,7 @@
     const auto *Remote = std::get_if<ForwardTo>(&*Reply.Decision);
     bool Wanted = (Local != nullptr || Remote != nullptr) && !Ended_ &&
                   Target_ && !GotOutput_ && Log_.Sends == After.Sends &&
-                  Context_.Decisions.mayRetry(Descriptor_, *Route_, After);
+                  mayRetry(After);
     if (!Wanted)
       return Context_.Placement.end(Id, {});
     Record_.Attempts += " stalled";
@@ -478,6 +480,14 @@
     forwardToHost(*Remote);
   }
 
+  /// Decides whether to send the request once more, and notes the decision.
+  bool mayRetry(const AttemptLog &Log) {
+    RetryDecision Retry =
+        Context_.Decisions.mayRetry(Descriptor_, *Route_, Log);
+    Record_.Attempts += describe(Retry);
+    return Retry.isAllowed();
+  }
+
   void dropAlternative() {
     SeekingAlternative_ = false;
     if (Alternative_)
@@ -582,7 +592,7 @@
                                             : AttemptOutcome::Failed);
     // A refusal by an entry host reached no endpoint and does not count as a
     // retry.
-    if (ByHost || Context_.Decisions.mayRetry(Descriptor_, *Route_, Log_))
+    if (ByHost || mayRetry(Log_))
       return attempt();
     giveUp(false, "refused_by_endpoint");
   }
@@ -593,8 +603,7 @@
     if (Target_)
       Context_.Decisions.crashes().recordCrash(Descriptor_.Fingerprint);
     endPlacement(AttemptOutcome::Broken);
-    if (Splitter_.mayResume() &&
-        Context_.Decisions.mayRetry(Descriptor_, *Route_, Log_))
+    if (Splitter_.mayResume() && mayRetry(Log_))
       return attempt();
     giveUp(false, "endpoint_broke_off");
   }
@@ -623,8 +632,7 @@
       return finishWith(callerHead(), Attempt_->takeBody(), "answered");
     if (Signed && !Streaming_ && !FalseNotRun)
       EndpointFailure_ = {callerHead(), Attempt_->takeBody()};
-    if (mayRepeat(Route_->Kind) &&
-        Context_.Decisions.mayRetry(Descriptor_, *Route_, Log_))
+    if (mayRepeat(Route_->Kind) && mayRetry(Log_))
       return attempt();
     giveUp(false, "endpoint_failed");
   }
@@ -678,10 +686,18 @@
   void callerDisconnected() {
     if (Ended_)
       return;
+    Record_.LeftWhile = phase();
     cancelAttempts(AttemptOutcome::Answered);
     done(0, "caller_left");
   }
 
+  /// What the request is waiting for, for the log.
+  const char *phase() const {
+    if (isAttemptUnderWay())
+      return IsSent_ ? "sent" : "connecting";
+    return Queued_ ? "queued" : "placing";
+  }
+
   /// Whether an attempt is in progress.
   bool isAttemptUnderWay() const { return Attempt_ && Attempt_->isUnderWay(); }
 
@@ -762,6 +778,8 @@
   bool Queued_ = false;
   /// Whether the connection was established but the request was not sent.
   bool SendDeclined_ = false;
+  /// Whether the current attempt has been sent.
+  bool IsSent_ = false;
   std::shared_ptr<Attempt> Attempt_;
   TimePoint LastEventsAt_{};
   bool GotOutput_ = false;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -74,6 +74,9 @@
   /// How the end of the response was marked for the caller: "length", "chunks"
   /// or, for a stream that was broken off, "cut". Empty if there was none.
   std::string SentAs;
+  /// What the request was waiting for when its caller left: "placing",
+  /// "queued", "connecting" or "sent". Empty if the caller stayed.
+  std::string LeftWhile;
   /// All attempts in order, each with the values that decided it.
   std::string Attempts;
   ExecutionState Execution = ExecutionState::NotSent;
