Take no share of the retry slack right after a start

Callers saw more repeats than allowed (BUDGET) while hosts were killed. Cause: a new process has an empty SharedRetryBudget. What its predecessor on the host has sent still counts in the window, and its share of the slack was given out anew at each start. Class: an allowance that begins full at a start. Change: a process takes slack only after two windows: one in which its predecessor's sends count, and one for the others to learn of a host that is new. The part that follows its own requests begins with them, as before. Ruled out: handing the account over, since a killed process can't; a share that grows with the age, since the predecessor may have spent all of it just before.

--- a/src/dispatch/internal/sharedretrybudget.cpp
+++ b/src/dispatch/internal/sharedretrybudget.cpp
@@ -32,9 +32,10 @@
   Slice &Now = current(Pool);
   RetryBudgetCheck Check;
   Check.Hosts = Hosts;
-  Check.Slack =
-      Bounds_.Slack / static_cast<double>(std::max<std::size_t>(1, Hosts));
   Check.CountedFor = Runtime_.Now() - StartedAt_;
+  if (Check.CountedFor >= WindowsWithoutSlack * Bounds_.Window)
+    Check.Slack =
+        Bounds_.Slack / static_cast<double>(std::max<std::size_t>(1, Hosts));
   for (const Slice &S : Rings_[Pool]) {
     bool InWindow = S.Number > Now.Number - static_cast<std::int64_t>(Slices);
     Check.Requests += InWindow ? S.Requests : 0;
--- a/src/dispatch/sharedretrybudget.h
+++ b/src/dispatch/sharedretrybudget.h
@@ -27,7 +27,9 @@
 /// since each counts its own requests and an equal part of the slack. They do
 /// so only because all hosts count the requests of the same times: load that
 /// moves between hosts must not count in an earlier window at one of them and
-/// in a later one at another. A part of the limit follows the requests of the
+/// in a later one at another. A process cannot know what its predecessor on the
+/// host has sent, so it takes no slack until that no longer counts. A part of
+/// the limit follows the requests of the
 /// window before, so that retries need not wait for new requests; the rest
 /// follows those of the window itself, for hosts whose load has just begun.
 /// Not thread-safe.
@@ -39,6 +41,11 @@
 
   /// Counts a request for the pool.
   void request(const PoolName &Pool);
+  /// Windows from the start of a process until it takes a share of the slack:
+  /// one in which its predecessor's sends still count, and one in which the
+  /// others learn of a host that is new and so divide by one host less.
+  static constexpr int WindowsWithoutSlack = 2;
+
   /// Takes one extra send, unless the share is used up.
   /// \param Hosts  number of hosts that share the slack.
   RetryBudgetCheck take(const PoolName &Pool, std::size_t Hosts);
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -21,6 +21,9 @@
 
 const PoolName Pool("plain");
 
+/// The time after which a process takes its share of the slack.
+constexpr Duration SlackDelay = SharedRetryBudget::WindowsWithoutSlack * 10s;
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DispatchPartsTests)
@@ -42,6 +45,7 @@
   unsigned Taken = 0;
   for (std::size_t H = 0; H < Hosts; ++H) {
     SharedRetryBudget Budget(Time.runtime(), {0.2, 10s, 116});
+    Time.runFor(SlackDelay);
     for (int I = 0; I < 100; ++I)
       Budget.request(Pool);
     while (Budget.take(Pool, Hosts).Allowed)
@@ -54,6 +58,7 @@
 BOOST_AUTO_TEST_CASE(retryBudgetRefillsWithTime) {
   testing::VirtualTime Time(1);
   SharedRetryBudget Budget(Time.runtime(), {0.2, 10s, 10});
+  Time.runFor(SlackDelay);
   while (Budget.take(Pool, 1).Allowed)
     ;
   Time.runFor(11s);
@@ -66,6 +71,7 @@
   testing::VirtualTime Time(1);
   constexpr unsigned Slack = 20;
   SharedRetryBudget Budget(Time.runtime(), {0.2, 10s, Slack});
+  Time.runFor(SlackDelay);
   std::vector<TimePoint> Taken;
   for (int Step = 0; Step < 400; ++Step) {
     Budget.request(Pool);
@@ -92,6 +98,7 @@
   constexpr std::size_t Hosts = 2;
   std::vector<SharedRetryBudget> Budgets(
       Hosts, SharedRetryBudget(Time.runtime(), {Ratio, 10s, Slack}));
+  Time.runFor(SlackDelay);
   std::vector<TimePoint> Requests;
   std::vector<TimePoint> Taken;
   for (int Step = 0; Step < 400; ++Step) {
