Charge a retry when it is sent

Cause: mayRetry took a retry from the budget when it was decided. Change: mayRetry only checks; takeRetry counts the send in BeforeSend, when the connection stands and nothing has been sent. A retry that finds the budget used up by then is given up like one that was declined at once. An alternative for a stalled attempt is taken before that attempt is cancelled. Ruled out: charging when the placement is found, since a connect may follow. What remains: a retry forwarded to another region is charged by the host that forwards it and may be queued at the other host.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -175,10 +175,12 @@
   void setOwnership(std::function<bool(const EndpointKey &)> Owns,
                     std::function<Duration()> PlacersStableFor = {});
 
-  /// Decides whether another attempt may be made after a failure; if so, takes
-  /// it from the shared retry budget.
+  /// Decides whether another attempt may be made after a failure.
   RetryDecision mayRetry(const RequestDescriptor &Request,
                          const FleetRoute &Route, const AttemptLog &Log);
+  /// Takes a retry that is sent now from the shared retry budget. Others may
+  /// have used it up since mayRetry.
+  RetryDecision takeRetry(const PoolName &Pool);
 
   /// Number of endpoints on which the request may still run.
   static unsigned runsLeft(const RequestDescriptor &Request,
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -52,6 +52,11 @@
   Duration Expected{};
 };
 
+RetryDecision decisionOf(const RetryBudgetCheck &Check) {
+  return {Check.Allowed ? RetryVerdict::Allowed : RetryVerdict::BudgetUsedUp,
+          Check};
+}
+
 bool contains(const auto &List, const auto &Item) {
   return std::find(List.begin(), List.end(), Item) != List.end();
 }
@@ -573,10 +578,11 @@
     return {RetryVerdict::TooManySends, std::nullopt};
   if (Request.Deadline - Impl_->Runtime_.Now() < MinTimeLeft)
     return {RetryVerdict::NoTimeLeft, std::nullopt};
-  RetryBudgetCheck Check =
-      Impl_->Budget_.take(Log.Pool, Impl_->Hosts_.fleetSize());
-  return {Check.Allowed ? RetryVerdict::Allowed : RetryVerdict::BudgetUsedUp,
-          Check};
+  return decisionOf(Impl_->Budget_.check(Log.Pool, Impl_->Hosts_.fleetSize()));
+}
+
+RetryDecision Dispatcher::takeRetry(const PoolName &Pool) {
+  return decisionOf(Impl_->Budget_.take(Pool, Impl_->Hosts_.fleetSize()));
 }
 
 unsigned Dispatcher::runsLeft(const RequestDescriptor &Request,
--- a/src/dispatch/internal/sharedretrybudget.cpp
+++ b/src/dispatch/internal/sharedretrybudget.cpp
@@ -37,9 +37,9 @@
          static_cast<double>(std::max<std::size_t>(1, Sharing.Hosts));
 }
 
-RetryBudgetCheck SharedRetryBudget::take(const PoolName &Pool,
-                                         const FleetSize &Sharing) {
-  Slice &Now = current(Pool);
+RetryBudgetCheck SharedRetryBudget::check(const PoolName &Pool,
+                                          const FleetSize &Sharing) {
+  const Slice &Now = current(Pool);
   RetryBudgetCheck Check;
   Check.Hosts = Sharing.KnownSince ? Sharing.Hosts : 0;
   Check.Slack = slackOf(Sharing);
@@ -50,8 +50,14 @@
     Check.Extra += InWindow ? S.Extra : 0;
   }
   Check.Allowed = fits(Rings_[Pool], Check.Slack);
+  return Check;
+}
+
+RetryBudgetCheck SharedRetryBudget::take(const PoolName &Pool,
+                                         const FleetSize &Sharing) {
+  RetryBudgetCheck Check = check(Pool, Sharing);
   if (Check.Allowed)
-    Now.Extra += 1;
+    current(Pool).Extra += 1;
   return Check;
 }
 
--- a/src/dispatch/sharedretrybudget.h
+++ b/src/dispatch/sharedretrybudget.h
@@ -49,8 +49,11 @@
   /// and so divide by one host less.
   static constexpr int WindowsWithoutSlack = 2;
 
-  /// Takes one extra send, unless the share is used up.
+  /// Whether the share has room for one more extra send.
   /// \param Sharing  the hosts that share the slack.
+  RetryBudgetCheck check(const PoolName &Pool, const FleetSize &Sharing);
+  /// Counts an extra send that is made now, unless the share is used up. One
+  /// that is counted before may arrive in a later window.
   RetryBudgetCheck take(const PoolName &Pool, const FleetSize &Sharing);
 
 private:
--- a/src/dispatch/tests/retryfleet.cpp
+++ b/src/dispatch/tests/retryfleet.cpp
@@ -77,8 +77,7 @@
     AttemptLog Log;
     To.Running->Decisions.admit(Request, Route, Log);
     Requests_.push_back(Time_.now());
-    while (Failing &&
-           To.Running->Decisions.mayRetry(Request, Route, Log).isAllowed())
+    while (Failing && To.Running->Decisions.takeRetry(Log.Pool).isAllowed())
       Extra_.push_back(Time_.now());
   }
 }
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -397,6 +397,10 @@
     }
     TimePoint Now = Context_.Time.Now();
     detail::setTimeLeft(Head, Context_.Names, deadline() - Now);
+    if (HasArrived_ && !std::exchange(RetryTaken_, false) && !takeRetry()) {
+      SendDeclined_ = BudgetUsedUp_ = true;
+      return false;
+    }
     if (!Target_)
       setHostFields(Head);
     IsSent_ = true;
@@ -467,7 +471,7 @@
     const auto *Remote = std::get_if<ForwardTo>(&*Reply.Decision);
     bool Wanted = (Local != nullptr || Remote != nullptr) && !Ended_ &&
                   Target_ && !GotOutput_ && Log_.Sends == After.Sends &&
-                  mayRetry(After);
+                  mayRetry(After) && takeRetry();
     if (!Wanted)
       return Context_.Placement.end(Id, {});
     Record_.Attempts += " stalled";
@@ -475,6 +479,7 @@
     Attempt_->cancel();
     endPlacement(AttemptOutcome::Failed);
     Log_ = After;
+    HasArrived_ = RetryTaken_ = true;
     if (Local != nullptr)
       return serveAt(Id, *Local);
     forwardToHost(*Remote);
@@ -488,6 +493,14 @@
     return Retry.isAllowed();
   }
 
+  /// Takes the send that is about to happen from the retry budget.
+  bool takeRetry() {
+    RetryDecision Retry = Context_.Decisions.takeRetry(Log_.Pool);
+    if (!Retry.isAllowed())
+      Record_.Attempts += describe(Retry);
+    return Retry.isAllowed();
+  }
+
   void dropAlternative() {
     SeekingAlternative_ = false;
     if (Alternative_)
@@ -547,6 +560,8 @@
       Record_.Attempts += " not_connected after_ms=" +
                           std::to_string(millisOf(Attempt_->sinceSent()));
       notConnected();
+      if (BudgetUsedUp_)
+        return giveUp(false, "retry_budget_used_up");
       return attempt();
     case AttemptEnd::Broken:
       Record_.Attempts += Splitter_.outOfOrder() ? " out_of_order" : " broken";
@@ -587,11 +602,13 @@
     bool Moved = Target_ && Status == Misdirected;
     if (Moved)
       Context_.Fleet.noteMoved(Target_->Endpoint.Id);
+    // A refusal by an entry host reached no endpoint: what was taken for that
+    // send is left for the next one.
+    RetryTaken_ = ByHost && HasArrived_;
+    HasArrived_ = HasArrived_ || !ByHost;
     endPlacement(Moved                      ? AttemptOutcome::Moved
                  : Attempt_->wantsBackOff() ? AttemptOutcome::Declined
                                             : AttemptOutcome::Failed);
-    // A refusal by an entry host reached no endpoint and does not count as a
-    // retry.
     if (ByHost || mayRetry(Log_))
       return attempt();
     giveUp(false, "refused_by_endpoint");
@@ -600,6 +617,7 @@
   void attemptBroken() {
     Log_.Execution = combine(Log_.Execution, ExecutionState::Unknown);
     Log_.Runs += Target_ ? 1 : AllottedRuns_;
+    HasArrived_ = true;
     if (Target_)
       Context_.Decisions.crashes().recordCrash(Descriptor_.Fingerprint);
     endPlacement(AttemptOutcome::Broken);
@@ -614,6 +632,7 @@
     Log_.Execution = combine(Log_.Execution, Signed ? ExecutionState::Ran
                                                     : ExecutionState::Unknown);
     Log_.Runs += Target_ ? 1 : reportedRuns();
+    HasArrived_ = true;
     if (Attempt_->isEvents())
       return streamEnded();
     // Forwarded to the caller, such a status would promise that a request that
@@ -780,6 +799,13 @@
   bool SendDeclined_ = false;
   /// Whether the current attempt has been sent.
   bool IsSent_ = false;
+  /// Whether the request has reached an endpoint, so that a further send is a
+  /// retry.
+  bool HasArrived_ = false;
+  /// Whether the next send was already taken from the retry budget.
+  bool RetryTaken_ = false;
+  /// Whether a retry was declined when it was to be sent.
+  bool BudgetUsedUp_ = false;
   std::shared_ptr<Attempt> Attempt_;
   TimePoint LastEventsAt_{};
   bool GotOutput_ = false;
