Count the retry after another host's endpoint refused the request

Cause: after another host's refusal the next send was free, on the assumption that it reached no endpoint. Change: a refusal between hosts says whether an endpoint got the request (Celerybeam-Arrived). Only a refusal without it leaves the next send uncounted, and leaves what was taken for the refused send to the next one. Ruled out: a send that ends as NotConnected. Call ends so only in its state Connecting, before the first write; a reused connection that fails ends as Broken. A host of an older version doesn't send the field; its refusals count as before.

--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -602,14 +602,15 @@
     bool Moved = Target_ && Status == Misdirected;
     if (Moved)
       Context_.Fleet.noteMoved(Target_->Endpoint.Id);
-    // A refusal by an entry host reached no endpoint: what was taken for that
-    // send is left for the next one.
-    RetryTaken_ = ByHost && HasArrived_;
-    HasArrived_ = HasArrived_ || !ByHost;
+    bool Arrived =
+        !ByHost || findField(Attempt_->head().Fields, ArrivedField).has_value();
+    // What was taken for a send that reached no endpoint is left for the next.
+    RetryTaken_ = !Arrived && HasArrived_;
+    HasArrived_ = HasArrived_ || Arrived;
     endPlacement(Moved                      ? AttemptOutcome::Moved
                  : Attempt_->wantsBackOff() ? AttemptOutcome::Declined
                                             : AttemptOutcome::Failed);
-    if (ByHost || mayRetry(Log_))
+    if (!Arrived || mayRetry(Log_))
       return attempt();
     giveUp(false, "refused_by_endpoint");
   }
@@ -739,6 +740,8 @@
       Head.Fields.push_back({Context_.Names.RequestId, Descriptor_.Id.str()});
     if (FromHost_)
       setField(Head.Fields, RunsField, std::to_string(Log_.Runs));
+    if (FromHost_ && HasArrived_)
+      setField(Head.Fields, ArrivedField, "1");
     Exchange_->respond(std::move(Head), Body);
     Record_.SentAs = "length";
     done(Status, Outcome);
--- a/src/relay/internal/responsehead.cpp
+++ b/src/relay/internal/responsehead.cpp
@@ -56,8 +56,8 @@
 }
 
 void removeHostFields(HttpFields &Fields) {
-  for (const char *Name :
-       {NotRunField, RunsField, WaitedField, TablesField, HomesField})
+  for (const char *Name : {NotRunField, ArrivedField, RunsField, WaitedField,
+                           TablesField, HomesField})
     removeField(Fields, Name);
 }
 
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -133,6 +133,8 @@
 
 /// Header field between entry hosts. In a response: the request has not run.
 inline constexpr const char *NotRunField = "Celerybeam-Not-Run";
+/// In a refusal: the request has reached an endpoint, which refused it.
+inline constexpr const char *ArrivedField = "Celerybeam-Arrived";
 /// In a request: on how many endpoints it may still run. In a response: on how
 /// many it has run or may have run.
 inline constexpr const char *RunsField = "Celerybeam-Runs";
