Notice a caller's close that lies behind its data

Callers that had left got requests worked on (GONE). Cause: a close is seen only by the read that reaches it. A host that reads late finds a request and its caller's close together; requestComplete hands the request over before the next read, and an idle or fast connection carries it to an endpoint or another host at once. While a response is due, a connection reads 64 KiB ahead and then no further, so a close behind them isn't seen at all. Class: an event that waits behind data is taken for one that hasn't happened. Change: right before a send the relay asks the connection, which looks into the socket (a peek, and POLLRDHUP if bytes lie before the end). A connection that reads no further looks every 100 ms. A caller that closes only its sending side counted as gone before, and still does. Ruled out, by a test that was green at once: a request that waits in a queue, also at a second host, is dropped when its caller or the first host closes. Tests, red before: requestWhoseCallerHasClosedIsNotSent (2 of 2 sent), requestWhoseCallerHasClosedIsNotForwarded, closeBehindUnreadBytesIsNoticed. Passed: test_relay, test_stalledloop.

--- a/src/relay/httpserver.h
+++ b/src/relay/httpserver.h
@@ -38,6 +38,9 @@
   /// Sets a callback that runs once if the caller closes the connection before
   /// the response is complete.
   virtual void onDisconnect(std::function<void()> Callback) = 0;
+  /// Whether the caller still waits. Also notices a close for which the
+  /// callback has not run yet.
+  virtual bool isCallerWaiting() = 0;
 };
 
 /// A request that the server refused while receiving it, before the handler was
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -387,6 +387,8 @@
   bool beforeSend(HttpRequestHead &Head) {
     SendDeclined_ =
         Ended_ || isPastDeadline() || (Target_ && !isTargetUsable());
+    CallerGone_ = !SendDeclined_ && !Exchange_->isCallerWaiting();
+    SendDeclined_ = SendDeclined_ || CallerGone_;
     if (SendDeclined_)
       return false;
     updateHomes();
@@ -555,6 +557,8 @@
     dropAlternative();
     switch (End) {
     case AttemptEnd::NotConnected:
+      if (CallerGone_)
+        return callerDisconnected();
       if (isPastDeadline())
         return timedOut();
       Record_.Attempts += " not_connected after_ms=" +
@@ -713,6 +717,8 @@
 
   /// What the request is waiting for, for the log.
   const char *phase() const {
+    if (CallerGone_)
+      return "connecting";
     if (isAttemptUnderWay())
       return IsSent_ ? "sent" : "connecting";
     return Queued_ ? "queued" : "placing";
@@ -800,6 +806,8 @@
   bool Queued_ = false;
   /// Whether the connection was established but the request was not sent.
   bool SendDeclined_ = false;
+  /// Whether the caller was found gone when the request was to be sent.
+  bool CallerGone_ = false;
   /// Whether the current attempt has been sent.
   bool IsSent_ = false;
   /// Whether the request has reached an endpoint, so that a further send is a
--- a/src/relay/internal/serverconnection.cpp
+++ b/src/relay/internal/serverconnection.cpp
@@ -24,6 +24,8 @@
 /// Maximum number of bytes that are buffered after a request while it is
 /// processed.
 constexpr std::size_t MaxPipelined = 65536;
+/// How often a connection that reads no further is checked for a close.
+constexpr Duration CloseCheckInterval = std::chrono::milliseconds(100);
 /// Maximum number of response bytes that may wait for a caller that does not
 /// read: the longest response that is buffered whole, with its head.
 constexpr std::size_t MaxUnsent = ByteBudget::MaxResponseBytes + 65536;
@@ -131,9 +133,7 @@
   case State::Reading:
     return parse();
   case State::Responding:
-    if (Buffer_.size() < MaxPipelined)
-      read();
-    return;
+    return watchCaller();
   case State::Finishing:
   case State::Lingering:
     return drainBytes();
@@ -258,13 +258,27 @@
   Request.Body =
       std::make_shared<const std::string>(std::move(Parser_->get().body()));
   beginTurn(Parser_->get().keep_alive());
-  // Keeps reading, to notice when the caller closes the connection.
-  if (Buffer_.size() < MaxPipelined)
-    read();
+  watchCaller();
   Shared_->Handle(std::move(Request),
                   std::make_shared<ServerExchange>(shared_from_this(), Turn_));
 }
 
+void ServerConnection::watchCaller() {
+  if (Buffer_.size() < MaxPipelined)
+    return read();
+  StateTimer_.set(CloseCheckInterval, [this] {
+    if (State_ != State::Responding)
+      return;
+    if (isClosedByPeer(Socket_))
+      return callerDisconnected();
+    watchCaller();
+  });
+}
+
+bool ServerConnection::isCallerWaiting(TurnNumber Turn) {
+  return isCurrent(Turn) && !isClosedByPeer(Socket_);
+}
+
 void ServerConnection::refuse(unsigned Status, const char *Why) {
   HttpRequestHead ReceivedHead;
   if (Parser_->is_header_done())
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -74,6 +74,7 @@
   void endStream(TurnNumber Turn);
   void abort(TurnNumber Turn);
   void onDisconnect(TurnNumber Turn, std::function<void()> Callback);
+  bool isCallerWaiting(TurnNumber Turn);
 
 private:
   using Parser = http::request_parser<http::string_body>;
@@ -109,6 +110,9 @@
   void parse();
   void continueBody();
   void requestComplete();
+  /// Reads on while a request is processed, to notice when the caller closes
+  /// the connection. With enough bytes buffered, only looks for the close.
+  void watchCaller();
   /// The reason for which the framing of the head is refused; null if it is
   /// accepted.
   const char *framingProblem() const;
--- a/src/relay/internal/serverexchange.h
+++ b/src/relay/internal/serverexchange.h
@@ -30,6 +30,9 @@
   void onDisconnect(std::function<void()> Callback) override {
     Connection_->onDisconnect(Turn_, std::move(Callback));
   }
+  bool isCallerWaiting() override {
+    return Connection_->isCallerWaiting(Turn_);
+  }
 
 private:
   std::shared_ptr<ServerConnection> Connection_;
--- a/src/relay/internal/sockets.cpp
+++ b/src/relay/internal/sockets.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace celerybeam::detail {
@@ -42,6 +43,19 @@
   return Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool isClosedByPeer(Tcp::socket &Socket) {
+  char Byte = 0;
+  ssize_t Got =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Got == 0)
+    return true;
+  if (Got < 0)
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  pollfd State{Socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&State, 1, 0) > 0 &&
+         (State.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void setConnectionOptions(Tcp::socket &Socket, Duration AckTimeout) {
   ErrorCode Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
--- a/src/relay/internal/sockets.h
+++ b/src/relay/internal/sockets.h
@@ -12,6 +12,10 @@
 /// Parses "IP:PORT". Unset when the text is malformed.
 std::optional<Tcp::endpoint> parseEndpoint(const Address &Where);
 
+/// Whether the other end has closed its sending side or reset the connection,
+/// also if bytes before that are still unread.
+bool isClosedByPeer(Tcp::socket &Socket);
+
 /// Disables the delay of small packets, and closes the connection when the
 /// other side does not acknowledge sent bytes or keep-alive probes within
 /// AckTimeout. Failures are ignored: the connection works without these
