Tell a host that has started of requests that crash endpoints

Cause: the count of crashes under a request begins at zero in each process, and a crash is reported once, when it happens. Change: a host that hears from a new process sends it the crashes that count, with their age, so that they are forgotten as if there had been no restart; such reports are not passed on. Looked at and left: ColdStartLimiter (a new placer waits first), customers' limits of the daemon (LimitAllocator takes another for the allocator of the time before its start), the daemon's RetryBudget (three tokens a start; it promises no sum over hosts), health checks and trials (no sum is promised). Tests: restartedHostRefusesARequestThatCrashesEndpoints, red without the sending.

--- a/src/dispatch/crashtracker.h
+++ b/src/dispatch/crashtracker.h
@@ -15,6 +15,9 @@
   std::uint64_t Fingerprint = 0;
   /// Identifies the event, so that it counts once however often it is reported.
   std::uint64_t Event = 0;
+  /// Time since the latest crash under the request, in a report to a host that
+  /// has just started; zero when the event has just happened.
+  Duration Age{};
 };
 
 /// Counts how often endpoints crash while they run the same request, over all
@@ -31,12 +34,15 @@
   /// hosts.
   void recordCrash(std::uint64_t Fingerprint);
   /// Another host reported a crash; forwards the report if it is new to this
-  /// host.
+  /// host and has just happened.
   void recordPeerReport(const CrashReport &Report);
   void recordSuccess(std::uint64_t Fingerprint);
   /// Whether the request is to be refused.
   bool isRefused(std::uint64_t Fingerprint) const;
 
+  /// All crashes that count, for a host that has just started.
+  std::vector<CrashReport> recentCrashes() const;
+
   /// Reports for the other hosts since the last call.
   std::vector<CrashReport> takeReports();
 
--- a/src/dispatch/internal/crashtracker.cpp
+++ b/src/dispatch/internal/crashtracker.cpp
@@ -1,11 +1,12 @@
 #include "dispatch/crashtracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace celerybeam {
 
 void CrashTracker::recordCrash(std::uint64_t Fingerprint) {
-  recordPeerReport({Fingerprint, Runtime_.Random()});
+  recordPeerReport({Fingerprint, Runtime_.Random(), {}});
 }
 
 void CrashTracker::recordPeerReport(const CrashReport &Report) {
@@ -19,11 +20,27 @@
   Entry &E = Entries_[Report.Fingerprint];
   if (Now - E.Last > Retention)
     E.Events.clear();
+  TimePoint At = Now - Report.Age;
   bool IsNew = E.Events.size() < Limit && E.Events.insert(Report.Event).second;
   if (!IsNew)
     return;
-  E.Last = Now;
-  Reports_.push_back(Report);
+  E.Last = std::max(E.Last, At);
+  if (Report.Age == Duration::zero())
+    Reports_.push_back(Report);
+}
+
+std::vector<CrashReport> CrashTracker::recentCrashes() const {
+  // At least one, since zero means that it has just happened.
+  constexpr Duration LeastAge = std::chrono::milliseconds(1);
+  std::vector<CrashReport> Recent;
+  for (const auto &[Fingerprint, E] : Entries_) {
+    Duration Age = Runtime_.Now() - E.Last;
+    if (Age > Retention)
+      continue;
+    for (std::uint64_t Event : E.Events)
+      Recent.push_back({Fingerprint, Event, std::max(Age, LeastAge)});
+  }
+  return Recent;
 }
 
 void CrashTracker::recordSuccess(std::uint64_t Fingerprint) {
--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -70,6 +70,9 @@
   /// Empty for a region without hosts.
   RegionDelegates delegates(const RegionId &Region) const;
 
+  /// When a host's process started, by the last update; zero when it is
+  /// unknown.
+  std::int64_t startOf(const std::string &Ip) const;
   /// Whether there was a recent update about a host.
   bool isAlive(const std::string &Ip) const;
   /// Time since the last update about a host; empty when it is unknown.
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -330,6 +330,11 @@
   return From.empty() ? std::nullopt : std::optional(*From.back());
 }
 
+std::int64_t HostRegistry::startOf(const std::string &Ip) const {
+  auto Found = Impl_->Hosts_.find(Ip);
+  return Found == Impl_->Hosts_.end() ? 0 : Found->second.State.StartedAt;
+}
+
 bool HostRegistry::isAlive(const std::string &Ip) const {
   auto Found = Impl_->Hosts_.find(Ip);
   return Found != Impl_->Hosts_.end() && Impl_->isAlive(Found->second);
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -163,6 +163,16 @@
 
 } // namespace
 
+void writeCrash(const CrashReport &Report, messages::CrashReport &Out) {
+  Out.set_fingerprint(Report.Fingerprint);
+  Out.set_event(Report.Event);
+  Out.set_age_ms(millis(Report.Age));
+}
+
+CrashReport readCrash(const messages::CrashReport &In) {
+  return {In.fingerprint(), In.event(), span(In.age_ms())};
+}
+
 void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out) {
   Out.set_id(Host.Id.str());
   Out.set_ip(Host.Ip);
--- a/src/fleethost/internal/updatecodec.h
+++ b/src/fleethost/internal/updatecodec.h
@@ -14,6 +14,9 @@
 /// messages that carry them. Points in time are sent as durations, since the
 /// clocks of hosts differ.
 
+void writeCrash(const CrashReport &Report, messages::CrashReport &Out);
+CrashReport readCrash(const messages::CrashReport &In);
+
 void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out);
 /// Writes the state of the sending host, with the fleet's size.
 void writeSelf(const HostState &Self, messages::HostNews &Out);
--- a/src/fleethost/internal/updateexchange.cpp
+++ b/src/fleethost/internal/updateexchange.cpp
@@ -192,11 +192,8 @@
   if (Reports.empty())
     return;
   Update Message = updateOfSelf();
-  for (const CrashReport &Report : Reports) {
-    auto *Item = Message.add_crashes();
-    Item->set_fingerprint(Report.Fingerprint);
-    Item->set_event(Report.Event);
-  }
+  for (const CrashReport &Report : Reports)
+    writeCrash(Report, *Message.add_crashes());
   const RegionId &OwnRegion = Components_.Hosts.self().Region;
   std::set<std::string> To =
       ipsOf(Components_.Hosts.delegates(OwnRegion).Aggregators);
@@ -209,6 +206,17 @@
     send(Ip, Message);
 }
 
+void UpdateExchange::sendRecentCrashes(const std::string &Ip) {
+  auto Recent = Components_.Decisions.crashes().recentCrashes();
+  for (std::size_t At = 0; At < Recent.size(); At += CrashesPerDatagram) {
+    Update Message = updateOfSelf();
+    std::size_t End = std::min(Recent.size(), At + CrashesPerDatagram);
+    for (std::size_t I = At; I < End; ++I)
+      writeCrash(Recent[I], *Message.add_crashes());
+    send(Ip, Message);
+  }
+}
+
 void UpdateExchange::sendLeaving() {
   Update Message = updateOfSelf();
   std::set<std::string> To = regionIps();
@@ -283,6 +291,7 @@
       Message.host().ip().empty())
     return;
   HostState From = readHost(Message.host());
+  bool Restarted = Components_.Hosts.startOf(From.Ip) != From.StartedAt;
   bool WasAlive = Components_.Hosts.isAlive(From.Ip);
   std::uint64_t Before = Components_.Hosts.generation();
   if (!Components_.Hosts.received(From))
@@ -293,6 +302,9 @@
   // A host that has just started gets the state of the others in this reply.
   if (!WasAlive)
     sendHosts({From.Ip}, Components_.Hosts.alive());
+  // What its predecessor has seen counts on.
+  if (Restarted)
+    sendRecentCrashes(From.Ip);
   for (const auto &Note : Message.notes())
     handleNote(From.Ip, Note);
   applyUpdate(From, Message);
@@ -331,8 +343,7 @@
          Item.endpoints(), Item.places(), Item.free_places(),
          std::chrono::milliseconds(Item.late_wait_ms())});
   for (const auto &Item : Message.crashes())
-    Components_.Decisions.crashes().recordPeerReport(
-        {Item.fingerprint(), Item.event()});
+    Components_.Decisions.crashes().recordPeerReport(readCrash(Item));
   for (const auto &Item : Message.words())
     Components_.Fleet.applyReport(readReport(Item));
   if (!Message.has_list())
--- a/src/fleethost/internal/updateexchange.h
+++ b/src/fleethost/internal/updateexchange.h
@@ -90,6 +90,8 @@
   static constexpr std::size_t MaxRepeatedReports = 100;
   /// Hosts in one datagram; each takes about 80 bytes.
   static constexpr std::size_t HostsPerDatagram = 100;
+  /// Crash reports in one datagram; each takes about 25 bytes.
+  static constexpr std::size_t CrashesPerDatagram = 300;
   /// Listed placements in one datagram; each takes about 35 bytes.
   static constexpr std::size_t ListedPerDatagram = 300;
   /// A batch of placement messages is sent at once when it has reached this
@@ -114,6 +116,7 @@
                  const HostRegistry::Hosts &Of);
   void sendChangedHosts();
   void sendCrashes();
+  void sendRecentCrashes(const std::string &Ip);
   std::set<std::string> regionIps() const;
   std::set<std::string> remotePlacers() const;
   void handleNote(const std::string &From, const messages::PlacementNote &Note);
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -62,6 +62,16 @@
     }
   }
 
+  /// Replaces a host's process.
+  void restart(const std::string &Ip) {
+    HostState Self = All.at(Ip)->Hosts.self();
+    Self.StartedAt = Time.wallNow().count();
+    All[Ip] = std::make_unique<Host>(*this, Self);
+    All[Ip]->View.adoptTables(*Fixture.View.tables());
+    for (const auto &[OtherIp, Other] : All)
+      All[Ip]->Hosts.addContact(OtherIp);
+  }
+
   void addEndpoint(const std::string &Id, unsigned Slots) {
     FleetEndpoint E = Fixture.addEndpoint(Id, "plain");
     E.Slots = Slots;
@@ -165,6 +175,23 @@
   }
 }
 
+// BUDGET: a request that crashes endpoints is let through again by each process
+// that has started since.
+BOOST_AUTO_TEST_CASE(restartedHostRefusesARequestThatCrashesEndpoints) {
+  constexpr std::uint64_t Fingerprint = 7;
+  Region R(3);
+  for (unsigned I = 0; I < CrashTracker::Limit; ++I)
+    R.All.at("10.0.0.0")->Decisions.crashes().recordCrash(Fingerprint);
+  R.run(10s);
+  R.restart("10.0.0.1");
+  R.run(1s);
+  CrashTracker &Restarted = R.All.at("10.0.0.1")->Decisions.crashes();
+  BOOST_TEST(Restarted.isRefused(Fingerprint));
+  // It is forgotten as if there had been no restart.
+  R.run(CrashTracker::Retention - 10s);
+  BOOST_TEST(!Restarted.isRefused(Fingerprint));
+}
+
 BOOST_AUTO_TEST_CASE(endpointReportIsRepeated) {
   Region R(5);
   R.addEndpoint("a", 4);
