Report a table header without a name instead of asserting

Cause: toml++ asserts that a key begins after "[", which a typo in a settings file or table breaks: the process aborts where assertions are on, and with NDEBUG clang takes the condition for granted. Change: TOML_ASSERT, which the library leaves to its user, throws in all builds, and parseToml reports a problem of the file. The library's own error is behind the assertion, so it is not reached. Ruled out: checking the text before; a "[" at a line's begin may be an array.

--- a/src/framework/internal/tomlreader.cpp
+++ b/src/framework/internal/tomlreader.cpp
@@ -38,6 +38,10 @@
 
 } // namespace
 
+void detail::throwTomlAssertion(const char *Condition) {
+  throw TomlAssertion(Condition);
+}
+
 std::string formatProblem(const FileProblem &Problem) {
   std::string Text = Problem.File + ":";
   if (Problem.Line != 0)
@@ -69,6 +73,13 @@
         {File, E.source().begin.line,
          std::string(E.description()) + "; mend the TOML syntax here"});
     return std::nullopt;
+  } catch (const detail::TomlAssertion &E) {
+    // It has no position.
+    Problems.push_back({File, 0,
+                        "the TOML syntax cannot be read; look for \"[\" that "
+                        "no name follows (" +
+                            std::string(E.what()) + ")"});
+    return std::nullopt;
   }
 }
 
--- a/src/framework/tomlreader.h
+++ b/src/framework/tomlreader.h
@@ -5,12 +5,32 @@
 #include <initializer_list>
 #include <limits>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+namespace celerybeam::detail {
+
+/// A failed assertion of toml++.
+class TomlAssertion : public std::logic_error {
+public:
+  using std::logic_error::logic_error;
+};
+
+[[noreturn]] void throwTomlAssertion(const char *Condition);
+
+} // namespace celerybeam::detail
+
+// toml++ asserts what a mistake in a file can break, such as a key after "[".
+// The assertions stay on in all builds and throw.
+#pragma push_macro("NDEBUG")
+#undef NDEBUG
+#define TOML_ASSERT(Condition)                                                 \
+  ((Condition) ? void() : ::celerybeam::detail::throwTomlAssertion(#Condition))
 #include <toml++/toml.h>
+#pragma pop_macro("NDEBUG")
 
 #include "framework/runtime.h"
 #include "framework/strongid.h"
--- a/src/relay/tests/callergonetest.cpp
+++ b/src/relay/tests/callergonetest.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include <boost/test/unit_test.hpp>
 
 #include "relay/tests/relayfixture.h"
@@ -93,10 +95,10 @@
   for (bool FromHost : {false, true}) {
     LeftHost Tested;
     RawServer &E = Tested.addEndpoint("a", "plain", done);
-    std::vector<DispatchId> Taken;
-    for (int Slot = 0; Slot < 8; ++Slot)
-      Taken.push_back(Tested.Decisions.loads().recordStart(
-          endpointKeyOf(EndpointId("a"), 1), {}));
+    std::array<DispatchId, 8> Taken;
+    for (DispatchId &Id : Taken)
+      Id = Tested.Decisions.loads().recordStart(
+          endpointKeyOf(EndpointId("a"), 1), {});
     HttpServer Server(Tested.Loop, [&](HttpServerRequest R, auto Answer) {
       relayRequest(Tested.Context, std::move(R), std::move(Answer), FromHost);
     });
