--- a/src/dispatch/sharedretrybudget.h
+++ b/src/dispatch/sharedretrybudget.h
@@ -28,13 +28,12 @@
 /// since each counts its own requests and an equal part of the slack. They do
 /// so only because all hosts count the requests of the same times: load that
 /// moves between hosts must not count in an earlier window at one of them and
-/// in a later one at another. A process that does not know how many hosts share
-/// the slack takes none. A process cannot know what its predecessor on the
-/// host has sent, so it takes no slack until that no longer counts. A part of
-/// the limit follows the requests of the
+/// in a later one at another. A part of the limit follows the requests of the
 /// window before, so that retries need not wait for new requests; the rest
 /// follows those of the window itself, for hosts whose load has just begun.
-/// Not thread-safe.
+///
+/// A process takes no slack before it knows how many hosts share it, and none
+/// while sends of its predecessor on the host may count. Not thread-safe.
 class SharedRetryBudget {
 public:
   SharedRetryBudget(Runtime R, RetryBudgetBounds Bounds);
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -44,8 +44,8 @@
   }
 
   void noteSizeKnown() {
-    if (!Size_.KnownSince && SilentRegions_.empty())
-      Size_.KnownSince = Runtime_.Now();
+    if (!SizeKnownSince_ && SilentRegions_.empty())
+      SizeKnownSince_ = Runtime_.Now();
   }
 
   void noteRegion(const RegionId &Region) {
@@ -55,11 +55,10 @@
 
   /// Takes over the number of hosts that another host knows.
   void noteToldSize(const HostState &Host) {
-    if (Host.FleetHosts == 0)
+    if (Host.FleetHosts == 0 || Host.FleetHostsAge > Retention)
       return;
     TimePoint CountedAt = Runtime_.Now() - Host.FleetHostsAge;
-    bool Expired = Runtime_.Now() - ToldCountedAt_ > Retention;
-    if (Expired || Host.FleetHosts > ToldHosts_) {
+    if (Host.FleetHosts > toldHosts()) {
       ToldHosts_ = Host.FleetHosts;
       ToldCountedAt_ = CountedAt;
     } else if (Host.FleetHosts == ToldHosts_) {
@@ -78,21 +77,23 @@
     return 1 + static_cast<std::size_t>(Recent);
   }
 
+  /// The number that another host knows; 0 when there is none.
+  std::size_t toldHosts() const {
+    return Runtime_.Now() - ToldCountedAt_ <= Retention ? ToldHosts_ : 0;
+  }
+
   FleetSize size() const {
-    FleetSize Size = Size_;
-    Size.Hosts = countHosts();
-    if (Runtime_.Now() - ToldCountedAt_ <= Retention)
-      Size.Hosts = std::max(Size.Hosts, ToldHosts_);
-    return Size;
+    return {std::max(countHosts(), toldHosts()), SizeKnownSince_};
   }
 
   void updateOwnSize() {
-    FleetSize Size = size();
-    Self_.FleetHosts =
-        Size.KnownSince ? static_cast<std::uint32_t>(Size.Hosts) : 0;
-    bool Told = Size.Hosts > countHosts();
+    std::size_t Counted = countHosts();
+    std::size_t Told = toldHosts();
+    Self_.FleetHosts = SizeKnownSince_
+                           ? static_cast<std::uint32_t>(std::max(Counted, Told))
+                           : 0;
     Self_.FleetHostsAge =
-        Told ? Runtime_.Now() - ToldCountedAt_ : Duration::zero();
+        Told > Counted ? Runtime_.Now() - ToldCountedAt_ : Duration::zero();
   }
 
   static bool isServing(const HostState &Host) {
@@ -193,8 +194,7 @@
   TimePoint StartedAt_;
   /// Regions without an update so far; empty once the fleet's size is known.
   std::set<RegionId> SilentRegions_;
-  /// Its number is not maintained.
-  FleetSize Size_;
+  std::optional<TimePoint> SizeKnownSince_;
   /// The number of hosts that another host knows, and when it was counted.
   std::size_t ToldHosts_ = 0;
   TimePoint ToldCountedAt_{};
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -18,7 +18,7 @@
 
 /// A host with all components that exchange updates.
 struct Host {
-  Host(Region &Whole, const HostState &Self);
+  Host(Region &Whole, const HostState &Self, std::set<RegionId> Regions = {});
 
   FleetView View;
   HostRegistry Hosts;
@@ -63,10 +63,10 @@
   }
 
   /// Replaces a host's process.
-  void restart(const std::string &Ip) {
+  void restart(const std::string &Ip, std::set<RegionId> Regions = {}) {
     HostState Self = All.at(Ip)->Hosts.self();
     Self.StartedAt = Time.wallNow().count();
-    All[Ip] = std::make_unique<Host>(*this, Self);
+    All[Ip] = std::make_unique<Host>(*this, Self, std::move(Regions));
     All[Ip]->View.adoptTables(*Fixture.View.tables());
     for (const auto &[OtherIp, Other] : All)
       All[Ip]->Hosts.addContact(OtherIp);
@@ -100,8 +100,9 @@
   bool LosesDatagrams = false;
 };
 
-Host::Host(Region &Whole, const HostState &Self)
-    : View(Whole.Time.runtime(), {}), Hosts(Whole.Time.runtime(), Self),
+Host::Host(Region &Whole, const HostState &Self, std::set<RegionId> Regions)
+    : View(Whole.Time.runtime(), {}),
+      Hosts(Whole.Time.runtime(), Self, std::move(Regions)),
       Decisions(Whole.Time.runtime(), View, Hosts, {}),
       LocalPlacer(Whole.Time.runtime(), View, Decisions, Self.Ip,
                   [this](const std::string &Ip, PlacementId Id,
@@ -192,6 +193,19 @@
   BOOST_TEST(!Restarted.isRefused(Fingerprint));
 }
 
+// BUDGET: another region is silent, so the host can't count the hosts itself.
+BOOST_AUTO_TEST_CASE(restartedHostIsToldTheSizeOfTheFleet) {
+  Region R(3);
+  for (const auto &[Ip, H] : R.All)
+    H->Hosts.setSelf(H->Hosts.self());
+  R.restart("10.0.0.1", {RegionId("kigali"), RegionId("musanze")});
+  HostRegistry &Restarted = R.All.at("10.0.0.1")->Hosts;
+  BOOST_TEST(!Restarted.fleetSize().KnownSince);
+  R.run(2s);
+  BOOST_TEST(Restarted.fleetSize().KnownSince.has_value());
+  BOOST_TEST(Restarted.fleetSize().Hosts == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(endpointReportIsRepeated) {
   Region R(5);
   R.addEndpoint("a", 4);
