--- a/src/relay/tests/callergonetest.cpp
+++ b/src/relay/tests/callergonetest.cpp
@@ -1,5 +1,3 @@
-#include <array>
-
 #include <boost/test/unit_test.hpp>
 
 #include "relay/tests/relayfixture.h"
@@ -10,24 +8,9 @@
 
 namespace {
 
-/// A base class, so that it exists before the host that reads it.
-struct VirtualClock {
-  TimePoint Now{std::chrono::seconds(1000)};
-};
-
 /// A host on virtual time whose callers leave.
-class LeftHost : public VirtualClock, public testing::RelayFixture {
+class LeftHost : public testing::VirtualTimeRelay {
 public:
-  LeftHost() : RelayFixture([this] { return Now; }) {}
-
-  /// Runs handlers and due timers until the condition holds.
-  void runUntilHolds(const std::function<bool()> &Holds) {
-    testing::runUntil(Loop, [&] {
-      Loop.timers().runDue(Now);
-      return Holds();
-    });
-  }
-
   /// Sends a request and closes the connection behind it, before the host
   /// handles either. Runs until the host has ended the request.
   void askAndLeave(const std::string &Request) {
@@ -36,8 +19,7 @@
     C.close();
     runUntilHolds([&] { return Done.size() > Before; });
     // What was sent by mistake arrives.
-    for (int I = 0; I < 50; ++I)
-      Loop.context().poll();
+    runReady();
   }
 };
 
@@ -81,9 +63,7 @@
   C.close();
   for (int Step = 0; Step < 10 && Done.empty(); ++Step) {
     Now += std::chrono::milliseconds(50);
-    Loop.timers().runDue(Now);
-    for (int I = 0; I < 50; ++I)
-      Loop.context().poll();
+    runReady();
   }
   BOOST_REQUIRE(Done.size() == 1U);
   BOOST_TEST(Done.back().Outcome == "caller_left");
@@ -95,10 +75,7 @@
   for (bool FromHost : {false, true}) {
     LeftHost Tested;
     RawServer &E = Tested.addEndpoint("a", "plain", done);
-    std::array<DispatchId, 8> Taken;
-    for (DispatchId &Id : Taken)
-      Id = Tested.Decisions.loads().recordStart(
-          endpointKeyOf(EndpointId("a"), 1), {});
+    Tested.takeSlots("a");
     HttpServer Server(Tested.Loop, [&](HttpServerRequest R, auto Answer) {
       relayRequest(Tested.Context, std::move(R), std::move(Answer), FromHost);
     });
@@ -109,12 +86,9 @@
     Tested.runUntilHolds([&] { return Tested.Done.size() == 1; });
     BOOST_TEST(Tested.Done.back().LeftWhile == "queued");
     BOOST_TEST(Tested.Decisions.queue().size() == 0U);
-    for (DispatchId Id : Taken)
-      Tested.Decisions.loads().recordEnd(Id);
+    Tested.freeSlots();
     Tested.Now += std::chrono::milliseconds(50);
-    Tested.Loop.timers().runDue(Tested.Now);
-    for (int I = 0; I < 50; ++I)
-      Tested.Loop.context().poll();
+    Tested.runReady();
     BOOST_TEST(E.Requests.empty());
   }
 }
--- a/src/relay/tests/promisetest.cpp
+++ b/src/relay/tests/promisetest.cpp
@@ -9,17 +9,9 @@
 
 using std::chrono::milliseconds;
 
-/// A virtual clock. A base class, so that it exists before the host that reads
-/// it.
-struct VirtualClock {
-  TimePoint Now{std::chrono::seconds(1000)};
-};
-
 /// A host on virtual time.
-class VirtualTimeHost : public VirtualClock, public testing::RelayFixture {
+class VirtualTimeHost : public testing::VirtualTimeRelay {
 public:
-  VirtualTimeHost() : RelayFixture([this] { return Now; }) {}
-
   /// Runs handlers until the condition holds. The virtual time does not
   /// advance.
   void runHandlersUntil(const std::function<bool()> &Holds) {
@@ -39,21 +31,7 @@
 
   /// Adds another host with endpoints for bookings.
   RawServer &addOtherHost(RawServer::Script Script) {
-    constexpr const char *Ip = "127.0.0.7";
-    Other_ = std::make_unique<RawServer>(Loop, std::move(Script), Ip);
-    const std::string Where = Other_->address();
-    Context.HostPort = Where.substr(Where.find(':') + 1);
-    HostState H;
-    H.Id = HostId("m1");
-    H.Ip = Ip;
-    H.Region = RegionId("musanze");
-    H.Ready = true;
-    Hosts.received(H);
-    constexpr unsigned Free = 6;
-    Decisions.regions().received(
-        H.Region, H.Id,
-        {poolHash(PoolName("plain")), Duration::zero(), Free, Free, Free});
-    return *Other_;
+    return RelayFixture::addOtherHost("plain", std::move(Script));
   }
 
   /// Sends a request through another host that responds with the given status
@@ -67,9 +45,6 @@
     });
     return ask(request("book"));
   }
-
-private:
-  std::unique_ptr<RawServer> Other_;
 };
 
 std::string signedAnswer(const std::string &Request, const char *Status) {
@@ -222,7 +197,7 @@
 namespace {
 
 /// An HttpCaller and a server that acts while the caller's loop is stalled.
-class IdleConnection : public VirtualClock {
+class IdleConnection : public testing::AdvancedClock {
 public:
   std::shared_ptr<HttpCall>
   call(Duration ReuseIdleAtMost = std::chrono::seconds(2)) {
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -1,6 +1,7 @@
 #include "relay/tests/relayfixture.h"
 
 #include <random>
+#include <utility>
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,6 +11,9 @@
 
 namespace {
 
+/// Requests that an endpoint serves at the same time.
+constexpr std::uint32_t Slots = 8;
+
 FleetRoute route(const std::string &Name, RepeatKind Kind,
                  const std::string &Pool) {
   FleetRoute R;
@@ -137,7 +141,7 @@
   E.Pool = PoolName(Pool);
   E.Where = Address(Where);
   E.Region = RegionId("kigali");
-  E.Slots = 8;
+  E.Slots = Slots;
   Fleet.putEndpoint(E);
 }
 
@@ -211,4 +215,30 @@
   return C.received();
 }
 
+void VirtualTimeRelay::runUntilHolds(const std::function<bool()> &Holds) {
+  runUntil(Loop, [&] {
+    Loop.timers().runDue(Now);
+    return Holds();
+  });
+}
+
+void VirtualTimeRelay::runReady() {
+  // What loopback delivers meanwhile is ready, too.
+  constexpr int Rounds = 50;
+  Loop.timers().runDue(Now);
+  for (int Round = 0; Round < Rounds; ++Round)
+    Loop.context().poll();
+}
+
+void VirtualTimeRelay::takeSlots(const std::string &Id) {
+  for (std::uint32_t Slot = 0; Slot < Slots; ++Slot)
+    TakenSlots_.push_back(
+        Decisions.loads().recordStart(endpointKeyOf(EndpointId(Id), 1), {}));
+}
+
+void VirtualTimeRelay::freeSlots() {
+  for (DispatchId Id : std::exchange(TakenSlots_, {}))
+    Decisions.loads().recordEnd(Id);
+}
+
 } // namespace celerybeam::testing
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -68,6 +68,31 @@
   unsigned Requests_ = 0;
 };
 
+/// A clock that the test advances. A base class, so that it exists before the
+/// host that reads it.
+struct AdvancedClock {
+  TimePoint Now{std::chrono::seconds(1000)};
+};
+
+/// An entry host whose time the test advances.
+class VirtualTimeRelay : public AdvancedClock, public RelayFixture {
+public:
+  VirtualTimeRelay() : RelayFixture([this] { return Now; }) {}
+
+  /// Runs handlers and due timers until the condition holds. The time does not
+  /// advance.
+  void runUntilHolds(const std::function<bool()> &Holds);
+  /// Runs due timers and the handlers that are ready.
+  void runReady();
+
+  /// Lets other requests take the slots of an endpoint, and gives them back.
+  void takeSlots(const std::string &Id);
+  void freeSlots();
+
+private:
+  std::vector<DispatchId> TakenSlots_;
+};
+
 } // namespace celerybeam::testing
 
 #endif
--- a/src/relay/tests/retrychargetest.cpp
+++ b/src/relay/tests/retrychargetest.cpp
@@ -9,43 +9,15 @@
 
 using std::chrono::milliseconds;
 
-/// A base class, so that it exists before the host that reads it.
-struct VirtualClock {
-  TimePoint Now{std::chrono::seconds(1000)};
-};
-
 /// A host on virtual time with a window of one second for its retry budget and
 /// slack that it may use.
-class RetryingHost : public VirtualClock, public testing::RelayFixture {
+class RetryingHost : public testing::VirtualTimeRelay {
 public:
-  RetryingHost() : RelayFixture([this] { return Now; }) {
+  RetryingHost() {
     Decisions.setRetryBounds({1, std::chrono::seconds(1), 100});
     Now += std::chrono::seconds(SharedRetryBudget::WindowsWithoutSlack);
   }
 
-  /// Adds an endpoint whose slots are taken by others.
-  RawServer &addBusyEndpoint() {
-    RawServer &E = addEndpoint(
-        "busy", "plain", [](const std::string &R) { return ran(R, "done"); });
-    for (int Slot = 0; Slot < 8; ++Slot)
-      Taken_.push_back(Decisions.loads().recordStart(
-          endpointKeyOf(EndpointId("busy"), 1), {}));
-    return E;
-  }
-
-  void freeBusyEndpoint() {
-    for (DispatchId Id : Taken_)
-      Decisions.loads().recordEnd(Id);
-  }
-
-  /// Runs handlers and due timers until the condition holds.
-  void runUntilHolds(const std::function<bool()> &Holds) {
-    testing::runUntil(Loop, [&] {
-      Loop.timers().runDue(Now);
-      return Holds();
-    });
-  }
-
   /// Extra sends that the budget counts in the window that ends now.
   double extraSends() {
     RequestDescriptor Request;
@@ -57,9 +29,6 @@
     Log.Pool = PoolName("plain");
     return Decisions.mayRetry(Request, Route, Log).Budget.value().Extra;
   }
-
-private:
-  std::vector<DispatchId> Taken_;
 };
 
 RawServer::Answer hostRefusal(const std::string &Request,
@@ -83,11 +52,13 @@
             "\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
         false, false};
   });
-  RawServer &Busy = addBusyEndpoint();
+  RawServer &Busy = addEndpoint(
+      "busy", "plain", [](const std::string &R) { return ran(R, "done"); });
+  takeSlots("busy");
   testing::RawCaller C(Loop, Front.address().str(), request("look"));
   runUntilHolds([&] { return Decisions.queue().size() == 1; });
   Now += milliseconds(1500);
-  freeBusyEndpoint();
+  freeSlots();
   runUntilHolds([&] { return Busy.Requests.size() == 1; });
   BOOST_TEST(extraSends() == 1);
 }
