Log what counts as a crash under a request

Change: each attempt that broke off says how long after its send and its first output, and how many crashes now count against the request (0: no room); a request with such an attempt, or one that is refused for it, logs the ids of its prompt's shared parts.

Ruled out: a line of its own for each crash, since the request's line has the inputs already. No decision is changed.

--- a/src/dispatch/crashtracker.h
+++ b/src/dispatch/crashtracker.h
@@ -31,8 +31,8 @@
   explicit CrashTracker(Runtime R) : Runtime_(std::move(R)) {}
 
   /// An endpoint broke off while it ran the request; reports this to the other
-  /// hosts.
-  void recordCrash(std::uint64_t Fingerprint);
+  /// hosts. \return the request's crashes that count; 0 if there is no room.
+  std::size_t recordCrash(std::uint64_t Fingerprint);
   /// Another host reported a crash; forwards the report if it is new to this
   /// host and has just happened.
   void recordPeerReport(const CrashReport &Report);
--- a/src/dispatch/descriptor.h
+++ b/src/dispatch/descriptor.h
@@ -53,6 +53,11 @@
   std::optional<unsigned> RunsLeft;
 };
 
+/// The ids of a prompt's shared parts as hexadecimal numbers, for log lines; at
+/// most the first MaxLoggedParts.
+std::string partsText(const std::vector<PromptPart> &Parts);
+inline constexpr std::size_t MaxLoggedParts = 8;
+
 /// The prefix levels of a prompt without its last part, shortest first.
 std::vector<PrefixLevel> prefixLevelsOf(const ModelName &Model,
                                         const std::vector<PromptPart> &Parts);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -131,6 +131,9 @@
   std::string Reason;
 };
 
+/// Reason of a refusal for a request under which endpoints crash.
+inline constexpr const char *CrashRefusal = "crashes_endpoints";
+
 /// Decision: wait in this host's queue, as every suitable endpoint is busy.
 struct Enqueue {
   Duration Expected{};
--- a/src/dispatch/internal/crashtracker.cpp
+++ b/src/dispatch/internal/crashtracker.cpp
@@ -5,8 +5,10 @@
 
 namespace celerybeam {
 
-void CrashTracker::recordCrash(std::uint64_t Fingerprint) {
+std::size_t CrashTracker::recordCrash(std::uint64_t Fingerprint) {
   recordPeerReport({Fingerprint, Runtime_.Random(), {}});
+  auto Found = Entries_.find(Fingerprint);
+  return Found == Entries_.end() ? 0 : Found->second.Events.size();
 }
 
 void CrashTracker::recordPeerReport(const CrashReport &Report) {
--- a/src/dispatch/internal/descriptor.cpp
+++ b/src/dispatch/internal/descriptor.cpp
@@ -1,11 +1,26 @@
 #include "dispatch/descriptor.h"
 
+#include <algorithm>
 #include <array>
+#include <cinttypes>
+#include <cstdio>
 
 #include "framework/stablehash.h"
 
 namespace celerybeam {
 
+std::string partsText(const std::vector<PromptPart> &Parts) {
+  std::string Text;
+  std::size_t Shared = Parts.empty() ? 0 : Parts.size() - 1;
+  for (std::size_t I = 0; I < std::min(Shared, MaxLoggedParts); ++I) {
+    std::array<char, 20> Id{};
+    std::snprintf(Id.data(), Id.size(), "%s%" PRIx64, I == 0 ? "" : ",",
+                  Parts[I].Id);
+    Text += Id.data();
+  }
+  return Text;
+}
+
 std::vector<PrefixLevel> prefixLevelsOf(const ModelName &Model,
                                         const std::vector<PromptPart> &Parts) {
   std::vector<PrefixLevel> Levels;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -278,7 +278,7 @@
     if (poolOf(Log) == nullptr)
       return refuse("unknown_pool", Settings_.DefaultRetryAfter);
     if (Crashes_.isRefused(Request.Fingerprint))
-      return refuse("crashes_endpoints", CrashTracker::Retention);
+      return refuse(CrashRefusal, CrashTracker::Retention);
     if (Request.Deadline - Runtime_.Now() < MinTimeLeft)
       return refuse("no_time_left", MinRetryAfter);
     return std::nullopt;
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -51,6 +51,8 @@
   if (R.Homes.isRestricted())
     Fields.push_back({"homes", R.Homes.text()});
   add(Fields, "prompt_tokens", R.PromptTokens);
+  if (!R.Parts.empty())
+    Fields.push_back({"parts", R.Parts});
   if (!R.Attempts.empty())
     Fields.push_back({"attempts", R.Attempts});
   addInputs(Fields, R.Inputs);
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -207,6 +207,8 @@
 
   void refuse(const Refusal &Why) {
     Record_.RetryAfter = Why.RetryAfter;
+    if (Why.Reason == CrashRefusal)
+      Record_.Parts = partsText(Descriptor_.Parts);
     HttpResponseHead Head{NotRun,
                           {{"Content-Type", "text/plain"},
                            {"Retry-After", secondsText(Why.RetryAfter)}}};
@@ -512,6 +514,7 @@
   void firstOutput() {
     if (std::exchange(GotOutput_, true))
       return;
+    OutputAt_ = Context_.Time.Now();
     if (Record_.FirstOutput == Duration::zero())
       Record_.FirstOutput = Context_.Time.Now() - Request_.Arrived;
     if (Target_)
@@ -624,13 +627,26 @@
     Log_.Runs += Target_ ? 1 : AllottedRuns_;
     HasArrived_ = true;
     if (Target_)
-      Context_.Decisions.crashes().recordCrash(Descriptor_.Fingerprint);
+      recordCrash();
     endPlacement(AttemptOutcome::Broken);
     if (Splitter_.mayResume() && mayRetry(Log_))
       return attempt();
     giveUp(false, "endpoint_broke_off");
   }
 
+  void recordCrash() {
+    std::size_t Crashes =
+        Context_.Decisions.crashes().recordCrash(Descriptor_.Fingerprint);
+    Record_.Parts = partsText(Descriptor_.Parts);
+    Record_.Attempts +=
+        " broke_ms=" + std::to_string(millisOf(Attempt_->sinceSent()));
+    if (GotOutput_)
+      Record_.Attempts +=
+          " output_ms=" +
+          std::to_string(millisOf(Context_.Time.Now() - OutputAt_));
+    Record_.Attempts += " crashes=" + std::to_string(Crashes);
+  }
+
   void responseReceived() {
     const HttpResponseHead &Head = Attempt_->head();
     bool Signed = findField(Head.Fields, Context_.Names.Signature).has_value();
@@ -820,6 +836,8 @@
   std::shared_ptr<Attempt> Attempt_;
   TimePoint LastEventsAt_{};
   bool GotOutput_ = false;
+  /// First output of the current attempt.
+  TimePoint OutputAt_{};
   /// The complete failure response of an endpoint. Sent to the caller if no
   /// other attempt succeeds.
   std::optional<std::pair<HttpResponseHead, std::string>> EndpointFailure_;
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -65,6 +65,9 @@
   RouteName Route;
   PoolName Pool;
   unsigned PromptTokens = 0;
+  /// The shared parts of the prompt, if an endpoint broke off under the request
+  /// or the request was refused for such crashes; see partsText.
+  std::string Parts;
   std::uint64_t TablesVersion = 0;
   HomeRegions Homes;
   /// The final status; 0 when the caller left or the response was interrupted.
