--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -1,5 +1,6 @@
 #include "relay/tests/relayfixture.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -30,6 +31,18 @@
   return R;
 }
 
+/// The parts of a prompt, given by their names.
+std::vector<PromptPart> partsOf(std::string_view Names) {
+  constexpr std::uint32_t Tokens = 100;
+  std::vector<PromptPart> Parts;
+  while (!Names.empty()) {
+    std::size_t End = std::min(Names.find(','), Names.size());
+    Parts.push_back({stableHash(Names.substr(0, End)), Tokens});
+    Names.remove_prefix(std::min(End + 1, Names.size()));
+  }
+  return Parts;
+}
+
 /// Replaces the random numbers by those of a fixed seed.
 Runtime seeded(Runtime R) {
   R.Random = [Numbers = std::make_shared<std::mt19937_64>(1)] {
@@ -103,6 +116,8 @@
     D.Host = std::string(findField(R.Head.Fields, "Host").value_or(""));
     D.Target = R.Head.Target;
     D.Fingerprint = stableHash(D.Id.str());
+    D.Parts = partsOf(findField(R.Head.Fields, "Parts").value_or(""));
+    D.Levels = prefixLevelsOf(D.Model, D.Parts);
     D.Deadline = Time.Now() + std::chrono::seconds(10);
     return Result<RequestDescriptor>(D);
   };
