Take no memory for the length that a message's head promises

Callers saw: a response with a huge Content-Length ended the process, and the requests of all other callers on that host with it (LOST).

Cause: Beast's string body reserves what the head promises, and throws if it cannot; responses had no limit, so std::length_error or std::bad_alloc left the event loop. Every other length that is promised and never sent was reserved, too, of callers up to the limit of bodies and outside the budget for them.

Change: responses and requests are parsed into a body that grows with the bytes that arrive. What arrives is bounded as before.

Ruled out: a limit on responses, since streams have none and a promise below any limit would still be reserved.

--- a/src/relay/internal/beast.h
+++ b/src/relay/internal/beast.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "relay/internal/channelpool.h"
+#include "relay/internal/growingbody.h"
 #include "relay/internal/sockets.h"
 #include "relay/timer.h"
 
@@ -27,7 +28,7 @@
 
 /// A parser that keeps the head as it was before the fields of a trailer were
 /// added to it.
-class Parser : public http::response_parser<http::string_body> {
+class Parser : public http::response_parser<GrowingBody> {
 public:
   const HttpResponseHead &head() const { return Head_; }
 
--- a/src/relay/internal/serverconnection.h
+++ b/src/relay/internal/serverconnection.h
@@ -10,6 +10,7 @@
 #include "relay/bytebudget.h"
 #include "relay/httpserver.h"
 #include "relay/internal/beast.h"
+#include "relay/internal/growingbody.h"
 #include "relay/timer.h"
 
 namespace celerybeam::detail {
@@ -77,7 +78,7 @@
   bool isCallerWaiting(TurnNumber Turn);
 
 private:
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<GrowingBody>;
 
   /// Also determines how received bytes are treated.
   enum class State {
--- a/src/relay/tests/promisedlengthtest.cpp
+++ b/src/relay/tests/promisedlengthtest.cpp
@@ -43,4 +43,11 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(hugeLengthOfAnotherHostEndsOnlyItsOwnRequest) {
+  addOtherHost("plain", [](const std::string &R) {
+    return promising(R, "99999999999999");
+  });
+  BOOST_CHECK_NO_THROW(BOOST_TEST(hasStatus(ask(request("book")), "502")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
