Let an exception end its own handler instead of the process

Cause: the event loop let exceptions out of run(), so that main ended. What can throw: an allocation anywhere, and decoders that are not meant to.

Change: the loop reports the exception to a hook, which logs and counts it, and goes on. The connection, call or timer of that handler ends, since nothing holds it any more. Chains that set themselves up again do so before or in spite of the work that may throw: timers, periodic work, accepting, receiving datagrams.

Ruled out: ending the process on std::bad_alloc, since one peer's bytes may be the cause.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -136,6 +136,10 @@
                   exchangeHooks()),
         OperatorMirror_(Time_, mirrorHooks(MirrorPart::OperatorTables)),
         EndpointMirror_(Time_, mirrorHooks(MirrorPart::Endpoints)) {
+    Loop.onException([this](const std::string &Message) {
+      Log_.error("Handler ended by an exception.", {{"what", Message}});
+      Metrics_.add("exceptions_total", "Handlers that threw an exception.", {});
+    });
     Context_.Responses.setLimit(Settings_.ResponseMemoryBytes);
     Context_.Hooks.TablesCurrent = [this] {
       return OperatorMirror_.isCurrent();
@@ -623,8 +627,9 @@
       auto Self = Weak.lock();
       if (!Self)
         return;
-      Work();
+      // First, so that it goes on even if the work throws.
       Self->every(Interval, Work);
+      Work();
     });
   }
 
--- a/src/relay/eventloop.h
+++ b/src/relay/eventloop.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "framework/runtime.h"
@@ -33,8 +34,11 @@
   TimerId after(Duration Delay, Task Work);
   TimerQueue &timers();
 
-  /// Runs handlers until stop() is called.
+  /// Runs handlers until stop() is called. An exception ends only the handler
+  /// that throws it.
   void run();
+  /// Sets the hook that receives the message of each such exception.
+  void onException(std::function<void(const std::string &Message)> Report);
   void stop();
   /// Calls Stop on each SIGTERM or SIGINT, and Reload on each SIGHUP.
   void onSignals(const std::function<void()> &Stop,
--- a/src/relay/internal/datagramlink.cpp
+++ b/src/relay/internal/datagramlink.cpp
@@ -23,11 +23,15 @@
           auto Self = Weak.lock();
           if (!Self || Error == asio::error::operation_aborted)
             return;
+          // The buffer is in use until the receiver returns or throws.
+          struct ReceiveNext {
+            Impl &Link;
+            ~ReceiveNext() { Link.receive(); }
+          } Next{*Self};
           // An error concerns an earlier datagram that could not be delivered;
           // the socket remains usable.
           if (!Error)
             Self->Receive_({Self->Buffer_.data(), Bytes});
-          Self->receive();
         });
   }
 
--- a/src/relay/internal/eventloop.cpp
+++ b/src/relay/internal/eventloop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <ctime>
+#include <exception>
 #include <optional>
 #include <random>
 
@@ -75,12 +76,18 @@
       if (Error == detail::asio::error::operation_aborted)
         return;
       WakeUpAt_.reset();
-      Timers_.runDue(Now_());
+      try {
+        Timers_.runDue(Now_());
+      } catch (...) {
+        scheduleWakeUp();
+        throw;
+      }
       scheduleWakeUp();
     });
   }
 
   std::function<TimePoint()> Now_;
+  std::function<void(const std::string &)> ReportException_;
   bool Closing_ = false;
   bool RunsTimers_;
   TimerQueue Timers_;
@@ -117,7 +124,22 @@
 }
 TimerQueue &EventLoop::timers() { return Impl_->Timers_; }
 
-void EventLoop::run() { Impl_->Context_.run(); }
+void EventLoop::run() {
+  for (;;) {
+    try {
+      Impl_->Context_.run();
+      return;
+    } catch (const std::exception &Exception) {
+      if (Impl_->ReportException_)
+        Impl_->ReportException_(Exception.what());
+    }
+  }
+}
+
+void EventLoop::onException(std::function<void(const std::string &)> Report) {
+  Impl_->ReportException_ = std::move(Report);
+}
+
 void EventLoop::stop() { Impl_->Context_.stop(); }
 
 void EventLoop::onSignals(const std::function<void()> &Stop,
--- a/src/relay/internal/httpserver.cpp
+++ b/src/relay/internal/httpserver.cpp
@@ -58,11 +58,11 @@
         [Self = shared_from_this()](ErrorCode Error, Tcp::socket Socket) {
           if (Self->Shared_->Stopped)
             return;
-          if (!Error)
-            Self->addConnection(std::move(Socket));
           if (Error && Error != asio::error::connection_aborted)
             return Self->acceptLater();
           Self->accept();
+          if (!Error)
+            Self->addConnection(std::move(Socket));
         });
   }
 
