Refuse the part of prompts that crashes endpoints, not the requests one by one

Cause: a belief under a key that is finer than its cause. CrashTracker counted by a hash of the whole request, so that requests which share a part never added up; and it counted each run that broke off, so also those that only ran beside the cause. The endpoint got a penalty for what a request did to it.

Change: a crash is one event, whoever sees it, with the runs that it broke off before they had gone on for a second. All hosts know all of them. The parts of these runs and the whole requests are suspects; a run that goes on or completes clears its suspects of the crashes before it began. The suspect that is in far more crashes than its share of the requests makes likely is the cause, and what it explains no longer counts against others, so that neither the first part, which all requests share, nor those that stood near are blamed. A break counts only if the endpoint does not answer a probe within 300 ms and was not leaving. Requests with the cause are refused on arrival, while they wait and before each send, with the time to the next trial as Retry-After. Trials are sent by one host of the fleet at first, after 10 s, 100 s, and so on; news of refusals and trials is repeated and told to hosts that have just started. Suspects belong to a host name and model, so that no customer can have another's part refused. Memory is bounded. The endpoints that the cause explains lose their penalty.

Ruled out: lost reports as the cause (the test has one host); counting by part without comparison, which refuses the first part or those beside the cause; comparing with the arrivals since the first crash, which differ too much between hosts; counting a later crash under a request sent after the first one as separate, which blames the parts of requests sent on through a rack that ends.

--- a/src/dispatch/descriptor.h
+++ b/src/dispatch/descriptor.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "blackboard/idtypes.h"
+#include "dispatch/crashsuspects.h"
 #include "framework/runtime.h"
 
 namespace celerybeam {
@@ -44,6 +45,8 @@
   /// Hash of method, target and body: the same when a caller repeats the
   /// request.
   std::uint64_t Fingerprint = 0;
+  /// Empty where crashes are not judged, as at a placer.
+  CrashSuspects Suspects;
   /// Whether another entry host forwarded it; it is not forwarded again.
   bool Forwarded = false;
   /// Time that it spent at the host that forwarded it.
@@ -58,6 +61,9 @@
 std::string partsText(const std::vector<PromptPart> &Parts);
 inline constexpr std::size_t MaxLoggedParts = 8;
 
+/// What may make endpoints crash that run the request.
+CrashSuspects suspectsOf(const RequestDescriptor &Request);
+
 /// The prefix levels of a prompt without its last part, shortest first.
 std::vector<PrefixLevel> prefixLevelsOf(const ModelName &Model,
                                         const std::vector<PromptPart> &Parts);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -178,6 +178,9 @@
   void setOwnership(std::function<bool(const EndpointKey &)> Owns,
                     std::function<Duration()> PlacersStableFor = {});
 
+  /// Sets the hook for changes of what crashes() believes.
+  void onCrashChange(std::function<void(const CrashChange &)> Changed);
+
   /// Decides whether another attempt may be made after a failure.
   RetryDecision mayRetry(const RequestDescriptor &Request,
                          const FleetRoute &Route, const AttemptLog &Log);
--- a/src/dispatch/endpointhealth.h
+++ b/src/dispatch/endpointhealth.h
@@ -50,6 +50,10 @@
   /// Records the result of a health check.
   void recordCheck(const EndpointKey &Endpoint, bool Healthy);
 
+  /// Its latest breaks were not its own fault: ends the penalty, so that the
+  /// next passed health check restores trust.
+  void absolve(const EndpointKey &Endpoint);
+
   /// Whether requests may be sent to it.
   bool isTrusted(const EndpointKey &Endpoint) const;
   /// Schedules a health check at once. The endpoint stays trusted unless that
--- a/src/dispatch/internal/descriptor.cpp
+++ b/src/dispatch/internal/descriptor.cpp
@@ -21,6 +21,19 @@
   return Text;
 }
 
+CrashSuspects suspectsOf(const RequestDescriptor &Request) {
+  CrashSuspects Suspects;
+  std::uint64_t Scope =
+      stableHash(Request.Model.str(), stableHash(Request.Host));
+  Suspects.Scope = {Scope};
+  std::size_t Shared = Request.Parts.empty() ? 0 : Request.Parts.size() - 1;
+  for (std::size_t I = 0; I < std::min(Shared, CrashSuspects::MaxParts); ++I)
+    Suspects.Parts.push_back({stableHash(Request.Parts[I].Id, Scope)});
+  // Not the same as a part with that number.
+  Suspects.Whole = {stableHash(Request.Fingerprint, stableHash(Scope, 1))};
+  return Suspects;
+}
+
 std::vector<PrefixLevel> prefixLevelsOf(const ModelName &Model,
                                         const std::vector<PromptPart> &Parts) {
   std::vector<PrefixLevel> Levels;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -27,6 +27,9 @@
 constexpr int SilenceFactor = 3;
 constexpr Duration SilenceMargin = std::chrono::milliseconds(250);
 
+/// How long a number of hosts alone may send the trial of a refused suspect.
+constexpr Duration TrialTurn = std::chrono::seconds(10);
+
 struct Candidate {
   const FleetEndpoint *Endpoint = nullptr;
   Prediction Expected;
@@ -73,7 +76,35 @@
         Predictor_(Runtime_, Loads_, Prefixes_), Budget_(Runtime_, RetryBounds),
         ColdStarts_(Runtime_), LongPromptScorer_(Settings.LongPrompts),
         QueueWaits_(Runtime_), Fairness_(Runtime_), Reservations_(Runtime_),
-        RefusedCallers_(Runtime_) {}
+        RefusedCallers_(Runtime_) {
+    setCrashChanged({});
+  }
+
+  void setCrashChanged(std::function<void(const CrashChange &)> Changed) {
+    CrashTracker::Hooks Hooks;
+    Hooks.Changed = std::move(Changed);
+    Hooks.Absolve = [this](const EndpointKey &Key) { Health_.absolve(Key); };
+    Hooks.OwnsTrial = [this](CrashSuspect Suspect, std::uint32_t Trial,
+                             Duration Overdue) {
+      return ownsTrial(Suspect, Trial, Overdue);
+    };
+    Crashes_.setHooks(std::move(Hooks));
+  }
+
+  /// Whether this host is among those that may send a trial. That is one host
+  /// of the fleet at first; the number doubles each TrialTurn, since few
+  /// requests with the suspect may arrive at a host.
+  bool ownsTrial(CrashSuspect Suspect, std::uint32_t Trial,
+                 Duration Overdue) const {
+    std::uint64_t Seed = stableHash(Trial, Suspect.Value);
+    std::uint64_t Own = stableHash(Hosts_.self().Ip, Seed);
+    std::size_t Before = 0;
+    for (const HostState &Host : Hosts_.alive())
+      Before += !Host.Leaving && stableHash(Host.Ip, Seed) > Own ? 1 : 0;
+    constexpr std::int64_t MostDoublings = 20;
+    std::int64_t Doublings = std::min(Overdue / TrialTurn, MostDoublings);
+    return Before < (std::size_t{1} << static_cast<unsigned>(Doublings));
+  }
 
   PoolName drawPool(const FleetRoute &Route) {
     double Sum = 0;
@@ -277,8 +308,9 @@
     }
     if (poolOf(Log) == nullptr)
       return refuse("unknown_pool", Settings_.DefaultRetryAfter);
-    if (Crashes_.isRefused(Request.Fingerprint))
-      return refuse(CrashRefusal, CrashTracker::Retention);
+    if (auto Verdict = Crashes_.check(Request.Suspects);
+        Verdict && !Verdict->MayTry)
+      return Refusal{Verdict->RetryAfter, CrashRefusal};
     if (Request.Deadline - Runtime_.Now() < MinTimeLeft)
       return refuse("no_time_left", MinRetryAfter);
     return std::nullopt;
@@ -567,6 +599,11 @@
   Impl_->PlacersStableFor_ = std::move(PlacersStableFor);
 }
 
+void Dispatcher::onCrashChange(
+    std::function<void(const CrashChange &)> Changed) {
+  Impl_->setCrashChanged(std::move(Changed));
+}
+
 RetryDecision Dispatcher::mayRetry(const RequestDescriptor &Request,
                                    const FleetRoute &Route,
                                    const AttemptLog &Log) {
--- a/src/dispatch/internal/endpointhealth.cpp
+++ b/src/dispatch/internal/endpointhealth.cpp
@@ -44,6 +44,17 @@
   S.NextTrial = Now + std::max(TrialAfter, S.Penalty);
 }
 
+void EndpointHealth::absolve(const EndpointKey &Endpoint) {
+  auto Found = States_.find(Endpoint);
+  if (Found == States_.end())
+    return;
+  State &S = Found->second;
+  S.FailureShare = 0;
+  S.Penalty = Duration::zero();
+  S.TrustFrom = std::min(S.TrustFrom, Runtime_.Now());
+  S.NextCheck = std::min(S.NextCheck, Runtime_.Now());
+}
+
 void EndpointHealth::requestCheck(const EndpointKey &Endpoint) {
   State &S = States_[Endpoint];
   if (S.Suspect || std::exchange(S.CheckRequested, true))
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -152,6 +152,15 @@
       Fleet_.applyReport(Report);
       Exchange_.sendReport(Report);
     };
+    Decisions_.onCrashChange([this](const CrashChange &Change) {
+      logCrashChange(Change);
+      // Not on the stack of the request that found the change.
+      if (Change.What == CrashChange::Kind::Refused)
+        Time_.After(Duration::zero(), [Weak = weak_from_this()] {
+          if (auto Self = Weak.lock())
+            Self->Context_.Open.reconsiderAll();
+        });
+    });
     Context_.Hooks.Done = [this](const RequestRecord &R) { record(R); };
     FromHosts_.setRefusalFields([this](const HttpRequestHead &Head) {
       HttpFields Fields = {{NotRunField, "1"}};
@@ -539,6 +548,70 @@
   void checkHealth() {
     for (const EndpointKey &Key : Decisions_.health().dueForCheck())
       checkOne(Key);
+    for (const EndpointKey &Key : Decisions_.crashes().takeProbes())
+      probeOne(Key);
+  }
+
+  /// Asks an endpoint that broke off a run whether it goes on. Any response of
+  /// its own says so; only one that can't be connected to has surely ended.
+  void probeOne(const EndpointKey &Key) {
+    const FleetEndpoint *E = Fleet_.endpoint(Key);
+    const FleetPool *Pool = E != nullptr && Fleet_.tables()
+                                ? Fleet_.tables()->pool(E->Pool)
+                                : nullptr;
+    if (Pool == nullptr)
+      return;
+    HttpCallRequest Call;
+    Call.To = E->Where;
+    Call.Head = {"GET", Pool->HealthPath, {{"Host", E->Where.str()}}};
+    Call.Timeout = CrashTracker::ConfirmTime;
+    Call.ConnectTimeout = CrashTracker::ConfirmTime;
+    HttpCallHooks Hooks;
+    Hooks.Head = [this, Key, Id = E->Id](const HttpResponseHead &Head) {
+      auto ReportedId = findField(Head.Fields, Hooks_.Names.EndpointId);
+      if (!ReportedId || *ReportedId == Id.str())
+        Decisions_.crashes().recordAlive(Key);
+      return HeadVerdict::Accept;
+    };
+    Hooks.End = [this, Key](HttpCallEnd End) {
+      if (End == HttpCallEnd::NotConnected)
+        Decisions_.crashes().recordUnreachable(Key);
+    };
+    Caller_.call(std::move(Call), std::move(Hooks));
+    Metrics_.add("crash_probes_total",
+                 "Endpoints asked whether they go on after a break.", {});
+  }
+
+  void logCrashChange(const CrashChange &Change) {
+    using Kind = CrashChange::Kind;
+    std::int64_t Age = Change.Age / std::chrono::milliseconds(1);
+    if (Change.What == Kind::Crashed || Change.What == Kind::KeptRunning) {
+      const FleetEndpoint *E = Fleet_.endpoint(Change.Endpoint);
+      bool Crashed = Change.What == Kind::Crashed;
+      Log_.info(Crashed ? "Endpoint crash counted."
+                        : "Endpoint goes on after a break.",
+                {{"endpoint", E != nullptr ? E->Id.str() : std::string()},
+                 {"runs", Change.Runs},
+                 {"age_ms", Age}});
+      Metrics_.add(Crashed ? "crashes_total" : "breaks_total",
+                   "Endpoints that broke off runs.", {});
+      return;
+    }
+    const char *Message = Change.What == Kind::Refused ? "Suspect refused."
+                          : Change.What == Kind::Cleared
+                              ? "Suspect cleared."
+                              : "Trial of a refused suspect begun.";
+    Log_.warning(Message, {{"suspect", Change.Suspect.Value},
+                           {"is", Change.IsWhole ? "request" : "part"},
+                           {"why", Change.Why},
+                           {"crashes", Change.Crashes},
+                           {"latest_ms", Age},
+                           {"arrivals", Change.Arrivals},
+                           {"scope_arrivals", Change.ScopeArrivals},
+                           {"trials", Change.Trials}});
+    Metrics_.add("suspects_total",
+                 "Changes of what is refused for crashes of endpoints.",
+                 {{"change", Message}});
   }
 
   void checkOne(const EndpointKey &Key) {
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -19,6 +19,19 @@
   return std::chrono::milliseconds(Millis);
 }
 
+/// For times that may be longer than some weeks.
+std::uint64_t longMillis(Duration D) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      0, std::chrono::ceil<std::chrono::milliseconds>(D).count()));
+}
+
+/// At most a year, so that sums of times don't overflow.
+Duration longSpan(std::uint64_t Millis) {
+  constexpr std::chrono::milliseconds Most = std::chrono::hours(24 * 365);
+  return std::chrono::milliseconds(std::min<std::uint64_t>(
+      Millis, static_cast<std::uint64_t>(Most.count())));
+}
+
 void writeAsk(const PlacementAsk &Ask, TimePoint Now,
               messages::PlacementAsk &Out) {
   const RequestDescriptor &R = Ask.Request;
@@ -164,13 +177,66 @@
 } // namespace
 
 void writeCrash(const CrashReport &Report, messages::CrashReport &Out) {
-  Out.set_fingerprint(Report.Fingerprint);
-  Out.set_event(Report.Event);
+  Out.set_endpoint(Report.Endpoint.Value);
   Out.set_age_ms(millis(Report.Age));
+  for (const CrashedRun &Run : Report.Runs) {
+    messages::CrashedRun &To = *Out.add_runs();
+    To.set_scope(Run.Suspects.Scope.Value);
+    for (CrashSuspect Part : Run.Suspects.Parts)
+      To.add_parts(Part.Value);
+    To.set_whole(Run.Suspects.Whole.Value);
+    To.set_sent_before_ms(millis(Run.SentBefore));
+  }
 }
 
-CrashReport readCrash(const messages::CrashReport &In) {
-  return {In.fingerprint(), In.event(), span(In.age_ms())};
+void writeSound(const SoundReport &Report, messages::SoundReport &Out) {
+  Out.set_suspect(Report.Suspect.Value);
+  Out.set_begun_before_ms(millis(Report.BegunBefore));
+}
+
+void writeRefused(const RefusedSuspect &Report, messages::RefusedSuspect &Out) {
+  Out.set_suspect(Report.Suspect.Value);
+  Out.set_scope(Report.Scope.Value);
+  Out.set_whole(Report.IsWhole);
+  Out.set_crashes(Report.Crashes);
+  Out.set_since_first_ms(longMillis(Report.SinceFirst));
+  Out.set_since_latest_ms(longMillis(Report.SinceLatest));
+  Out.set_trials(Report.Trials);
+  if (Report.SinceTrial)
+    Out.set_since_trial_ms(longMillis(*Report.SinceTrial));
+}
+
+CrashNews readCrashNews(const messages::FleetNews &In) {
+  CrashNews News;
+  for (const auto &From : In.crashes()) {
+    CrashReport Report{{From.endpoint()}, span(From.age_ms()), {}};
+    for (const auto &Run : From.runs()) {
+      CrashedRun To;
+      To.Suspects.Scope = {Run.scope()};
+      for (std::uint64_t Part : Run.parts())
+        To.Suspects.Parts.push_back({Part});
+      To.Suspects.Whole = {Run.whole()};
+      To.SentBefore = span(Run.sent_before_ms());
+      Report.Runs.push_back(std::move(To));
+    }
+    News.Crashes.push_back(std::move(Report));
+  }
+  for (const auto &From : In.sound())
+    News.Sound.push_back({{From.suspect()}, span(From.begun_before_ms())});
+  for (const auto &From : In.refused()) {
+    RefusedSuspect To;
+    To.Suspect = {From.suspect()};
+    To.Scope = {From.scope()};
+    To.IsWhole = From.whole();
+    To.Crashes = From.crashes();
+    To.SinceFirst = longSpan(From.since_first_ms());
+    To.SinceLatest = longSpan(From.since_latest_ms());
+    To.Trials = From.trials();
+    if (From.has_since_trial_ms())
+      To.SinceTrial = longSpan(From.since_trial_ms());
+    News.Refused.push_back(To);
+  }
+  return News;
 }
 
 void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out) {
--- a/src/fleethost/internal/updatecodec.h
+++ b/src/fleethost/internal/updatecodec.h
@@ -15,7 +15,10 @@
 /// clocks of hosts differ.
 
 void writeCrash(const CrashReport &Report, messages::CrashReport &Out);
-CrashReport readCrash(const messages::CrashReport &In);
+void writeSound(const SoundReport &Report, messages::SoundReport &Out);
+void writeRefused(const RefusedSuspect &Report, messages::RefusedSuspect &Out);
+/// Reads what an update says of crashes.
+CrashNews readCrashNews(const messages::FleetNews &In);
 
 void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out);
 /// Writes the state of the sending host, with the fleet's size.
--- a/src/fleethost/internal/updateexchange.cpp
+++ b/src/fleethost/internal/updateexchange.cpp
@@ -188,32 +188,47 @@
 }
 
 void UpdateExchange::sendCrashes() {
-  auto Reports = Components_.Decisions.crashes().takeReports();
-  if (Reports.empty())
+  const HostState &Self = Components_.Hosts.self();
+  auto Delegates = Components_.Hosts.delegates(Self.Region);
+  bool IsPlacer = ipsOf(Delegates.Placers).contains(Self.Ip);
+  CrashNews News =
+      Components_.Decisions.crashes().takeNews(isAggregator() || IsPlacer);
+  if (News.isEmpty())
     return;
-  Update Message = updateOfSelf();
-  for (const CrashReport &Report : Reports)
-    writeCrash(Report, *Message.add_crashes());
-  const RegionId &OwnRegion = Components_.Hosts.self().Region;
-  std::set<std::string> To =
-      ipsOf(Components_.Hosts.delegates(OwnRegion).Aggregators);
+  std::set<std::string> To = ipsOf(Delegates.Aggregators);
   if (isAggregator()) {
     To.merge(regionIps());
     To.merge(remotePlacers());
   }
-  To.erase(Components_.Hosts.self().Ip);
-  for (const std::string &Ip : To)
-    send(Ip, Message);
+  To.erase(Self.Ip);
+  sendCrashNews(To, News);
 }
 
-void UpdateExchange::sendRecentCrashes(const std::string &Ip) {
-  auto Recent = Components_.Decisions.crashes().recentCrashes();
-  for (std::size_t At = 0; At < Recent.size(); At += CrashesPerDatagram) {
+void UpdateExchange::sendCrashNews(const std::set<std::string> &To,
+                                   const CrashNews &News) {
+  std::size_t Datagrams = std::max(
+      {(News.Crashes.size() + CrashesPerDatagram - 1) / CrashesPerDatagram,
+       (News.Sound.size() + SuspectsPerDatagram - 1) / SuspectsPerDatagram,
+       (News.Refused.size() + SuspectsPerDatagram - 1) / SuspectsPerDatagram});
+  auto ForPart = [](const auto &All, std::size_t Part, std::size_t Most,
+                    const auto &Write) {
+    for (std::size_t I = Part * Most;
+         I < std::min(All.size(), (Part + 1) * Most); ++I)
+      Write(All[I]);
+  };
+  for (std::size_t Part = 0; Part < Datagrams; ++Part) {
     Update Message = updateOfSelf();
-    std::size_t End = std::min(Recent.size(), At + CrashesPerDatagram);
-    for (std::size_t I = At; I < End; ++I)
-      writeCrash(Recent[I], *Message.add_crashes());
-    send(Ip, Message);
+    ForPart(News.Crashes, Part, CrashesPerDatagram, [&](const auto &Report) {
+      writeCrash(Report, *Message.add_crashes());
+    });
+    ForPart(News.Sound, Part, SuspectsPerDatagram, [&](const auto &Report) {
+      writeSound(Report, *Message.add_sound());
+    });
+    ForPart(News.Refused, Part, SuspectsPerDatagram, [&](const auto &Report) {
+      writeRefused(Report, *Message.add_refused());
+    });
+    for (const std::string &Ip : To)
+      send(Ip, Message);
   }
 }
 
@@ -302,9 +317,9 @@
   // A host that has just started gets the state of the others in this reply.
   if (!WasAlive)
     sendHosts({From.Ip}, Components_.Hosts.alive());
-  // What its predecessor has seen counts on.
-  if (Restarted)
-    sendRecentCrashes(From.Ip);
+  // What its predecessor has seen counts on, and what it missed behind a cut.
+  if (Restarted || !WasAlive)
+    sendCrashNews({From.Ip}, Components_.Decisions.crashes().currentNews());
   for (const auto &Note : Message.notes())
     handleNote(From.Ip, Note);
   applyUpdate(From, Message);
@@ -342,8 +357,8 @@
         {Item.pool(), std::chrono::milliseconds(Item.wait_ms()),
          Item.endpoints(), Item.places(), Item.free_places(),
          std::chrono::milliseconds(Item.late_wait_ms())});
-  for (const auto &Item : Message.crashes())
-    Components_.Decisions.crashes().recordPeerReport(readCrash(Item));
+  if (CrashNews News = readCrashNews(Message); !News.isEmpty())
+    Components_.Decisions.crashes().received(News);
   for (const auto &Item : Message.words())
     Components_.Fleet.applyReport(readReport(Item));
   if (!Message.has_list())
--- a/src/fleethost/internal/updateexchange.h
+++ b/src/fleethost/internal/updateexchange.h
@@ -90,8 +90,11 @@
   static constexpr std::size_t MaxRepeatedReports = 100;
   /// Hosts in one datagram; each takes about 80 bytes.
   static constexpr std::size_t HostsPerDatagram = 100;
-  /// Crash reports in one datagram; each takes about 25 bytes.
-  static constexpr std::size_t CrashesPerDatagram = 300;
+  /// Crash reports in one datagram; each takes up to 5 kB.
+  static constexpr std::size_t CrashesPerDatagram = 8;
+  /// Reports of sound or refused suspects in one datagram; each takes up to 60
+  /// bytes.
+  static constexpr std::size_t SuspectsPerDatagram = 400;
   /// Listed placements in one datagram; each takes about 35 bytes.
   static constexpr std::size_t ListedPerDatagram = 300;
   /// A batch of placement messages is sent at once when it has reached this
@@ -116,7 +119,7 @@
                  const HostRegistry::Hosts &Of);
   void sendChangedHosts();
   void sendCrashes();
-  void sendRecentCrashes(const std::string &Ip);
+  void sendCrashNews(const std::set<std::string> &To, const CrashNews &News);
   std::set<std::string> regionIps() const;
   std::set<std::string> remotePlacers() const;
   void handleNote(const std::string &From, const messages::PlacementNote &Note);
--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -77,7 +77,13 @@
 };
 
 /// How the other end left the connection.
-enum class PeerClose { None, Closed, Reset };
+enum class PeerClose {
+  None,
+  Closed,
+  Reset,
+  /// It left sent bytes unacknowledged for AckTimeout.
+  Silent,
+};
 
 /// What a call has received of its response.
 struct ResponseProgress {
--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -30,6 +30,8 @@
     return "closed";
   case PeerClose::Reset:
     return "reset";
+  case PeerClose::Silent:
+    return "silent";
   }
   return "";
 }
@@ -119,8 +121,12 @@
   return Continue;
 }
 
+const ResponseProgress &Attempt::progress() const {
+  return Call_ ? Call_->progress() : Progress_;
+}
+
 std::string Attempt::describeReceived() const {
-  const ResponseProgress &Got = Call_ ? Call_->progress() : Progress_;
+  const ResponseProgress &Got = progress();
   std::string Text = std::string(" peer=") + nameOf(Got.Peer);
   if (!Got.Framing)
     return Text;
--- a/src/relay/internal/attempt.h
+++ b/src/relay/internal/attempt.h
@@ -62,6 +62,7 @@
   bool isEvents() const { return Events_; }
   /// Whether the response is awaited or being received.
   bool isUnderWay() const { return Call_ != nullptr; }
+  const ResponseProgress &progress() const;
   /// What was received of the response, for the log.
   std::string describeReceived() const;
   Duration sinceSent() const;
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -58,6 +58,12 @@
   return std::chrono::seconds(Seconds);
 }
 
+PeerClose closeOf(const ErrorCode &Error) {
+  if (Error == asio::error::eof)
+    return PeerClose::Closed;
+  return Error == asio::error::timed_out ? PeerClose::Silent : PeerClose::Reset;
+}
+
 ResponseFraming framingOf(const Parser &Response) {
   if (Response.chunked())
     return ResponseFraming::Chunks;
@@ -193,8 +199,7 @@
             return;
           Self->Channel_->Buffer.commit(Bytes);
           if (Error)
-            Self->Progress_.Peer = Error == asio::error::eof ? PeerClose::Closed
-                                                             : PeerClose::Reset;
+            Self->Progress_.Peer = closeOf(Error);
           Self->parse(Error);
         });
   }
--- a/src/relay/internal/openrequests.cpp
+++ b/src/relay/internal/openrequests.cpp
@@ -1,22 +1,36 @@
 #include "relay/openrequests.h"
 
 #include <utility>
+#include <vector>
 
 namespace celerybeam {
 
-OpenRequests::Id OpenRequests::add(std::function<void()> End) {
-  Ends_.emplace(++Last_, std::move(End));
+OpenRequests::Id OpenRequests::add(Hooks H) {
+  Entries_.emplace(++Last_, std::move(H));
   return {Last_};
 }
 
-void OpenRequests::remove(Id Entry) { Ends_.erase(Entry.Value); }
+void OpenRequests::remove(Id Entry) { Entries_.erase(Entry.Value); }
 
-std::size_t OpenRequests::endAll() {
-  // Each end removes its own entry.
-  auto Ends = std::exchange(Ends_, {});
-  for (const auto &[Entry, End] : Ends)
-    End();
-  return Ends.size();
+std::size_t OpenRequests::callEach(std::function<void()> Hooks::*Hook) {
+  std::vector<std::uint64_t> Ids;
+  for (const auto &[Id, H] : Entries_)
+    Ids.push_back(Id);
+  std::size_t Called = 0;
+  for (std::uint64_t Id : Ids) {
+    auto Found = Entries_.find(Id);
+    if (Found == Entries_.end())
+      continue;
+    // The hook may remove its own entry.
+    auto Call = Found->second.*Hook;
+    ++Called;
+    Call();
+  }
+  return Called;
 }
 
+std::size_t OpenRequests::endAll() { return callEach(&Hooks::End); }
+
+void OpenRequests::reconsiderAll() { callEach(&Hooks::Reconsider); }
+
 } // namespace celerybeam
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -98,14 +98,22 @@
     Descriptor_.Forwarded = FromHost_;
     if (FromHost_)
       takeHostFields();
+    Descriptor_.Suspects = suspectsOf(Descriptor_);
+    crashes().recordArrival(Descriptor_.Suspects);
     Record_.Id = Descriptor_.Id;
     Record_.Forwarded = FromHost_;
     Exchange_->onDisconnect(
         [Self = shared_from_this()] { Self->callerDisconnected(); });
-    OpenEntry_ = Context_.Open.add([Weak = weak_from_this()] {
+    OpenRequests::Hooks Hooks;
+    Hooks.End = [Weak = weak_from_this()] {
       if (auto Self = Weak.lock())
         Self->hostStops();
-    });
+    };
+    Hooks.Reconsider = [Weak = weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->reconsider();
+    };
+    OpenEntry_ = Context_.Open.add(std::move(Hooks));
     routeRequest();
   }
 
@@ -208,7 +216,7 @@
   void refuse(const Refusal &Why) {
     Record_.RetryAfter = Why.RetryAfter;
     if (Why.Reason == CrashRefusal)
-      Record_.Parts = partsText(Descriptor_.Parts);
+      noteCrashRefusal();
     HttpResponseHead Head{NotRun,
                           {{"Content-Type", "text/plain"},
                            {"Retry-After", secondsText(Why.RetryAfter)}}};
@@ -216,6 +224,35 @@
     finishWith(std::move(Head), "not run: " + Why.Reason + "\n", Why.Reason);
   }
 
+  /// Notes what the request is refused for.
+  void noteCrashRefusal() {
+    Record_.Parts = partsText(Descriptor_.Parts);
+    auto Verdict = crashes().check(Descriptor_.Suspects);
+    if (!Verdict)
+      return;
+    Record_.Attempts +=
+        (Record_.Attempts.empty() ? "refused_for=" : "; refused_for=") +
+        (Verdict->Part ? "part_" + std::to_string(*Verdict->Part) : "request") +
+        " crashes=" + std::to_string(Verdict->Crashes) +
+        " latest_ms=" + std::to_string(millisOf(Verdict->SinceLatest)) +
+        " trials=" + std::to_string(Verdict->Trials);
+  }
+
+  /// Refuses the request if what makes it wait is no longer known to pass.
+  void reconsider() {
+    if (Ended_ || !Queued_ || isAttemptUnderWay())
+      return;
+    auto Verdict = crashes().check(Descriptor_.Suspects);
+    if (!Verdict || Verdict->MayTry)
+      return;
+    Context_.Placement.end(LatestPlacement_, {});
+    if (provenNotRun(Log_.Execution) && !Streaming_)
+      return refuse({Verdict->RetryAfter, CrashRefusal});
+    giveUp(false, CrashRefusal);
+  }
+
+  CrashTracker &crashes() { return Context_.Decisions.crashes(); }
+
   /// Sends a final response of this host after the request may have been sent.
   void giveUp(bool TimedOut, const std::string &Why) {
     if (Streaming_)
@@ -345,6 +382,7 @@
 
   void beginCall(HttpCallRequest Call) {
     GotOutput_ = false;
+    SoundRecorded_ = false;
     IsSent_ = false;
     auto Self = shared_from_this();
     detail::AttemptHooks Hooks;
@@ -399,6 +437,9 @@
       Record_.Attempts += " outside_homes";
       return false;
     }
+    SendDeclined_ = !passesCrashCheck();
+    if (SendDeclined_)
+      return false;
     TimePoint Now = Context_.Time.Now();
     detail::setTimeLeft(Head, Context_.Names, deadline() - Now);
     if (HasArrived_ && !std::exchange(RetryTaken_, false) && !takeRetry()) {
@@ -411,6 +452,22 @@
     return true;
   }
 
+  /// Whether the request may be sent as far as crashes are concerned; if it is
+  /// a trial, begins that. Endpoints may have crashed since it was placed.
+  bool passesCrashCheck() {
+    auto Verdict = crashes().check(Descriptor_.Suspects);
+    if (!Verdict)
+      return true;
+    // The other host would send it as its own trial.
+    if (!Target_ || !Verdict->MayTry) {
+      Record_.Attempts += " not_sent_after_crashes";
+      return false;
+    }
+    crashes().beginTrial(Verdict->Suspect);
+    Record_.Attempts += " trial=" + std::to_string(Verdict->Trials + 1);
+    return true;
+  }
+
   /// Adds the fields that another entry host reads with takeHostFields.
   void setHostFields(HttpRequestHead &Head) {
     setField(Head.Fields, RunsField, std::to_string(AllottedRuns_));
@@ -515,6 +572,8 @@
     if (std::exchange(GotOutput_, true))
       return;
     OutputAt_ = Context_.Time.Now();
+    if (Target_)
+      crashes().recordAlive(Target_->Endpoint.Key);
     if (Record_.FirstOutput == Duration::zero())
       Record_.FirstOutput = Context_.Time.Now() - Request_.Arrived;
     if (Target_)
@@ -529,6 +588,10 @@
     if (Streaming_)
       Record_.LongestGap = std::max(Record_.LongestGap, Now - LastEventsAt_);
     LastEventsAt_ = Now;
+    if (Target_)
+      crashes().recordAlive(Target_->Endpoint.Key);
+    if (!SoundRecorded_ && crashes().survives(OutputAt_))
+      recordSound(OutputAt_);
     if (!Streaming_) {
       Streaming_ = true;
       Exchange_->beginStream(callerHead());
@@ -627,24 +690,40 @@
     Log_.Runs += Target_ ? 1 : AllottedRuns_;
     HasArrived_ = true;
     if (Target_)
-      recordCrash();
+      recordBreak();
     endPlacement(AttemptOutcome::Broken);
     if (Splitter_.mayResume() && mayRetry(Log_))
       return attempt();
     giveUp(false, "endpoint_broke_off");
   }
 
-  void recordCrash() {
-    std::size_t Crashes =
-        Context_.Decisions.crashes().recordCrash(Descriptor_.Fingerprint);
+  /// Records that the endpoint broke off, if that may be a crash under this
+  /// request.
+  void recordBreak() {
+    TimePoint Now = Context_.Time.Now();
+    PeerClose Peer = Attempt_->progress().Peer;
+    const FleetEndpoint *Known = Context_.Fleet.endpoint(Target_->Endpoint.Key);
+    bool IsLeaving =
+        Known == nullptr || Known->Leaving || Known->EndsAt.has_value();
+    bool MayBeCrash =
+        (Peer == PeerClose::Closed || Peer == PeerClose::Reset) && !IsLeaving;
+    bool IsSound = GotOutput_ && crashes().survives(OutputAt_);
+    if (MayBeCrash && !IsSound)
+      crashes().recordBreak(Target_->Endpoint.Key, Descriptor_.Suspects,
+                            Now - Attempt_->sinceSent());
     Record_.Parts = partsText(Descriptor_.Parts);
     Record_.Attempts +=
         " broke_ms=" + std::to_string(millisOf(Attempt_->sinceSent()));
     if (GotOutput_)
       Record_.Attempts +=
-          " output_ms=" +
-          std::to_string(millisOf(Context_.Time.Now() - OutputAt_));
-    Record_.Attempts += " crashes=" + std::to_string(Crashes);
+          " output_ms=" + std::to_string(millisOf(Now - OutputAt_));
+    Record_.Attempts +=
+        " crashes=" + std::to_string(crashes().crashesOf(Descriptor_.Suspects));
+  }
+
+  void recordSound(TimePoint BegunAt) {
+    SoundRecorded_ = true;
+    crashes().recordSound(Descriptor_.Suspects, BegunAt);
   }
 
   void responseReceived() {
@@ -662,7 +741,8 @@
     bool Failed = Head.Status >= ServerFailure || FalseNotRun;
     if (!Failed) {
       firstOutput();
-      Context_.Decisions.crashes().recordSuccess(Descriptor_.Fingerprint);
+      // When it began to respond is not known.
+      recordSound(Context_.Time.Now() - Attempt_->sinceSent());
     }
     endPlacement(Failed ? AttemptOutcome::Failed : AttemptOutcome::Answered);
     Record_.Attempts += " status=" + std::to_string(Head.Status);
@@ -685,7 +765,8 @@
   }
 
   void streamEnded() {
-    Context_.Decisions.crashes().recordSuccess(Descriptor_.Fingerprint);
+    recordSound(GotOutput_ ? OutputAt_
+                           : Context_.Time.Now() - Attempt_->sinceSent());
     endPlacement(AttemptOutcome::Answered);
     if (!Streaming_)
       return finishWith(callerHead(), Splitter_.partial(), "answered");
@@ -836,6 +917,8 @@
   std::shared_ptr<Attempt> Attempt_;
   TimePoint LastEventsAt_{};
   bool GotOutput_ = false;
+  /// Whether the current attempt has shown the request to be sound.
+  bool SoundRecorded_ = false;
   /// First output of the current attempt.
   TimePoint OutputAt_{};
   /// The complete failure response of an endpoint. Sent to the caller if no
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -245,6 +245,13 @@
     Loop.context().poll();
 }
 
+void VirtualTimeRelay::runUntilIdle() {
+  constexpr std::chrono::microseconds Quiet(400);
+  Loop.timers().runDue(Now);
+  while (Loop.context().run_one_for(Quiet) > 0)
+    Loop.timers().runDue(Now);
+}
+
 void VirtualTimeRelay::takeSlots(const std::string &Id) {
   for (std::uint32_t Slot = 0; Slot < Slots; ++Slot)
     TakenSlots_.push_back(
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -85,6 +85,9 @@
   /// Runs due timers and the handlers that are ready.
   void runReady();
 
+  /// Runs due timers and handlers until loopback has delivered what was sent.
+  void runUntilIdle();
+
   /// Lets other requests take the slots of an endpoint, and gives them back.
   void takeSlots(const std::string &Id);
   void freeSlots();
