Notice a hung watch of the store within the time to recover

Cause: a watch that gets no response is given up after its wait and the time-out of a call, 5.5 s, and read again after a pause. Hosts have 5 s from the end of a disruption, in which a watch may begin to hang at the last moment.

Change: a watch waits for 3 s instead of 4 s, so that it is given up after 4.5 s.

Evidence: changeBehindAHungWatchArrivesWithinTheStableWindow failed with 4 s and passes with 3 s. Cost: a third more watch calls of the few hosts that watch. Ruled out: a shorter time-out of calls, which slow stores need; two watches that overlap, which cost as much as halving the wait.

--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -126,9 +126,11 @@
   /// no watch.
   static constexpr Duration FirstWatchDelay = std::chrono::seconds(1);
   /// Longest wait of one watch call. Each returned call is paid for, which
-  /// favours a long wait; a dead connection is noticed only after it, which
-  /// favours a short one. Only a few hosts of a region watch.
-  static constexpr Duration WatchWait = std::chrono::seconds(4);
+  /// favours a long wait; a dead connection is noticed only after it and the
+  /// time-out of a call, which together must be shorter than the time that
+  /// hosts have to recover from a disruption. Only a few hosts of a region
+  /// watch.
+  static constexpr Duration WatchWait = std::chrono::seconds(3);
   /// Time without an update from any host that watches after which a follower
   /// no longer counts as current: the time of seven such updates.
   static constexpr Duration MaxWatcherSilence = std::chrono::milliseconds(1500);
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 
 #include "fleet/storemirror.h"
 #include "support/virtualtime.h"
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// How much longer than its wait a call to the store takes at most.
+constexpr Duration GiveUpAfter = 1500ms;
+
 /// A fake store that can be unreachable, lose its history or be rolled back.
 struct Fixture {
   testing::VirtualTime Time{1};
@@ -20,6 +24,8 @@
   std::uint64_t Now = 10;
   bool Reachable = true;
   bool HistoryGone = false;
+  /// The next watch gets no response, and fails when its caller gives up.
+  bool NextWatchHangs = false;
   unsigned Lists = 0;
   unsigned Watches = 0;
   StoreSnapshot PeerState;
@@ -46,6 +52,10 @@
     };
     H.Watch = [this](StoreRevision After, Duration Wait, auto Answer) {
       ++Watches;
+      if (std::exchange(NextWatchHangs, false))
+        return Time.after(Wait + GiveUpAfter, [Answer] {
+          Answer(makeError(ErrorKind::StoreUnreachable, "no response"));
+        });
       watch(After, Wait, Answer);
     };
     H.FetchFromPeer = [this](StoreRevision, auto Answer) {
@@ -129,6 +139,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(StoreMirrorTests, Fixture)
 
+// CONFIG: a watch that hangs since the end of a disruption of the store hides
+// newer tables for longer than hosts may take to recover from one.
+BOOST_AUTO_TEST_CASE(changeBehindAHungWatchArrivesWithinTheStableWindow) {
+  constexpr Duration StableWindow = 5s;
+  put("a", "1");
+  Mirror.start();
+  NextWatchHangs = true;
+  Time.runFor(10ms);
+  BOOST_TEST(!NextWatchHangs);
+  put("a", "2");
+  Time.runFor(StableWindow - 100ms);
+  BOOST_TEST(heldKeys()["a"] == "2");
+}
+
 BOOST_AUTO_TEST_CASE(listsThenFollowsChanges) {
   put("a", "1");
   Mirror.start();
