--- a/review/standins/staleforward.cpp
+++ b/review/standins/staleforward.cpp
@@ -1,4 +1,4 @@
-// Case 1: a route moves to another service while one host of another region
+// Case 2: a route moves to another service while one host of another region
 // stands still. Requests that a sound host forwards to it afterwards.
 
 #include <csignal>
@@ -24,6 +24,7 @@
 /// A freeze of the site's troubles is 4 s long, of one machine.
 constexpr Duration FreezeTime = seconds(4);
 constexpr unsigned SouthHosts = 4;
+constexpr Duration WorkTime = milliseconds(60);
 
 /// Two plain services in the south; the route's service alternates.
 class Scenario {
@@ -37,6 +38,7 @@
     Gateway &North = W_.start("north-1", 1, "north");
     for (unsigned I = 0; I < SouthHosts; ++I)
       W_.start("south-" + std::to_string(I + 1), 2 + I, "south");
+    W_.start("west-1", 20, "west");
     if (!W_.waitReady())
       return ExitNoRun;
     // All machines are in touch, and the directory names them, from here on.
@@ -84,26 +86,9 @@
   }
 
   void putConfig(const std::string &Service) {
-    json Route = {{"name", "book-dispatch"}, {"hostname", "x.example"},
-                  {"pathPrefix", "/book/"},  {"routeType", "unsafe"},
-                  {"timeoutMs", 5000},       {"targetLatencyMs", 500},
-                  {"priority", 2},           {"backend", Service},
-                  {"maxAttempts", 1},        {"homeRegions", json::array()}};
-    json Services = json::array();
-    for (const char *Name : {"old-app", "new-app"})
-      Services.push_back({{"name", Name},
-                          {"healthPath", "/healthz"},
-                          {"maxConnections", 214},
-                          {"coldStartS", 0},
-                          {"coldPerS", 0}});
-    json Config = {{"version", ++Version_},
-                   {"routes", {Route}},
-                   {"services", Services},
-                   {"limits",
-                    {{"maxHeaderBytes", 16384},
-                     {"maxBodyBytes", 4194304},
-                     {"headerTimeoutMs", 3000},
-                     {"idleTimeoutMs", 15000}}}};
+    json Routes = json::array(
+        {routeRow("book-dispatch", "/book/", "unsafe", Service, 1)});
+    json Config = configOf(++Version_, Routes, {"old-app", "new-app"});
     W_.Platform.put("op/config", Config.dump());
     Service_ = Service;
     AckedAt_ = W_.Log.millis();
@@ -113,43 +98,12 @@
   }
 
   void addServer(const std::string &Service) {
-    Servers_.push_back(std::make_unique<HttpServer>(
-        W_.Loop, [this, Service](const HttpServerRequest &Request,
-                                 const std::shared_ptr<HttpExchange> &Answer) {
-          serve(Service, Request, Answer);
+    Servers_.push_back(std::make_unique<AppServer>(
+        W_.Loop, W_.Platform, Service + "-1", Service, "south", W_.ip(200),
+        [this, Service](const std::string &Id) {
+          ran(Service, Id);
+          return AppServer::Run{WorkTime};
         }));
-    if (!Servers_.back()->listen(Address(W_.ip(200) + ":0")))
-      throw std::runtime_error("no port for a server");
-    json Entry = {
-        {"backend", Service},   {"address", Servers_.back()->address().str()},
-        {"zone", "south-a"},    {"version", 1},
-        {"slots", 6},           {"state", "ready"},
-        {"coldRemainingMs", 0}, {"sequence", 1},
-        {"born", 1700000000000}};
-    W_.Platform.put("servers/" + Service + "-1", Entry.dump());
-  }
-
-  void serve(const std::string &Service, const HttpServerRequest &Request,
-             const std::shared_ptr<HttpExchange> &Answer) {
-    constexpr unsigned Ok = 200;
-    constexpr unsigned Misdirected = 421;
-    const HttpFields &Fields = Request.Head.Fields;
-    std::string Id(findField(Fields, "X-Attempt-Id").value_or(""));
-    if (Request.Head.Target == "/healthz")
-      return Answer->respond(
-          {Ok, {{"X-Instance-Id", Service + "-1"}, {"X-Server-Load", "0,0,6"}}},
-          "");
-    if (findField(Fields, "X-Expect-Instance") != Service + "-1")
-      return Answer->respond(
-          {Misdirected, {{"X-Attempt-Id", Id}, {"X-Not-Executed", "1"}}}, "");
-    ran(Service, Id);
-    W_.Loop.after(milliseconds(30), [Service, Id, Answer] {
-      Answer->respond({Ok,
-                       {{"X-Attempt-Id", Id},
-                        {"X-Response-Stamp", Service + "." + Id},
-                        {"X-Server-Load", "1,0,6"}}},
-                      Service + " has run " + Id + "\n");
-    });
   }
 
   void ran(const std::string &Service, const std::string &Id) {
@@ -187,7 +141,7 @@
   }
 
   World &W_;
-  std::vector<std::unique_ptr<HttpServer>> Servers_;
+  std::vector<std::unique_ptr<AppServer>> Servers_;
   std::map<std::string, Sent> Sent_;
   unsigned Version_ = 0;
   unsigned Requests_ = 0;
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -31,10 +31,13 @@
 
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
+constexpr unsigned HistoryGone = 410;
 constexpr unsigned ConditionFailed = 412;
+constexpr unsigned Unavailable = 503;
 constexpr int CallerPort = 28144;
 constexpr int ReadyPort = 28140;
 constexpr int DirectoryPort = 28143;
+constexpr unsigned SlotsOfApp = 6;
 /// What an answer of the store takes.
 constexpr Duration StoreTime = std::chrono::milliseconds(4);
 
@@ -62,10 +65,6 @@
   return Target.substr(At, Target.find('&', At) - At);
 }
 
-void respond(HttpExchange &Answer, unsigned Status, const json &Body) {
-  Answer.respond({Status, {{"Content-Type", "application/json"}}}, Body.dump());
-}
-
 std::string settingsOf(const Gateway &G, const std::string &StoreAddress,
                        const std::vector<std::string> &Seeds) {
   auto Listen = [&](const char *Name, int Port) {
@@ -178,21 +177,46 @@
     throw std::runtime_error(Opened.error().Message);
 }
 
+void Store::takeCopy() { Copy_ = Now_; }
+
+void Store::goAway() {
+  Away_ = true;
+  for (const Watcher &W : Watchers_)
+    respond(*W.Answer, Unavailable, json::object());
+  Watchers_.clear();
+}
+
+void Store::comeBack(bool Older) {
+  Away_ = false;
+  if (!Older)
+    return;
+  Now_ = Copy_;
+  ++Era_;
+}
+
+void Store::respond(HttpExchange &Answer, unsigned Status,
+                    const json &Body) const {
+  Answer.respond({Status,
+                  {{"Content-Type", "application/json"},
+                   {"Store-Era", std::to_string(Era_)}}},
+                 Body.dump());
+}
+
 void Store::put(const std::string &Key, const std::string &Value) {
-  change(Key, {Value, ++Revision_, 0, false});
+  change(Key, {Value, ++Now_.Revision, 0, false});
 }
 
 void Store::remove(const std::string &Key) {
-  if (Items_.contains(Key))
-    change(Key, {"", ++Revision_, 0, true});
+  if (Now_.Items.contains(Key))
+    change(Key, {"", ++Now_.Revision, 0, true});
 }
 
 void Store::change(const std::string &Key, Item What) {
-  History_.emplace_back(Key, What);
+  Now_.History.emplace_back(Key, What);
   if (What.Removed)
-    Items_.erase(Key);
+    Now_.Items.erase(Key);
   else
-    Items_[Key] = std::move(What);
+    Now_.Items[Key] = std::move(What);
   std::erase_if(Watchers_,
                 [this](const Watcher &W) { return answerWatcher(W, false); });
 }
@@ -200,6 +224,8 @@
 void Store::serve(const HttpServerRequest &Request,
                   const std::shared_ptr<HttpExchange> &Answer) {
   const std::string &Target = Request.Head.Target;
+  if (Away_)
+    return respond(*Answer, Unavailable, json::object());
   auto LeaseOf = [&](const std::string &Path) {
     return std::stoull(Target.substr(Path.size()));
   };
@@ -210,14 +236,14 @@
   if (Target.starts_with("/-/kv-txn"))
     return transact(*Request.Body, *Answer);
   if (Target == "/-/kv-lease") {
-    Leases_.insert(++LastLease_);
+    Now_.Leases.insert(++LastLease_);
     return respond(*Answer, Ok,
                    {{"lease", LastLease_},
                     {"ttlMs", json::parse(*Request.Body).at("ttlMs")}});
   }
   if (Target.starts_with("/-/kv-keep/"))
     return respond(*Answer,
-                   Leases_.contains(LeaseOf("/-/kv-keep/")) ? Ok : NotFound,
+                   Now_.Leases.contains(LeaseOf("/-/kv-keep/")) ? Ok : NotFound,
                    json::object());
   if (Target.starts_with("/-/kv-lease-end/"))
     return endLease(LeaseOf("/-/kv-lease-end/"), *Answer);
@@ -227,7 +253,7 @@
 void Store::range(const std::string &Target, HttpExchange &Answer) {
   std::string Prefix = query(Target, "pathPrefix");
   json Items = json::array();
-  for (const auto &[Key, What] : Items_)
+  for (const auto &[Key, What] : Now_.Items)
     if (Key.starts_with(Prefix))
       Items.push_back({{"key", Key},
                        {"value", encode(What.Value)},
@@ -235,13 +261,15 @@
                        {"createdRev", What.At},
                        {"lease", What.Lease}});
   respond(Answer, Ok,
-          {{"items", Items}, {"morePages", false}, {"asOf", Revision_}});
+          {{"items", Items}, {"morePages", false}, {"asOf", Now_.Revision}});
 }
 
 void Store::watch(const std::string &Target,
                   const std::shared_ptr<HttpExchange> &Answer) {
   Watcher W{query(Target, "pathPrefix"), std::stoull(query(Target, "after")),
             Answer};
+  if (W.After > Now_.Revision)
+    return respond(*Answer, HistoryGone, json::object());
   if (answerWatcher(W, false))
     return;
   Watchers_.push_back(W);
@@ -259,7 +287,7 @@
 
 bool Store::answerWatcher(const Watcher &W, bool Always) {
   json Events = json::array();
-  for (const auto &[Key, What] : History_) {
+  for (const auto &[Key, What] : Now_.History) {
     if (What.At <= W.After || !Key.starts_with(W.Prefix))
       continue;
     json Event = {{"key", Key}, {"revision", What.At}};
@@ -271,34 +299,34 @@
   }
   if (Events.empty() && !Always)
     return false;
-  respond(*W.Answer, Ok, {{"events", Events}, {"asOf", Revision_}});
+  respond(*W.Answer, Ok, {{"events", Events}, {"asOf", Now_.Revision}});
   return true;
 }
 
 void Store::transact(const std::string &Body, HttpExchange &Answer) {
   json Call = json::parse(Body);
   for (const json &Row : Call.at("expected")) {
-    auto Found = Items_.find(Row.at("key"));
-    std::uint64_t At = Found == Items_.end() ? 0 : Found->second.At;
+    auto Found = Now_.Items.find(Row.at("key"));
+    std::uint64_t At = Found == Now_.Items.end() ? 0 : Found->second.At;
     if (At != Row.at("revision").get<std::uint64_t>())
       return respond(Answer, ConditionFailed, {{"items", json::array()}});
   }
   for (const json &Row : Call.at("setKeys"))
     if (auto Lease = Row.value("lease", 0U);
-        Lease != 0 && !Leases_.contains(Lease))
+        Lease != 0 && !Now_.Leases.contains(Lease))
       return respond(Answer, NotFound, json::object());
   for (const json &Row : Call.at("setKeys"))
-    change(Row.at("key"), {decode(Row.at("value")), ++Revision_,
+    change(Row.at("key"), {decode(Row.at("value")), ++Now_.Revision,
                            Row.value("lease", 0U), false});
   for (const json &Key : Call.at("remove"))
     remove(Key);
-  respond(Answer, Ok, {{"revision", Revision_}});
+  respond(Answer, Ok, {{"revision", Now_.Revision}});
 }
 
 void Store::endLease(std::uint64_t Lease, HttpExchange &Answer) {
-  bool Known = Leases_.erase(Lease) > 0;
+  bool Known = Now_.Leases.erase(Lease) > 0;
   std::vector<std::string> Keys;
-  for (const auto &[Key, What] : Items_)
+  for (const auto &[Key, What] : Now_.Items)
     if (What.Lease == Lease)
       Keys.push_back(Key);
   for (const std::string &Key : Keys)
@@ -365,6 +393,97 @@
       ->start(Address, Timeout);
 }
 
+AppServer::AppServer(EventLoop &Loop, Store &Platform, std::string Id,
+                     std::string Service, const std::string &Region,
+                     const std::string &Ip, RunHook Begin)
+    : Loop_(Loop), Id_(std::move(Id)), Service_(std::move(Service)),
+      Begin_(std::move(Begin)),
+      Server_(Loop, [this](const HttpServerRequest &Request,
+                           const std::shared_ptr<HttpExchange> &Answer) {
+        serve(Request, Answer);
+      }) {
+  if (!Server_.listen(Address(Ip + ":0")))
+    throw std::runtime_error("no port for a server");
+  json Entry = {{"backend", Service_},   {"address", Server_.address().str()},
+                {"zone", Region + "-a"}, {"version", 1},
+                {"slots", SlotsOfApp},   {"state", "ready"},
+                {"coldRemainingMs", 0},  {"sequence", 1},
+                {"born", 1700000000000}};
+  Platform.put("servers/" + Id_, Entry.dump());
+}
+
+void AppServer::serve(const HttpServerRequest &Request,
+                      const std::shared_ptr<HttpExchange> &Answer) {
+  constexpr unsigned Misdirected = 421;
+  const HttpFields &Fields = Request.Head.Fields;
+  std::string Id(findField(Fields, "X-Attempt-Id").value_or(""));
+  std::string Load =
+      std::to_string(Busy_) + ",0," + std::to_string(SlotsOfApp) + ",100";
+  if (Request.Head.Target == "/healthz")
+    return Answer->respond(
+        {Ok, {{"X-Instance-Id", Id_}, {"X-Server-Load", Load}}}, "");
+  auto Refuse = [&](unsigned Status) {
+    Answer->respond({Status, {{"X-Attempt-Id", Id}, {"X-Not-Executed", "1"}}},
+                    "");
+  };
+  if (findField(Fields, "X-Expect-Instance") != Id_)
+    return Refuse(Misdirected);
+  if (Busy_ >= SlotsOfApp)
+    return Refuse(Unavailable);
+  ++Busy_;
+  Run Own = Begin_(Id);
+  // It drops a request when its connection closes.
+  auto Holds = std::make_shared<bool>(true);
+  auto Release = [this, Holds] {
+    Busy_ -= std::exchange(*Holds, false) ? 1 : 0;
+  };
+  Answer->onDisconnect(Release);
+  Loop_.after(Own.Takes, [this, Id, Answer, Holds, Release, Own] {
+    if (!*Holds)
+      return;
+    Release();
+    Answer->respond({Own.Status,
+                     {{"X-Attempt-Id", Id},
+                      {"X-Response-Stamp", Id_ + "." + Id},
+                      {"X-Server-Load", "0,0,6,100"}}},
+                    Service_ + " has run " + Id);
+  });
+}
+
+json routeRow(const std::string &Name, const std::string &Prefix,
+              const std::string &Kind, const std::string &Service,
+              unsigned MaxAttempts) {
+  return json::object({{"name", Name},
+                       {"hostname", "x.example"},
+                       {"pathPrefix", Prefix},
+                       {"routeType", Kind},
+                       {"timeoutMs", 5000},
+                       {"targetLatencyMs", 500},
+                       {"priority", 2},
+                       {"backend", Service},
+                       {"maxAttempts", MaxAttempts},
+                       {"homeRegions", json::array()}});
+}
+
+json configOf(unsigned Version, const json &Routes,
+              const std::vector<std::string> &Services) {
+  json Rows = json::array();
+  for (const std::string &Name : Services)
+    Rows.push_back(json::object({{"name", Name},
+                                 {"healthPath", "/healthz"},
+                                 {"maxConnections", 214},
+                                 {"coldStartS", 0},
+                                 {"coldPerS", 0}}));
+  json Limits = json::object({{"maxHeaderBytes", 16384},
+                              {"maxBodyBytes", 4194304},
+                              {"headerTimeoutMs", 3000},
+                              {"idleTimeoutMs", 15000}});
+  return json::object({{"version", Version},
+                       {"routes", Routes},
+                       {"services", Rows},
+                       {"limits", Limits}});
+}
+
 World::World(const std::string &RecordPath, std::string Folder)
     : Log(RecordPath), Platform(Loop, ip(250)), Folder_(std::move(Folder)) {}
 
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -46,6 +46,14 @@
   void put(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
 
+  /// Takes the copy from which the store will come back.
+  void takeCopy();
+  /// Goes away: calls get 503, and watches end.
+  void goAway();
+  /// Comes back, if Older from the copy. What was written since then is gone,
+  /// leases too, its revisions are given out again, and the era rises.
+  void comeBack(bool Older);
+
 private:
   struct Item {
     std::string Value;
@@ -59,6 +67,15 @@
     std::shared_ptr<HttpExchange> Answer;
   };
 
+  /// What a copy holds.
+  struct State {
+    std::map<std::string, Item> Items;
+    std::vector<std::pair<std::string, Item>> History;
+    std::set<std::uint64_t> Leases;
+    std::uint64_t Revision = 1;
+  };
+
+  void respond(HttpExchange &Answer, unsigned Status, const json &Body) const;
   void serve(const HttpServerRequest &Request,
              const std::shared_ptr<HttpExchange> &Answer);
   void range(const std::string &Target, HttpExchange &Answer);
@@ -71,12 +88,12 @@
 
   Runtime Time_;
   HttpServer Server_;
-  std::map<std::string, Item> Items_;
-  std::vector<std::pair<std::string, Item>> History_;
+  State Now_;
+  State Copy_;
   std::list<Watcher> Watchers_;
-  std::set<std::uint64_t> Leases_;
   std::uint64_t LastLease_ = 0;
-  std::uint64_t Revision_ = 1;
+  std::uint64_t Era_ = 1;
+  bool Away_ = false;
 };
 
 /// A gateway process with the settings of an entry host. Killed with this
@@ -118,6 +135,42 @@
 void call(EventLoop &Loop, const std::string &Address, const std::string &Bytes,
           Duration Timeout, std::function<void(const Reply &)> Done);
 
+/// A server of a plain service. Runs each request that names it, and answers
+/// with its receipt and id. Registers itself in the store.
+class AppServer {
+public:
+  /// How a run goes.
+  struct Run {
+    Duration Takes{};
+    /// 500: the server's own failure, which counts as run.
+    unsigned Status = 200;
+  };
+  /// Called when a request begins to run.
+  using RunHook = std::function<Run(const std::string &Id)>;
+
+  AppServer(EventLoop &Loop, Store &Platform, std::string Id,
+            std::string Service, const std::string &Region,
+            const std::string &Ip, RunHook Begin);
+
+private:
+  void serve(const HttpServerRequest &Request,
+             const std::shared_ptr<HttpExchange> &Answer);
+
+  EventLoop &Loop_;
+  std::string Id_;
+  std::string Service_;
+  RunHook Begin_;
+  unsigned Busy_ = 0;
+  HttpServer Server_;
+};
+
+/// A row of the operator's config; its limits and services as in the sites.
+json routeRow(const std::string &Name, const std::string &Prefix,
+              const std::string &Kind, const std::string &Service,
+              unsigned MaxAttempts);
+json configOf(unsigned Version, const json &Routes,
+              const std::vector<std::string> &Services);
+
 /// What all stand-ins of one run share.
 class World {
 public:
