--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,7 +7,7 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 export CELERYBEAM_GATEWAY=$root/target/platform/celerybeam-gateway
-timeout -k 5 115 "$root/target/review/staleforward" "$here/record.txt" "$folder"
+timeout -k 5 115 "$root/target/review/addedroute" "$here/record.txt" "$folder"
 status=$?
 [ $status -le 1 ] || status=2
 exit $status
--- a/review/standins/addedroute.cpp
+++ b/review/standins/addedroute.cpp
@@ -1,4 +1,4 @@
-// Case 1: an unsafe route is added below a safe one while one host of another
+// An unsafe route is added below a safe one while one host of another
 // region stands still. Bookings that a sound host forwards to it afterwards.
 
 #include <csignal>
--- a/review/standins/staleforward.cpp
+++ b/review/standins/staleforward.cpp
@@ -1,4 +1,4 @@
-// Case 2: a route moves to another service while one host of another region
+// A route moves to another service while one host of another region
 // stands still. Requests that a sound host forwards to it afterwards.
 
 #include <csignal>
