--- a/review/standins/olderstore.cpp
+++ b/review/standins/olderstore.cpp
@@ -1,5 +1,6 @@
-// A route moves to another service right when the store comes back from a copy
-// some seconds old. Which service runs its requests later, when all is calm.
+// A route moves to another service right before the store goes away and comes
+// back from a copy some seconds old. Which service runs its requests later,
+// when all is calm.
 
 #include <cstdlib>
 #include <iostream>
@@ -53,8 +54,9 @@
   }
 
 private:
-  /// The operator writes one version shortly before the store goes away, and
-  /// the next as soon as it is back.
+  /// The operator writes two versions in the last second before the store goes
+  /// away, the second one at its last moment. The platform writes that again as
+  /// it brings the store back.
   void drill(bool Trouble) {
     W_.Platform.takeCopy();
     W_.Log.add("the copy is taken");
@@ -63,14 +65,17 @@
     W_.runFor(seconds(1));
     if (Trouble) {
       W_.Platform.goAway();
-      W_.Log.add("the store is away");
+      W_.Log.add("the store goes away, right after an acknowledgement:");
     }
+    std::string Config = putConfig("new-app");
     W_.runFor(AwayTime);
     if (Trouble) {
       W_.Platform.comeBack(true);
-      W_.Log.add("the store is back from its copy, of a later era");
+      W_.Platform.put("op/config", Config);
+      W_.Log.add(
+          "the store is back from its copy, of a later era, with config " +
+          std::to_string(Version_) + " written again");
     }
-    putConfig("new-app");
     // The store is calm for its window, and the deadline has passed since.
     W_.runFor(milliseconds(StableWindowMs + ConfigDeadlineMs + 1000));
     constexpr unsigned Turns = 4;
@@ -84,15 +89,17 @@
     W_.runFor(seconds(2));
   }
 
-  void putConfig(const std::string &Service) {
+  std::string putConfig(const std::string &Service) {
     json Routes = json::array(
         {routeRow("book-dispatch", "/book/", "unsafe", Service, 1)});
-    json Config = configOf(++Version_, Routes, {"old-app", "new-app"});
-    W_.Platform.put("op/config", Config.dump());
+    std::string Config =
+        configOf(++Version_, Routes, {"old-app", "new-app"}).dump();
+    W_.Platform.put("op/config", Config);
     Service_ = Service;
     AckedAt_ = W_.Log.millis();
     W_.Log.add("config " + std::to_string(Version_) +
                " acknowledged: /book/ is served by " + Service);
+    return Config;
   }
 
   void addServer(const std::string &Service) {
--- a/review/standins/olderstoretwice.cpp
+++ b/review/standins/olderstoretwice.cpp
@@ -1,6 +1,6 @@
-// An unsafe route is added below a safe one right when the store comes back
-// from a copy some seconds old. How often its bookings run later, when all is
-// calm.
+// An unsafe route is added below a safe one right before the store goes away
+// and comes back from a copy some seconds old. How often its bookings run
+// later, when all is calm.
 
 #include <cstdlib>
 #include <iostream>
@@ -69,8 +69,9 @@
     unsigned Runs = 0;
   };
 
-  /// The operator changes a time-out shortly before the store goes away, and
-  /// adds the route as soon as it is back.
+  /// The operator changes a time-out in the last second before the store goes
+  /// away, and adds the route at its last moment. The platform writes that
+  /// again as it brings the store back.
   void drill(bool Trouble) {
     W_.Platform.takeCopy();
     W_.Log.add("the copy is taken");
@@ -79,30 +80,34 @@
     W_.runFor(seconds(1));
     if (Trouble) {
       W_.Platform.goAway();
-      W_.Log.add("the store is away");
+      W_.Log.add("the store goes away, right after an acknowledgement:");
     }
+    std::string Config = putConfig(3000, true);
     W_.runFor(AwayTime);
     if (Trouble) {
       W_.Platform.comeBack(true);
-      W_.Log.add("the store is back from its copy, of a later era");
+      W_.Platform.put("op/config", Config);
+      W_.Log.add(
+          "the store is back from its copy, of a later era, with config " +
+          std::to_string(Version_) + " written again");
     }
-    putConfig(3000, true);
     // The store is calm for its window, and the deadline has passed since.
     W_.runFor(milliseconds(StableWindowMs + ConfigDeadlineMs + 1000));
   }
 
-  void putConfig(unsigned TimeoutMs, bool Bookings) {
+  std::string putConfig(unsigned TimeoutMs, bool Bookings) {
     json Look = routeRow("order-look", "/order/", "safe", "order-app", 2);
     Look["timeoutMs"] = TimeoutMs;
     json Routes = json::array({Look});
     if (Bookings)
       Routes.push_back(
           routeRow("book-dispatch", "/order/book/", "unsafe", "order-app", 1));
-    W_.Platform.put("op/config",
-                    configOf(++Version_, Routes, {"order-app"}).dump());
+    std::string Config = configOf(++Version_, Routes, {"order-app"}).dump();
+    W_.Platform.put("op/config", Config);
     AckedAt_ = W_.Log.millis();
     W_.Log.add("config " + std::to_string(Version_) + " acknowledged: " +
                (Bookings ? "/order/book/ is unsafe" : "/order/ is safe"));
+    return Config;
   }
 
   void addServer(const std::string &Id) {
