Keep the mirror's copy of the store apart from what it shows after a rollback

Cause: a listed row that might be from the old copy was held back, while the revision that the mirror claims to have applied was raised past it. Whatever is built on that claim was then wrong: the changes that a watcher hands to followers left the row out, the row's late arrival did not raise the revision that hosts report to each other, and a follower ended the settling without a look at anybody's state. A list that a watch had overtaken was dropped and did not end the settling.

Change: the mirror keeps all rows as the store returned them, so that it is complete up to its revision at any time, and beside them the rows and removals from before the rollback that stay in force. Every host ends the retention from its own copy; no list is needed for it.

Ruled out: one more exception for rows that are held back (the peers' revision comparison stays wrong), and a full exchange once settling has ended (a watcher that restarts meanwhile has nothing to hand over).

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace celerybeam {
@@ -83,17 +84,21 @@
     FetchingFromPeer_ = true;
     Hooks_.FetchFromPeer(AsOf_, guarded([this](Result<StoreSnapshot> Got) {
                            FetchingFromPeer_ = false;
-                           if (!Got || Got->AsOf <= AsOf_)
-                             return;
-                           if (Got->AsOf.Era > AsOf_.Era && isLoaded())
-                             beginSettling(Got->AsOf);
-                           if (Got->ChangesOnly)
-                             apply(*Got);
-                           else
-                             replaceAll(*Got);
+                           if (Got)
+                             applyFromPeer(*Got);
                          }));
   }
 
+  void applyFromPeer(const StoreSnapshot &Got) {
+    if (Got.AsOf > AsOf_) {
+      if (!Got.ChangesOnly)
+        replaceAll(Got);
+      else if (Got.AsOf.Era == AsOf_.Era)
+        apply(Got);
+    }
+    adoptRetained(Got);
+  }
+
   void setFollowing(bool Following) {
     Following_ = Following;
     if (!Following && std::exchange(Idle_, false))
@@ -130,12 +135,7 @@
   void listBesideWatch() {
     Hooks_.List(guarded([this](Result<StoreSnapshot> Got) {
       if (Got)
-        return applyList(*Got);
-      Runtime_.After(LongestBackoff, [Weak = weak_from_this()] {
-        auto Self = Weak.lock();
-        if (Self && Self->isSettlingOver())
-          Self->listBesideWatch();
-      });
+        applyList(*Got);
     }));
   }
 
@@ -150,6 +150,14 @@
       for (const StoreChange &Removal : Removals_)
         if (Removal.At > Since)
           Copy.Items.push_back(Removal);
+    Copy.CertainAfter = SettlingBegunIn_ == AsOf_.Era ? RollbackAt_ : AsOf_;
+    if (!SettlesAt_)
+      return Copy;
+    if (!Copy.ChangesOnly)
+      Copy.Items.insert(Copy.Items.end(), Removals_.begin(), Removals_.end());
+    for (const auto &[Key, Row] : Retained_)
+      Copy.Retained.push_back(Row);
+    Copy.SettlesIn = std::max(Duration::zero(), *SettlesAt_ - Runtime_.Now());
     return Copy;
   }
 
@@ -207,31 +215,60 @@
     return OutageEnded_ && Runtime_.Now() - *OutageEnded_ < OutageGrace;
   }
 
+  /// The row that is in force for a key; null when there is none.
+  const StoreChange *inForce(const std::string &Key) const {
+    if (auto Kept = Retained_.find(Key); Kept != Retained_.end())
+      return Kept->second.Removed ? nullptr : &Kept->second;
+    auto Found = Items_.find(Key);
+    return Found == Items_.end() ? nullptr : &Found->second;
+  }
+
+  std::optional<std::string> valueInForce(const std::string &Key) const {
+    const StoreChange *Row = inForce(Key);
+    return Row != nullptr ? std::optional(Row->Value) : std::nullopt;
+  }
+
+  /// Reports what is in force for a key if that has changed. \param Before  the
+  /// value that was in force.
+  void reportIfChanged(const std::string &Key,
+                       const std::optional<std::string> &Before,
+                       StoreRevision At) {
+    const StoreChange *Row = inForce(Key);
+    if (Row != nullptr && Before != Row->Value)
+      Hooks_.Changed(*Row, afterOutage());
+    else if (Row == nullptr && Before)
+      Hooks_.Changed({Key, "", At, true}, afterOutage());
+  }
+
+  /// Applies a change that was made after a rollback of the store, or without
+  /// one.
   void applyOne(const StoreChange &Change) {
     auto Existing = Items_.find(Change.Key);
-    if (Existing != Items_.end() && Existing->second.At >= Change.At)
+    bool Known = Existing != Items_.end();
+    if (Known && Existing->second.At >= Change.At)
       return;
     LastChange_ = std::max(LastChange_, Change.At);
-    RemovedBefore_.erase(Change.Key);
-    if (!Change.Removed) {
-      bool Same =
-          Existing != Items_.end() && Existing->second.Value == Change.Value;
-      Items_[Change.Key] = Change;
-      // The same value, written again after the rollback: there is no change
-      // to report.
-      if (Same && SettlesAt_)
-        return;
-    } else if (Existing == Items_.end()) {
-      return;
-    } else {
-      Items_.erase(Existing);
-      Removals_.push_back(Change);
-      if (Removals_.size() > MaxRemovals) {
-        RemovalsFrom_ = Removals_.front().At;
-        Removals_.pop_front();
-      }
+    auto Before = valueInForce(Change.Key);
+    Retained_.erase(Change.Key);
+    if (Change.Removed) {
+      if (Known)
+        Items_.erase(Existing);
+      recordRemoval(Change);
+      return reportIfChanged(Change.Key, Before, Change.At);
     }
-    Hooks_.Changed(Change, afterOutage());
+    Items_[Change.Key] = Change;
+    // A row that is written again with the same value renews its entry, unless
+    // that only makes up for the rollback.
+    if (Before != Change.Value || !SettlesAt_)
+      Hooks_.Changed(Change, afterOutage());
+  }
+
+  void recordRemoval(const StoreChange &Removal) {
+    Removals_.push_back(Removal);
+    if (Removals_.size() <= MaxRemovals)
+      return;
+    RemovalsFrom_ = Removals_.front().At;
+    Removals_.pop_front();
   }
 
   void apply(const StoreSnapshot &Changes) {
@@ -242,114 +279,158 @@
   }
 
   /// Applies a list of all keys from the store.
-  void applyList(const StoreSnapshot &State) {
-    if (State.AsOf < AsOf_)
-      return;
-    if (State.AsOf.Era > AsOf_.Era && isLoaded())
-      return applyFirstListAfterRollback(State);
-    if (SettlesAt_ && !isSettlingOver())
-      return applyListWhileSettling(State);
-    replaceAll(State);
-    if (SettlesAt_)
-      settled();
-  }
-
-  bool isSettlingOver() const {
-    return SettlesAt_ && Runtime_.Now() >= *SettlesAt_;
+  void applyList(StoreSnapshot State) {
+    State.CertainAfter = State.AsOf;
+    if (State.AsOf >= AsOf_)
+      replaceAll(State);
   }
 
-  /// Applies the first list after a rollback of the store. Its revision numbers
-  /// up to the copy are those from before the rollback.
-  void applyFirstListAfterRollback(const StoreSnapshot &State) {
-    beginSettling(State.AsOf);
-    applyListWhileSettling(State);
-    RemovalsFrom_ = AsOf_;
+  /// Replaces all keys by a full state that is at least as new.
+  void replaceAll(const StoreSnapshot &State) {
+    if (State.AsOf.Era > AsOf_.Era && isLoaded())
+      return beginSettling(State);
+    std::set<std::string> Present;
+    for (const StoreChange &Item : State.Items)
+      if (!Item.Removed)
+        Present.insert(Item.Key);
+    std::vector<StoreChange> Missing;
+    for (const auto &[Key, Item] : Items_)
+      if (!Present.contains(Key))
+        Missing.push_back({Key, "", State.AsOf, true});
+    for (const StoreChange &Gone : Missing)
+      applyOne(Gone);
+    for (const StoreChange &Item : State.Items)
+      applyOne(Item);
+    AsOf_ = State.AsOf;
+    // For removals that a list shows only the list's revision is known.
+    if (RemovalsFrom_ == StoreRevision())
+      RemovalsFrom_ = AsOf_;
   }
 
-  void beginSettling(StoreRevision After) {
+  /// Takes over the first state after a rollback of the store. Rows that may
+  /// have been overwritten or removed before the rollback do not come into
+  /// force yet.
+  void beginSettling(const StoreSnapshot &State) {
+    StoreRevision Before = AsOf_;
+    std::map<std::string, StoreChange> Earlier;
     for (const StoreChange &Removal : Removals_)
-      RemovedBefore_[Removal.Key] = Removal.At;
+      Earlier[Removal.Key] = Removal;
+    for (const auto &[Key, Item] : Items_)
+      Earlier[Key] = Item;
+    for (const auto &[Key, Row] : Retained_)
+      Earlier[Key] = Row;
+    std::map<std::string, std::optional<std::string>> InForce;
+    for (const auto &[Key, Row] : Earlier)
+      InForce[Key] = valueInForce(Key);
+
+    RollbackAt_ = State.CertainAfter;
+    Items_.clear();
+    for (const StoreChange &Item : State.Items) {
+      if (Item.Removed) {
+        Earlier.erase(Item.Key);
+        continue;
+      }
+      Items_[Item.Key] = Item;
+      InForce.try_emplace(Item.Key);
+    }
+    Retained_.clear();
+    for (const auto &[Key, Row] : Earlier)
+      if (isRetained(Row))
+        Retained_[Key] = Row;
+    AsOf_ = State.AsOf;
+    LastChange_ = std::max(LastChange_, AsOf_);
     Removals_.clear();
-    RemovalsFrom_ = After;
-    SettlesAt_ = Runtime_.Now() + RollbackSettleTime;
-    if (Hooks_.RolledBack)
-      Hooks_.RolledBack({AsOf_, After, Items_.size(), false});
-    // A watch may still be waiting then, so a list ends the settling.
-    Runtime_.After(RollbackSettleTime, [Weak = weak_from_this()] {
-      auto Self = Weak.lock();
-      if (!Self || !Self->isSettlingOver())
-        return;
-      if (Self->Following_)
-        return Self->settled();
-      Self->listBesideWatch();
-    });
-  }
-
-  /// Applies only rows that are certainly newer than the known ones, and rows
-  /// with new keys.
-  void applyListWhileSettling(const StoreSnapshot &State) {
-    for (const StoreChange &Item : State.Items)
-      if (!isFromOldCopy(Item))
-        applyOne(Item);
-    AsOf_ = std::max(AsOf_, State.AsOf);
-    LastChange_ = std::max(LastChange_, State.AsOf);
+    RemovalsFrom_ = AsOf_;
+    settleAfter(RollbackSettleTime);
+    reportRollback(Before, false);
+    for (const auto &[Key, Value] : InForce)
+      reportIfChanged(Key, Value, AsOf_);
   }
 
-  /// Whether a listed row may have been overwritten or removed before the
-  /// rollback.
-  bool isFromOldCopy(const StoreChange &Item) const {
-    if (auto Removed = RemovedBefore_.find(Item.Key);
-        Removed != RemovedBefore_.end())
-      return Item.At.Number <= Removed->second.Number;
-    auto Existing = Items_.find(Item.Key);
-    return Existing != Items_.end() && Existing->second.At.Era < Item.At.Era &&
-           Existing->second.Value != Item.Value &&
-           Item.At.Number <= Existing->second.At.Number;
+  /// Whether a row or removal from before the rollback stays in force although
+  /// the store has returned something else.
+  bool isRetained(const StoreChange &Earlier) const {
+    auto Found = Items_.find(Earlier.Key);
+    bool AllCertain = RollbackAt_ == StoreRevision();
+    if (Found == Items_.end())
+      return !Earlier.Removed && !AllCertain;
+    const StoreChange &Returned = Found->second;
+    if (AllCertain || Returned.At > RollbackAt_)
+      return false;
+    // A greater number is none of the copy: the row was written after it.
+    if (Returned.At.Number > Earlier.At.Number)
+      return false;
+    if (Earlier.Removed)
+      return true;
+    return Returned.Value != Earlier.Value;
   }
 
-  std::size_t countAwaited() const {
-    return static_cast<std::size_t>(
-        std::count_if(Items_.begin(), Items_.end(), [&](const auto &E) {
-          return E.second.At.Era < AsOf_.Era;
-        }));
+  void settleAfter(Duration Delay) {
+    SettlingBegunIn_ = AsOf_.Era;
+    SettlesAt_ = Runtime_.Now() + Delay;
+    Runtime_.After(Delay, [Weak = weak_from_this()] {
+      auto Self = Weak.lock();
+      if (Self && Self->SettlesAt_ && Self->Runtime_.Now() >= *Self->SettlesAt_)
+        Self->settled();
+    });
   }
 
+  /// Ends the retention of rows that were not written again.
   void settled() {
+    reportRollback(AsOf_, true);
     SettlesAt_.reset();
-    RemovedBefore_.clear();
+    RollbackAt_ = {};
+    for (const auto &[Key, Row] : std::exchange(Retained_, {}))
+      reportIfChanged(
+          Key, Row.Removed ? std::nullopt : std::optional(Row.Value), AsOf_);
+  }
+
+  void reportRollback(StoreRevision Before, bool Settled) const {
     if (Hooks_.RolledBack)
-      Hooks_.RolledBack({AsOf_, AsOf_, countAwaited(), true});
+      Hooks_.RolledBack({Before, AsOf_, Retained_.size(), Settled});
   }
 
-  /// Replaces all keys by a full state that is at least as new.
-  void replaceAll(const StoreSnapshot &State) {
-    std::map<std::string, bool> Present;
-    for (const StoreChange &Item : State.Items)
-      Present[Item.Key] = true;
-    std::vector<StoreChange> Missing;
-    for (const auto &[Key, Item] : Items_)
-      if (!Present.contains(Key) && Item.At <= State.AsOf)
-        Missing.push_back({Key, "", State.AsOf, true});
-    for (const StoreChange &Gone : Missing)
-      applyOne(Gone);
-    for (const StoreChange &Item : State.Items)
-      applyOne(Item);
-    AsOf_ = std::max(AsOf_, State.AsOf);
-    // For removals that a list shows only the list's revision is known.
-    if (RemovalsFrom_ == StoreRevision())
-      RemovalsFrom_ = AsOf_;
+  /// Takes over rows that another host retains and that this host does not
+  /// know, unless the rollback has settled here.
+  void adoptRetained(const StoreSnapshot &Got) {
+    if (Got.Retained.empty() || Got.AsOf.Era != AsOf_.Era)
+      return;
+    if (!SettlesAt_ && SettlingBegunIn_ == AsOf_.Era)
+      return;
+    bool Begins = !SettlesAt_;
+    if (Begins)
+      settleAfter(std::min(Got.SettlesIn, RollbackSettleTime));
+    for (const StoreChange &Row : Got.Retained) {
+      auto Known = Items_.find(Row.Key);
+      bool WrittenSince = Known != Items_.end() && Known->second.At > Got.AsOf;
+      auto Kept = Retained_.find(Row.Key);
+      if (WrittenSince ||
+          (Kept != Retained_.end() && Kept->second.At >= Row.At))
+        continue;
+      auto Before = valueInForce(Row.Key);
+      Retained_[Row.Key] = Row;
+      reportIfChanged(Row.Key, Before, AsOf_);
+    }
+    if (Begins)
+      reportRollback(AsOf_, false);
   }
 
   Runtime Runtime_;
   StoreMirrorHooks Hooks_;
+  /// All rows of the store as of AsOf_, in force or not.
   std::map<std::string, StoreChange> Items_;
   /// The latest removals, complete from RemovalsFrom_ on.
   std::deque<StoreChange> Removals_;
   StoreRevision RemovalsFrom_;
   /// After a rollback of the store: until when rows from before it may be
-  /// written again, and the keys that were removed before it.
+  /// written again, and those that stay in force meanwhile, removals included.
   std::optional<TimePoint> SettlesAt_;
-  std::map<std::string, StoreRevision> RemovedBefore_;
+  std::map<std::string, StoreChange> Retained_;
+  /// Rows after it were certainly written after the rollback; zero when all
+  /// were.
+  StoreRevision RollbackAt_;
+  /// The latest era in which such a time has begun.
+  std::optional<std::uint64_t> SettlingBegunIn_;
   /// Whether it is following with no call to the store in progress.
   bool Idle_ = false;
   TimePoint LastWatcherReport_{};
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -37,13 +37,22 @@
   StoreRevision AsOf;
   /// Whether it holds only the changes after a revision, removals included.
   bool ChangesOnly = false;
+  /// Rows after this revision were certainly written after the latest rollback
+  /// of the store; zero when all were.
+  StoreRevision CertainAfter{};
+  /// Shortly after a rollback of the store: rows and removals from before it
+  /// that are in force in place of the items, and for how long they may stay.
+  /// Only in snapshots of entry hosts.
+  std::vector<StoreChange> Retained = {};
+  Duration SettlesIn{};
 };
 
 /// Describes a rollback: the store came back restored from an older copy.
 struct StoreRollback {
   StoreRevision Before;
   StoreRevision After;
-  /// Keys from before the rollback that have not been written again since.
+  /// Keys whose state from before the rollback is in force because they have
+  /// not been written again since.
   std::size_t AwaitedKeys = 0;
   /// Whether the wait for them is over, so that the store's content is
   /// authoritative again.
@@ -87,9 +96,11 @@
 /// than it has shown.
 ///
 /// Handles also "the store comes back from a copy some seconds old": earlier
-/// content stays valid until it has been written again, for RollbackSettleTime
-/// at most. An older row, or one that was removed, does not reappear meanwhile.
-/// Not thread-safe.
+/// content stays in force until it has been written again, for
+/// RollbackSettleTime at most. An older row, or one that was removed, does not
+/// reappear meanwhile. What the store returned is kept beside it, so that the
+/// copy is complete up to its revision at any time and other hosts can get
+/// their changes from it. Not thread-safe.
 class StoreMirror {
 public:
   StoreMirror(Runtime R, StoreMirrorHooks Hooks);
@@ -111,7 +122,8 @@
   bool isFollowing() const;
 
   /// The changes after a revision, for another entry host; all keys if the
-  /// removals since that revision are no longer known.
+  /// removals since that revision are no longer known. Shortly after a rollback
+  /// also what is in force from before it.
   StoreSnapshot changesSince(StoreRevision Since) const;
   /// Revision of the newest applied change.
   StoreRevision lastChange() const;
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -128,8 +128,13 @@
 
   std::map<std::string, std::string> heldKeys() const {
     std::map<std::string, std::string> All;
-    for (const StoreChange &C : Mirror.changesSince({}).Items)
-      All[C.Key] = C.Value;
+    const StoreSnapshot Held = Mirror.changesSince({});
+    for (const auto *Part : {&Held.Items, &Held.Retained})
+      for (const StoreChange &C : *Part)
+        if (C.Removed)
+          All.erase(C.Key);
+        else
+          All[C.Key] = C.Value;
     return All;
   }
   using Map = std::map<std::string, std::string>;
@@ -456,6 +461,181 @@
   BOOST_TEST(heldKeys()["b"] == "1");
 }
 
+namespace {
+
+/// Time in which a rollback is noticed, by a watch that waits or a call that
+/// is repeated after a failure, and settles.
+constexpr Duration LongestSettling =
+    StoreMirror::WatchWait + StoreMirror::RollbackSettleTime + 1500ms;
+
+/// Hosts of one region over the same store: one that watches it, and one that
+/// follows that one.
+struct RegionFixture : Fixture {
+  RegionFixture() {
+    auto H = hooks();
+    H.Changed = [this](const StoreChange &C, bool) {
+      if (C.Removed)
+        FollowerShows.erase(C.Key);
+      else
+        FollowerShows[C.Key] = C.Value;
+    };
+    H.ListStale = [this](auto Answer) { answer(Answer, snapshot(Keys)); };
+    H.FetchFromPeer = [this](StoreRevision Since, auto Answer) {
+      Time.after(1ms,
+                 [this, Since, Answer] { Answer(Mirror.changesSince(Since)); });
+    };
+    Follower = std::make_unique<StoreMirror>(Time.runtime(), H);
+  }
+
+  void startBoth() {
+    Mirror.start();
+    Follower->start();
+    Time.runFor(100ms);
+    Follower->setFollowing(true);
+    report();
+    Time.runFor(StoreMirror::WatchWait);
+  }
+
+  /// Reports the watching host's state to the following one periodically.
+  void report() {
+    Follower->peerReported(Mirror.lastChange(), true);
+    Time.after(200ms, [this] { report(); });
+  }
+
+  /// Rolls the store back and writes lost rows again before a host has called.
+  void rollBackAndRewrite(const Copy &Old, const Map &Again) {
+    rollBack(Old);
+    for (const auto &[Key, Value] : Again)
+      put(Key, Value);
+  }
+
+  std::unique_ptr<StoreMirror> Follower;
+  Map FollowerShows;
+};
+
+} // namespace
+
+// CONFIG, TWICE, HOME: hosts that follow never got a row that was written again
+// with a revision number that had been seen before the rollback.
+BOOST_FIXTURE_TEST_CASE(followerGetsARowThatWasHeldBackAfterARollback,
+                        RegionFixture) {
+  put("config", "1");
+  startBoth();
+  Copy Old = copy();
+  put("config", "2");
+  Time.runFor(400ms);
+  BOOST_REQUIRE(FollowerShows["config"] == "2");
+  rollBackAndRewrite(Old, {{"config", "3"}});
+  Time.runFor(LongestSettling);
+  BOOST_TEST(heldKeys()["config"] == "3");
+  BOOST_TEST(FollowerShows["config"] == "3");
+}
+
+// The same for a row that was removed in the lost seconds, and written again.
+BOOST_FIXTURE_TEST_CASE(followerGetsARemovedRowThatWasWrittenAgain,
+                        RegionFixture) {
+  put("zone", "1");
+  startBoth();
+  Copy Old = copy();
+  remove("zone");
+  Time.runFor(400ms);
+  BOOST_REQUIRE(!FollowerShows.contains("zone"));
+  rollBackAndRewrite(Old, {{"zone", "2"}});
+  Time.runFor(LongestSettling);
+  BOOST_TEST(heldKeys()["zone"] == "2");
+  BOOST_TEST(FollowerShows["zone"] == "2");
+}
+
+// The follower has not seen the change that the rollback lost; the host that it
+// follows has.
+BOOST_FIXTURE_TEST_CASE(followerKeepsWhatItsWatcherRetains, RegionFixture) {
+  put("config", "1");
+  startBoth();
+  Copy Old = copy();
+  Follower->setFollowing(true);
+  put("config", "2");
+  Time.runFor(60ms);
+  BOOST_REQUIRE(heldKeys()["config"] == "2");
+  rollBack(Old);
+  Time.runFor(1s);
+  BOOST_TEST(heldKeys()["config"] == "2");
+  BOOST_TEST(FollowerShows["config"] == "2");
+  put("config", "3");
+  Time.runFor(StoreMirror::RollbackSettleTime);
+  BOOST_TEST(FollowerShows["config"] == "3");
+}
+
+// A host that starts behind a rollback gets what the others retain, as long as
+// they do.
+BOOST_FIXTURE_TEST_CASE(hostThatStartsBehindARollbackGetsWhatIsRetained,
+                        RegionFixture) {
+  put("config", "1");
+  put("gone", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  put("config", "2");
+  remove("gone");
+  Time.runFor(200ms);
+  rollBack(Old);
+  Time.runFor(1500ms);
+  Follower->start();
+  Time.runFor(20ms);
+  Follower->setFollowing(true);
+  put("other", "1");
+  Time.runFor(100ms);
+  report();
+  Time.runFor(400ms);
+  BOOST_TEST((FollowerShows == Map{{"config", "2"}, {"other", "1"}}));
+  Time.runFor(StoreMirror::RollbackSettleTime);
+  BOOST_TEST(
+      (FollowerShows == Map{{"config", "1"}, {"gone", "1"}, {"other", "1"}}));
+  BOOST_TEST((heldKeys() == FollowerShows));
+}
+
+// A list that a watch has overtaken is dropped; the rollback still settles.
+BOOST_FIXTURE_TEST_CASE(rollbackSettlesThoughListsAreOvertaken, RegionFixture) {
+  put("config", "1");
+  startBoth();
+  Copy Old = copy();
+  put("config", "2");
+  Time.runFor(400ms);
+  rollBackAndRewrite(Old, {{"config", "3"}});
+  auto Busy = std::make_shared<std::function<void()>>();
+  *Busy = [&, Weak = std::weak_ptr(Busy)] {
+    put("elsewhere", std::to_string(Now));
+    if (auto Again = Weak.lock())
+      Time.after(2ms, *Again);
+  };
+  (*Busy)();
+  Time.runFor(LongestSettling);
+  BOOST_TEST(heldKeys()["config"] == "3");
+  BOOST_TEST(FollowerShows["config"] == "3");
+}
+
+// A second rollback while the first has not settled.
+BOOST_FIXTURE_TEST_CASE(contentShownSurvivesRollbacksInSeries, RegionFixture) {
+  put("config", "1");
+  startBoth();
+  Copy Old = copy();
+  put("config", "2");
+  Time.runFor(400ms);
+  rollBack(Old);
+  Time.runFor(1s);
+  ++Era;
+  for (auto &[Key, Item] : Keys)
+    Item.At.Era = Era;
+  HistoryGone = true;
+  Mirror.storeRolledBack(Era);
+  Time.runFor(1s);
+  BOOST_TEST(heldKeys()["config"] == "2");
+  BOOST_TEST(FollowerShows["config"] == "2");
+  put("config", "3");
+  Time.runFor(LongestSettling);
+  BOOST_TEST(heldKeys()["config"] == "3");
+  BOOST_TEST(FollowerShows["config"] == "3");
+}
+
 // Hosts that follow learn of the later era from a host that watches. An update
 // of a host that is still in the earlier era changes nothing.
 BOOST_AUTO_TEST_CASE(followersContinueInTheLaterEra) {
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -8,9 +8,9 @@
 #include "fleet/entrydirectory.h"
 #include "fleethost/internal/hostannouncer.h"
 #include "fleethost/internal/requestlog.h"
+#include "fleethost/internal/snapshotcodec.h"
 #include "fleethost/internal/updateexchange.h"
 #include "logging/logger.h"
-#include "messages/fleetnews.pb.h"
 #include "metrics/metricsregistry.h"
 #include "relay/datagramlink.h"
 #include "relay/httpserver.h"
@@ -48,37 +48,6 @@
 /// blocked for longer than the shortest timeout between hosts and endpoints.
 constexpr Duration MinLoggedStall = std::chrono::milliseconds(250);
 
-std::string serialize(const StoreSnapshot &Snapshot) {
-  messages::MirrorSnapshot Message;
-  Message.set_as_of(Snapshot.AsOf.Number);
-  Message.set_era(Snapshot.AsOf.Era);
-  Message.set_changes_only(Snapshot.ChangesOnly);
-  for (const StoreChange &Item : Snapshot.Items) {
-    auto *Out = Message.add_items();
-    Out->set_key(Item.Key);
-    Out->set_value(Item.Value);
-    Out->set_at(Item.At.Number);
-    Out->set_era(Item.At.Era);
-    Out->set_removed(Item.Removed);
-  }
-  return Message.SerializeAsString();
-}
-
-Result<StoreSnapshot> parseSnapshot(const std::string &Bytes) {
-  messages::MirrorSnapshot Message;
-  if (!Message.ParseFromString(Bytes))
-    return makeError(ErrorKind::Internal,
-                     "Another host's snapshot cannot be read; it is asked "
-                     "again.");
-  StoreSnapshot Snapshot;
-  Snapshot.AsOf = {Message.era(), Message.as_of()};
-  Snapshot.ChangesOnly = Message.changes_only();
-  for (const auto &Item : Message.items())
-    Snapshot.Items.push_back(
-        {Item.key(), Item.value(), {Item.era(), Item.at()}, Item.removed()});
-  return Snapshot;
-}
-
 std::string revisionText(StoreRevision Revision) {
   return std::to_string(Revision.Era) + "." + std::to_string(Revision.Number);
 }
@@ -418,7 +387,7 @@
     };
     Hooks.End = [Body, Answer](HttpCallEnd End) {
       if (End == HttpCallEnd::Complete)
-        return Answer(parseSnapshot(*Body));
+        return Answer(detail::readSnapshot(*Body));
       Answer(makeError(ErrorKind::ConnectionLost,
                        "Another host did not hand over its snapshot; the next "
                        "message of a host that knows more starts it again."));
@@ -446,7 +415,8 @@
         continue;
       StoreRevision Since =
           parseRevision(std::string_view(Target).substr(Path->size()));
-      return Answer->respond({Ok, {}}, serialize(Mirror->changesSince(Since)));
+      return Answer->respond(
+          {Ok, {}}, detail::writeSnapshot(Mirror->changesSince(Since)));
     }
     relayRequest(Context_, std::move(Request), std::move(Answer), true);
   }
--- /dev/null
+++ b/src/fleethost/internal/snapshotcodec.h
@@ -0,0 +1,18 @@
+#ifndef CELERYBEAM_FLEETHOST_INTERNAL_SNAPSHOTCODEC_H
+#define CELERYBEAM_FLEETHOST_INTERNAL_SNAPSHOTCODEC_H
+
+#include <string>
+
+#include "fleet/storemirror.h"
+
+namespace celerybeam::detail {
+
+/// Encodes a snapshot of mirrored store content for another entry host.
+std::string writeSnapshot(const StoreSnapshot &Snapshot);
+
+/// Decodes another entry host's snapshot. Errors: Internal.
+Result<StoreSnapshot> readSnapshot(const std::string &Bytes);
+
+} // namespace celerybeam::detail
+
+#endif
