Handle a forwarded request by tables no older than its sender's

Cause: the receiver looked the route up in its own tables, however old. The version of the sender's tables came with the request, but only the homes followed the newer of the two; route, pool and kind of repetition did not.

Change: a receiver with older tables fetches the sender's, which takes one round trip, and then routes the request by them. The sender names its address in a field between hosts. "Request ended." shows the sender's version beside the one that was used.

Ruled out: to send route, pool and kind along like the homes: the pools' and endpoints' settings would have to follow. To refuse at once: while a new version spreads, every forwarded request would be refused for some 100 ms.

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -465,6 +465,10 @@
 StoreSnapshot StoreMirror::changesSince(StoreRevision Since) const {
   return Impl_->changesSince(Since);
 }
+void StoreMirror::applyFromPeer(const StoreSnapshot &Got) {
+  Impl_->applyFromPeer(Got);
+}
+StoreRevision StoreMirror::revision() const { return Impl_->AsOf_; }
 StoreRevision StoreMirror::lastChange() const { return Impl_->LastChange_; }
 bool StoreMirror::isLoaded() const { return Impl_->isLoaded(); }
 bool StoreMirror::isCurrent() const { return Impl_->isCurrent(); }
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -112,6 +112,10 @@
   /// \param Watches  whether it watches the store and got a response recently.
   void peerReported(StoreRevision Applied, bool Watches = false);
 
+  /// Applies another entry host's snapshot: its full state, or the changes
+  /// since a revision that this mirror had reached when it asked.
+  void applyFromPeer(const StoreSnapshot &Got);
+
   /// Starts a list because the response to another call showed that the store
   /// was rolled back to an older copy. A follower does nothing here: it learns
   /// of the rollback from the hosts that watch.
@@ -125,6 +129,8 @@
   /// removals since that revision are no longer known. Shortly after a rollback
   /// also what is in force from before it.
   StoreSnapshot changesSince(StoreRevision Since) const;
+  /// Revision up to which all changes have been applied.
+  StoreRevision revision() const;
   /// Revision of the newest applied change.
   StoreRevision lastChange() const;
   /// Whether a first state of the store has been loaded.
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -1,12 +1,11 @@
 #include "fleethost/fleethost.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <optional>
 
 #include "fleet/entrydirectory.h"
 #include "fleethost/internal/hostannouncer.h"
+#include "fleethost/internal/peersnapshots.h"
 #include "fleethost/internal/requestlog.h"
 #include "fleethost/internal/snapshotcodec.h"
 #include "fleethost/internal/updateexchange.h"
@@ -20,10 +19,6 @@
 
 namespace {
 
-/// Paths at which hosts fetch mirrored store content from each other. A
-/// revision follows: its era, a dot and its number.
-const std::array<std::string, 2> SnapshotPaths = {"/mirror/operator/",
-                                                  "/mirror/endpoints/"};
 constexpr unsigned Ok = 200;
 
 /// How long callers are still accepted after the request to stop, since they
@@ -39,30 +34,11 @@
 constexpr Duration DrainPoll = std::chrono::milliseconds(50);
 constexpr Duration HealthTick = std::chrono::milliseconds(50);
 constexpr Duration HealthTimeout = std::chrono::milliseconds(800);
-constexpr Duration SnapshotTimeout = std::chrono::seconds(1);
-/// Several times the size of the entries of the largest fleet that the design
-/// is for.
-constexpr std::size_t MaxSnapshotBytes = 16U << 20U;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
 constexpr Duration MinLoggedStall = std::chrono::milliseconds(250);
 
-std::string revisionText(StoreRevision Revision) {
-  return std::to_string(Revision.Era) + "." + std::to_string(Revision.Number);
-}
-
-/// Unreadable text counts as revision zero, for which all keys are sent.
-StoreRevision parseRevision(std::string_view Text) {
-  StoreRevision Read;
-  const char *End = Text.data() + Text.size();
-  auto Era = std::from_chars(Text.data(), End, Read.Era);
-  if (Era.ec != std::errc() || Era.ptr == End || *Era.ptr != '.')
-    return {};
-  auto Number = std::from_chars(Era.ptr + 1, End, Read.Number);
-  return Number.ec == std::errc() ? Read : StoreRevision();
-}
-
 } // namespace
 
 class FleetHost::Impl : public std::enable_shared_from_this<Impl> {
@@ -113,6 +89,9 @@
     Context_.Hooks.TablesCurrent = [this] {
       return OperatorMirror_.isCurrent();
     };
+    Context_.Hooks.FetchTables = [this](const std::string &Ip) {
+      fetchTables(Ip);
+    };
     Context_.Hooks.HasFleetState = [this] { return isInformed(); };
     Decisions_.setOwnership(
         [this](const EndpointKey &Key) { return Placement_.owns(Key); },
@@ -294,6 +273,11 @@
                                               : Hooks_.EndpointPrefix;
   }
 
+  StoreMirror &mirrorOf(MirrorPart Part) {
+    return Part == MirrorPart::OperatorTables ? OperatorMirror_
+                                              : EndpointMirror_;
+  }
+
   StoreMirrorHooks mirrorHooks(MirrorPart Part) {
     StoreMirrorHooks H;
     H.List = [this, Part](auto Answer) {
@@ -334,8 +318,8 @@
         Return.Settled ? "Store content authoritative again after rollback."
                        : "Store rolled back to an older copy.";
     Log_.warning(Event, {{"prefix", prefixOf(Part)},
-                         {"before", revisionText(Return.Before)},
-                         {"after", revisionText(Return.After)},
+                         {"before", detail::revisionText(Return.Before)},
+                         {"after", detail::revisionText(Return.After)},
                          {"awaited", Return.AwaitedKeys}});
     Metrics_.set("store_era",
                  "Times that the store came back older, by its word.", {},
@@ -372,27 +356,23 @@
         Answer(makeError(ErrorKind::NoEndpoint,
                          "No other host is heard; the store is asked again."));
       });
-    HttpCallRequest Call;
-    Call.To = Address(Best->Ip + ":" + Settings_.HostPort);
-    Call.Head = {"GET",
-                 SnapshotPaths.at(static_cast<std::size_t>(Part)) +
-                     revisionText(Since),
-                 {{"Host", Best->Ip}}};
-    Call.Timeout = SnapshotTimeout;
-    auto Body = std::make_shared<std::string>();
-    HttpCallHooks Hooks;
-    Hooks.Body = [Body](std::string_view Data) {
-      *Body += Data;
-      return Body->size() <= MaxSnapshotBytes;
-    };
-    Hooks.End = [Body, Answer](HttpCallEnd End) {
-      if (End == HttpCallEnd::Complete)
-        return Answer(detail::readSnapshot(*Body));
-      Answer(makeError(ErrorKind::ConnectionLost,
-                       "Another host did not hand over its snapshot; the next "
-                       "message of a host that knows more starts it again."));
+    Snapshots_.fetch(Best->Ip, Part, Since, Answer);
+  }
+
+  /// Fetches the operator's tables from a host that acts by newer ones.
+  void fetchTables(const std::string &Ip) {
+    StoreRevision Since = OperatorMirror_.revision();
+    auto Apply = [Weak = weak_from_this()](Result<StoreSnapshot> Got) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      if (!Got)
+        return Self->Log_.info("Tables of the sender not fetched.",
+                               {{"why", Got.error().Message}});
+      Self->OperatorMirror_.applyFromPeer(*Got);
     };
-    Caller_.call(std::move(Call), std::move(Hooks));
+    if (Hosts_.silence(Ip))
+      Snapshots_.fetchOnce(Ip, MirrorPart::OperatorTables, Since, Apply);
   }
 
   void loadFromPeers() {
@@ -407,17 +387,10 @@
 
   void handleHostRequest(HttpServerRequest Request,
                          std::shared_ptr<HttpExchange> Answer) {
-    const std::string &Target = Request.Head.Target;
-    for (const auto &[Path, Mirror] :
-         {std::pair(&SnapshotPaths[0], &OperatorMirror_),
-          std::pair(&SnapshotPaths[1], &EndpointMirror_)}) {
-      if (Request.Head.Method != "GET" || !Target.starts_with(*Path))
-        continue;
-      StoreRevision Since =
-          parseRevision(std::string_view(Target).substr(Path->size()));
+    if (auto Asked = detail::PeerSnapshots::requested(Request.Head))
       return Answer->respond(
-          {Ok, {}}, detail::writeSnapshot(Mirror->changesSince(Since)));
-    }
+          {Ok, {}}, detail::writeSnapshot(
+                        mirrorOf(Asked->first).changesSince(Asked->second)));
     relayRequest(Context_, std::move(Request), std::move(Answer), true);
   }
 
@@ -693,6 +666,7 @@
   HttpServer FromHosts_;
   DatagramLink DatagramLink_;
   detail::UpdateExchange Exchange_;
+  detail::PeerSnapshots Snapshots_{Caller_, Settings_.HostPort};
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
--- /dev/null
+++ b/src/fleethost/internal/peersnapshots.cpp
@@ -0,0 +1,86 @@
+#include "fleethost/internal/peersnapshots.h"
+
+#include <array>
+#include <charconv>
+#include <memory>
+
+#include "fleethost/internal/snapshotcodec.h"
+
+namespace celerybeam::detail {
+
+namespace {
+
+/// A revision follows; see revisionText.
+const std::array<std::pair<MirrorPart, std::string>, 2> Paths = {
+    {{MirrorPart::OperatorTables, "/mirror/operator/"},
+     {MirrorPart::Endpoints, "/mirror/endpoints/"}}};
+constexpr Duration Timeout = std::chrono::seconds(1);
+/// Several times the size of the entries of the largest fleet that the design
+/// is for.
+constexpr std::size_t MaxBytes = 16U << 20U;
+
+StoreRevision parseRevision(std::string_view Text) {
+  StoreRevision Read;
+  const char *End = Text.data() + Text.size();
+  auto Era = std::from_chars(Text.data(), End, Read.Era);
+  if (Era.ec != std::errc() || Era.ptr == End || *Era.ptr != '.')
+    return {};
+  auto Number = std::from_chars(Era.ptr + 1, End, Read.Number);
+  return Number.ec == std::errc() ? Read : StoreRevision();
+}
+
+} // namespace
+
+std::string revisionText(StoreRevision Revision) {
+  return std::to_string(Revision.Era) + "." + std::to_string(Revision.Number);
+}
+
+PeerSnapshots::PeerSnapshots(HttpCaller &Caller, std::string Port)
+    : Caller_(Caller), Port_(std::move(Port)) {}
+
+void PeerSnapshots::fetch(const std::string &Ip, MirrorPart Part,
+                          StoreRevision Since, const Answer &Then) {
+  HttpCallRequest Call;
+  Call.To = Address(Ip + ":" + Port_);
+  Call.Head = {"GET",
+               Paths.at(static_cast<std::size_t>(Part)).second +
+                   revisionText(Since),
+               {{"Host", Ip}}};
+  Call.Timeout = Timeout;
+  auto Body = std::make_shared<std::string>();
+  HttpCallHooks Hooks;
+  Hooks.Body = [Body](std::string_view Data) {
+    *Body += Data;
+    return Body->size() <= MaxBytes;
+  };
+  Hooks.End = [Body, Then](HttpCallEnd End) {
+    if (End == HttpCallEnd::Complete)
+      return Then(readSnapshot(*Body));
+    Then(makeError(ErrorKind::ConnectionLost,
+                   "Another host did not hand over its snapshot; the next "
+                   "message of a host that knows more starts it again."));
+  };
+  Caller_.call(std::move(Call), std::move(Hooks));
+}
+
+void PeerSnapshots::fetchOnce(const std::string &Ip, MirrorPart Part,
+                              StoreRevision Since, const Answer &Then) {
+  if (!InProgress_.insert({Ip, Part}).second)
+    return;
+  fetch(Ip, Part, Since, [this, Ip, Part, Then](Result<StoreSnapshot> Got) {
+    InProgress_.erase({Ip, Part});
+    Then(std::move(Got));
+  });
+}
+
+std::optional<std::pair<MirrorPart, StoreRevision>>
+PeerSnapshots::requested(const HttpRequestHead &Head) {
+  for (const auto &[Part, Path] : Paths)
+    if (Head.Method == "GET" && Head.Target.starts_with(Path))
+      return std::pair(
+          Part,
+          parseRevision(std::string_view(Head.Target).substr(Path.size())));
+  return std::nullopt;
+}
+
+} // namespace celerybeam::detail
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -60,6 +60,8 @@
   add(Fields, "first_ms", R.FirstOutput);
   add(Fields, "gap_ms", R.LongestGap);
   Fields.push_back({"total_ms", millis(R.Total)});
+  if (R.SenderTables > 0)
+    Fields.push_back({"sender_tables", R.SenderTables});
   if (R.Forwarded)
     Fields.push_back({"from_host", true});
   return Fields;
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -72,17 +72,6 @@
   return Number;
 }
 
-HomeRegions parseHomes(std::string_view Text) {
-  std::set<RegionId> Regions;
-  while (!Text.empty()) {
-    std::size_t End = std::min(Text.find(' '), Text.size());
-    if (End > 0)
-      Regions.insert(RegionId(std::string(Text.substr(0, End))));
-    Text.remove_prefix(std::min(End + 1, Text.size()));
-  }
-  return HomeRegions::only(std::move(Regions));
-}
-
 class Relay : public std::enable_shared_from_this<Relay> {
 public:
   Relay(RelayContext &Context, HttpServerRequest Request,
@@ -126,13 +115,13 @@
       return waitForTables();
     Tables_ = Context_.Fleet.tables();
     Record_.TablesVersion = Tables_->Version;
+    if (Descriptor_.Forwarded && SenderTables_ > Tables_->Version)
+      return waitForSendersTables();
     Route_ = Tables_->find(Descriptor_.Host, Descriptor_.Target);
     if (Route_ == nullptr)
       return noRoute();
     Record_.Route = Route_->Name;
     useHomes(Tables_->Version, Route_->Homes);
-    if (SenderTables_ > HomesVersion_)
-      useHomes(SenderTables_, SenderHomes_);
     if (Context_.RefusesFrom && Context_.Time.Now() >= *Context_.RefusesFrom)
       return refuse({Duration::zero(), "leaving"});
     TimeoutAt_ =
@@ -169,6 +158,18 @@
                         [Self = shared_from_this()] { Self->routeRequest(); });
   }
 
+  /// The sender acts by newer tables, by which the request may belong to
+  /// another route or pool, or may not be repeated. Without them it can only be
+  /// refused.
+  void waitForSendersTables() {
+    if (Context_.Time.Now() - Request_.Arrived >= MaxTablesWait)
+      return refuse({TablesRetryAfter, "tables_older_than_senders"});
+    if (Context_.Hooks.FetchTables)
+      Context_.Hooks.FetchTables(SenderIp_);
+    Context_.Time.After(TablesPoll,
+                        [Self = shared_from_this()] { Self->routeRequest(); });
+  }
+
   void startTimer() {
     Context_.Time.After(
         std::max(Duration::zero(), TimeoutAt_ - Context_.Time.Now()),
@@ -188,8 +189,9 @@
       Descriptor_.WaitedBefore = std::chrono::milliseconds(numberIn(*Waited));
     if (auto Version = findField(Fields, TablesField))
       SenderTables_ = numberIn<std::uint64_t>(*Version);
-    if (auto Homes = findField(Fields, HomesField))
-      SenderHomes_ = parseHomes(*Homes);
+    if (auto Ip = findField(Fields, HostField))
+      SenderIp_ = *Ip;
+    Record_.SenderTables = SenderTables_;
     detail::removeHostFields(Fields);
   }
 
@@ -474,6 +476,7 @@
     setField(Head.Fields, WaitedField,
              std::to_string(millisOf(Context_.Time.Now() - Request_.Arrived)));
     setField(Head.Fields, TablesField, std::to_string(HomesVersion_));
+    setField(Head.Fields, HostField, Context_.Hosts.self().Ip);
     if (Route_->Homes.isRestricted())
       setField(Head.Fields, HomesField, Route_->Homes.text());
   }
@@ -877,9 +880,10 @@
   std::optional<FleetRoute> ChangedRoute_;
   /// The version of the tables that the homes come from.
   std::uint64_t HomesVersion_ = 0;
-  /// Tables and homes by which another host has forwarded the request.
+  /// The version of the tables by which another host has forwarded the request,
+  /// and that host.
   std::uint64_t SenderTables_ = 0;
-  HomeRegions SenderHomes_;
+  std::string SenderIp_;
   AttemptLog Log_;
   RequestRecord Record_;
   TimePoint TimeoutAt_{};
--- a/src/relay/internal/responsehead.cpp
+++ b/src/relay/internal/responsehead.cpp
@@ -57,7 +57,7 @@
 
 void removeHostFields(HttpFields &Fields) {
   for (const char *Name : {NotRunField, ArrivedField, RunsField, WaitedField,
-                           TablesField, HomesField})
+                           TablesField, HomesField, HostField})
     removeField(Fields, Name);
 }
 
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -69,6 +69,8 @@
   /// or the request was refused for such crashes; see partsText.
   std::string Parts;
   std::uint64_t TablesVersion = 0;
+  /// The version by which another host forwarded the request; 0 when none did.
+  std::uint64_t SenderTables = 0;
   HomeRegions Homes;
   /// The final status; 0 when the caller left or the response was interrupted.
   unsigned Status = 0;
@@ -103,6 +105,9 @@
       DecodeAvailability;
   /// Called with what endpoints report about themselves.
   std::function<void(const EndpointReport &)> EndpointReported;
+  /// Requests the newest tables from another entry host, which forwarded a
+  /// request by them. May be empty.
+  std::function<void(const std::string &Ip)> FetchTables;
   /// Whether any tables and endpoints have been received.
   std::function<bool()> HasFleetState;
   /// Whether the tables are known to be the newest. Only then is a missing
@@ -143,8 +148,10 @@
 inline constexpr const char *RunsField = "Celerybeam-Runs";
 /// In a request: milliseconds since it arrived at the forwarding host.
 inline constexpr const char *WaitedField = "Celerybeam-Waited-Ms";
-/// In a request: the version of the tables that its homes come from.
+/// In a request: the version of the tables by which it is forwarded.
 inline constexpr const char *TablesField = "Celerybeam-Tables";
+/// In a request: the IP address of the host that forwards it.
+inline constexpr const char *HostField = "Celerybeam-Host";
 /// In a request: its home regions, separated by blanks; missing when all
 /// regions may handle it.
 inline constexpr const char *HomesField = "Celerybeam-Homes";
