Ask what has changed before acting after a start or a standstill

What callers saw: a host that stood still while the homes of a route changed, or while an unsafe route was added below a safe one, ran what lay in its sockets by its older tables when it woke: requests outside their homes (HOME), bookings twice (TWICE). The same for a host that had just started, whose first read of the store may be seconds old.

Cause: a host acts on tables without knowing how old they are. It handles the requests that it finds before it hears of a change, the datagrams that it finds are as old as they are, and isCurrent() asked only whether a watcher had been heard of, which such a datagram seems to show. Only a missing route asked it.

Change: RecencyCheck. A gap of more than a second between calls, seen by the first request or timer after it, or a start, makes the copy of the store doubtful. Requests then wait, at arrival and before each send, until a current host has handed over what it lacks; two hosts of the region and one of another are asked, a round trip, and the store by hosts that watch it or know nobody. They wait 500 ms at most and then go on: a host that is cut off has to serve. A second run is optional and needs confirmed tables, which a host that nobody confirms has again after 5 s, and follows the newest kind of its route. A response that was requested before a standstill confirms nothing. Hosts that are themselves in doubt or not current confirm nobody.

Ruled out: refusal by the age of the last response (a watcher hears nothing for three seconds in calm, and a region that is cut off would stop), and a check in the loop's timers alone (the order of timers and sockets on waking is not given).

Cost in calm: none; no call is made without a gap or a start.

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -132,10 +132,12 @@
     });
   }
 
-  void listBesideWatch() {
-    Hooks_.List(guarded([this](Result<StoreSnapshot> Got) {
+  void readAgain(const std::function<void(bool)> &Then) {
+    Hooks_.List(guarded([this, Then](Result<StoreSnapshot> Got) {
       if (Got)
         applyList(*Got);
+      if (Then)
+        Then(Got.has_value());
     }));
   }
 
@@ -456,7 +458,7 @@
 }
 void StoreMirror::storeRolledBack(std::uint64_t Era) {
   if (Era > Impl_->AsOf_.Era && !Impl_->Following_ && Impl_->isLoaded())
-    Impl_->listBesideWatch();
+    Impl_->readAgain({});
 }
 void StoreMirror::setFollowing(bool Following) {
   Impl_->setFollowing(Following);
@@ -465,6 +467,9 @@
 StoreSnapshot StoreMirror::changesSince(StoreRevision Since) const {
   return Impl_->changesSince(Since);
 }
+void StoreMirror::readAgain(const std::function<void(bool)> &Then) {
+  Impl_->readAgain(Then);
+}
 void StoreMirror::applyFromPeer(const StoreSnapshot &Got) {
   Impl_->applyFromPeer(Got);
 }
--- /dev/null
+++ b/src/fleet/recencycheck.h
@@ -0,0 +1,97 @@
+#ifndef CELERYBEAM_FLEET_RECENCYCHECK_H
+#define CELERYBEAM_FLEET_RECENCYCHECK_H
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+#include "framework/runtime.h"
+
+namespace celerybeam {
+
+/// A change of what a RecencyCheck assumes, for the log.
+struct RecencyChange {
+  enum class Kind {
+    /// The copy may be outdated.
+    Doubted,
+    /// A current host or the store has confirmed it.
+    Confirmed,
+    /// Nobody has confirmed it in time; requests go on with it.
+    Unconfirmed
+  };
+  Kind What = Kind::Doubted;
+  /// Time for which the process stood still; zero after a start.
+  Duration Gap{};
+  /// Time since the copy became doubtful.
+  Duration Age{};
+};
+
+/// Tells whether this host's copy of the store may have missed changes because
+/// its process has just started or stood still. Requests that arrived meanwhile
+/// are handled before any update is, so they wait until the copy has been
+/// confirmed, for MaxWait at most: a host that nobody can confirm has to go on.
+///
+/// A standstill is noticed by the first call after it, in whatever order the
+/// event loop runs timers and sockets. Handles these load patterns: "a host
+/// freezes and wakes", "hosts are killed and restarted". Not thread-safe.
+class RecencyCheck {
+public:
+  /// Identifies a start or standstill. A confirmation that was requested before
+  /// the latest one does not count.
+  struct Episode {
+    std::uint64_t Value = 0;
+    bool operator==(const Episode &) const = default;
+  };
+
+  struct Hooks {
+    /// Requests a confirmation; called again every AskInterval. \param Round
+    /// counts the calls for an episode from zero.
+    std::function<void(Episode, unsigned Round)> Ask;
+    /// May be empty.
+    std::function<void(const RecencyChange &)> Changed;
+  };
+
+  /// The copy is doubtful from the construction on.
+  RecencyCheck(Runtime R, Hooks H);
+
+  /// Call often, at intervals well below MaxGap.
+  void tick();
+  /// Whether requests may be handled by the copy now.
+  bool mayAct();
+  /// Whether the copy is known to be recent, or has been in use unconfirmed for
+  /// MaxDoubt. Needed for what only the tables allow: a second run of a
+  /// request, or the verdict that a route does not exist.
+  bool isConfirmed();
+  /// Records that the copy includes all that a current host or the store knew
+  /// when it was asked.
+  void confirm(Episode Asked);
+
+  /// A longer time without a call is a standstill. Updates that come later than
+  /// they do after a lost datagram are delayed by no less.
+  static constexpr Duration MaxGap = std::chrono::seconds(1);
+  /// Longest time that requests wait: two round trips to another region, plus a
+  /// margin.
+  static constexpr Duration MaxWait = std::chrono::milliseconds(500);
+  static constexpr Duration AskInterval = std::chrono::milliseconds(100);
+  /// Hosts in touch have received all earlier changes by then.
+  static constexpr Duration MaxDoubt = std::chrono::seconds(5);
+
+private:
+  /// Notices a standstill, or that a doubt has lasted for MaxWait or MaxDoubt.
+  void update();
+  void doubt(Duration Gap);
+  void report(RecencyChange::Kind What, Duration Gap = {});
+
+  Runtime Runtime_;
+  Hooks Hooks_;
+  Episode Episode_;
+  TimePoint LastCall_;
+  TimePoint LastAsked_;
+  unsigned Round_ = 0;
+  std::optional<TimePoint> DoubtedSince_;
+  bool WaitEnded_ = false;
+};
+
+} // namespace celerybeam
+
+#endif
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -45,6 +45,8 @@
   /// Only in snapshots of entry hosts.
   std::vector<StoreChange> Retained = {};
   Duration SettlesIn{};
+  /// Whether the entry host that made it knows of no change that it lacks.
+  bool Current = false;
 };
 
 /// Describes a rollback: the store came back restored from an older copy.
@@ -112,6 +114,9 @@
   /// \param Watches  whether it watches the store and got a response recently.
   void peerReported(StoreRevision Applied, bool Watches = false);
 
+  /// Reads all keys from the store once more. \param Then  called with whether
+  /// that succeeded, after they have been applied.
+  void readAgain(const std::function<void(bool Read)> &Then);
   /// Applies another entry host's snapshot: its full state, or the changes
   /// since a revision that this mirror had reached when it asked.
   void applyFromPeer(const StoreSnapshot &Got);
--- /dev/null
+++ b/src/fleet/tests/recencychecktest.cpp
@@ -0,0 +1,117 @@
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+#include "fleet/recencycheck.h"
+#include "support/virtualtime.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+  testing::VirtualTime Time{1};
+  std::vector<RecencyCheck::Episode> Asked;
+  std::vector<RecencyChange::Kind> Changes;
+  RecencyCheck Check{
+      Time.runtime(),
+      {[this](RecencyCheck::Episode E, unsigned) { Asked.push_back(E); },
+       [this](const RecencyChange &C) { Changes.push_back(C.What); }}};
+
+  /// Lets time pass with ticks, as a loop does that does not stand still.
+  void runFor(Duration D) {
+    for (Duration Passed{}; Passed < D; Passed += 50ms) {
+      Time.runFor(50ms);
+      Check.tick();
+    }
+  }
+
+  void confirmStart() {
+    Check.tick();
+    BOOST_REQUIRE(!Asked.empty());
+    Check.confirm(Asked.back());
+    BOOST_REQUIRE(Check.isConfirmed());
+    Asked.clear();
+    Changes.clear();
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RecencyCheckTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(hostThatStartedWaitsForAConfirmation) {
+  BOOST_TEST(!Check.mayAct());
+  BOOST_REQUIRE(Asked.size() == 1U);
+  Check.confirm(Asked[0]);
+  BOOST_TEST(Check.mayAct());
+  BOOST_TEST(Check.isConfirmed());
+}
+
+// HOME, TWICE: requests that a host finds when it wakes must not be handled
+// before it has asked what has changed.
+BOOST_AUTO_TEST_CASE(firstCallAfterAStandstillNoticesIt) {
+  confirmStart();
+  Time.runFor(RecencyCheck::MaxGap + 1ms);
+  BOOST_TEST(!Check.mayAct());
+  BOOST_TEST(Asked.size() == 1U);
+  BOOST_TEST(Changes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(timerAfterAStandstillNoticesItToo) {
+  confirmStart();
+  Time.runFor(RecencyCheck::MaxGap + 1ms);
+  Check.tick();
+  BOOST_TEST(!Check.mayAct());
+}
+
+// A response that came before the standstill, or during it, tells nothing.
+BOOST_AUTO_TEST_CASE(confirmationFromBeforeAStandstillDoesNotCount) {
+  Check.tick();
+  BOOST_REQUIRE(Asked.size() == 1U);
+  Time.runFor(RecencyCheck::MaxGap + 1ms);
+  Check.confirm(Asked[0]);
+  BOOST_TEST(!Check.mayAct());
+  Check.confirm(Asked[0]);
+  BOOST_TEST(!Check.isConfirmed());
+  BOOST_REQUIRE(Asked.size() == 2U);
+  Check.confirm(Asked[1]);
+  BOOST_TEST(Check.mayAct());
+}
+
+// A partitioned host has to go on serving, but nothing is run twice.
+BOOST_AUTO_TEST_CASE(hostThatNobodyConfirmsGoesOnAfterAShortWait) {
+  confirmStart();
+  Time.runFor(7s);
+  BOOST_TEST(!Check.mayAct());
+  runFor(RecencyCheck::MaxWait);
+  BOOST_TEST(Check.mayAct());
+  BOOST_TEST(!Check.isConfirmed());
+  runFor(RecencyCheck::MaxDoubt);
+  BOOST_TEST(Check.isConfirmed());
+  auto Before = Asked.size();
+  runFor(10s);
+  BOOST_TEST(Asked.size() == Before);
+}
+
+BOOST_AUTO_TEST_CASE(confirmationIsAskedForUntilItComes) {
+  runFor(RecencyCheck::MaxWait);
+  BOOST_TEST(Asked.size() >= 4U);
+  BOOST_TEST((Asked.front() == Asked.back()));
+  Check.confirm(Asked.back());
+  auto Before = Asked.size();
+  runFor(10s);
+  BOOST_TEST(Asked.size() == Before);
+}
+
+BOOST_AUTO_TEST_CASE(loopThatRunsIsNeverInDoubt) {
+  confirmStart();
+  runFor(60s);
+  BOOST_TEST(Changes.empty());
+  Time.runFor(RecencyCheck::MaxGap);
+  BOOST_TEST(Check.mayAct());
+  BOOST_TEST(Check.isConfirmed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "fleet/entrydirectory.h"
+#include "fleet/recencycheck.h"
 #include "fleethost/internal/hostannouncer.h"
 #include "fleethost/internal/peersnapshots.h"
 #include "fleethost/internal/requestlog.h"
@@ -34,6 +35,11 @@
 constexpr Duration DrainPoll = std::chrono::milliseconds(50);
 constexpr Duration HealthTick = std::chrono::milliseconds(50);
 constexpr Duration HealthTimeout = std::chrono::milliseconds(800);
+/// Hosts of this region that are asked at the same time to confirm the tables.
+constexpr std::size_t ConfirmersOfRegion = 2;
+/// The store is read once in so many rounds of asking, since each call is paid
+/// for.
+constexpr unsigned RoundsPerStoreRead = 5;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
@@ -87,8 +93,10 @@
     });
     Context_.Responses.setLimit(Settings_.ResponseMemoryBytes);
     Context_.Hooks.TablesCurrent = [this] {
-      return OperatorMirror_.isCurrent();
+      return OperatorMirror_.isCurrent() && Recency_.isConfirmed();
     };
+    Context_.Hooks.MayAct = [this] { return Recency_.mayAct(); };
+    Context_.Hooks.TablesConfirmed = [this] { return Recency_.isConfirmed(); };
     Context_.Hooks.FetchTables = [this](const std::string &Ip) {
       fetchTables(Ip);
     };
@@ -151,6 +159,7 @@
     every(FleetView::TickInterval, [this] { Fleet_.tick(); });
     LastTick_ = Time_.Now();
     every(HealthTick, [this] {
+      Recency_.tick();
       logStall();
       checkHealth();
     });
@@ -359,6 +368,91 @@
     Snapshots_.fetch(Best->Ip, Part, Since, Answer);
   }
 
+  RecencyCheck::Hooks recencyHooks() {
+    return {[this](RecencyCheck::Episode Asked, unsigned Round) {
+              for (const std::string &Ip : drawConfirmers())
+                confirmByHost(Ip, Asked);
+              // The datagrams that came during a standstill, which show who is
+              // alive, are read after the first round.
+              bool AsksStore = Exchange_.isWatcher() || Hosts_.alive().empty();
+              if (Round % RoundsPerStoreRead == 1 && AsksStore)
+                confirmByStore(Asked);
+            },
+            [this](const RecencyChange &Change) { logRecency(Change); }};
+  }
+
+  void confirmByHost(const std::string &Ip, RecencyCheck::Episode Asked) {
+    if (EndpointMirror_.isLoaded())
+      Snapshots_.fetchOnce(Ip, MirrorPart::Endpoints,
+                           EndpointMirror_.revision(),
+                           confirmation(MirrorPart::Endpoints, {}));
+    Snapshots_.fetch(Ip, MirrorPart::OperatorTables, OperatorMirror_.revision(),
+                     confirmation(MirrorPart::OperatorTables, Asked));
+  }
+
+  void confirmByStore(RecencyCheck::Episode Asked) {
+    OperatorMirror_.readAgain([Weak = weak_from_this(), Asked](bool Read) {
+      auto Self = Weak.lock();
+      if (Self && Read)
+        Self->Recency_.confirm(Asked);
+    });
+  }
+
+  /// Addresses of a few hosts that may know of changes that this one has
+  /// missed: of this region, watchers first, and of another region. None of
+  /// them counts as alive right after a start or standstill.
+  std::vector<std::string> drawConfirmers() const {
+    std::vector<HostState> Near = Hosts_.aliveInRegion();
+    std::vector<HostState> Far;
+    for (const HostState &Host : Hosts_.alive())
+      if (Host.Region != Settings_.Self.Region)
+        Far.push_back(Host);
+    for (std::vector<HostState> *Hosts : {&Near, &Far})
+      for (std::size_t I = Hosts->size(); I > 1; --I)
+        std::swap((*Hosts)[I - 1], (*Hosts)[Time_.Random() % I]);
+    std::stable_partition(Near.begin(), Near.end(),
+                          [](const HostState &Host) { return Host.Watches; });
+    Near.resize(std::min(Near.size(), ConfirmersOfRegion));
+    if (!Far.empty())
+      Near.push_back(Far.front());
+    if (Near.empty())
+      return Hosts_.silentContacts(ConfirmersOfRegion + 1);
+    std::vector<std::string> Ips;
+    for (const HostState &Host : Near)
+      Ips.push_back(Host.Ip);
+    return Ips;
+  }
+
+  /// Applies another host's snapshot and, if that host is current, takes it for
+  /// a confirmation.
+  StoreMirrorHooks::Answer confirmation(MirrorPart Part,
+                                        RecencyCheck::Episode Asked) {
+    return [Weak = weak_from_this(), Part, Asked](Result<StoreSnapshot> Got) {
+      auto Self = Weak.lock();
+      // Another one is asked shortly.
+      if (!Self || !Got)
+        return;
+      Self->mirrorOf(Part).applyFromPeer(*Got);
+      if (Got->Current)
+        Self->Recency_.confirm(Asked);
+    };
+  }
+
+  void logRecency(const RecencyChange &Change) {
+    const FleetTablesPtr &Tables = Fleet_.tables();
+    const char *Message = Change.What == RecencyChange::Kind::Doubted
+                              ? "Tables may be outdated."
+                          : Change.What == RecencyChange::Kind::Confirmed
+                              ? "Tables confirmed to be recent."
+                              : "Requests handled by unconfirmed tables.";
+    Log_.info(Message, {{"tables", Tables ? Tables->Version : 0},
+                        {"gap_ms", Change.Gap / std::chrono::milliseconds(1)},
+                        {"age_ms", Change.Age / std::chrono::milliseconds(1)}});
+    Metrics_.add("recency_changes_total",
+                 "Changes of what is known about the tables' age.",
+                 {{"change", Message}});
+  }
+
   /// Fetches the operator's tables from a host that acts by newer ones.
   void fetchTables(const std::string &Ip) {
     StoreRevision Since = OperatorMirror_.revision();
@@ -387,10 +481,12 @@
 
   void handleHostRequest(HttpServerRequest Request,
                          std::shared_ptr<HttpExchange> Answer) {
-    if (auto Asked = detail::PeerSnapshots::requested(Request.Head))
-      return Answer->respond(
-          {Ok, {}}, detail::writeSnapshot(
-                        mirrorOf(Asked->first).changesSince(Asked->second)));
+    if (auto Asked = detail::PeerSnapshots::requested(Request.Head)) {
+      const StoreMirror &Mirror = mirrorOf(Asked->first);
+      StoreSnapshot Changes = Mirror.changesSince(Asked->second);
+      Changes.Current = Mirror.isCurrent() && Recency_.isConfirmed();
+      return Answer->respond({Ok, {}}, detail::writeSnapshot(Changes));
+    }
     relayRequest(Context_, std::move(Request), std::move(Answer), true);
   }
 
@@ -669,6 +765,7 @@
   detail::PeerSnapshots Snapshots_{Caller_, Settings_.HostPort};
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
+  RecencyCheck Recency_{Time_, recencyHooks()};
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
--- a/src/fleethost/internal/snapshotcodec.cpp
+++ b/src/fleethost/internal/snapshotcodec.cpp
@@ -31,6 +31,7 @@
   Message.set_changes_only(Snapshot.ChangesOnly);
   for (const StoreChange &Change : Snapshot.Items)
     writeItem(Change, *Message.add_items());
+  Message.set_current(Snapshot.Current);
   Message.set_certain_after(Snapshot.CertainAfter.Number);
   for (const StoreChange &Row : Snapshot.Retained)
     writeItem(Row, *Message.add_retained());
@@ -51,6 +52,7 @@
   Snapshot.ChangesOnly = Message.changes_only();
   for (const Item &In : Message.items())
     Snapshot.Items.push_back(readItem(In));
+  Snapshot.Current = Message.current();
   if (Message.certain_after() > 0)
     Snapshot.CertainAfter = {Message.era(), Message.certain_after()};
   for (const Item &In : Message.retained())
--- a/src/fleethost/tests/snapshotcodectest.cpp
+++ b/src/fleethost/tests/snapshotcodectest.cpp
@@ -14,6 +14,7 @@
   Sent.Items = {{"a", "1", {2, 39}, false}, {"b", "", {2, 40}, true}};
   Sent.Retained = {{"a", "2", {1, 50}, false}, {"c", "", {1, 51}, true}};
   Sent.SettlesIn = 1500ms;
+  Sent.Current = true;
   Sent.CertainAfter = {2, 38};
   auto Read = detail::readSnapshot(detail::writeSnapshot(Sent));
   BOOST_REQUIRE(Read.has_value());
@@ -25,6 +26,7 @@
   BOOST_TEST((Read->Retained[1].At == StoreRevision{1, 51}));
   BOOST_TEST(Read->Retained[1].Removed);
   BOOST_TEST((Read->SettlesIn == 1500ms));
+  BOOST_TEST(Read->Current);
   BOOST_TEST((Read->CertainAfter == Sent.CertainAfter));
 }
 
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -113,6 +113,8 @@
     // A host that has just started receives the tables within moments.
     if (!Context_.Hooks.HasFleetState())
       return waitForTables();
+    if (!mayAct())
+      return later(&Relay::routeRequest);
     Tables_ = Context_.Fleet.tables();
     Record_.TablesVersion = Tables_->Version;
     if (Descriptor_.Forwarded && SenderTables_ > Tables_->Version)
@@ -154,8 +156,21 @@
   void waitForTables() {
     if (Context_.Time.Now() - Request_.Arrived >= MaxTablesWait)
       return refuse({TablesRetryAfter, "no_tables"});
-    Context_.Time.After(TablesPoll,
-                        [Self = shared_from_this()] { Self->routeRequest(); });
+    later(&Relay::routeRequest);
+  }
+
+  /// Whether this host may act on its tables, or has to ask first what has
+  /// changed while it stood still.
+  bool mayAct() const {
+    return !Context_.Hooks.MayAct || Context_.Hooks.MayAct();
+  }
+
+  /// Tries a step again after a moment.
+  void later(void (Relay::*Step)()) {
+    Context_.Time.After(TablesPoll, [Self = shared_from_this(), Step] {
+      if (!Self->Ended_)
+        (Self.get()->*Step)();
+    });
   }
 
   /// The sender acts by newer tables, by which the request may belong to
@@ -166,8 +181,7 @@
       return refuse({TablesRetryAfter, "tables_older_than_senders"});
     if (Context_.Hooks.FetchTables)
       Context_.Hooks.FetchTables(SenderIp_);
-    Context_.Time.After(TablesPoll,
-                        [Self = shared_from_this()] { Self->routeRequest(); });
+    later(&Relay::routeRequest);
   }
 
   void startTimer() {
@@ -280,7 +294,13 @@
   }
 
   void attempt() {
+    if (!mayAct())
+      return later(&Relay::attempt);
     updateHomes();
+    if (!provenNotRun(Log_.Execution) && !mayRunAgain()) {
+      Record_.Attempts += " may_not_run_again";
+      return giveUp(false, "may_not_run_again");
+    }
     Descriptor_.Deadline = deadline();
     LatestPlacement_ = Context_.Placement.place(
         Descriptor_, *Route_, Log_,
@@ -433,6 +453,12 @@
     SendDeclined_ = SendDeclined_ || CallerGone_;
     if (SendDeclined_)
       return false;
+    SendDeclined_ = !mayAct();
+    if (SendDeclined_) {
+      Record_.Attempts += " tables_unconfirmed";
+      undoChoice();
+      return false;
+    }
     updateHomes();
     SendDeclined_ = !isSentHome();
     if (SendDeclined_) {
@@ -454,6 +480,15 @@
     return true;
   }
 
+  /// Lets the endpoint or region of an attempt that was not sent be chosen
+  /// again.
+  void undoChoice() {
+    if (Target_)
+      Log_.Tried.pop_back();
+    else
+      Log_.RegionsTried.pop_back();
+  }
+
   /// Whether the request may be sent as far as crashes are concerned; if it is
   /// a trial, begins that. Endpoints may have crashed since it was placed.
   bool passesCrashCheck() {
@@ -535,7 +570,7 @@
     const auto *Remote = std::get_if<ForwardTo>(&*Reply.Decision);
     bool Wanted = (Local != nullptr || Remote != nullptr) && !Ended_ &&
                   Target_ && !GotOutput_ && Log_.Sends == After.Sends &&
-                  mayRetry(After) && takeRetry();
+                  mayAct() && mayRunAgain() && mayRetry(After) && takeRetry();
     if (!Wanted)
       return Context_.Placement.end(Id, {});
     Record_.Attempts += " stalled";
@@ -549,6 +584,16 @@
     forwardToHost(*Remote);
   }
 
+  /// Whether the newest tables allow a second run. Tables that may be outdated
+  /// do not: a first run cannot wait for better ones, a second one can be left.
+  bool mayRunAgain() const {
+    if (Context_.Hooks.TablesConfirmed && !Context_.Hooks.TablesConfirmed())
+      return false;
+    const FleetRoute *Newest =
+        Context_.Fleet.tables()->find(Descriptor_.Host, Descriptor_.Target);
+    return Newest == nullptr || mayRepeat(Newest->Kind);
+  }
+
   /// Decides whether to send the request once more, and notes the decision.
   bool mayRetry(const AttemptLog &Log) {
     RetryDecision Retry =
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -105,6 +105,10 @@
       DecodeAvailability;
   /// Called with what endpoints report about themselves.
   std::function<void(const EndpointReport &)> EndpointReported;
+  /// Whether requests may be handled by the tables now, and whether the tables
+  /// are confirmed to be recent; see RecencyCheck. When empty, both hold.
+  std::function<bool()> MayAct;
+  std::function<bool()> TablesConfirmed;
   /// Requests the newest tables from another entry host, which forwarded a
   /// request by them. May be empty.
   std::function<void(const std::string &Ip)> FetchTables;
--- /dev/null
+++ b/src/relay/tests/outdatedtablestest.cpp
@@ -0,0 +1,123 @@
+#include <boost/test/unit_test.hpp>
+
+#include "relay/tests/relayfixture.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+using testing::RawServer;
+
+namespace {
+
+/// A host that may not know whether its tables are recent.
+class Fixture : public testing::RelayFixture {
+public:
+  Fixture() {
+    Context.Hooks.MayAct = [this] { return MayAct; };
+    Context.Hooks.TablesConfirmed = [this] { return Confirmed; };
+  }
+
+  /// Puts tables in force in which all routes belong to the pool of the engines
+  /// and may run once at most.
+  void adoptNewer() {
+    FleetTables Tables = *Fleet.tables();
+    ++Tables.Version;
+    for (FleetRoute &Route : Tables.Routes) {
+      Route.Pools = {{PoolName("engines"), 1}};
+      Route.Homes = HomeRegions::only({NewHome});
+      Route.Kind = RepeatKind::AtMostOnce;
+    }
+    bool Adopted = Fleet.adoptTables(std::move(Tables));
+    BOOST_REQUIRE(Adopted);
+  }
+
+  /// Has the newer tables come after a moment.
+  void confirmLater() {
+    MayAct = false;
+    Time.After(60ms, [this] {
+      adoptNewer();
+      MayAct = true;
+    });
+  }
+
+  RegionId NewHome{"kigali"};
+  bool MayAct = true;
+  bool Confirmed = true;
+};
+
+RawServer::Answer failed(const std::string &Request) {
+  return {"HTTP/1.1 500 No\r\nRequest-Id: " +
+              testing::RelayFixture::field(Request, "Request-Id") +
+              "\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+          false, false};
+}
+
+RawServer::Answer done(const std::string &Request) {
+  return testing::RelayFixture::ran(Request, "done");
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(OutdatedTablesTests, Fixture)
+
+// HOME, CONFIG: a host that woke finds requests before it hears of newer
+// tables.
+BOOST_AUTO_TEST_CASE(requestWaitsUntilTheTablesAreConfirmed) {
+  RawServer &Old = addEndpoint("a", "plain", done);
+  RawServer &New = addEndpoint("b", "engines", done);
+  confirmLater();
+  BOOST_TEST(ask(request("look")).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(Old.Requests.empty());
+  BOOST_TEST(New.Requests.size() == 1U);
+}
+
+// HOME: the host stands still while it connects to the endpoint.
+BOOST_AUTO_TEST_CASE(requestIsNotSentByTablesFromBeforeAStandstill) {
+  NewHome = RegionId("musanze");
+  RawServer &E = addEndpoint("a", "plain", done);
+  testing::RawCaller C(Loop, Front.address().str(), request("book"));
+  while (Caller.connectionsMade() == 0)
+    Loop.context().run_one();
+  confirmLater();
+  testing::runUntil(Loop, [&] { return Done.size() == 1; });
+  BOOST_TEST(E.Requests.empty());
+  BOOST_TEST(Done[0].Status == 503U);
+}
+
+// The same without a change: the endpoint can be chosen again.
+BOOST_AUTO_TEST_CASE(requestIsSentOnceItsTablesAreConfirmed) {
+  RawServer &E = addEndpoint("a", "plain", done);
+  testing::RawCaller C(Loop, Front.address().str(), request("book"));
+  while (Caller.connectionsMade() == 0)
+    Loop.context().run_one();
+  MayAct = false;
+  Time.After(60ms, [this] { MayAct = true; });
+  testing::runUntil(Loop, [&] { return Done.size() == 1; });
+  BOOST_TEST(E.Requests.size() == 1U);
+  BOOST_TEST(Done[0].Status == 200U);
+}
+
+// TWICE: a second run is left when newer tables may forbid it; the first is
+// not.
+BOOST_AUTO_TEST_CASE(requestIsNotRepeatedByUnconfirmedTables) {
+  Confirmed = false;
+  RawServer &A = addEndpoint("a", "plain", failed);
+  RawServer &B = addEndpoint("b", "plain", failed);
+  BOOST_TEST(ask(request("look")).starts_with("HTTP/1.1 500"));
+  BOOST_TEST(A.Requests.size() + B.Requests.size() == 1U);
+}
+
+// TWICE: the route became one that may run once at most while it ran.
+BOOST_AUTO_TEST_CASE(requestIsNotRepeatedByAnOlderKindOfItsRoute) {
+  unsigned Runs = 0;
+  auto Script = [&](const std::string &R) {
+    if (++Runs == 1)
+      adoptNewer();
+    return failed(R);
+  };
+  addEndpoint("a", "plain", Script);
+  addEndpoint("b", "plain", Script);
+  BOOST_TEST(ask(request("look")).starts_with("HTTP/1.1 500"));
+  BOOST_TEST(Runs == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
