Let newer tables pass the retention at once, and end it only in touch

What callers would see: for the three seconds after a rollback of the store, requests follow older homes although the store has returned newer tables; HOME has no time bound. And a host to which nothing comes from the store when these seconds are over would let the older copy come into force, an evacuation's missing row for example, although the row was written again meanwhile.

Cause: whether a returned row is newer was judged by revision numbers alone; the tables carry a version of their own. And the retention ended by time alone.

Change: a hook tells the version of a row's content; a row with a higher one is never held back. The retention ends once something has come from the store, or from another host while following. fetchTables asks another host when the sender of a request is not known.

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -91,6 +91,7 @@
 
   void applyFromPeer(const StoreSnapshot &Got) {
     if (Got.AsOf > AsOf_) {
+      LastSnapshot_ = Runtime_.Now();
       if (!Got.ChangesOnly)
         replaceAll(Got);
       else if (Got.AsOf.Era == AsOf_.Era)
@@ -172,6 +173,13 @@
            Runtime_.Now() - LastResponse_ <= WatchWait + ResponseSlack;
   }
 
+  /// Whether something came recently from the store or, while following, from
+  /// another host.
+  bool isInTouch() const {
+    return isCurrent() ||
+           (Following_ && Runtime_.Now() - LastSnapshot_ <= MaxWatcherSilence);
+  }
+
   StoreRevision AsOf_;
   StoreRevision LastChange_;
   bool Following_ = false;
@@ -364,16 +372,36 @@
       return false;
     if (Earlier.Removed)
       return true;
-    return Returned.Value != Earlier.Value;
+    return Returned.Value != Earlier.Value &&
+           !isNewerVersion(Returned, Earlier);
+  }
+
+  bool isNewerVersion(const StoreChange &Returned,
+                      const StoreChange &Earlier) const {
+    if (!Hooks_.VersionOf)
+      return false;
+    auto After = Hooks_.VersionOf(Returned);
+    auto Before = Hooks_.VersionOf(Earlier);
+    return After && Before && *After > *Before;
   }
 
   void settleAfter(Duration Delay) {
     SettlingBegunIn_ = AsOf_.Era;
     SettlesAt_ = Runtime_.Now() + Delay;
+    checkSettledAfter(Delay);
+  }
+
+  /// Rows may have been written again while nothing was heard from the store,
+  /// so retention ends only with a current copy.
+  void checkSettledAfter(Duration Delay) {
     Runtime_.After(Delay, [Weak = weak_from_this()] {
       auto Self = Weak.lock();
-      if (Self && Self->SettlesAt_ && Self->Runtime_.Now() >= *Self->SettlesAt_)
-        Self->settled();
+      if (!Self || !Self->SettlesAt_ ||
+          Self->Runtime_.Now() < *Self->SettlesAt_)
+        return;
+      if (Self->isInTouch())
+        return Self->settled();
+      Self->checkSettledAfter(LongestBackoff);
     });
   }
 
@@ -436,6 +464,8 @@
   /// Whether it is following with no call to the store in progress.
   bool Idle_ = false;
   TimePoint LastWatcherReport_{};
+  /// When another host last handed over something new.
+  TimePoint LastSnapshot_{};
   bool Reachable_ = false;
   /// Whether the store has returned more than the first, possibly old, read.
   bool Confirmed_ = false;
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,9 @@
   /// Fetches the changes after a revision from another entry host that has
   /// applied more; that host may return all keys instead. Errors: any.
   std::function<void(StoreRevision Since, Answer)> FetchFromPeer;
+  /// The version that the content of a row carries, if it carries one. A row
+  /// with a higher one is newer, whatever its revision. May be empty.
+  std::function<std::optional<std::uint64_t>(const StoreChange &)> VersionOf;
   /// Called for each key that was written or removed. Shortly after an outage a
   /// removed entry may be written again.
   std::function<void(const StoreChange &, bool AfterOutage)> Changed;
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -613,6 +613,56 @@
   BOOST_TEST(FollowerShows["config"] == "3");
 }
 
+// HOME: a request follows the newest homes at any time, so tables whose version
+// is higher are not held back at all.
+BOOST_AUTO_TEST_CASE(rowWithAHigherVersionIsInForceAtOnceAfterARollback) {
+  Map Shown;
+  auto H = hooks();
+  H.Changed = [&](const StoreChange &C, bool) { Shown[C.Key] = C.Value; };
+  H.VersionOf = [](const StoreChange &C) {
+    return C.Key == "tables" ? std::optional<std::uint64_t>(std::stoul(C.Value))
+                             : std::nullopt;
+  };
+  StoreMirror Watching(Time.runtime(), H);
+  put("tables", "1");
+  put("zone", "1");
+  Watching.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  put("elsewhere", "1");
+  put("zone", "2");
+  put("tables", "2");
+  Time.runFor(200ms);
+  rollBack(Old);
+  put("tables", "3");
+  put("zone", "3");
+  Watching.storeRolledBack(Era);
+  Time.runFor(100ms);
+  BOOST_TEST(Shown["tables"] == "3");
+  BOOST_TEST(Shown["zone"] == "2");
+  Time.runFor(LongestSettling);
+  BOOST_TEST(Shown["zone"] == "3");
+}
+
+// The store is away again when the time for writing rows again is over.
+BOOST_FIXTURE_TEST_CASE(retentionEndsOnlyWithACurrentCopy, RegionFixture) {
+  put("zone", "1");
+  startBoth();
+  Copy Old = copy();
+  put("zone", "2");
+  Time.runFor(400ms);
+  rollBack(Old);
+  Time.runFor(1500ms);
+  Reachable = false;
+  Time.runFor(2 * StoreMirror::RollbackSettleTime);
+  put("zone", "3");
+  BOOST_TEST(heldKeys()["zone"] == "2");
+  Reachable = true;
+  Time.runFor(2s);
+  BOOST_TEST(heldKeys()["zone"] == "3");
+  BOOST_TEST(FollowerShows["zone"] == "3");
+}
+
 // A second rollback while the first has not settled.
 BOOST_FIXTURE_TEST_CASE(contentShownSurvivesRollbacksInSeries, RegionFixture) {
   put("config", "1");
--- a/src/fleethost/fleethost.h
+++ b/src/fleethost/fleethost.h
@@ -52,6 +52,8 @@
   std::function<void(MirrorPart, const StoreChange &, Duration Grace,
                      FleetView &)>
       Apply;
+  /// See StoreMirrorHooks.
+  std::function<std::optional<std::uint64_t>(const StoreChange &)> VersionOf;
   WireNames Names;
   /// The platform interface sets Decode and DecodeLoad; FleetHost sets the
   /// others.
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -306,6 +306,7 @@
                    AfterOutage ? StoreMirror::OutageGrace : Duration::zero(),
                    Fleet_);
     };
+    H.VersionOf = Hooks_.VersionOf;
     H.RolledBack = [this, Part](const StoreRollback &Return) {
       storeRolledBack(Part, Return);
     };
@@ -417,9 +418,9 @@
       Near.push_back(Far.front());
     if (Near.empty())
       return Hosts_.silentContacts(ConfirmersOfRegion + 1);
-    std::vector<std::string> Ips;
-    for (const HostState &Host : Near)
-      Ips.push_back(Host.Ip);
+    std::vector<std::string> Ips(Near.size());
+    std::transform(Near.begin(), Near.end(), Ips.begin(),
+                   [](const HostState &Host) { return Host.Ip; });
     return Ips;
   }
 
@@ -453,7 +454,8 @@
                  {{"change", Message}});
   }
 
-  /// Fetches the operator's tables from a host that acts by newer ones.
+  /// Fetches the operator's tables from a host that acts by newer ones, or from
+  /// another one when that is not known.
   void fetchTables(const std::string &Ip) {
     StoreRevision Since = OperatorMirror_.revision();
     auto Apply = [Weak = weak_from_this()](Result<StoreSnapshot> Got) {
@@ -465,8 +467,12 @@
                                {{"why", Got.error().Message}});
       Self->OperatorMirror_.applyFromPeer(*Got);
     };
-    if (Hosts_.silence(Ip))
-      Snapshots_.fetchOnce(Ip, MirrorPart::OperatorTables, Since, Apply);
+    // The field of a request could name any address.
+    std::string From = Hosts_.silence(Ip) ? Ip : std::string();
+    if (auto Others = drawConfirmers(); From.empty() && !Others.empty())
+      From = Others.front();
+    if (!From.empty())
+      Snapshots_.fetchOnce(From, MirrorPart::OperatorTables, Since, Apply);
   }
 
   void loadFromPeers() {
