Do not let another host's retained row come back after its removal

Cause: a host that takes over what another one retains compared only rows; a row that was removed here, of which the other had not heard yet, came into force for the rest of the settling. Such a host also told others that all its rows were certainly newer than the rollback.

Change: removals since the other's revision count, too, and the revision after which rows are certain is taken over with the rows.

Not run on the code before; found by reading.

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -391,8 +391,8 @@
     checkSettledAfter(Delay);
   }
 
-  /// Rows may have been written again while nothing was heard from the store,
-  /// so retention ends only with a current copy.
+  /// Rows may have been written again while nothing came from the store, so
+  /// retention ends only once something has.
   void checkSettledAfter(Duration Delay) {
     Runtime_.After(Delay, [Weak = weak_from_this()] {
       auto Self = Weak.lock();
@@ -420,6 +420,15 @@
       Hooks_.RolledBack({Before, AsOf_, Retained_.size(), Settled});
   }
 
+  bool hasChangedSince(const std::string &Key, StoreRevision Since) const {
+    if (auto Found = Items_.find(Key); Found != Items_.end())
+      return Found->second.At > Since;
+    return std::any_of(Removals_.begin(), Removals_.end(),
+                       [&](const StoreChange &Removal) {
+                         return Removal.Key == Key && Removal.At > Since;
+                       });
+  }
+
   /// Takes over rows that another host retains and that this host does not
   /// know, unless the rollback has settled here.
   void adoptRetained(const StoreSnapshot &Got) {
@@ -428,14 +437,14 @@
     if (!SettlesAt_ && SettlingBegunIn_ == AsOf_.Era)
       return;
     bool Begins = !SettlesAt_;
-    if (Begins)
+    if (Begins) {
+      RollbackAt_ = Got.CertainAfter;
       settleAfter(std::min(Got.SettlesIn, RollbackSettleTime));
+    }
     for (const StoreChange &Row : Got.Retained) {
-      auto Known = Items_.find(Row.Key);
-      bool WrittenSince = Known != Items_.end() && Known->second.At > Got.AsOf;
       auto Kept = Retained_.find(Row.Key);
-      if (WrittenSince ||
-          (Kept != Retained_.end() && Kept->second.At >= Row.At))
+      bool Known = Kept != Retained_.end() && Kept->second.At >= Row.At;
+      if (Known || hasChangedSince(Row.Key, Got.AsOf))
         continue;
       auto Before = valueInForce(Row.Key);
       Retained_[Row.Key] = Row;
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -593,6 +593,24 @@
   BOOST_TEST((heldKeys() == FollowerShows));
 }
 
+// The other host has not heard yet that the row was removed again.
+BOOST_AUTO_TEST_CASE(retainedRowDoesNotComeBackAfterItsRemoval) {
+  put("zone", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Copy Old = copy();
+  put("zone", "2");
+  Time.runFor(200ms);
+  rollBack(Old);
+  Time.runFor(1500ms);
+  StoreSnapshot Other = Mirror.changesSince({});
+  BOOST_REQUIRE(Other.Retained.size() == 1U);
+  remove("zone");
+  Time.runFor(100ms);
+  Mirror.applyFromPeer(Other);
+  BOOST_TEST(heldKeys().empty());
+}
+
 // A list that a watch has overtaken is dropped; the rollback still settles.
 BOOST_FIXTURE_TEST_CASE(rollbackSettlesThoughListsAreOvertaken, RegionFixture) {
   put("config", "1");
