--- a/src/relay/tests/outdatedtablestest.cpp
+++ b/src/relay/tests/outdatedtablestest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "fleet/recencycheck.h"
 #include "relay/tests/relayfixture.h"
 
 using namespace celerybeam;
@@ -121,3 +122,100 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// A host whose loop stands still at a given point while the homes of all
+/// routes change, and that is told so a moment after it has asked.
+class StandingHost : public testing::VirtualTimeRelay {
+public:
+  StandingHost() {
+    Context.Hooks.MayAct = [this] {
+      ++Checks;
+      return Check.mayAct();
+    };
+    Context.Hooks.TablesConfirmed = [this] { return Check.isConfirmed(); };
+    tick();
+    advance(10);
+  }
+
+  void tick() {
+    Check.tick();
+    Time.After(50ms, [this] { tick(); });
+  }
+
+  /// Runs timers and handlers for some steps of 10 ms.
+  void advance(unsigned Steps) {
+    for (unsigned Step = 0; Step < Steps; ++Step) {
+      Now += 10ms;
+      runReady();
+    }
+  }
+
+  /// Lets so many handlers run, then lets time pass and the homes change.
+  void standStillAfter(unsigned Handlers) {
+    for (unsigned Ran = 0; Ran < Handlers; ++Ran)
+      Loop.context().poll_one();
+    ChecksBefore = Checks;
+    Now += RecencyCheck::MaxGap + 500ms;
+    Changed = true;
+  }
+
+  void confirm(RecencyCheck::Episode Asked) {
+    if (std::exchange(Changed, false)) {
+      FleetTables Tables = *Fleet.tables();
+      ++Tables.Version;
+      for (FleetRoute &Route : Tables.Routes)
+        Route.Homes = HomeRegions::only({RegionId("musanze")});
+      Fleet.adoptTables(std::move(Tables));
+    }
+    Check.confirm(Asked);
+  }
+
+  unsigned Checks = 0;
+  unsigned ChecksBefore = 0;
+  bool Changed = false;
+  RecencyCheck Check{Time,
+                     {[this](RecencyCheck::Episode Asked, unsigned) {
+                        Time.After(1ms, [this, Asked] { confirm(Asked); });
+                      },
+                      {}}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StandingHostTests)
+
+// HOME: at whatever point of a request the host stands still, what it had not
+// sent by then follows the homes that have changed meanwhile.
+BOOST_AUTO_TEST_CASE(nothingIsSentByTablesFromBeforeAStandstill) {
+  // Checked on arrival, before the placement and before the send.
+  constexpr unsigned ChecksUntilSent = 3;
+  constexpr unsigned Points = 30;
+  unsigned SentBefore = 0;
+  for (unsigned Point = 0; Point < Points; ++Point)
+    for (bool TimersFirst : {false, true}) {
+      StandingHost Host;
+      RawServer &E = Host.addEndpoint("a", "plain", done);
+      testing::RawCaller First(Host.Loop, Host.Front.address().str(),
+                               Host.request("book"));
+      Host.standStillAfter(Point);
+      testing::RawCaller Second(Host.Loop, Host.Front.address().str(),
+                                Host.request("book"));
+      if (TimersFirst)
+        Host.Loop.timers().runDue(Host.Now);
+      Host.advance(100);
+      bool Sent = Host.ChecksBefore >= ChecksUntilSent;
+      SentBefore += Sent ? 1 : 0;
+      BOOST_TEST_CONTEXT("after " << Point << " handlers, timers first "
+                                  << TimersFirst) {
+        BOOST_TEST(E.Requests.size() == (Sent ? 1U : 0U));
+        BOOST_TEST(Host.Done.size() == 2U);
+      }
+    }
+  // Both kinds of points were covered.
+  BOOST_TEST(SentBefore > 0U);
+  BOOST_TEST(SentBefore < 2 * Points);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
