Take the mirror's own reads of the store for a confirmation

Only a read that was made for the purpose confirmed, by hosts that know themselves to be watchers; before a host is ready, no host is.

Change: a consistent read of the store, list or watch, that began after the start or standstill confirms the copy. The store is read in every third round, so that a host that becomes ready meanwhile asks within the time that requests wait.

Ruled out: load (the outcome follows from the order of start, ready and watch).

--- a/src/fleet/internal/recencycheck.cpp
+++ b/src/fleet/internal/recencycheck.cpp
@@ -50,11 +50,22 @@
   return !DoubtedSince_;
 }
 
+bool RecencyCheck::mayHaveStoodStill() const {
+  return Runtime_.Now() - LastCall_ > MaxGap;
+}
+
+// A response may have waited in its socket during a standstill.
 void RecencyCheck::confirm(Episode Asked) {
-  TimePoint Now = Runtime_.Now();
-  // The response may have waited in the socket during a standstill.
-  if (Now - LastCall_ > MaxGap || Asked != Episode_ || !DoubtedSince_)
-    return;
+  if (DoubtedSince_ && Asked == Episode_ && !mayHaveStoodStill())
+    end();
+}
+
+void RecencyCheck::confirmByRead(TimePoint Begun) {
+  if (DoubtedSince_ && Begun >= *DoubtedSince_ && !mayHaveStoodStill())
+    end();
+}
+
+void RecencyCheck::end() {
   report(RecencyChange::Kind::Confirmed);
   DoubtedSince_.reset();
 }
--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -44,14 +44,16 @@
   }
 
   void list() {
-    Hooks_.List(guarded([this](Result<StoreSnapshot> Got) {
-      if (!Got)
-        return failed(Got.error(), &Impl::list);
-      succeeded();
-      Confirmed_ = true;
-      applyList(*Got);
-      watch();
-    }));
+    Hooks_.List(
+        guarded([this, Begun = Runtime_.Now()](Result<StoreSnapshot> Got) {
+          if (!Got)
+            return failed(Got.error(), &Impl::list);
+          succeeded();
+          Confirmed_ = true;
+          applyList(*Got);
+          reportRead(Begun);
+          watch();
+        }));
   }
 
   void watch() {
@@ -60,7 +62,8 @@
       return;
     }
     Hooks_.Watch(AsOf_, WatchWait,
-                 guarded([this, After = AsOf_](Result<StoreSnapshot> Got) {
+                 guarded([this, After = AsOf_,
+                          Begun = Runtime_.Now()](Result<StoreSnapshot> Got) {
                    if (!Got && Got.error().Kind == ErrorKind::StoreConflict) {
                      succeeded();
                      return list();
@@ -74,6 +77,7 @@
                      return list();
                    Confirmed_ = true;
                    apply(*Got);
+                   reportRead(Begun);
                    watch();
                  }));
   }
@@ -133,13 +137,19 @@
     });
   }
 
-  void readAgain(const std::function<void(bool)> &Then) {
-    Hooks_.List(guarded([this, Then](Result<StoreSnapshot> Got) {
-      if (Got)
-        applyList(*Got);
-      if (Then)
-        Then(Got.has_value());
-    }));
+  void readAgain() {
+    Hooks_.List(
+        guarded([this, Begun = Runtime_.Now()](Result<StoreSnapshot> Got) {
+          if (!Got)
+            return;
+          applyList(*Got);
+          reportRead(Begun);
+        }));
+  }
+
+  void reportRead(TimePoint Begun) const {
+    if (Hooks_.Read)
+      Hooks_.Read(Begun);
   }
 
   StoreSnapshot changesSince(StoreRevision Since) const {
@@ -497,7 +507,7 @@
 }
 void StoreMirror::storeRolledBack(std::uint64_t Era) {
   if (Era > Impl_->AsOf_.Era && !Impl_->Following_ && Impl_->isLoaded())
-    Impl_->readAgain({});
+    Impl_->readAgain();
 }
 void StoreMirror::setFollowing(bool Following) {
   Impl_->setFollowing(Following);
@@ -506,9 +516,7 @@
 StoreSnapshot StoreMirror::changesSince(StoreRevision Since) const {
   return Impl_->changesSince(Since);
 }
-void StoreMirror::readAgain(const std::function<void(bool)> &Then) {
-  Impl_->readAgain(Then);
-}
+void StoreMirror::readAgain() { Impl_->readAgain(); }
 void StoreMirror::applyFromPeer(const StoreSnapshot &Got) {
   Impl_->applyFromPeer(Got);
 }
--- a/src/fleet/recencycheck.h
+++ b/src/fleet/recencycheck.h
@@ -65,6 +65,9 @@
   /// Records that the copy includes all that a current host or the store knew
   /// when it was asked.
   void confirm(Episode Asked);
+  /// Records that a consistent read of the store, begun at this time, has been
+  /// applied.
+  void confirmByRead(TimePoint Begun);
 
   /// A longer time without a call is a standstill. Updates that come later than
   /// they do after a lost datagram are delayed by no less.
@@ -80,6 +83,9 @@
   /// Notices a standstill, or that a doubt has lasted for MaxWait or MaxDoubt.
   void update();
   void doubt(Duration Gap);
+  /// Whether the host may have stood still since the last call.
+  bool mayHaveStoodStill() const;
+  void end();
   void report(RecencyChange::Kind What, Duration Gap = {});
 
   Runtime Runtime_;
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -85,6 +85,9 @@
   /// Called for each key that was written or removed. Shortly after an outage a
   /// removed entry may be written again.
   std::function<void(const StoreChange &, bool AfterOutage)> Changed;
+  /// Called after a consistent read of the store has been applied, with the
+  /// time at which it began. May be empty.
+  std::function<void(TimePoint Begun)> Read;
   /// Called when the store becomes unreachable or reachable again.
   std::function<void(bool Reachable, const std::string &Why)> Reachability;
   /// Called when the store was rolled back to an older copy, and again when its
@@ -118,9 +121,8 @@
   /// \param Watches  whether it watches the store and got a response recently.
   void peerReported(StoreRevision Applied, bool Watches = false);
 
-  /// Reads all keys from the store once more. \param Then  called with whether
-  /// that succeeded, after they have been applied.
-  void readAgain(const std::function<void(bool Read)> &Then);
+  /// Reads all keys from the store once more.
+  void readAgain();
   /// Applies another entry host's snapshot: its full state, or the changes
   /// since a revision that this mirror had reached when it asked.
   void applyFromPeer(const StoreSnapshot &Got);
--- a/src/fleet/tests/recencychecktest.cpp
+++ b/src/fleet/tests/recencychecktest.cpp
@@ -105,6 +105,22 @@
   BOOST_TEST(Asked.size() == Before);
 }
 
+// A watch that was waiting during the standstill may have been answered in the
+// middle of it.
+BOOST_AUTO_TEST_CASE(onlyAReadOfTheStoreThatBeganAfterwardsConfirms) {
+  confirmStart();
+  TimePoint Before = Time.runtime().Now();
+  Time.runFor(RecencyCheck::MaxGap + 1ms);
+  Check.confirmByRead(Time.runtime().Now());
+  BOOST_TEST(!Check.mayAct());
+  Check.confirmByRead(Before);
+  BOOST_TEST(!Check.mayAct());
+  TimePoint After = Time.runtime().Now();
+  runFor(200ms);
+  Check.confirmByRead(After);
+  BOOST_TEST(Check.isConfirmed());
+}
+
 BOOST_AUTO_TEST_CASE(loopThatRunsIsNeverInDoubt) {
   confirmStart();
   runFor(60s);
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -39,7 +39,7 @@
 constexpr std::size_t ConfirmersOfRegion = 2;
 /// The store is read once in so many rounds of asking, since each call is paid
 /// for.
-constexpr unsigned RoundsPerStoreRead = 5;
+constexpr unsigned RoundsPerStoreRead = 3;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
@@ -307,6 +307,8 @@
                    Fleet_);
     };
     H.VersionOf = Hooks_.VersionOf;
+    if (Part == MirrorPart::OperatorTables)
+      H.Read = [this](TimePoint Begun) { Recency_.confirmByRead(Begun); };
     H.RolledBack = [this, Part](const StoreRollback &Return) {
       storeRolledBack(Part, Return);
     };
@@ -377,7 +379,7 @@
               // alive, are read after the first round.
               bool AsksStore = Exchange_.isWatcher() || Hosts_.alive().empty();
               if (Round % RoundsPerStoreRead == 1 && AsksStore)
-                confirmByStore(Asked);
+                OperatorMirror_.readAgain();
             },
             [this](const RecencyChange &Change) { logRecency(Change); }};
   }
@@ -391,14 +393,6 @@
                      confirmation(MirrorPart::OperatorTables, Asked));
   }
 
-  void confirmByStore(RecencyCheck::Episode Asked) {
-    OperatorMirror_.readAgain([Weak = weak_from_this(), Asked](bool Read) {
-      auto Self = Weak.lock();
-      if (Self && Read)
-        Self->Recency_.confirm(Asked);
-    });
-  }
-
   /// Addresses of a few hosts that may know of changes that this one has
   /// missed: of this region, watchers first, and of another region. None of
   /// them counts as alive right after a start or standstill.
