--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -142,6 +142,8 @@
         guarded([this, Begun = Runtime_.Now()](Result<StoreSnapshot> Got) {
           if (!Got)
             return;
+          succeeded();
+          Confirmed_ = true;
           applyList(*Got);
           reportRead(Begun);
         }));
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -344,6 +344,17 @@
   BOOST_TEST(Lists == 0U);
 }
 
+// A missing route is known to be missing as soon as the store was read anew.
+BOOST_FIXTURE_TEST_CASE(mirrorIsCurrentOnceItHasBeenReadAgain, StaleFixture) {
+  Stale->start();
+  Time.runFor(100ms);
+  BOOST_TEST(!Stale->isCurrent());
+  Stale->readAgain();
+  Time.runFor(100ms);
+  BOOST_TEST(Stale->isCurrent());
+  BOOST_TEST((keysOfStale() == Map{{"b", "1"}, {"c", "2"}}));
+}
+
 // Hundreds of hosts start at once, and each call to the store is paid for: a
 // host that gets an update from one that watches makes a single read.
 BOOST_FIXTURE_TEST_CASE(followerNeedsNoWatchAfterItsFirstRead, StaleFixture) {
