--- /dev/null
+++ b/src/fleet/internal/recencycheck.cpp
@@ -0,0 +1,78 @@
+#include "fleet/recencycheck.h"
+
+#include <utility>
+
+namespace celerybeam {
+
+RecencyCheck::RecencyCheck(Runtime R, Hooks H)
+    : Runtime_(std::move(R)), Hooks_(std::move(H)), LastCall_(Runtime_.Now()) {
+  doubt(Duration::zero());
+}
+
+void RecencyCheck::doubt(Duration Gap) {
+  ++Episode_.Value;
+  DoubtedSince_ = LastCall_;
+  LastAsked_ = LastCall_ - AskInterval;
+  WaitEnded_ = false;
+  Round_ = 0;
+  report(RecencyChange::Kind::Doubted, Gap);
+}
+
+void RecencyCheck::update() {
+  TimePoint Now = Runtime_.Now();
+  Duration Gap = Now - std::exchange(LastCall_, Now);
+  if (Gap > MaxGap)
+    doubt(Gap);
+  if (!DoubtedSince_)
+    return;
+  Duration Age = Now - *DoubtedSince_;
+  if (Age >= MaxWait && !std::exchange(WaitEnded_, true))
+    report(RecencyChange::Kind::Unconfirmed);
+  if (Age >= MaxDoubt) {
+    DoubtedSince_.reset();
+    return;
+  }
+  if (Now - LastAsked_ < AskInterval)
+    return;
+  LastAsked_ = Now;
+  Hooks_.Ask(Episode_, Round_++);
+}
+
+void RecencyCheck::tick() { update(); }
+
+bool RecencyCheck::mayAct() {
+  update();
+  return !DoubtedSince_ || WaitEnded_;
+}
+
+bool RecencyCheck::isConfirmed() {
+  update();
+  return !DoubtedSince_;
+}
+
+bool RecencyCheck::mayHaveStoodStill() const {
+  return Runtime_.Now() - LastCall_ > MaxGap;
+}
+
+// A response may have waited in its socket during a standstill.
+void RecencyCheck::confirm(Episode Asked) {
+  if (DoubtedSince_ && Asked == Episode_ && !mayHaveStoodStill())
+    end();
+}
+
+void RecencyCheck::confirmByRead(TimePoint Begun) {
+  if (DoubtedSince_ && Begun >= *DoubtedSince_ && !mayHaveStoodStill())
+    end();
+}
+
+void RecencyCheck::end() {
+  report(RecencyChange::Kind::Confirmed);
+  DoubtedSince_.reset();
+}
+
+void RecencyCheck::report(RecencyChange::Kind What, Duration Gap) {
+  if (Hooks_.Changed)
+    Hooks_.Changed({What, Gap, Runtime_.Now() - *DoubtedSince_});
+}
+
+} // namespace celerybeam
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,13 +38,24 @@
   StoreRevision AsOf;
   /// Whether it holds only the changes after a revision, removals included.
   bool ChangesOnly = false;
+  /// Rows after this revision were certainly written after the latest rollback
+  /// of the store; zero when all were.
+  StoreRevision CertainAfter{};
+  /// Shortly after a rollback of the store: rows and removals from before it
+  /// that are in force in place of the items, and for how long they may stay.
+  /// Only in snapshots of entry hosts.
+  std::vector<StoreChange> Retained = {};
+  Duration SettlesIn{};
+  /// Whether the entry host that made it knows of no change that it lacks.
+  bool Current = false;
 };
 
 /// Describes a rollback: the store came back restored from an older copy.
 struct StoreRollback {
   StoreRevision Before;
   StoreRevision After;
-  /// Keys from before the rollback that have not been written again since.
+  /// Keys whose state from before the rollback is in force because they have
+  /// not been written again since.
   std::size_t AwaitedKeys = 0;
   /// Whether the wait for them is over, so that the store's content is
   /// authoritative again.
@@ -67,9 +79,15 @@
   /// Fetches the changes after a revision from another entry host that has
   /// applied more; that host may return all keys instead. Errors: any.
   std::function<void(StoreRevision Since, Answer)> FetchFromPeer;
+  /// The version that the content of a row carries, if it carries one. A row
+  /// with a higher one is newer, whatever its revision. May be empty.
+  std::function<std::optional<std::uint64_t>(const StoreChange &)> VersionOf;
   /// Called for each key that was written or removed. Shortly after an outage a
   /// removed entry may be written again.
   std::function<void(const StoreChange &, bool AfterOutage)> Changed;
+  /// Called after a consistent read of the store has been applied, with the
+  /// time at which it began. May be empty.
+  std::function<void(TimePoint Begun)> Read;
   /// Called when the store becomes unreachable or reachable again.
   std::function<void(bool Reachable, const std::string &Why)> Reachability;
   /// Called when the store was rolled back to an older copy, and again when its
@@ -87,9 +105,11 @@
 /// than it has shown.
 ///
 /// Handles also "the store comes back from a copy some seconds old": earlier
-/// content stays valid until it has been written again, for RollbackSettleTime
-/// at most. An older row, or one that was removed, does not reappear meanwhile.
-/// Not thread-safe.
+/// content stays in force until it has been written again, for
+/// RollbackSettleTime at most. An older row, or one that was removed, does not
+/// reappear meanwhile. What the store returned is kept beside it, so that the
+/// copy is complete up to its revision at any time and other hosts can get
+/// their changes from it. Not thread-safe.
 class StoreMirror {
 public:
   StoreMirror(Runtime R, StoreMirrorHooks Hooks);
@@ -101,6 +121,12 @@
   /// \param Watches  whether it watches the store and got a response recently.
   void peerReported(StoreRevision Applied, bool Watches = false);
 
+  /// Reads all keys from the store once more.
+  void readAgain();
+  /// Applies another entry host's snapshot: its full state, or the changes
+  /// since a revision that this mirror had reached when it asked.
+  void applyFromPeer(const StoreSnapshot &Got);
+
   /// Starts a list because the response to another call showed that the store
   /// was rolled back to an older copy. A follower does nothing here: it learns
   /// of the rollback from the hosts that watch.
@@ -111,8 +137,11 @@
   bool isFollowing() const;
 
   /// The changes after a revision, for another entry host; all keys if the
-  /// removals since that revision are no longer known.
+  /// removals since that revision are no longer known. Shortly after a rollback
+  /// also what is in force from before it.
   StoreSnapshot changesSince(StoreRevision Since) const;
+  /// Revision up to which all changes have been applied.
+  StoreRevision revision() const;
   /// Revision of the newest applied change.
   StoreRevision lastChange() const;
   /// Whether a first state of the store has been loaded.
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -1,16 +1,16 @@
 #include "fleethost/fleethost.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <optional>
 
 #include "fleet/entrydirectory.h"
+#include "fleet/recencycheck.h"
 #include "fleethost/internal/hostannouncer.h"
+#include "fleethost/internal/peersnapshots.h"
 #include "fleethost/internal/requestlog.h"
+#include "fleethost/internal/snapshotcodec.h"
 #include "fleethost/internal/updateexchange.h"
 #include "logging/logger.h"
-#include "messages/fleetnews.pb.h"
 #include "metrics/metricsregistry.h"
 #include "relay/datagramlink.h"
 #include "relay/httpserver.h"
@@ -20,10 +20,6 @@
 
 namespace {
 
-/// Paths at which hosts fetch mirrored store content from each other. A
-/// revision follows: its era, a dot and its number.
-const std::array<std::string, 2> SnapshotPaths = {"/mirror/operator/",
-                                                  "/mirror/endpoints/"};
 constexpr unsigned Ok = 200;
 
 /// How long callers are still accepted after the request to stop, since they
@@ -39,61 +35,16 @@
 constexpr Duration DrainPoll = std::chrono::milliseconds(50);
 constexpr Duration HealthTick = std::chrono::milliseconds(50);
 constexpr Duration HealthTimeout = std::chrono::milliseconds(800);
-constexpr Duration SnapshotTimeout = std::chrono::seconds(1);
-/// Several times the size of the entries of the largest fleet that the design
-/// is for.
-constexpr std::size_t MaxSnapshotBytes = 16U << 20U;
+/// Hosts of this region that are asked at the same time to confirm the tables.
+constexpr std::size_t ConfirmersOfRegion = 2;
+/// The store is read once in so many rounds of asking, since each call is paid
+/// for.
+constexpr unsigned RoundsPerStoreRead = 3;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
 constexpr Duration MinLoggedStall = std::chrono::milliseconds(250);
 
-std::string serialize(const StoreSnapshot &Snapshot) {
-  messages::MirrorSnapshot Message;
-  Message.set_as_of(Snapshot.AsOf.Number);
-  Message.set_era(Snapshot.AsOf.Era);
-  Message.set_changes_only(Snapshot.ChangesOnly);
-  for (const StoreChange &Item : Snapshot.Items) {
-    auto *Out = Message.add_items();
-    Out->set_key(Item.Key);
-    Out->set_value(Item.Value);
-    Out->set_at(Item.At.Number);
-    Out->set_era(Item.At.Era);
-    Out->set_removed(Item.Removed);
-  }
-  return Message.SerializeAsString();
-}
-
-Result<StoreSnapshot> parseSnapshot(const std::string &Bytes) {
-  messages::MirrorSnapshot Message;
-  if (!Message.ParseFromString(Bytes))
-    return makeError(ErrorKind::Internal,
-                     "Another host's snapshot cannot be read; it is asked "
-                     "again.");
-  StoreSnapshot Snapshot;
-  Snapshot.AsOf = {Message.era(), Message.as_of()};
-  Snapshot.ChangesOnly = Message.changes_only();
-  for (const auto &Item : Message.items())
-    Snapshot.Items.push_back(
-        {Item.key(), Item.value(), {Item.era(), Item.at()}, Item.removed()});
-  return Snapshot;
-}
-
-std::string revisionText(StoreRevision Revision) {
-  return std::to_string(Revision.Era) + "." + std::to_string(Revision.Number);
-}
-
-/// Unreadable text counts as revision zero, for which all keys are sent.
-StoreRevision parseRevision(std::string_view Text) {
-  StoreRevision Read;
-  const char *End = Text.data() + Text.size();
-  auto Era = std::from_chars(Text.data(), End, Read.Era);
-  if (Era.ec != std::errc() || Era.ptr == End || *Era.ptr != '.')
-    return {};
-  auto Number = std::from_chars(Era.ptr + 1, End, Read.Number);
-  return Number.ec == std::errc() ? Read : StoreRevision();
-}
-
 } // namespace
 
 class FleetHost::Impl : public std::enable_shared_from_this<Impl> {
@@ -142,7 +93,12 @@
     });
     Context_.Responses.setLimit(Settings_.ResponseMemoryBytes);
     Context_.Hooks.TablesCurrent = [this] {
-      return OperatorMirror_.isCurrent();
+      return OperatorMirror_.isCurrent() && Recency_.isConfirmed();
+    };
+    Context_.Hooks.MayAct = [this] { return Recency_.mayAct(); };
+    Context_.Hooks.TablesConfirmed = [this] { return Recency_.isConfirmed(); };
+    Context_.Hooks.FetchTables = [this](const std::string &Ip) {
+      fetchTables(Ip);
     };
     Context_.Hooks.HasFleetState = [this] { return isInformed(); };
     Decisions_.setOwnership(
@@ -203,6 +159,7 @@
     every(FleetView::TickInterval, [this] { Fleet_.tick(); });
     LastTick_ = Time_.Now();
     every(HealthTick, [this] {
+      Recency_.tick();
       logStall();
       checkHealth();
     });
@@ -325,6 +282,11 @@
                                               : Hooks_.EndpointPrefix;
   }
 
+  StoreMirror &mirrorOf(MirrorPart Part) {
+    return Part == MirrorPart::OperatorTables ? OperatorMirror_
+                                              : EndpointMirror_;
+  }
+
   StoreMirrorHooks mirrorHooks(MirrorPart Part) {
     StoreMirrorHooks H;
     H.List = [this, Part](auto Answer) {
@@ -344,6 +306,9 @@
                    AfterOutage ? StoreMirror::OutageGrace : Duration::zero(),
                    Fleet_);
     };
+    H.VersionOf = Hooks_.VersionOf;
+    if (Part == MirrorPart::OperatorTables)
+      H.Read = [this](TimePoint Begun) { Recency_.confirmByRead(Begun); };
     H.RolledBack = [this, Part](const StoreRollback &Return) {
       storeRolledBack(Part, Return);
     };
@@ -365,8 +330,8 @@
         Return.Settled ? "Store content authoritative again after rollback."
                        : "Store rolled back to an older copy.";
     Log_.warning(Event, {{"prefix", prefixOf(Part)},
-                         {"before", revisionText(Return.Before)},
-                         {"after", revisionText(Return.After)},
+                         {"before", detail::revisionText(Return.Before)},
+                         {"after", detail::revisionText(Return.After)},
                          {"awaited", Return.AwaitedKeys}});
     Metrics_.set("store_era",
                  "Times that the store came back older, by its word.", {},
@@ -403,27 +368,105 @@
         Answer(makeError(ErrorKind::NoEndpoint,
                          "No other host is heard; the store is asked again."));
       });
-    HttpCallRequest Call;
-    Call.To = Address(Best->Ip + ":" + Settings_.HostPort);
-    Call.Head = {"GET",
-                 SnapshotPaths.at(static_cast<std::size_t>(Part)) +
-                     revisionText(Since),
-                 {{"Host", Best->Ip}}};
-    Call.Timeout = SnapshotTimeout;
-    auto Body = std::make_shared<std::string>();
-    HttpCallHooks Hooks;
-    Hooks.Body = [Body](std::string_view Data) {
-      *Body += Data;
-      return Body->size() <= MaxSnapshotBytes;
+    Snapshots_.fetch(Best->Ip, Part, Since, Answer);
+  }
+
+  RecencyCheck::Hooks recencyHooks() {
+    return {[this](RecencyCheck::Episode Asked, unsigned Round) {
+              for (const std::string &Ip : drawConfirmers())
+                confirmByHost(Ip, Asked);
+              // The datagrams that came during a standstill, which show who is
+              // alive, are read after the first round.
+              bool AsksStore = Exchange_.isWatcher() || Hosts_.alive().empty();
+              if (Round % RoundsPerStoreRead == 1 && AsksStore)
+                OperatorMirror_.readAgain();
+            },
+            [this](const RecencyChange &Change) { logRecency(Change); }};
+  }
+
+  void confirmByHost(const std::string &Ip, RecencyCheck::Episode Asked) {
+    if (EndpointMirror_.isLoaded())
+      Snapshots_.fetchOnce(Ip, MirrorPart::Endpoints,
+                           EndpointMirror_.revision(),
+                           confirmation(MirrorPart::Endpoints, {}));
+    Snapshots_.fetch(Ip, MirrorPart::OperatorTables, OperatorMirror_.revision(),
+                     confirmation(MirrorPart::OperatorTables, Asked));
+  }
+
+  /// Addresses of a few hosts that may know of changes that this one has
+  /// missed: of this region, watchers first, and of another region. None of
+  /// them counts as alive right after a start or standstill.
+  std::vector<std::string> drawConfirmers() const {
+    std::vector<HostState> Near = Hosts_.aliveInRegion();
+    std::vector<HostState> Far;
+    for (const HostState &Host : Hosts_.alive())
+      if (Host.Region != Settings_.Self.Region)
+        Far.push_back(Host);
+    for (std::vector<HostState> *Hosts : {&Near, &Far})
+      for (std::size_t I = Hosts->size(); I > 1; --I)
+        std::swap((*Hosts)[I - 1], (*Hosts)[Time_.Random() % I]);
+    std::stable_partition(Near.begin(), Near.end(),
+                          [](const HostState &Host) { return Host.Watches; });
+    Near.resize(std::min(Near.size(), ConfirmersOfRegion));
+    if (!Far.empty())
+      Near.push_back(Far.front());
+    if (Near.empty())
+      return Hosts_.silentContacts(ConfirmersOfRegion + 1);
+    std::vector<std::string> Ips(Near.size());
+    std::transform(Near.begin(), Near.end(), Ips.begin(),
+                   [](const HostState &Host) { return Host.Ip; });
+    return Ips;
+  }
+
+  /// Applies another host's snapshot and, if that host is current, takes it for
+  /// a confirmation.
+  StoreMirrorHooks::Answer confirmation(MirrorPart Part,
+                                        RecencyCheck::Episode Asked) {
+    return [Weak = weak_from_this(), Part, Asked](Result<StoreSnapshot> Got) {
+      auto Self = Weak.lock();
+      // Another one is asked shortly.
+      if (!Self || !Got)
+        return;
+      Self->mirrorOf(Part).applyFromPeer(*Got);
+      if (Got->Current)
+        Self->Recency_.confirm(Asked);
     };
-    Hooks.End = [Body, Answer](HttpCallEnd End) {
-      if (End == HttpCallEnd::Complete)
-        return Answer(parseSnapshot(*Body));
-      Answer(makeError(ErrorKind::ConnectionLost,
-                       "Another host did not hand over its snapshot; the next "
-                       "message of a host that knows more starts it again."));
+  }
+
+  void logRecency(const RecencyChange &Change) {
+    const FleetTablesPtr &Tables = Fleet_.tables();
+    const char *Message = Change.What == RecencyChange::Kind::Doubted
+                              ? "Tables may be outdated."
+                          : Change.What == RecencyChange::Kind::Confirmed
+                              ? "Tables confirmed to be recent."
+                              : "Requests handled by unconfirmed tables.";
+    Log_.info(Message, {{"tables", Tables ? Tables->Version : 0},
+                        {"gap_ms", Change.Gap / std::chrono::milliseconds(1)},
+                        {"age_ms", Change.Age / std::chrono::milliseconds(1)}});
+    Metrics_.add("recency_changes_total",
+                 "Changes of what is known about the tables' age.",
+                 {{"change", Message}});
+  }
+
+  /// Fetches the operator's tables from a host that acts by newer ones, or from
+  /// another one when that is not known.
+  void fetchTables(const std::string &Ip) {
+    StoreRevision Since = OperatorMirror_.revision();
+    auto Apply = [Weak = weak_from_this()](Result<StoreSnapshot> Got) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      if (!Got)
+        return Self->Log_.info("Tables of the sender not fetched.",
+                               {{"why", Got.error().Message}});
+      Self->OperatorMirror_.applyFromPeer(*Got);
     };
-    Caller_.call(std::move(Call), std::move(Hooks));
+    // The field of a request could name any address.
+    std::string From = Hosts_.silence(Ip) ? Ip : std::string();
+    if (auto Others = drawConfirmers(); From.empty() && !Others.empty())
+      From = Others.front();
+    if (!From.empty())
+      Snapshots_.fetchOnce(From, MirrorPart::OperatorTables, Since, Apply);
   }
 
   void loadFromPeers() {
@@ -438,15 +481,11 @@
 
   void handleHostRequest(HttpServerRequest Request,
                          std::shared_ptr<HttpExchange> Answer) {
-    const std::string &Target = Request.Head.Target;
-    for (const auto &[Path, Mirror] :
-         {std::pair(&SnapshotPaths[0], &OperatorMirror_),
-          std::pair(&SnapshotPaths[1], &EndpointMirror_)}) {
-      if (Request.Head.Method != "GET" || !Target.starts_with(*Path))
-        continue;
-      StoreRevision Since =
-          parseRevision(std::string_view(Target).substr(Path->size()));
-      return Answer->respond({Ok, {}}, serialize(Mirror->changesSince(Since)));
+    if (auto Asked = detail::PeerSnapshots::requested(Request.Head)) {
+      const StoreMirror &Mirror = mirrorOf(Asked->first);
+      StoreSnapshot Changes = Mirror.changesSince(Asked->second);
+      Changes.Current = Mirror.isCurrent() && Recency_.isConfirmed();
+      return Answer->respond({Ok, {}}, detail::writeSnapshot(Changes));
     }
     relayRequest(Context_, std::move(Request), std::move(Answer), true);
   }
@@ -723,8 +762,10 @@
   HttpServer FromHosts_;
   DatagramLink DatagramLink_;
   detail::UpdateExchange Exchange_;
+  detail::PeerSnapshots Snapshots_{Caller_, Settings_.HostPort};
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
+  RecencyCheck Recency_{Time_, recencyHooks()};
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -72,17 +72,6 @@
   return Number;
 }
 
-HomeRegions parseHomes(std::string_view Text) {
-  std::set<RegionId> Regions;
-  while (!Text.empty()) {
-    std::size_t End = std::min(Text.find(' '), Text.size());
-    if (End > 0)
-      Regions.insert(RegionId(std::string(Text.substr(0, End))));
-    Text.remove_prefix(std::min(End + 1, Text.size()));
-  }
-  return HomeRegions::only(std::move(Regions));
-}
-
 class Relay : public std::enable_shared_from_this<Relay> {
 public:
   Relay(RelayContext &Context, HttpServerRequest Request,
@@ -124,15 +113,17 @@
     // A host that has just started receives the tables within moments.
     if (!Context_.Hooks.HasFleetState())
       return waitForTables();
+    if (!mayAct())
+      return later(&Relay::routeRequest);
     Tables_ = Context_.Fleet.tables();
     Record_.TablesVersion = Tables_->Version;
+    if (Descriptor_.Forwarded && SenderTables_ > Tables_->Version)
+      return waitForSendersTables();
     Route_ = Tables_->find(Descriptor_.Host, Descriptor_.Target);
     if (Route_ == nullptr)
       return noRoute();
     Record_.Route = Route_->Name;
     useHomes(Tables_->Version, Route_->Homes);
-    if (SenderTables_ > HomesVersion_)
-      useHomes(SenderTables_, SenderHomes_);
     if (Context_.RefusesFrom && Context_.Time.Now() >= *Context_.RefusesFrom)
       return refuse({Duration::zero(), "leaving"});
     TimeoutAt_ =
@@ -165,8 +156,32 @@
   void waitForTables() {
     if (Context_.Time.Now() - Request_.Arrived >= MaxTablesWait)
       return refuse({TablesRetryAfter, "no_tables"});
-    Context_.Time.After(TablesPoll,
-                        [Self = shared_from_this()] { Self->routeRequest(); });
+    later(&Relay::routeRequest);
+  }
+
+  /// Whether this host may act on its tables, or has to ask first what has
+  /// changed while it stood still.
+  bool mayAct() const {
+    return !Context_.Hooks.MayAct || Context_.Hooks.MayAct();
+  }
+
+  /// Tries a step again after a moment.
+  void later(void (Relay::*Step)()) {
+    Context_.Time.After(TablesPoll, [Self = shared_from_this(), Step] {
+      if (!Self->Ended_)
+        (Self.get()->*Step)();
+    });
+  }
+
+  /// The sender acts by newer tables, by which the request may belong to
+  /// another route or pool, or may not be repeated. Without them it can only be
+  /// refused.
+  void waitForSendersTables() {
+    if (Context_.Time.Now() - Request_.Arrived >= MaxTablesWait)
+      return refuse({TablesRetryAfter, "tables_older_than_senders"});
+    if (Context_.Hooks.FetchTables)
+      Context_.Hooks.FetchTables(SenderIp_);
+    later(&Relay::routeRequest);
   }
 
   void startTimer() {
@@ -188,8 +203,9 @@
       Descriptor_.WaitedBefore = std::chrono::milliseconds(numberIn(*Waited));
     if (auto Version = findField(Fields, TablesField))
       SenderTables_ = numberIn<std::uint64_t>(*Version);
-    if (auto Homes = findField(Fields, HomesField))
-      SenderHomes_ = parseHomes(*Homes);
+    if (auto Ip = findField(Fields, HostField))
+      SenderIp_ = *Ip;
+    Record_.SenderTables = SenderTables_;
     detail::removeHostFields(Fields);
   }
 
@@ -278,7 +294,13 @@
   }
 
   void attempt() {
+    if (!mayAct())
+      return later(&Relay::attempt);
     updateHomes();
+    if (!provenNotRun(Log_.Execution) && !mayRunAgain()) {
+      Record_.Attempts += " may_not_run_again";
+      return giveUp(false, "may_not_run_again");
+    }
     Descriptor_.Deadline = deadline();
     LatestPlacement_ = Context_.Placement.place(
         Descriptor_, *Route_, Log_,
@@ -431,6 +453,12 @@
     SendDeclined_ = SendDeclined_ || CallerGone_;
     if (SendDeclined_)
       return false;
+    SendDeclined_ = !mayAct();
+    if (SendDeclined_) {
+      Record_.Attempts += " tables_unconfirmed";
+      undoChoice();
+      return false;
+    }
     updateHomes();
     SendDeclined_ = !isSentHome();
     if (SendDeclined_) {
@@ -452,6 +480,15 @@
     return true;
   }
 
+  /// Lets the endpoint or region of an attempt that was not sent be chosen
+  /// again.
+  void undoChoice() {
+    if (Target_)
+      Log_.Tried.pop_back();
+    else
+      Log_.RegionsTried.pop_back();
+  }
+
   /// Whether the request may be sent as far as crashes are concerned; if it is
   /// a trial, begins that. Endpoints may have crashed since it was placed.
   bool passesCrashCheck() {
@@ -474,6 +511,7 @@
     setField(Head.Fields, WaitedField,
              std::to_string(millisOf(Context_.Time.Now() - Request_.Arrived)));
     setField(Head.Fields, TablesField, std::to_string(HomesVersion_));
+    setField(Head.Fields, HostField, Context_.Hosts.self().Ip);
     if (Route_->Homes.isRestricted())
       setField(Head.Fields, HomesField, Route_->Homes.text());
   }
@@ -532,7 +570,7 @@
     const auto *Remote = std::get_if<ForwardTo>(&*Reply.Decision);
     bool Wanted = (Local != nullptr || Remote != nullptr) && !Ended_ &&
                   Target_ && !GotOutput_ && Log_.Sends == After.Sends &&
-                  mayRetry(After) && takeRetry();
+                  mayAct() && mayRunAgain() && mayRetry(After) && takeRetry();
     if (!Wanted)
       return Context_.Placement.end(Id, {});
     Record_.Attempts += " stalled";
@@ -546,6 +584,16 @@
     forwardToHost(*Remote);
   }
 
+  /// Whether the newest tables allow a second run. Tables that may be outdated
+  /// do not: a first run cannot wait for better ones, a second one can be left.
+  bool mayRunAgain() const {
+    if (Context_.Hooks.TablesConfirmed && !Context_.Hooks.TablesConfirmed())
+      return false;
+    const FleetRoute *Newest =
+        Context_.Fleet.tables()->find(Descriptor_.Host, Descriptor_.Target);
+    return Newest == nullptr || mayRepeat(Newest->Kind);
+  }
+
   /// Decides whether to send the request once more, and notes the decision.
   bool mayRetry(const AttemptLog &Log) {
     RetryDecision Retry =
@@ -877,9 +925,10 @@
   std::optional<FleetRoute> ChangedRoute_;
   /// The version of the tables that the homes come from.
   std::uint64_t HomesVersion_ = 0;
-  /// Tables and homes by which another host has forwarded the request.
+  /// The version of the tables by which another host has forwarded the request,
+  /// and that host.
   std::uint64_t SenderTables_ = 0;
-  HomeRegions SenderHomes_;
+  std::string SenderIp_;
   AttemptLog Log_;
   RequestRecord Record_;
   TimePoint TimeoutAt_{};
