--- a/src/fleet/recencycheck.h
+++ b/src/fleet/recencycheck.h
@@ -69,8 +69,8 @@
   /// applied.
   void confirmByRead(TimePoint Begun);
 
-  /// A longer time without a call is a standstill. Updates that come later than
-  /// they do after a lost datagram are delayed by no less.
+  /// A longer time without a call is a standstill. A shorter one delays updates
+  /// no more than a lost datagram does.
   static constexpr Duration MaxGap = std::chrono::seconds(1);
   /// Longest time that requests wait: two round trips to another region, plus a
   /// margin.
