Fetch newer tables one call at a time, and mostly within the region

Cause, by reading: while a version spreads, a host fetched the tables from every host that forwarded a request by them, each time across regions, and again 20 ms later.

Change: one fetch at a time, from a host of the region that will have the tables soon; every fourth asks the sender.

Result: gateway_processes and fleethost pass.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -40,6 +40,9 @@
 /// The store is read once in so many rounds of asking, since each call is paid
 /// for.
 constexpr unsigned RoundsPerStoreRead = 3;
+/// One in so many fetches of newer tables asks the host that has sent a request
+/// by them.
+constexpr unsigned FetchesPerSender = 4;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
@@ -448,25 +451,33 @@
                  {{"change", Message}});
   }
 
-  /// Fetches the operator's tables from a host that acts by newer ones, or from
-  /// another one when that is not known.
-  void fetchTables(const std::string &Ip) {
-    StoreRevision Since = OperatorMirror_.revision();
-    auto Apply = [Weak = weak_from_this()](Result<StoreSnapshot> Got) {
-      auto Self = Weak.lock();
-      if (!Self)
-        return;
-      if (!Got)
-        return Self->Log_.info("Tables of the sender not fetched.",
-                               {{"why", Got.error().Message}});
-      Self->OperatorMirror_.applyFromPeer(*Got);
-    };
+  /// Fetches newer tables, one call at a time: from hosts of this region, which
+  /// receive them soon, and now and then from the host that acts by them, since
+  /// bytes between regions are paid for.
+  void fetchTables(const std::string &Sender) {
+    if (std::exchange(FetchingTables_, true))
+      return;
     // The field of a request could name any address.
-    std::string From = Hosts_.silence(Ip) ? Ip : std::string();
-    if (auto Others = drawConfirmers(); From.empty() && !Others.empty())
-      From = Others.front();
-    if (!From.empty())
-      Snapshots_.fetchOnce(From, MirrorPart::OperatorTables, Since, Apply);
+    bool AsksSender = ++TableFetches_ % FetchesPerSender == 0 &&
+                      Hosts_.silence(Sender).has_value();
+    auto Others = drawConfirmers();
+    if (!AsksSender && Others.empty()) {
+      FetchingTables_ = false;
+      return;
+    }
+    std::string From = AsksSender ? Sender : Others.front();
+    Snapshots_.fetch(
+        From, MirrorPart::OperatorTables, OperatorMirror_.revision(),
+        [Weak = weak_from_this()](Result<StoreSnapshot> Got) {
+          auto Self = Weak.lock();
+          if (!Self)
+            return;
+          Self->FetchingTables_ = false;
+          if (!Got)
+            return Self->Log_.info("Tables of the sender not fetched.",
+                                   {{"why", Got.error().Message}});
+          Self->OperatorMirror_.applyFromPeer(*Got);
+        });
   }
 
   void loadFromPeers() {
@@ -766,6 +777,8 @@
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
   RecencyCheck Recency_{Time_, recencyHooks()};
+  bool FetchingTables_ = false;
+  unsigned TableFetches_ = 0;
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
