--- a/src/dispatch/descriptor.h
+++ b/src/dispatch/descriptor.h
@@ -8,6 +8,7 @@
 
 #include "blackboard/idtypes.h"
 #include "dispatch/crashsuspects.h"
+#include "fleet/customers.h"
 #include "framework/runtime.h"
 
 namespace celerybeam {
@@ -47,6 +48,10 @@
   std::uint64_t Fingerprint = 0;
   /// Empty where crashes are not judged, as at a placer.
   CrashSuspects Suspects;
+  /// Digest of the caller's key; unset without one, or if it cannot be one.
+  std::optional<KeyDigest> Key;
+  /// The customer that holds the key; empty when there is none.
+  CustomerId Customer;
   /// Whether another entry host forwarded it; it is not forwarded again.
   bool Forwarded = false;
   /// Time that it spent at the host that forwarded it.
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "blackboard/idtypes.h"
+#include "fleet/customers.h"
 #include "fleet/homeregions.h"
 #include "framework/runtime.h"
 
@@ -58,6 +59,8 @@
   unsigned MaxEndpoints = 1;
   std::vector<WeightedPool> Pools;
   HomeRegions Homes;
+  /// Whether callers need no key.
+  bool IsPublic = false;
 };
 
 /// The operator's settings for the model engines of a pool.
@@ -102,6 +105,8 @@
   std::vector<FleetRoute> Routes;
   std::map<PoolName, FleetPool> Pools;
   CallerLimits Limits;
+  /// Null when the configuration names no customers; callers need no keys then.
+  CustomerTablePtr Customers;
 
   /// The route of this host with the longest matching path prefix, or null.
   /// \param Path  as the caller sent it, with or without a query.
--- a/src/fleet/homeregions.h
+++ b/src/fleet/homeregions.h
@@ -27,6 +27,8 @@
   bool allows(const RegionId &Region) const {
     return !Restricted_ || Regions_.contains(Region);
   }
+  /// The regions that both allow.
+  HomeRegions both(const HomeRegions &Other) const;
   /// The regions of a restriction; empty when there is none.
   const std::set<RegionId> &regions() const { return Regions_; }
 
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -50,6 +50,7 @@
   Out.set_prompt_tokens(R.PromptTokens);
   Out.set_max_output_tokens(R.MaxOutputTokens);
   Out.set_fingerprint(R.Fingerprint);
+  Out.set_customer(R.Customer.str());
   for (const PrefixLevel &Level : R.Levels) {
     Out.add_level_hashes(Level.Hash);
     Out.add_level_tokens(Level.TokensUpTo);
@@ -84,6 +85,7 @@
   Ask.Request.PromptTokens = In.prompt_tokens();
   Ask.Request.MaxOutputTokens = In.max_output_tokens();
   Ask.Request.Fingerprint = In.fingerprint();
+  Ask.Request.Customer = CustomerId(In.customer());
   int Levels = std::min(In.level_hashes_size(), In.level_tokens_size());
   for (int I = 0; I < Levels; ++I)
     Ask.Request.Levels.push_back({In.level_hashes(I), In.level_tokens(I)});
--- a/src/framework/digest.h
+++ b/src/framework/digest.h
@@ -1,11 +1,16 @@
 #ifndef CELERYBEAM_FRAMEWORK_DIGEST_H
 #define CELERYBEAM_FRAMEWORK_DIGEST_H
 
+#include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace celerybeam {
 
+/// SHA-256 of the data.
+std::array<std::uint8_t, 32> sha256(std::string_view Data);
+
 /// SHA-256 of the data in lower-case hexadecimal, 64 characters.
 std::string sha256Hex(std::string_view Data);
 
--- a/src/framework/internal/digest.cpp
+++ b/src/framework/internal/digest.cpp
@@ -25,12 +25,14 @@
 
 } // namespace
 
-std::string sha256Hex(std::string_view Data) {
-  std::array<unsigned char, Sha256Bytes> Bytes{};
+std::array<std::uint8_t, Sha256Bytes> sha256(std::string_view Data) {
+  std::array<std::uint8_t, Sha256Bytes> Bytes{};
   gnutls_hash_fast(GNUTLS_DIG_SHA256, Data.data(), Data.size(), Bytes.data());
-  return toHex(Bytes);
+  return Bytes;
 }
 
+std::string sha256Hex(std::string_view Data) { return toHex(sha256(Data)); }
+
 std::string hmacSha256Hex(std::string_view Secret, std::string_view Data) {
   std::array<unsigned char, Sha256Bytes> Bytes{};
   gnutls_hmac_fast(GNUTLS_MAC_SHA256, Secret.data(), Secret.size(), Data.data(),
--- a/src/relay/internal/responsehead.cpp
+++ b/src/relay/internal/responsehead.cpp
@@ -57,7 +57,8 @@
 
 void removeHostFields(HttpFields &Fields) {
   for (const char *Name : {NotRunField, ArrivedField, RunsField, WaitedField,
-                           TablesField, HomesField, HostField})
+                           TablesField, HomesField, HostField,
+                           CustomerField, KeyField})
     removeField(Fields, Name);
 }
 
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -37,6 +37,10 @@
   std::string EndpointId;
   /// Address of another engine from which to copy the cached prompt prefix.
   std::string CopyFrom;
+  /// The caller's key and the name of its customer. Both are removed from
+  /// callers' requests where the tables name customers.
+  std::string Key;
+  std::string Customer;
   /// Fields that only this system may set. They are removed from callers'
   /// requests.
   std::vector<std::string> Reserved;
@@ -72,6 +76,7 @@
   /// The version by which another host forwarded the request; 0 when none did.
   std::uint64_t SenderTables = 0;
   HomeRegions Homes;
+  CustomerId Customer;
   /// The final status; 0 when the caller left or the response was interrupted.
   unsigned Status = 0;
   /// Short code of the outcome.
@@ -156,6 +161,9 @@
 inline constexpr const char *TablesField = "Celerybeam-Tables";
 /// In a request: the IP address of the host that forwards it.
 inline constexpr const char *HostField = "Celerybeam-Host";
+/// In a request: the name of its customer and the digest of its key.
+inline constexpr const char *CustomerField = "Celerybeam-Customer";
+inline constexpr const char *KeyField = "Celerybeam-Key";
 /// In a request: its home regions, separated by blanks; missing when all
 /// regions may handle it.
 inline constexpr const char *HomesField = "Celerybeam-Homes";
