Resolve callers' keys to customers on the platform's path

Change: where the configuration names customers, a key on a route that is not public decides the customer. The endpoint gets its name and never the key; an unknown key is answered 401 by current tables and 503 otherwise. Rank and home regions of customer and route both count. A host that forwards a request sends the digest of the key, and the receiver resolves it again by tables that are no older.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -37,6 +37,8 @@
     /// Called when an endpoint may have become cold; its health must be checked
     /// before it gets requests.
     std::function<void(const EndpointKey &)> MayBeCold;
+    /// Called when other tables are in force; may be empty.
+    std::function<void(const FleetTables &)> TablesAdopted = {};
   };
 
   FleetView(Runtime R, Hooks H);
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -111,9 +111,14 @@
 bool FleetView::adoptTables(FleetTables Tables) {
   if (Impl_->Tables_ && Tables.Version <= Impl_->Tables_->Version)
     return false;
-  Impl_->changed("tables", std::to_string(Tables.Version),
-                 "routes=" + std::to_string(Tables.Routes.size()));
   Impl_->Tables_ = std::make_shared<const FleetTables>(std::move(Tables));
+  const FleetTables &Adopted = *Impl_->Tables_;
+  std::string Detail = "routes=" + std::to_string(Adopted.Routes.size());
+  if (Adopted.Customers)
+    Detail += " customers=" + std::to_string(Adopted.Customers->size());
+  Impl_->changed("tables", std::to_string(Adopted.Version), Detail);
+  if (Impl_->Hooks_.TablesAdopted)
+    Impl_->Hooks_.TablesAdopted(Adopted);
   return true;
 }
 
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -43,6 +43,8 @@
 /// One in so many fetches of newer tables asks the host that has sent a request
 /// by them.
 constexpr unsigned FetchesPerSender = 4;
+/// Problems of customers' entries that are logged for one version.
+constexpr std::size_t MaxLoggedProblems = 20;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
@@ -230,7 +232,25 @@
             [this](const EndpointKey &Key) { Decisions_.forget(Key); },
             [this](const EndpointKey &Key) {
               Decisions_.health().markSuspect(Key);
-            }};
+            },
+            [this](const FleetTables &Tables) { logCustomerProblems(Tables); }};
+  }
+
+  void logCustomerProblems(const FleetTables &Tables) const {
+    if (!Tables.Customers)
+      return;
+    std::size_t Logged = 0;
+    for (const CustomerProblem &P : Tables.Customers->problems()) {
+      Metrics_.add("customer_entry_errors_total",
+                   "Unreadable fields of customers in the configuration.",
+                   {{"field", P.Field}});
+      if (++Logged <= MaxLoggedProblems)
+        Log_.warning("Customer entry has a problem.",
+                     {{"tables", Tables.Version},
+                      {"customer", P.Name},
+                      {"field", P.Field},
+                      {"what", P.Text}});
+    }
   }
 
   /// The ready hosts that this host knows, by region, itself included.
@@ -761,7 +781,7 @@
   FleetHostSettings Settings_;
   FleetHostHooks Hooks_;
   Logger Log_{"fleet"};
-  MetricsRegistry Metrics_;
+  mutable MetricsRegistry Metrics_;
   HostRegistry Hosts_;
   FleetView Fleet_;
   EntryDirectory Directory_;
--- a/src/fleethost/internal/requestlog.cpp
+++ b/src/fleethost/internal/requestlog.cpp
@@ -50,6 +50,8 @@
     Fields.push_back({"left_while", R.LeftWhile});
   if (R.Homes.isRestricted())
     Fields.push_back({"homes", R.Homes.text()});
+  if (!R.Customer.empty())
+    Fields.push_back({"customer", R.Customer});
   add(Fields, "prompt_tokens", R.PromptTokens);
   if (!R.Parts.empty())
     Fields.push_back({"parts", R.Parts});
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -19,6 +19,7 @@
 using detail::AttemptEnd;
 
 constexpr unsigned BadRequest = 400;
+constexpr unsigned Unauthorized = 401;
 constexpr unsigned NotFound = 404;
 constexpr unsigned Misdirected = 421;
 constexpr unsigned ServerFailure = 500;
@@ -50,6 +51,9 @@
 /// stalled; a merely busy loop is less late.
 constexpr Duration LocalStallMargin = std::chrono::milliseconds(200);
 constexpr unsigned LowestPriority = 9;
+/// Engines' priorities between customers of neighbouring ranks: one for each
+/// rank of a route, of which all from the last on share one.
+constexpr unsigned PrioritiesPerCustomerRank = 3;
 
 long millisOf(Duration D) {
   return static_cast<long>(
@@ -82,7 +86,7 @@
   void start() {
     auto Decoded = Context_.Hooks.Decode(Request_);
     if (!Decoded)
-      return refuseCaller(BadRequest, Decoded.error().Message);
+      return refuseCaller(BadRequest, Decoded.error().Message, "bad_request");
     Descriptor_ = std::move(*Decoded);
     Descriptor_.Forwarded = FromHost_;
     if (FromHost_)
@@ -122,8 +126,11 @@
     Route_ = Tables_->find(Descriptor_.Host, Descriptor_.Target);
     if (Route_ == nullptr)
       return noRoute();
+    BaseRoute_ = Route_;
     Record_.Route = Route_->Name;
-    useHomes(Tables_->Version, Route_->Homes);
+    if (!resolveCustomer())
+      return;
+    useRouteOf(*Tables_, *Route_);
     if (Context_.RefusesFrom && Context_.Time.Now() >= *Context_.RefusesFrom)
       return refuse({Duration::zero(), "leaving"});
     TimeoutAt_ =
@@ -132,13 +139,50 @@
     attempt();
   }
 
-  void useHomes(std::uint64_t TablesVersion, const HomeRegions &Homes) {
-    HomesVersion_ = TablesVersion;
+  /// Finds the customer of the request where one is needed. \return false when
+  /// the request has been refused instead.
+  bool resolveCustomer() {
+    if (!Tables_->Customers || Route_->IsPublic)
+      return true;
+    const Customer *Found =
+        Descriptor_.Key ? Tables_->Customers->findByKey(*Descriptor_.Key)
+                        : nullptr;
+    if (FromHost_ && (Found == nullptr || Found->Name != SenderCustomer_)) {
+      // The sender resolved the key by other tables, so it may not be allowed.
+      refuse({TablesRetryAfter, "customer_changed"});
+      return false;
+    }
+    if (Found != nullptr) {
+      Descriptor_.Customer = Record_.Customer = Found->Name;
+      return true;
+    }
+    // The key may be new.
+    if (Descriptor_.Key && !Context_.Hooks.TablesCurrent())
+      refuse({NewRouteRetryAfter, "tables_may_be_old"});
+    else
+      refuseCaller(Unauthorized, "no customer holds the key", "unknown_key");
+    return false;
+  }
+
+  /// Takes rank and homes for the request from a route and its customer. A
+  /// customer that was removed meanwhile keeps what it had.
+  void useRouteOf(const FleetTables &Tables, const FleetRoute &Route) {
+    HomesVersion_ = Tables.Version;
+    const Customer *Of = Tables.Customers && !Descriptor_.Customer.empty()
+                             ? Tables.Customers->find(Descriptor_.Customer)
+                             : nullptr;
+    if (Of != nullptr) {
+      CustomerHomes_ = Of->Homes;
+      Rank_ = Tables.Customers->combinedRank(*Of, Route.Rank);
+    }
+    HomeRegions Homes = Route.Homes.both(CustomerHomes_);
+    unsigned Rank = Rank_.value_or(BaseRoute_->Rank);
     Record_.Homes = Homes;
-    if (Homes == Route_->Homes)
+    if (Homes == Route_->Homes && Rank == Route_->Rank)
       return;
-    FleetRoute Changed = *Route_;
-    Changed.Homes = Homes;
+    FleetRoute Changed = *BaseRoute_;
+    Changed.Homes = std::move(Homes);
+    Changed.Rank = Rank;
     ChangedRoute_ = std::move(Changed);
     Route_ = &*ChangedRoute_;
   }
@@ -150,7 +194,29 @@
     if (Newest.Version <= HomesVersion_)
       return;
     const FleetRoute *Found = Newest.route(Route_->Name);
-    useHomes(Newest.Version, Found != nullptr ? Found->Homes : Route_->Homes);
+    useRouteOf(Newest, Found != nullptr ? *Found : *BaseRoute_);
+  }
+
+  /// The request's priority at engines.
+  unsigned enginePriority() const {
+    unsigned OfRoute = Route_->Rank % (MaxPartialRank + 1);
+    unsigned OfCustomer = customerRankOf(Route_->Rank);
+    unsigned Priority = Route_->Rank;
+    if (Rank_ && OfCustomer > 0)
+      Priority = OfCustomer * PrioritiesPerCustomerRank +
+                 std::min(OfRoute, PrioritiesPerCustomerRank - 1);
+    return std::min(Priority, LowestPriority);
+  }
+
+  /// Replaces the caller's key by the customer's name, where the tables name
+  /// customers.
+  void setCustomerFields(HttpFields &Fields) const {
+    if (!Tables_->Customers)
+      return;
+    removeField(Fields, Context_.Names.Key);
+    removeField(Fields, Context_.Names.Customer);
+    if (Target_ && !Descriptor_.Customer.empty())
+      setField(Fields, Context_.Names.Customer, Descriptor_.Customer.str());
   }
 
   void waitForTables() {
@@ -205,6 +271,10 @@
       SenderTables_ = numberIn<std::uint64_t>(*Version);
     if (auto Ip = findField(Fields, HostField))
       SenderIp_ = *Ip;
+    if (auto Name = findField(Fields, CustomerField))
+      SenderCustomer_ = CustomerId(std::string(*Name));
+    if (auto Digest = findField(Fields, KeyField))
+      Descriptor_.Key = KeyDigest::fromHex(*Digest);
     Record_.SenderTables = SenderTables_;
     detail::removeHostFields(Fields);
   }
@@ -212,14 +282,14 @@
   void noRoute() {
     if (!Context_.Hooks.TablesCurrent())
       return refuse({NewRouteRetryAfter, "tables_may_be_old"});
-    refuseCaller(NotFound, "no route of this host begins the path");
+    refuseCaller(NotFound, "no route of this host begins the path", "no_route");
   }
 
-  void refuseCaller(unsigned Status, const std::string &Why) {
+  void refuseCaller(unsigned Status, const std::string &Why,
+                    const std::string &Outcome) {
     HttpResponseHead Head{Status, {{"Content-Type", "text/plain"}}};
     markNotRun(Head);
-    finishWith(std::move(Head), Why + "\n",
-               Status == NotFound ? "no_route" : "bad_request");
+    finishWith(std::move(Head), Why + "\n", Outcome);
   }
 
   /// Adds the field by which entry hosts tell each other that a request has not
@@ -343,6 +413,7 @@
     bool SentBefore = !SentTo_.insert(To).second;
     Call.ReuseIdleAtMost = SentBefore ? Duration::zero() : ReuseIdleAtMost;
     Call.Head = detail::outgoingHead(Request_.Head, Context_.Names);
+    setCustomerFields(Call.Head.Fields);
     Call.Body = Request_.Body;
     return Call;
   }
@@ -360,7 +431,7 @@
              Target_->Endpoint.Id.str());
     if (Descriptor_.PromptTokens > 0)
       setField(Call.Head.Fields, Names.Priority,
-               std::to_string(std::min(Route_->Rank, LowestPriority)));
+               std::to_string(enginePriority()));
     if (!Target_->CopyFrom.empty())
       setField(Call.Head.Fields, Names.CopyFrom, Target_->CopyFrom.str());
     if (!Splitter_.lastId().empty())
@@ -514,6 +585,10 @@
     setField(Head.Fields, HostField, Context_.Hosts.self().Ip);
     if (Route_->Homes.isRestricted())
       setField(Head.Fields, HomesField, Route_->Homes.text());
+    if (Descriptor_.Customer.empty() || !Descriptor_.Key)
+      return;
+    setField(Head.Fields, CustomerField, Descriptor_.Customer.str());
+    setField(Head.Fields, KeyField, Descriptor_.Key->hex());
   }
 
   void reportAvailability(const ReportedAvailability &Availability) {
@@ -921,14 +996,22 @@
   RequestDescriptor Descriptor_;
   FleetTablesPtr Tables_;
   const FleetRoute *Route_ = nullptr;
-  /// The route with homes of other tables than Tables_, if these differ.
+  /// The route in Tables_.
+  const FleetRoute *BaseRoute_ = nullptr;
+  /// The route with the homes and rank of the request, if these differ from its
+  /// own in Tables_.
   std::optional<FleetRoute> ChangedRoute_;
+  /// The rank by customer and route; unset without a customer.
+  std::optional<unsigned> Rank_;
+  HomeRegions CustomerHomes_;
   /// The version of the tables that the homes come from.
   std::uint64_t HomesVersion_ = 0;
   /// The version of the tables by which another host has forwarded the request,
   /// and that host.
   std::uint64_t SenderTables_ = 0;
   std::string SenderIp_;
+  /// The customer that this host has found.
+  CustomerId SenderCustomer_;
   AttemptLog Log_;
   RequestRecord Record_;
   TimePoint TimeoutAt_{};
--- a/src/relay/internal/responsehead.cpp
+++ b/src/relay/internal/responsehead.cpp
@@ -56,9 +56,9 @@
 }
 
 void removeHostFields(HttpFields &Fields) {
-  for (const char *Name : {NotRunField, ArrivedField, RunsField, WaitedField,
-                           TablesField, HomesField, HostField,
-                           CustomerField, KeyField})
+  for (const char *Name :
+       {NotRunField, ArrivedField, RunsField, WaitedField, TablesField,
+        HomesField, HostField, CustomerField, KeyField})
     removeField(Fields, Name);
 }
 
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -107,6 +107,8 @@
   Names.Priority = "Priority";
   Names.LastEventId = "Last-Event-Id";
   Names.Load = "Load";
+  Names.Key = "Key";
+  Names.Customer = "Customer";
   Names.Reserved = {"Priority", "Reserve"};
   RelayHooks Hooks;
   Hooks.Decode = [this](const HttpServerRequest &R) {
@@ -116,6 +118,8 @@
     D.Host = std::string(findField(R.Head.Fields, "Host").value_or(""));
     D.Target = R.Head.Target;
     D.Fingerprint = stableHash(D.Id.str());
+    if (auto Key = findField(R.Head.Fields, "Key"))
+      D.Key = digestOfKey(*Key);
     D.Parts = partsOf(findField(R.Head.Fields, "Parts").value_or(""));
     D.Levels = prefixLevelsOf(D.Model, D.Parts);
     D.Deadline = Time.Now() + std::chrono::seconds(10);
