End the right to resolve keys on hosts without confirmed tables

What callers of removed keys saw: hosts that are cut off from the store, or stood still, go on serving a key for as long as they miss the version without it (CONFIG with strictRevoke).

Change: ConfirmationTracker knows the time up to which the operator's tables are certainly complete: the start of the latest consistent read, or what another host's confirmation says of it in terms of a time stamp of this host. A request that arrives revokeMs after it or later waits 500 ms at most for a confirmation and is then refused as not run. Without strictRevoke nothing changes.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -47,6 +47,10 @@
   /// Puts the tables in force if their version is higher than the current one.
   /// \return whether they are now in force.
   bool adoptTables(FleetTables Tables);
+  /// Records whether the newest version of the tables could be read. The tables
+  /// in force stay so otherwise.
+  void noteReadableTables(bool Readable);
+  bool areTablesReadable() const;
   /// The tables in force; null before any are known.
   const FleetTablesPtr &tables() const;
 
--- a/src/fleet/hoststate.h
+++ b/src/fleet/hoststate.h
@@ -25,6 +25,9 @@
   StoreRevision EndpointRevision;
   /// Whether it watches the store itself and got a response recently.
   bool Watches = false;
+  /// Whether its right to resolve customers' keys ends soon unless its tables
+  /// are confirmed.
+  bool TablesStale = false;
   /// Processor capacity in thousandths of a core. Work is divided in proportion
   /// to it.
   std::uint32_t MilliCores = 1000;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -96,6 +96,7 @@
   Runtime Runtime_;
   Hooks Hooks_;
   FleetTablesPtr Tables_;
+  bool TablesReadable_ = true;
   std::set<ZoneId> Evacuated_;
   std::map<EndpointId, ListedEndpoint> Endpoints_;
   std::unordered_map<EndpointKey, ReportedState> Reports_;
@@ -122,6 +123,12 @@
   return true;
 }
 
+void FleetView::noteReadableTables(bool Readable) {
+  Impl_->TablesReadable_ = Readable;
+}
+
+bool FleetView::areTablesReadable() const { return Impl_->TablesReadable_; }
+
 const FleetTablesPtr &FleetView::tables() const { return Impl_->Tables_; }
 
 void FleetView::setEvacuated(const ZoneId &Zone, bool Evacuated) {
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -29,7 +29,7 @@
 bool differForOthers(const HostState &A, const HostState &B) {
   return A.StartedAt != B.StartedAt || A.Ready != B.Ready ||
          A.Leaving != B.Leaving || A.MilliCores != B.MilliCores ||
-         A.Zone != B.Zone;
+         A.Zone != B.Zone || A.TablesStale != B.TablesStale;
 }
 
 } // namespace
@@ -374,6 +374,10 @@
   });
   if (Self.Region == Region && Impl::isServing(Self))
     Found.insert(Found.begin(), Self);
+  // Hosts that will soon refuse keys are named only if all would.
+  auto IsStale = [](const HostState &Host) { return Host.TablesStale; };
+  if (!std::all_of(Found.begin(), Found.end(), IsStale))
+    std::erase_if(Found, IsStale);
   Impl_->sampleBySize(Found);
   std::vector<std::string> Ips;
   for (const HostState &Host : Found)
--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -61,7 +61,7 @@
       Idle_ = true;
       return;
     }
-    Hooks_.Watch(AsOf_, WatchWait,
+    Hooks_.Watch(AsOf_, watchWait(),
                  guarded([this, After = AsOf_,
                           Begun = Runtime_.Now()](Result<StoreSnapshot> Got) {
                    if (!Got && Got.error().Kind == ErrorKind::StoreConflict) {
@@ -182,7 +182,7 @@
     if (Following_)
       return Runtime_.Now() - LastWatcherReport_ <= MaxWatcherSilence;
     return Reachable_ && Confirmed_ &&
-           Runtime_.Now() - LastResponse_ <= WatchWait + ResponseSlack;
+           Runtime_.Now() - LastResponse_ <= watchWait() + ResponseSlack;
   }
 
   /// Whether something came recently from the store or, while following, from
@@ -197,6 +197,8 @@
   bool Following_ = false;
 
 private:
+  Duration watchWait() const { return Hooks_.LongestWatch.value_or(WatchWait); }
+
   /// Wraps a callback so that it is ignored after the mirror's destruction.
   StoreMirrorHooks::Answer guarded(const StoreMirrorHooks::Answer &Then) {
     return [Weak = weak_from_this(), Then](Result<StoreSnapshot> Got) {
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -76,6 +76,8 @@
   /// from a later era than that revision. Errors: StoreConflict when the store
   /// no longer has that history, StoreUnreachable.
   std::function<void(StoreRevision After, Duration Wait, Answer)> Watch;
+  /// Longest wait of one watch call; unset for StoreMirror::WatchWait.
+  std::optional<Duration> LongestWatch = {};
   /// Fetches the changes after a revision from another entry host that has
   /// applied more; that host may return all keys instead. Errors: any.
   std::function<void(StoreRevision Since, Answer)> FetchFromPeer;
--- a/src/fleethost/fleethost.h
+++ b/src/fleethost/fleethost.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -30,6 +31,10 @@
   /// All regions that may have hosts.
   std::set<RegionId> Regions;
   RetryBudgetBounds RetryBounds;
+  /// A request that arrives later than this after the tables were last
+  /// confirmed is not handled by a customer's key, which may have been removed.
+  /// Unset where only hosts in touch with the store have to follow.
+  std::optional<Duration> KeyLifetime;
   /// Time from the request to stop until the process is killed.
   Duration Grace = std::chrono::seconds(8);
   /// Limit on the bytes of incomplete responses in memory.
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "fleet/confirmationtracker.h"
 #include "fleet/entrydirectory.h"
 #include "fleet/recencycheck.h"
 #include "fleethost/internal/hostannouncer.h"
@@ -45,6 +46,17 @@
 constexpr unsigned FetchesPerSender = 4;
 /// Problems of customers' entries that are logged for one version.
 constexpr std::size_t MaxLoggedProblems = 20;
+/// Longest wait of a watch of the tables where removed keys have to end on
+/// hosts that are out of touch. A confirmation is up to twice as old when the
+/// next one comes, and all hosts have it within half a second, well before the
+/// share of the keys' lifetime after which hosts count as out of touch.
+constexpr Duration ConfirmingWatch = std::chrono::seconds(1);
+/// Share of the keys' lifetime from which a host asks not to be named to
+/// callers.
+constexpr double StaleShare = 0.6;
+/// A host that has just started waits so long for a first confirmation until it
+/// names itself ready.
+constexpr Duration FirstConfirmationWait = std::chrono::seconds(2);
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
@@ -88,7 +100,10 @@
                    }),
         DatagramLink_(
             Loop, [this](std::string_view Bytes) { Exchange_.receive(Bytes); }),
-        Exchange_(Time_, {Fleet_, Hosts_, Decisions_, LocalPlacer_, Placement_},
+        Confirmations_(Time_, [this] { return OperatorMirror_.revision(); }),
+        Exchange_(Time_,
+                  {Fleet_, Hosts_, Decisions_, LocalPlacer_, Placement_,
+                   Settings_.KeyLifetime ? &Confirmations_ : nullptr},
                   exchangeHooks()),
         OperatorMirror_(Time_, mirrorHooks(MirrorPart::OperatorTables)),
         EndpointMirror_(Time_, mirrorHooks(MirrorPart::Endpoints)) {
@@ -102,6 +117,10 @@
     };
     Context_.Hooks.MayAct = [this] { return Recency_.mayAct(); };
     Context_.Hooks.TablesConfirmed = [this] { return Recency_.isConfirmed(); };
+    Context_.Hooks.MayResolveKey = [this](TimePoint Arrived) {
+      return !Settings_.KeyLifetime ||
+             Confirmations_.covers(Arrived, *Settings_.KeyLifetime);
+    };
     Context_.Hooks.FetchTables = [this](const std::string &Ip) {
       fetchTables(Ip);
     };
@@ -182,7 +201,26 @@
     return {};
   }
 
-  bool isReady() const { return !Draining_ && isInformed(); }
+  bool isReady() const {
+    return !Draining_ && isInformed() && !awaitsFirstConfirmation();
+  }
+
+  /// Whether keyed requests would still be refused right after the start.
+  bool awaitsFirstConfirmation() const {
+    return Settings_.KeyLifetime && Fleet_.tables()->Customers &&
+           !Confirmations_.confirmedAt() &&
+           Time_.Now() - StartedAt_ < FirstConfirmationWait;
+  }
+
+  /// Whether the right to resolve keys ends soon.
+  bool areTablesStale() const {
+    if (!Settings_.KeyLifetime)
+      return false;
+    auto At = Confirmations_.confirmedAt();
+    Duration Most(static_cast<Duration::rep>(
+        static_cast<double>(Settings_.KeyLifetime->count()) * StaleShare));
+    return !At || Time_.Now() - *At > Most;
+  }
 
   bool isInformed() const {
     return Fleet_.tables() != nullptr && EndpointMirror_.isLoaded();
@@ -328,10 +366,16 @@
       Hooks_.Apply(Part, Change,
                    AfterOutage ? StoreMirror::OutageGrace : Duration::zero(),
                    Fleet_);
+      Confirmations_.setReadable(Fleet_.areTablesReadable());
     };
     H.VersionOf = Hooks_.VersionOf;
     if (Part == MirrorPart::OperatorTables)
-      H.Read = [this](TimePoint Begun) { Recency_.confirmByRead(Begun); };
+      H.Read = [this](TimePoint Begun) {
+        Recency_.confirmByRead(Begun);
+        Confirmations_.confirmByRead(Begun);
+      };
+    if (Part == MirrorPart::OperatorTables && Settings_.KeyLifetime)
+      H.LongestWatch = ConfirmingWatch;
     H.RolledBack = [this, Part](const StoreRollback &Return) {
       storeRolledBack(Part, Return);
     };
@@ -549,6 +593,10 @@
       Log_.info("Host readiness changed.", {{"ready", Ready}});
     Self.Ready = Ready;
     Self.Leaving = Draining_;
+    bool Stale = areTablesStale();
+    if (Stale != Self.TablesStale)
+      logStale(Stale);
+    Self.TablesStale = Stale;
     Self.OperatorRevision = OperatorMirror_.lastChange();
     Self.EndpointRevision = EndpointMirror_.lastChange();
     Self.Watches = !OperatorMirror_.isFollowing() &&
@@ -558,6 +606,17 @@
       logFleetSize();
   }
 
+  void logStale(bool Stale) {
+    auto At = Confirmations_.confirmedAt();
+    Log_.info(Stale ? "Right to resolve keys ends soon."
+                    : "Tables confirmed again.",
+              {{"age_ms",
+                At ? (Time_.Now() - *At) / std::chrono::milliseconds(1) : -1}});
+    Metrics_.set("tables_stale",
+                 "Whether the right to resolve customers' keys ends soon.", {},
+                 Stale ? 1 : 0);
+  }
+
   void logFleetSize() const {
     const HostState &Self = Hosts_.self();
     Log_.info("Fleet size changed.",
@@ -792,6 +851,7 @@
   HttpServer Callers_;
   HttpServer FromHosts_;
   DatagramLink DatagramLink_;
+  mutable ConfirmationTracker Confirmations_;
   detail::UpdateExchange Exchange_;
   detail::PeerSnapshots Snapshots_{Caller_, Settings_.HostPort};
   StoreMirror OperatorMirror_;
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -241,6 +241,35 @@
   return News;
 }
 
+// Each duration is rounded so that the confirmation seems older than it is.
+void writeConfirmation(const TablesConfirmation &Confirmation,
+                       messages::TablesConfirmation &Out) {
+  Out.set_stamp_ms(stampMillis(Confirmation.Stamp));
+  Out.set_held_ms(static_cast<std::uint32_t>(
+      std::chrono::floor<std::chrono::milliseconds>(Confirmation.Held)
+          .count()));
+  Out.set_age_ms(millis(Confirmation.Age));
+  Out.set_era(Confirmation.Of.Era);
+  Out.set_revision(Confirmation.Of.Number);
+}
+
+TablesConfirmation readConfirmation(const messages::TablesConfirmation &In) {
+  TablesConfirmation Confirmation;
+  Confirmation.Stamp = stampOf(In.stamp_ms());
+  Confirmation.Held = span(In.held_ms());
+  Confirmation.Age = span(In.age_ms());
+  Confirmation.Of = {In.era(), In.revision()};
+  return Confirmation;
+}
+
+std::uint64_t stampMillis(TimePoint At) {
+  return static_cast<std::uint64_t>(
+      std::chrono::floor<std::chrono::milliseconds>(At.time_since_epoch())
+          .count());
+}
+
+TimePoint stampOf(std::uint64_t Millis) { return TimePoint(longSpan(Millis)); }
+
 void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out) {
   Out.set_id(Host.Id.str());
   Out.set_ip(Host.Ip);
@@ -255,6 +284,7 @@
   Out.set_endpoint_era(Host.EndpointRevision.Era);
   Out.set_milli_cores(Host.MilliCores);
   Out.set_watches(Host.Watches);
+  Out.set_tables_stale(Host.TablesStale);
   Out.set_age_ms(millis(Age));
 }
 
@@ -279,6 +309,7 @@
   Host.EndpointRevision = {In.endpoint_era(), In.endpoint_revision()};
   Host.MilliCores = In.milli_cores();
   Host.Watches = In.watches();
+  Host.TablesStale = In.tables_stale();
   Host.FleetHosts = In.fleet_hosts();
   Host.FleetHostsAge = std::chrono::seconds(In.fleet_hosts_age_s());
   return Host;
--- a/src/fleethost/internal/updatecodec.h
+++ b/src/fleethost/internal/updatecodec.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "dispatch/placementtypes.h"
+#include "fleet/confirmationtracker.h"
 #include "fleet/fleetview.h"
 #include "fleet/hoststate.h"
 #include "messages/fleetnews.pb.h"
@@ -20,6 +21,13 @@
 /// Reads what an update says of crashes.
 CrashNews readCrashNews(const messages::FleetNews &In);
 
+void writeConfirmation(const TablesConfirmation &Confirmation,
+                       messages::TablesConfirmation &Out);
+TablesConfirmation readConfirmation(const messages::TablesConfirmation &In);
+/// A time stamp of this host's clock, which other hosts only return.
+std::uint64_t stampMillis(TimePoint At);
+TimePoint stampOf(std::uint64_t Millis);
+
 void writeHost(const HostState &Host, Duration Age, messages::HostNews &Out);
 /// Writes the state of the sending host, with the fleet's size.
 void writeSelf(const HostState &Self, messages::HostNews &Out);
--- a/src/fleethost/internal/updateexchange.cpp
+++ b/src/fleethost/internal/updateexchange.cpp
@@ -35,7 +35,17 @@
   return Message;
 }
 
-void UpdateExchange::send(const std::string &Ip, const Update &Message) {
+void UpdateExchange::addConfirmation(const std::string &Ip,
+                                     Update &Message) const {
+  if (Components_.Confirmations == nullptr)
+    return;
+  Message.set_stamp_ms(stampMillis(Runtime_.Now()));
+  if (auto Confirmation = Components_.Confirmations->confirmationFor(Ip))
+    writeConfirmation(*Confirmation, *Message.mutable_confirmation());
+}
+
+void UpdateExchange::send(const std::string &Ip, Update Message) {
+  addConfirmation(Ip, Message);
   Hooks_.Send(Ip, Message.SerializeAsString());
 }
 
@@ -342,6 +352,14 @@
 }
 
 void UpdateExchange::applyUpdate(const HostState &From, const Update &Message) {
+  if (Components_.Confirmations != nullptr) {
+    if (Message.stamp_ms() > 0)
+      Components_.Confirmations->recordStamp(From.Ip,
+                                             stampOf(Message.stamp_ms()));
+    if (Message.has_confirmation())
+      Components_.Confirmations->received(
+          readConfirmation(Message.confirmation()));
+  }
   for (const auto &Item : Message.others()) {
     HostState Other = readHost(Item);
     // Whether the host watches the store may be out of date by now.
--- a/src/fleethost/internal/updateexchange.h
+++ b/src/fleethost/internal/updateexchange.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "dispatch/placementclient.h"
+#include "fleet/confirmationtracker.h"
 #include "fleet/hostregistry.h"
 #include "framework/runtime.h"
 #include "messages/fleetnews.pb.h"
@@ -24,6 +25,8 @@
   Dispatcher &Decisions;
   PlacementServer &LocalPlacer;
   PlacementClient &Placement;
+  /// Null where removed keys need not end on hosts that are out of touch.
+  ConfirmationTracker *Confirmations = nullptr;
 };
 
 /// Sends updates on this host's state to the other hosts and applies the
@@ -105,7 +108,10 @@
   using Update = messages::FleetNews;
 
   Update updateOfSelf() const;
-  void send(const std::string &Ip, const Update &Message);
+  void send(const std::string &Ip, Update Message);
+  /// Adds this host's time stamp and the confirmation of the tables for the
+  /// receiver.
+  void addConfirmation(const std::string &Ip, Update &Message) const;
   void flushNotes();
   void sendNotes(const std::string &Ip, Update &Message);
   void sendToRegion();
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -25,6 +25,8 @@
   Dispatcher Decisions;
   PlacementServer LocalPlacer;
   PlacementClient Placement;
+  StoreRevision Applied{1, 1};
+  ConfirmationTracker Confirmations;
   UpdateExchange Exchange;
 };
 
@@ -116,8 +118,9 @@
                        const PlacementNote &Note) {
                   Exchange.sendNote(Ip, Id, Note);
                 }),
+      Confirmations(Whole.Time.runtime(), [this] { return Applied; }),
       Exchange(Whole.Time.runtime(),
-               {View, Hosts, Decisions, LocalPlacer, Placement},
+               {View, Hosts, Decisions, LocalPlacer, Placement, &Confirmations},
                {[&Whole](const std::string &Ip, const std::string &Bytes) {
                   Whole.deliver(Ip, Bytes);
                 },
@@ -242,4 +245,38 @@
       R.placer(Key).View.usable(PoolName("plain"), RegionId("kigali")).empty());
 }
 
+// Hosts that do not read the store would refuse all keys after some seconds.
+BOOST_AUTO_TEST_CASE(allHostsGetTheConfirmationOfOneWatcher) {
+  Region R(30);
+  Host *Watcher = nullptr;
+  for (const auto &[Ip, H] : R.All)
+    if (H->Exchange.isWatcher())
+      Watcher = H.get();
+  BOOST_REQUIRE(Watcher != nullptr);
+  for (int Second = 0; Second < 3; ++Second) {
+    Watcher->Confirmations.confirmByRead(R.Time.runtime().Now());
+    R.run(1s);
+  }
+  // One interval each to an aggregator and from it, and one datagram.
+  constexpr Duration Way = 2 * UpdateExchange::RegionInterval + 100ms;
+  for (const auto &[Ip, H] : R.All) {
+    auto At = H->Confirmations.confirmedAt();
+    BOOST_REQUIRE(At);
+    BOOST_TEST((R.Time.runtime().Now() - *At <= 1s + Way), Ip);
+  }
+}
+
+// A host without any contact must not be kept alive by old confirmations.
+BOOST_AUTO_TEST_CASE(confirmationsEndWhenNoHostReadsTheStore) {
+  Region R(10);
+  for (const auto &[Ip, H] : R.All)
+    H->Confirmations.confirmByRead(R.Time.runtime().Now());
+  TimePoint Read = R.Time.runtime().Now();
+  R.run(6s);
+  for (const auto &[Ip, H] : R.All) {
+    BOOST_REQUIRE(H->Confirmations.confirmedAt());
+    BOOST_TEST((*H->Confirmations.confirmedAt() <= Read));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -37,6 +37,9 @@
 /// Retry-After for an unknown route while the tables may be outdated: the route
 /// may be new.
 constexpr Duration NewRouteRetryAfter = std::chrono::milliseconds(500);
+/// Retry-After while customers' keys cannot be resolved, since the store has
+/// been away for some seconds.
+constexpr Duration ConfirmationRetryAfter = std::chrono::seconds(1);
 /// A repeatable request is tried at another endpoint when its first output is
 /// later than this multiple of the prediction plus a margin.
 constexpr int StallFactor = 3;
@@ -152,6 +155,11 @@
       refuse({TablesRetryAfter, "customer_changed"});
       return false;
     }
+    if (!FromHost_ && Found != nullptr && Context_.Hooks.MayResolveKey &&
+        !Context_.Hooks.MayResolveKey(Request_.Arrived)) {
+      waitForConfirmation();
+      return false;
+    }
     if (Found != nullptr) {
       Descriptor_.Customer = Record_.Customer = Found->Name;
       return true;
@@ -164,6 +172,14 @@
     return false;
   }
 
+  /// The tables may be confirmed within moments; if the store is away, the key
+  /// may have been removed meanwhile.
+  void waitForConfirmation() {
+    if (Context_.Time.Now() - Request_.Arrived >= MaxTablesWait)
+      return refuse({ConfirmationRetryAfter, "tables_unconfirmed"});
+    later(&Relay::routeRequest);
+  }
+
   /// Takes rank and homes for the request from a route and its customer. A
   /// customer that was removed meanwhile keeps what it had.
   void useRouteOf(const FleetTables &Tables, const FleetRoute &Route) {
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -114,6 +114,10 @@
   /// are confirmed to be recent; see RecencyCheck. When empty, both hold.
   std::function<bool()> MayAct;
   std::function<bool()> TablesConfirmed;
+  /// Whether a request that arrived at this time may be handled by the customer
+  /// of its key, which may have been removed since the tables were confirmed.
+  /// May be empty.
+  std::function<bool(TimePoint Arrived)> MayResolveKey;
   /// Requests the newest tables from another entry host, which forwarded a
   /// request by them. May be empty.
   std::function<void(const std::string &Ip)> FetchTables;
--- a/src/relay/tests/customerkeystest.cpp
+++ b/src/relay/tests/customerkeystest.cpp
@@ -219,4 +219,35 @@
   BOOST_TEST(field(E.Requests[1], "Priority") == "4");
 }
 
+// CONFIG: the key may have been removed while the host lost the store.
+BOOST_AUTO_TEST_CASE(keyIsNotResolvedByTablesThatNobodyConfirms) {
+  RawServer &E = addEndpointIn("e");
+  Context.Hooks.MayResolveKey = [](TimePoint) { return false; };
+  std::string Answer = ask(request("look", "Key: ka\r\n"));
+  BOOST_TEST(hasStatus(Answer, "503"));
+  BOOST_TEST(!field(Answer, "Retry-After").empty());
+  BOOST_TEST(Done[0].Outcome == "tables_unconfirmed");
+  BOOST_TEST(E.Requests.empty());
+  // The first host has resolved it in time.
+  BOOST_TEST(hasStatus(askFromHost(forwardedAs("a", "ka")), "200"));
+  change([](FleetTables &Tables) {
+    for (FleetRoute &Route : Tables.Routes)
+      Route.IsPublic = true;
+  });
+  BOOST_TEST(hasStatus(ask(request("look")), "200"));
+}
+
+// A request that waited for a confirmation uses the tables that came with it.
+BOOST_AUTO_TEST_CASE(requestWaitsForAConfirmation) {
+  RawServer &E = addEndpointIn("e");
+  bool Confirmed = false;
+  Context.Hooks.MayResolveKey = [&](TimePoint) { return Confirmed; };
+  Time.After(std::chrono::milliseconds(100), [&] {
+    setCustomers({customer("b", "kb")});
+    Confirmed = true;
+  });
+  BOOST_TEST(hasStatus(ask(request("look", "Key: ka\r\n")), "401"));
+  BOOST_TEST(E.Requests.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
