Move limit shares into a module of their own

Cause: the limits of customers have to hold over all hosts on the platform's path too, and the shares that do so on the own interface were part of src/admission, tied to its blackboard and messages.

Change: src/limits holds allocator and shares with hooks for candidates, values and sending. Times are settings. A holder that restarted gives back its share at once; an allocator that takes over needs to wait only for renewals while all hosts are in contact. A request may have to find all its tokens. The own interface keeps its settings and messages.

--- a/src/admission/internal/admissioncontroller.cpp
+++ b/src/admission/internal/admissioncontroller.cpp
@@ -7,7 +7,8 @@
 #include <utility>
 #include <vector>
 
-#include "admission/internal/limitshares.h"
+#include "admission/internal/limitkey.h"
+#include "admission/internal/peerlimits.h"
 #include "admission/internal/poolqueue.h"
 #include "framework/shardedmap.h"
 
@@ -15,10 +16,7 @@
 
 namespace {
 
-using detail::LimitDecision;
 using detail::LimitKey;
-using detail::LimitResult;
-using detail::LimitUse;
 using detail::PoolQueue;
 using detail::PoolWindow;
 using detail::QueueDecisions;
@@ -35,7 +33,7 @@
 /// Longest wait for the allocator of a limit. A new allocator replies only when
 /// the shares of the previous one have expired.
 constexpr Duration MaxShareWait =
-    detail::ShareLifetime + std::chrono::milliseconds(300);
+    LimitSettings().ShareLifetime + std::chrono::milliseconds(300);
 constexpr std::chrono::milliseconds MinRetryAfter{50};
 constexpr std::chrono::milliseconds AllocatorRetryAfter{1000};
 /// Window of a pool without an endpoint in this region. The router refuses or
@@ -87,7 +85,8 @@
 public:
   Impl(Blackboard &Board, Runtime R, PeerHooks Peers)
       : Board_(Board), Runtime_(R),
-        Limits_(Board, std::move(R), std::move(Peers)) {}
+        Limits_(std::move(R), detail::peerLimitHooks(Board, std::move(Peers))) {
+  }
 
   void submit(AdmissionRequest Request, Completion<void> Done) {
     TimePoint Now = Runtime_.Now();
@@ -138,7 +137,8 @@
     if (!Message.has_share_transfer())
       return;
     std::optional<std::string> Changed =
-        Limits_.handle(HostId(Message.from()), Message.share_transfer());
+        Limits_.handle(HostId(Message.from()),
+                       detail::readShareNote(Message.share_transfer()));
     if (Changed)
       retryWaitersOf(*Changed, false);
   }
@@ -178,9 +178,9 @@
     TablesSnapshot T = Board_.tables();
     for (const LimitKey &Key : {LimitKey{Request.Route, Request.Customer},
                                 LimitKey{Request.Route, CustomerId()}}) {
-      detail::LimitValues Values = detail::limitValues(*T, Key);
+      LimitValues Values = detail::limitValues(*T, Key);
       if (Values.any())
-        Uses.push_back({Key, Values, Request.Tokens});
+        Uses.push_back({Key.str(), Values, Request.Tokens});
     }
     return Uses;
   }
@@ -196,11 +196,12 @@
       LimitResult Outcome =
           Limits_.take(Uses[I], MayRequestShare, MeanServiceTime);
       if (Outcome.Decision == LimitDecision::Wait) {
-        waitForShare(Uses[I].Key.str(), Id);
+        waitForShare(Uses[I].Limit, Id);
         return;
       }
       if (Outcome.Decision == LimitDecision::Refused) {
-        refuse(Id, rateLimited(Uses[I].Key, Outcome.RetryAfter));
+        refuse(Id, rateLimited(*LimitKey::parse(Uses[I].Limit),
+                               Outcome.RetryAfter));
         return;
       }
       bool Known = Entries_.update(
@@ -237,7 +238,7 @@
     for (const std::string &Limit : Limits) {
       refuseOverdueWaiters(Limit, Now);
       std::optional<LimitKey> Key = LimitKey::parse(Limit);
-      if (Key && !Limits_.hasOpenRequest(*Key))
+      if (Key && !Limits_.hasOpenRequest(Limit))
         retryWaitersOf(Limit, false);
     }
   }
@@ -435,7 +436,7 @@
 
   Blackboard &Board_;
   Runtime Runtime_;
-  detail::LimitShares Limits_;
+  LimitShares Limits_;
   std::atomic<Duration> LimitsTickedAt_{Duration(0)};
   ShardedMap<RequestId, Entry> Entries_;
   /// Requests that wait for a larger share, by limit.
--- a/src/admission/tests/limitsharestest.cpp
+++ b/src/admission/tests/limitsharestest.cpp
@@ -2,7 +2,8 @@
 
 #include <map>
 
-#include "admission/internal/limitshares.h"
+#include "admission/internal/limitkey.h"
+#include "admission/internal/peerlimits.h"
 #include "support/fakenetwork.h"
 
 using namespace celerybeam;
@@ -28,7 +29,7 @@
       for (auto &[Other, Ignored] : Hosts)
         setState(Id, Other, PeerState::Alive);
     // An allocator that starts waits until shares of an earlier one expired.
-    run(ShareLifetime + 200ms);
+    run(LimitSettings().ShareLifetime + 200ms);
   }
 
   struct Host {
@@ -58,18 +59,19 @@
       Time.runFor(10ms);
       double Sum = 0;
       for (auto &[Id, H] : Hosts)
-        Sum += H.Process->running() ? H.Shares->held(Key) : 0;
+        Sum += H.Process->running() ? H.Shares->held(Key.str()) : 0;
       Largest = std::max(Largest, Sum);
     }
   }
 
   LimitDecision take(unsigned I) {
-    LimitUse Use{Key, limitValues(*host(I).Board->tables(), Key), 100};
+    LimitUse Use{Key.str(), limitValues(*host(I).Board->tables(), Key), 100};
     return at(I).take(Use, true, 100ms).Decision;
   }
 
   void release(unsigned I) {
-    at(I).release({Key, limitValues(*host(I).Board->tables(), Key), 100}, 100);
+    at(I).release({Key.str(), limitValues(*host(I).Board->tables(), Key), 100},
+                  100);
   }
 
   /// Sends one request per host every 10 ms for Span; returns how many passed
@@ -90,7 +92,10 @@
   }
 
   HostId allocator() {
-    return LimitAllocator(*host(0).Board, Time.runtime())
+    return LimitAllocator(
+               Time.runtime(),
+               peerLimitHooks(*host(0).Board, Network.hooks(*host(0).Process)),
+               {})
         .allocatorOf(Key.str());
   }
 
@@ -113,12 +118,14 @@
     T->Routes[0].Limits = Limits;
     H.Board->adoptTables(T);
     H.Process = std::make_unique<VirtualHost>(Time, Self.Id);
-    H.Shares = std::make_unique<LimitShares>(*H.Board, H.Process->runtime(),
-                                             Network.hooks(*H.Process));
+    H.Shares = std::make_unique<LimitShares>(
+        H.Process->runtime(),
+        peerLimitHooks(*H.Board, Network.hooks(*H.Process)));
     LimitShares *Shares = H.Shares.get();
     H.Process->every(100ms, [Shares] { Shares->tick(); });
     Network.join(*H.Process, 1, [Shares](const messages::Envelope &Message) {
-      Shares->handle(HostId(Message.from()), Message.share_transfer());
+      Shares->handle(HostId(Message.from()),
+                     readShareNote(Message.share_transfer()));
     });
     Hosts.emplace(Self.Id, std::move(H));
   }
@@ -231,7 +238,7 @@
   R.host(Paused).Process->pause();
   R.flood(4s);
   R.host(Paused).Process->resume();
-  BOOST_TEST(R.at(Paused).held(Key) == 0.);
+  BOOST_TEST(R.at(Paused).held(Key.str()) == 0.);
   R.flood(4s);
   BOOST_TEST(R.Largest <= Whole);
 }
--- a/src/admission/internal/limitallocator.cpp
+++ b/src/limits/internal/limitallocator.cpp
@@ -1,4 +1,4 @@
-#include "admission/internal/limitallocator.h"
+#include "limits/limitallocator.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,13 +6,13 @@
 
 #include "framework/stablehash.h"
 
-namespace celerybeam::detail {
+namespace celerybeam {
 
 namespace {
 
-constexpr char KeySeparator = '\n';
-/// Most unused capacity that an idle limit accumulates, in seconds of its rate.
-constexpr double MaxCredit = 1;
+/// Shares in use are renewed this much more often than a host that has become
+/// the allocator waits for them.
+constexpr double RenewalMargin = 1.5;
 /// Tolerance for rounding errors in sums of shares.
 constexpr double Epsilon = 1e-9;
 constexpr double MicrosPerSecond = 1e6;
@@ -23,18 +23,6 @@
 
 } // namespace
 
-std::string LimitKey::str() const {
-  return Route.str() + KeySeparator + Customer.str();
-}
-
-std::optional<LimitKey> LimitKey::parse(const std::string &Text) {
-  std::size_t Separator = Text.find(KeySeparator);
-  if (Separator == std::string::npos)
-    return std::nullopt;
-  return LimitKey{RouteName(Text.substr(0, Separator)),
-                  CustomerId(Text.substr(Separator + 1))};
-}
-
 double LimitValues::quantum() const {
   double Quantum = 1e-3;
   if (Requests > 0)
@@ -44,23 +32,27 @@
   return std::min(1., Quantum);
 }
 
-LimitValues limitValues(const Tables &T, const LimitKey &Key) {
-  const RouteRow *Route = T.findRoute(Key.Route);
-  if (!Route)
-    return {};
-  const RouteLimits &L = Route->Limits;
-  if (Key.Customer.empty())
-    return {L.RouteRequestsPerSecond, 0, L.RouteConcurrency};
-  return {L.CustomerRequestsPerSecond, L.CustomerTokensPerSecond,
-          L.CustomerConcurrency};
+LimitAllocator::LimitAllocator(Runtime R, LimitHooks Hooks,
+                               LimitSettings Settings)
+    : Runtime_(std::move(R)), Hooks_(std::move(Hooks)), Settings_(Settings) {
+  historyOfGroup(Hooks_.OwnGroup);
 }
 
-LimitAllocator::LimitAllocator(Blackboard &Board, Runtime R)
-    : Board_(Board), Runtime_(std::move(R)) {
-  // Until this host started, another host may have been the allocator of any
-  // limit.
+/// The candidates of a group so far. Before they were known here, another host
+/// may have been the allocator of any limit.
+LimitAllocator::History &
+LimitAllocator::historyOfGroup(const std::string &Group) const {
+  auto [It, New] = Histories_.try_emplace(Group);
   TimePoint Now = Runtime_.Now();
-  History_ = {{Now, aliveHosts()}, {Now - ShareLifetime, {}}};
+  if (New)
+    It->second = {{Now, Hooks_.Candidates(Group)},
+                  {Now - Settings_.ShareLifetime, {}}};
+  return It->second;
+}
+
+LimitAllocator::History &
+LimitAllocator::historyOf(const LimitName &Limit) const {
+  return historyOfGroup(Hooks_.GroupOf(Limit));
 }
 
 HostId LimitAllocator::firstRanked(const std::vector<HostId> &Hosts,
@@ -78,35 +70,25 @@
   return Best;
 }
 
-std::vector<HostId> LimitAllocator::aliveHosts() const {
-  const HostIdentity &Self = Board_.self();
-  std::vector<HostId> Hosts;
-  if (!Board_.leaving())
-    Hosts.push_back(Self.Id);
-  Board_.peers().forEach([&](const HostId &Id, const PeerRecord &Peer) {
-    bool Serves =
-        Peer.State == PeerState::Alive || Peer.State == PeerState::Suspect;
-    if (Id != Self.Id && Peer.Region == Self.Region && Serves)
-      Hosts.push_back(Id);
-  });
-  if (Hosts.empty())
-    Hosts.push_back(Self.Id);
-  std::sort(Hosts.begin(), Hosts.end());
-  return Hosts;
-}
-
-HostId LimitAllocator::allocatorOf(const std::string &Limit) const {
+HostId LimitAllocator::allocatorOf(const LimitName &Limit) const {
   std::lock_guard Lock(Mutex_);
-  return firstRanked(History_.front().Hosts, Limit);
+  return firstRanked(historyOf(Limit).front().Hosts, Limit);
 }
 
-bool LimitAllocator::wasOtherAllocator(const std::string &Limit,
+bool LimitAllocator::wasOtherAllocator(const LimitName &Limit,
                                        TimePoint Now) const {
+  Duration Unknown = Settings_.ShareLifetime;
+  // The holders have renewed their shares by then.
+  if (Hooks_.AllHostsInContact && Hooks_.AllHostsInContact())
+    Unknown = std::min(Unknown,
+                       Duration(static_cast<Duration::rep>(
+                           static_cast<double>(Settings_.RenewAfter.count()) *
+                           RenewalMargin)));
   TimePoint Until = Now;
-  for (const Membership &M : History_) {
-    if (Until + ShareLifetime <= Now)
+  for (const Membership &M : historyOf(Limit)) {
+    if (Until + Unknown <= Now)
       return false;
-    if (firstRanked(M.Hosts, Limit) != Board_.self().Id)
+    if (firstRanked(M.Hosts, Limit) != Hooks_.Self)
       return true;
     Until = M.Since;
   }
@@ -122,7 +104,7 @@
   double Elapsed =
       static_cast<double>((Now - R.CreditAt).count()) / MicrosPerSecond;
   double Free = std::max(0., 1 - heldByOthers(R, HostId()));
-  R.Credit = std::min(MaxCredit, R.Credit + Elapsed * Free);
+  R.Credit = std::min(R.MaxCredit, R.Credit + Elapsed * Free);
   R.CreditAt = Now;
 }
 
@@ -130,7 +112,10 @@
 // been granted since.
 bool LimitAllocator::isOutdated(const Record &R, const ShareRequest &Request) {
   auto It = R.Holders.find(Request.From);
-  return It != R.Holders.end() && Request.Serial <= It->second.Serial;
+  if (It == R.Holders.end() || Request.HolderStart > It->second.HolderStart)
+    return false;
+  return Request.HolderStart < It->second.HolderStart ||
+         Request.Serial <= It->second.Serial;
 }
 
 double LimitAllocator::heldByOthers(const Record &R, const HostId &Host) {
@@ -154,18 +139,18 @@
 }
 
 std::optional<ShareGrant> LimitAllocator::grant(const ShareRequest &Request) {
-  std::optional<LimitKey> Key = LimitKey::parse(Request.Limit);
-  if (!Key)
-    return std::nullopt;
-  double Quantum = limitValues(*Board_.tables(), *Key).quantum();
+  LimitValues Values = Hooks_.ValuesOf(Request.Limit);
+  double Quantum = Values.quantum();
   TimePoint Now = Runtime_.Now();
   std::lock_guard Lock(Mutex_);
-  if (firstRanked(History_.front().Hosts, Request.Limit) != Board_.self().Id)
+  if (firstRanked(historyOf(Request.Limit).front().Hosts, Request.Limit) !=
+      Hooks_.Self)
     return std::nullopt;
   bool TakingOver = wasOtherAllocator(Request.Limit, Now);
   if (TakingOver && Request.Held <= 0)
     return std::nullopt;
   Record &R = Records_[Request.Limit];
+  R.MaxCredit = Values.BurstSeconds;
   accrue(R, Now);
   expire(R, Now);
   if (isOutdated(R, Request))
@@ -180,7 +165,7 @@
 
 ShareGrant LimitAllocator::grantUpTo(Record &R, const ShareRequest &Request,
                                      double Wanted, double Quantum,
-                                     TimePoint Now) {
+                                     TimePoint Now) const {
   double Free = std::max(0., 1 - heldByOthers(R, Request.From));
   ShareGrant Grant;
   Grant.Amount = Wanted <= Free ? Wanted : floorTo(Free, Quantum);
@@ -194,26 +179,30 @@
   Holding &Granted = R.Holders[Request.From];
   Granted.Amount = std::max(Grant.Amount, Request.Held);
   Granted.Wanted = Request.Wanted;
-  Granted.ExpiresAt = Now + ShareLifetime;
+  Granted.ExpiresAt = Now + Settings_.ShareLifetime;
   Granted.Serial = Request.Serial;
+  Granted.HolderStart = Request.HolderStart;
   return Grant;
 }
 
 void LimitAllocator::tick() {
   TimePoint Now = Runtime_.Now();
-  std::vector<HostId> Hosts = aliveHosts();
   std::lock_guard Lock(Mutex_);
-  if (History_.front().Hosts != Hosts)
-    History_.insert(History_.begin(), Membership{Now, std::move(Hosts)});
-  while (History_.size() > 1 &&
-         History_[History_.size() - 2].Since + ShareLifetime < Now)
-    History_.pop_back();
+  for (auto &[Group, Past] : Histories_) {
+    std::vector<HostId> Hosts = Hooks_.Candidates(Group);
+    if (Past.front().Hosts != Hosts)
+      Past.insert(Past.begin(), Membership{Now, std::move(Hosts)});
+    while (Past.size() > 1 &&
+           Past[Past.size() - 2].Since + Settings_.ShareLifetime < Now)
+      Past.pop_back();
+  }
   for (auto &[Limit, R] : Records_) {
     accrue(R, Now);
     expire(R, Now);
   }
   std::erase_if(Records_, [](const auto &Entry) {
-    return Entry.second.Holders.empty() && Entry.second.Credit >= MaxCredit;
+    return Entry.second.Holders.empty() &&
+           Entry.second.Credit >= Entry.second.MaxCredit;
   });
 }
 
@@ -222,4 +211,4 @@
   return Records_.size();
 }
 
-} // namespace celerybeam::detail
+} // namespace celerybeam
--- a/src/admission/internal/limitshares.cpp
+++ b/src/limits/internal/limitshares.cpp
@@ -1,29 +1,22 @@
-#include "admission/internal/limitshares.h"
+#include "limits/limitshares.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace celerybeam::detail {
+namespace celerybeam {
 
 namespace {
 
-/// Part of the lifetime that a holder uses; the rest allows for clocks that run
-/// at different rates.
-constexpr Duration HolderLifetime = ShareLifetime * 9 / 10;
-constexpr Duration RenewAfter = ShareLifetime / 2;
-/// Time without a reply after which a share request counts as lost.
-constexpr Duration ShareRequestTimeout = std::chrono::milliseconds(100);
-/// Minimum time between a grant smaller than requested and the next share
-/// request.
-constexpr Duration MinShareRequestInterval = std::chrono::milliseconds(50);
+/// Part of the lifetime that a holder uses, in percent; the rest allows for
+/// clocks that run at different rates.
+constexpr int HolderPercent = 90;
+/// Part of the largest burst that a larger request has to find.
+constexpr double LargeRequestShare = 0.9;
 /// Time constant of the observed rates, in seconds.
 constexpr double RateSeconds = 1;
 /// Factor by which the requested share exceeds the observed rate.
 constexpr double Headroom = 1.3;
-/// Most unused capacity that a holder accumulates, in seconds of its share's
-/// rate.
-constexpr double BurstSeconds = 1;
 constexpr double Epsilon = 1e-9;
 constexpr double MicrosPerSecond = 1e6;
 
@@ -37,32 +30,39 @@
 
 } // namespace
 
-LimitShares::LimitShares(Blackboard &Board, Runtime R, PeerHooks Peers)
-    : Board_(Board), Runtime_(R), Peers_(std::move(Peers)),
-      Allocator_(Board, std::move(R)) {}
+LimitShares::LimitShares(Runtime R, LimitHooks Hooks, LimitSettings Settings)
+    : Runtime_(R), Hooks_(Hooks), Settings_(Settings),
+      Allocator_(std::move(R), std::move(Hooks), Settings) {}
+
+Duration LimitShares::holderLifetime() const {
+  return Settings_.ShareLifetime * HolderPercent / 100;
+}
 
 LimitResult LimitShares::take(const LimitUse &Use, bool MayRequestShare,
                               Duration MeanServiceTime) {
   TimePoint Now = Runtime_.Now();
-  std::string Limit = Use.Key.str();
+  const LimitName &Limit = Use.Limit;
   bool SendsRequest = false;
   auto TryTake = [&](Share &S, bool First) {
     S.Values = Use.Values;
     refill(S, Now);
     if (First)
       observe(S, Use.Tokens, Now);
-    if (passes(S)) {
+    if (passes(S, Use.Tokens)) {
       ++S.InUse;
       S.RequestBudget -= 1;
       S.TokenBudget -= Use.Tokens;
       return LimitResult{LimitDecision::Taken};
     }
+    S.MissingTokens =
+        std::max(S.MissingTokens, neededTokens(S.Values, Use.Tokens));
     SendsRequest = MayRequestShare && !S.RequestedAt && mayRequestShare(S, Now);
     if (MayRequestShare && (S.RequestedAt || SendsRequest)) {
       S.Waiting += First ? 1 : 0;
       return LimitResult{LimitDecision::Wait};
     }
-    return LimitResult{LimitDecision::Refused, retryAfter(S, MeanServiceTime)};
+    return LimitResult{LimitDecision::Refused,
+                       retryAfter(S, Use.Tokens, MeanServiceTime)};
   };
   LimitResult Outcome = Shares_.upsert(
       Limit, [&](Share &S) { return TryTake(S, MayRequestShare); });
@@ -77,7 +77,7 @@
 }
 
 void LimitShares::release(const LimitUse &Use, std::uint32_t TokensUsed) {
-  Shares_.update(Use.Key.str(), [&](Share &S) {
+  Shares_.update(Use.Limit, [&](Share &S) {
     if (S.InUse > 0)
       --S.InUse;
     S.TokenBudget += Use.Tokens;
@@ -95,10 +95,10 @@
   S.RefilledAt = Now;
   double Requests = S.Amount * S.Values.Requests;
   double Tokens = S.Amount * S.Values.Tokens;
-  S.RequestBudget =
-      std::min(Requests * BurstSeconds, S.RequestBudget + Requests * Elapsed);
-  S.TokenBudget =
-      std::min(Tokens * BurstSeconds, S.TokenBudget + Tokens * Elapsed);
+  S.RequestBudget = std::min(Requests * S.Values.BurstSeconds,
+                             S.RequestBudget + Requests * Elapsed);
+  S.TokenBudget = std::min(Tokens * S.Values.BurstSeconds,
+                           S.TokenBudget + Tokens * Elapsed);
 }
 
 void LimitShares::observe(Share &S, std::uint32_t Tokens, TimePoint Now) {
@@ -108,14 +108,24 @@
   S.LastUsed = Now;
 }
 
-bool LimitShares::passes(const Share &S) {
+double LimitShares::neededTokens(const LimitValues &Values,
+                                 std::uint32_t Tokens) const {
+  if (!Settings_.ExactTokens)
+    return 0;
+  return std::min<double>(Tokens, LargeRequestShare * Values.Tokens *
+                                      Values.BurstSeconds);
+}
+
+bool LimitShares::passes(const Share &S, std::uint32_t Tokens) const {
   const LimitValues &V = S.Values;
   if (V.Concurrency > 0 &&
       S.InUse + 1 > std::floor(S.Amount * V.Concurrency + Epsilon))
     return false;
   if (V.Requests > 0 && S.RequestBudget < 1 - Epsilon)
     return false;
-  return V.Tokens <= 0 || S.TokenBudget > 0;
+  double Needed = neededTokens(V, Tokens);
+  return V.Tokens <= 0 ||
+         (Needed > 0 ? S.TokenBudget >= Needed - Epsilon : S.TokenBudget > 0);
 }
 
 double LimitShares::wanted(const Share &S) {
@@ -127,7 +137,8 @@
   if (V.Requests > 0)
     Wanted = std::max(Wanted, Headroom * S.RequestRate / V.Requests);
   if (V.Tokens > 0)
-    Wanted = std::max(Wanted, Headroom * S.TokenRate / V.Tokens);
+    Wanted = std::max({Wanted, Headroom * S.TokenRate / V.Tokens,
+                       S.MissingTokens / (V.Tokens * V.BurstSeconds)});
   return std::min(1., std::ceil(Wanted / V.quantum() - Epsilon) * V.quantum());
 }
 
@@ -138,54 +149,58 @@
   return Held;
 }
 
-Duration LimitShares::retryAfter(const Share &S, Duration MeanServiceTime) {
+Duration LimitShares::retryAfter(const Share &S, std::uint32_t Tokens,
+                                 Duration MeanServiceTime) const {
   const LimitValues &V = S.Values;
   double Amount = std::max(S.Amount, V.quantum());
   double Seconds = 0;
   if (V.Requests > 0 && S.RequestBudget < 1)
     Seconds = (1 - S.RequestBudget) / (Amount * V.Requests);
-  if (V.Tokens > 0 && S.TokenBudget <= 0)
-    Seconds = std::max(Seconds, (1 - S.TokenBudget) / (Amount * V.Tokens));
+  double Needed = std::max(1., neededTokens(V, Tokens));
+  if (V.Tokens > 0 && S.TokenBudget < Needed)
+    Seconds = std::max(Seconds, (Needed - S.TokenBudget) / (Amount * V.Tokens));
   if (V.Concurrency > 0 && S.InUse + 1 > S.Amount * V.Concurrency + Epsilon)
     Seconds =
         std::max(Seconds, seconds(MeanServiceTime) / std::max(1U, S.InUse));
   return fromSeconds(Seconds);
 }
 
-bool LimitShares::mayRequestShare(const Share &S, TimePoint Now) {
+bool LimitShares::mayRequestShare(const Share &S, TimePoint Now) const {
   return S.Amount < 1 - Epsilon &&
-         (!S.Contended || Now - S.LastGrant >= MinShareRequestInterval);
+         (!S.Contended || Now - S.LastGrant >= Settings_.MinRequestInterval);
 }
 
-void LimitShares::requestShare(const std::string &Limit) {
+void LimitShares::requestShare(const LimitName &Limit) {
   TimePoint Now = Runtime_.Now();
   HostId Allocator = Allocator_.allocatorOf(Limit);
-  ShareRequest Request{Board_.self().Id, Limit};
+  ShareRequest Request{Hooks_.Self, Limit};
   Request.Serial = ++LastSerial_;
+  Request.HolderStart = Hooks_.SelfStart;
   bool Known = Shares_.update(Limit, [&](Share &S) {
     Request.Wanted = wanted(S);
     Request.Held = heldOrInUse(S, Now);
     S.RequestedAmount = Request.Wanted;
     S.RequestedAt = Now;
     S.Serial = Request.Serial;
+    S.MissingTokens = 0;
   });
-  if (!Known)
+  if (!Known || Allocator.empty())
     return;
-  if (Allocator == Board_.self().Id) {
+  if (Allocator == Hooks_.Self) {
     if (std::optional<ShareGrant> Grant = Allocator_.grant(Request))
       apply(Limit, Request.Serial, *Grant);
     return;
   }
-  messages::Envelope Message;
-  messages::ShareTransfer *Transfer = Message.mutable_share_transfer();
-  Transfer->set_limit(Limit);
-  Transfer->set_amount(Request.Wanted);
-  Transfer->set_held(Request.Held);
-  Transfer->set_serial(Request.Serial);
-  Peers_.Send(Allocator, std::move(Message));
+  ShareNote Note;
+  Note.Limit = Limit;
+  Note.Amount = Request.Wanted;
+  Note.Held = Request.Held;
+  Note.Serial = Request.Serial;
+  Note.HolderStart = Request.HolderStart;
+  Hooks_.Send(Allocator, Note);
 }
 
-bool LimitShares::apply(const std::string &Limit, std::uint64_t Serial,
+bool LimitShares::apply(const LimitName &Limit, std::uint64_t Serial,
                         const ShareGrant &Grant) {
   bool Applied = false;
   TimePoint Now = Runtime_.Now();
@@ -198,7 +213,7 @@
     S.Amount = Grant.Amount;
     S.Contended = Grant.Amount < S.RequestedAmount - Epsilon;
     S.Waiting = 0;
-    S.ValidUntil = *S.RequestedAt + HolderLifetime;
+    S.ValidUntil = *S.RequestedAt + holderLifetime();
     S.RequestBudget += Grant.Credit * S.Values.Requests;
     S.TokenBudget += Grant.Credit * S.Values.Tokens;
     S.LastGrant = Now;
@@ -208,65 +223,62 @@
   return Applied;
 }
 
-std::optional<std::string>
-LimitShares::handle(const HostId &From,
-                    const messages::ShareTransfer &Transfer) {
-  if (!Transfer.acknowledged()) {
-    reply(From, Transfer);
+std::optional<LimitName> LimitShares::handle(const HostId &From,
+                                             const ShareNote &Note) {
+  if (!Note.Acknowledged) {
+    reply(From, Note);
     return std::nullopt;
   }
-  ShareGrant Grant{Transfer.amount(), Transfer.credit()};
-  if (!apply(Transfer.limit(), Transfer.serial(), Grant))
+  if (!apply(Note.Limit, Note.Serial, {Note.Amount, Note.Credit}))
     return std::nullopt;
-  return Transfer.limit();
+  return Note.Limit;
 }
 
-void LimitShares::reply(const HostId &From,
-                        const messages::ShareTransfer &Request) {
+void LimitShares::reply(const HostId &From, const ShareNote &Request) {
   std::optional<ShareGrant> Grant =
-      Allocator_.grant({From, Request.limit(), Request.amount(), Request.held(),
-                        Request.serial()});
+      Allocator_.grant({From, Request.Limit, Request.Amount, Request.Held,
+                        Request.Serial, Request.HolderStart});
   if (!Grant)
     return;
-  messages::Envelope Message;
-  messages::ShareTransfer *Transfer = Message.mutable_share_transfer();
-  Transfer->set_limit(Request.limit());
-  Transfer->set_serial(Request.serial());
-  Transfer->set_acknowledged(true);
-  Transfer->set_amount(Grant->Amount);
-  Transfer->set_credit(Grant->Credit);
-  Peers_.Send(From, std::move(Message));
+  ShareNote Note;
+  Note.Limit = Request.Limit;
+  Note.Serial = Request.Serial;
+  Note.Acknowledged = true;
+  Note.Amount = Grant->Amount;
+  Note.Credit = Grant->Credit;
+  Hooks_.Send(From, Note);
 }
 
 void LimitShares::tick() {
   Allocator_.tick();
   TimePoint Now = Runtime_.Now();
-  std::vector<std::string> Due;
-  Shares_.forEach([&](const std::string &Limit, const Share &S) {
-    bool InUse = S.InUse > 0 || Now - S.LastUsed < ShareLifetime;
+  std::vector<LimitName> Due;
+  Shares_.forEach([&](const LimitName &Limit, const Share &S) {
+    bool InUse = S.InUse > 0 || Now - S.LastUsed < Settings_.ShareLifetime;
     bool TimedOut =
-        S.RequestedAt && Now - *S.RequestedAt >= ShareRequestTimeout;
+        S.RequestedAt && Now - *S.RequestedAt >= Settings_.RequestTimeout;
     bool NeedsRenewal =
-        !S.RequestedAt && Now + HolderLifetime >= S.ValidUntil + RenewAfter;
+        !S.RequestedAt &&
+        Now + holderLifetime() >= S.ValidUntil + Settings_.RenewAfter;
     if (InUse && (TimedOut || NeedsRenewal))
       Due.push_back(Limit);
   });
-  for (const std::string &Limit : Due)
+  for (const LimitName &Limit : Due)
     requestShare(Limit);
-  Shares_.eraseIf([&](const std::string &, const Share &S) {
-    return S.InUse == 0 && Now - S.LastUsed > 2 * ShareLifetime &&
+  Shares_.eraseIf([&](const LimitName &, const Share &S) {
+    return S.InUse == 0 && Now - S.LastUsed > 2 * Settings_.ShareLifetime &&
            Now >= S.ValidUntil;
   });
 }
 
-double LimitShares::held(const LimitKey &Key) const {
-  std::optional<Share> S = Shares_.find(Key.str());
+double LimitShares::held(const LimitName &Limit) const {
+  std::optional<Share> S = Shares_.find(Limit);
   return S && Runtime_.Now() < S->ValidUntil ? S->Amount : 0;
 }
 
-bool LimitShares::hasOpenRequest(const LimitKey &Key) const {
-  std::optional<Share> S = Shares_.find(Key.str());
+bool LimitShares::hasOpenRequest(const LimitName &Limit) const {
+  std::optional<Share> S = Shares_.find(Limit);
   return S && S->RequestedAt;
 }
 
-} // namespace celerybeam::detail
+} // namespace celerybeam
--- a/src/admission/internal/limitshares.h
+++ b/src/limits/limitshares.h
@@ -1,5 +1,5 @@
-#ifndef CELERYBEAM_ADMISSION_INTERNAL_LIMITSHARES_H
-#define CELERYBEAM_ADMISSION_INTERNAL_LIMITSHARES_H
+#ifndef CELERYBEAM_LIMITS_LIMITSHARES_H
+#define CELERYBEAM_LIMITS_LIMITSHARES_H
 
 #include <atomic>
 #include <cstdint>
@@ -7,11 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "admission/internal/limitallocator.h"
 #include "framework/shardedmap.h"
-#include "messages/peerhooks.h"
+#include "limits/limitallocator.h"
 
-namespace celerybeam::detail {
+namespace celerybeam {
 
 /// Whether a request may proceed under a limit.
 enum class LimitDecision {
@@ -29,7 +28,7 @@
 
 /// The part of a limit that one request takes.
 struct LimitUse {
-  LimitKey Key;
+  LimitName Limit;
   LimitValues Values;
   std::uint32_t Tokens = 0;
 };
@@ -40,7 +39,7 @@
 /// Holds state only for limits in use. Thread-safe.
 class LimitShares {
 public:
-  LimitShares(Blackboard &Board, Runtime R, PeerHooks Peers);
+  LimitShares(Runtime R, LimitHooks Hooks, LimitSettings Settings = {});
 
   /// \param MayRequestShare  whether the request may wait for a larger share.
   /// \param MeanServiceTime  how long a request occupies its slot on average.
@@ -52,17 +51,16 @@
 
   /// Processes a share request or a grant; returns the limit whose share a
   /// grant changed.
-  std::optional<std::string> handle(const HostId &From,
-                                    const messages::ShareTransfer &Transfer);
+  std::optional<LimitName> handle(const HostId &From, const ShareNote &Note);
 
   /// Renews shares in use, repeats lost share requests and removes idle
   /// limits.
   void tick();
 
   /// The share held now, in [0, 1]; 0 when it has expired.
-  double held(const LimitKey &Key) const;
+  double held(const LimitName &Limit) const;
   /// Whether a share request to the allocator awaits its reply.
-  bool hasOpenRequest(const LimitKey &Key) const;
+  bool hasOpenRequest(const LimitName &Limit) const;
   std::size_t limits() const { return Shares_.size(); }
 
 private:
@@ -86,29 +84,36 @@
     /// Moving averages, per second.
     double RequestRate = 0;
     double TokenRate = 0;
+    /// Largest tokens that a request needed lately and did not find.
+    double MissingTokens = 0;
     TimePoint LastUsed{};
   };
 
   static void refill(Share &S, TimePoint Now);
   static void observe(Share &S, std::uint32_t Tokens, TimePoint Now);
-  static bool passes(const Share &S);
+  /// Tokens that have to be there for a request.
+  double neededTokens(const LimitValues &Values, std::uint32_t Tokens) const;
+  bool passes(const Share &S, std::uint32_t Tokens) const;
   static double wanted(const Share &S);
   static double heldOrInUse(const Share &S, TimePoint Now);
-  static Duration retryAfter(const Share &S, Duration MeanServiceTime);
-  static bool mayRequestShare(const Share &S, TimePoint Now);
-  void requestShare(const std::string &Limit);
-  bool apply(const std::string &Limit, std::uint64_t Serial,
+  Duration retryAfter(const Share &S, std::uint32_t Tokens,
+                      Duration MeanServiceTime) const;
+  bool mayRequestShare(const Share &S, TimePoint Now) const;
+  /// How long a holder uses a share.
+  Duration holderLifetime() const;
+  void requestShare(const LimitName &Limit);
+  bool apply(const LimitName &Limit, std::uint64_t Serial,
              const ShareGrant &Grant);
-  void reply(const HostId &From, const messages::ShareTransfer &Request);
+  void reply(const HostId &From, const ShareNote &Request);
 
-  Blackboard &Board_;
   Runtime Runtime_;
-  PeerHooks Peers_;
+  LimitHooks Hooks_;
+  LimitSettings Settings_;
   LimitAllocator Allocator_;
   std::atomic<std::uint64_t> LastSerial_{0};
-  ShardedMap<std::string, Share> Shares_;
+  ShardedMap<LimitName, Share> Shares_;
 };
 
-} // namespace celerybeam::detail
+} // namespace celerybeam
 
 #endif
