Confirm tables by the newest change, not by the store's revision

Cause: hosts that follow the store's watchers learn of changes, not of revisions of other keys.

Result: followerNeedsNoRevisionWithoutAChange is new; it fails without the change.

--- a/src/fleet/confirmationtracker.h
+++ b/src/fleet/confirmationtracker.h
@@ -36,9 +36,15 @@
 /// was on its way or in a socket. Not thread-safe.
 class ConfirmationTracker {
 public:
-  /// \param Applied  the revision up to which this host has applied all
-  /// changes.
-  ConfirmationTracker(Runtime R, std::function<StoreRevision()> Applied);
+  struct Hooks {
+    /// The revision up to which this host has applied all changes.
+    std::function<StoreRevision()> Applied;
+    /// The revision of the newest change among them. Others need no more to be
+    /// complete, and do not learn of later revisions without a change.
+    std::function<StoreRevision()> LastChange;
+  };
+
+  ConfirmationTracker(Runtime R, Hooks H);
 
   /// Records that a consistent read of the store, begun at this time, has been
   /// applied.
@@ -81,7 +87,7 @@
   void dropOldStamps();
 
   Runtime Runtime_;
-  std::function<StoreRevision()> Applied_;
+  Hooks Hooks_;
   TimePoint StartedAt_;
   bool Readable_ = true;
   std::optional<Confirmation> Latest_;
--- a/src/fleet/internal/confirmationtracker.cpp
+++ b/src/fleet/internal/confirmationtracker.cpp
@@ -4,10 +4,9 @@
 
 namespace celerybeam {
 
-ConfirmationTracker::ConfirmationTracker(Runtime R,
-                                         std::function<StoreRevision()> Applied)
-    : Runtime_(std::move(R)), Applied_(std::move(Applied)),
-      StartedAt_(Runtime_.Now()) {}
+ConfirmationTracker::ConfirmationTracker(Runtime R, Hooks H)
+    : Runtime_(std::move(R)), Hooks_(std::move(H)), StartedAt_(Runtime_.Now()) {
+}
 
 void ConfirmationTracker::adopt(const Confirmation &Made) {
   if (Readable_ && (!Latest_ || Made.At > Latest_->At))
@@ -15,7 +14,7 @@
 }
 
 void ConfirmationTracker::confirmByRead(TimePoint Begun) {
-  adopt({Begun, Applied_()});
+  adopt({Begun, Hooks_.LastChange()});
 }
 
 void ConfirmationTracker::received(const TablesConfirmation &From) {
@@ -25,15 +24,15 @@
       From.Held > Now - From.Stamp || From.Held < Duration::zero())
     return;
   Confirmation Made{From.Stamp + From.Held - From.Age, From.Of};
-  if (Applied_() >= Made.Of)
+  if (Hooks_.Applied() >= Made.Of)
     return adopt(Made);
   // The earliest revision that is awaited comes first.
-  if (!Awaited_ || Applied_() >= Awaited_->Of || Made.Of <= Awaited_->Of)
+  if (!Awaited_ || Hooks_.Applied() >= Awaited_->Of || Made.Of <= Awaited_->Of)
     Awaited_ = Made;
 }
 
 std::optional<TimePoint> ConfirmationTracker::confirmedAt() {
-  if (Awaited_ && Applied_() >= Awaited_->Of)
+  if (Awaited_ && Hooks_.Applied() >= Awaited_->Of)
     adopt(*std::exchange(Awaited_, std::nullopt));
   return Latest_ ? std::optional(Latest_->At) : std::nullopt;
 }
--- a/src/fleet/tests/confirmationtrackertest.cpp
+++ b/src/fleet/tests/confirmationtrackertest.cpp
@@ -12,9 +12,14 @@
 
 /// A host with its tracker and the revision that it has applied.
 struct Host {
-  explicit Host(const Runtime &R) : Tracker(R, [this] { return Applied; }) {}
+  explicit Host(const Runtime &R)
+      : Tracker(R,
+                {[this] { return Applied; }, [this] { return LastChange; }}) {}
+
+  void apply(StoreRevision Change) { Applied = LastChange = Change; }
 
   StoreRevision Applied{1, 10};
+  StoreRevision LastChange{1, 10};
   ConfirmationTracker Tracker;
 };
 
@@ -96,7 +101,7 @@
 // The confirmation would extend the right to keys that the version that it is
 // of has removed.
 BOOST_AUTO_TEST_CASE(confirmationWaitsForItsRevision) {
-  Watcher.Applied = {1, 11};
+  Watcher.apply({1, 11});
   Watcher.Tracker.confirmByRead(Time.runtime().Now());
   sendStamp();
   Follower.Tracker.received(answer());
@@ -105,9 +110,19 @@
   BOOST_TEST(covers());
 }
 
+// The store's revision grows with changes of other keys, of which only those
+// that read the store learn.
+BOOST_AUTO_TEST_CASE(followerNeedsNoRevisionWithoutAChange) {
+  Watcher.Applied = {1, 500};
+  Watcher.Tracker.confirmByRead(Time.runtime().Now());
+  sendStamp();
+  Follower.Tracker.received(answer());
+  BOOST_TEST(covers());
+}
+
 // Revisions of an earlier era of the store do not reach those of a later one.
 BOOST_AUTO_TEST_CASE(confirmationOfALaterEraWaits) {
-  Watcher.Applied = {2, 5};
+  Watcher.apply({2, 5});
   Watcher.Tracker.confirmByRead(Time.runtime().Now());
   sendStamp();
   Follower.Tracker.received(answer());
@@ -116,7 +131,7 @@
 
 BOOST_AUTO_TEST_CASE(newerConfirmationDoesNotKeepAnAwaitedOneWaiting) {
   for (std::uint64_t Number : {11U, 12U, 13U}) {
-    Watcher.Applied = {1, Number};
+    Watcher.apply({1, Number});
     Watcher.Tracker.confirmByRead(Time.runtime().Now());
     sendStamp();
     Follower.Tracker.received(answer());
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -100,7 +100,9 @@
                    }),
         DatagramLink_(
             Loop, [this](std::string_view Bytes) { Exchange_.receive(Bytes); }),
-        Confirmations_(Time_, [this] { return OperatorMirror_.revision(); }),
+        Confirmations_(Time_,
+                       {[this] { return OperatorMirror_.revision(); },
+                        [this] { return OperatorMirror_.lastChange(); }}),
         Limits_(Time_, Fleet_, Hosts_, Settings_.Regions,
                 [this](const std::string &Ip, const ShareNote &Note) {
                   Exchange_.sendShare(Ip, Note);
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -118,7 +118,10 @@
                        const PlacementNote &Note) {
                   Exchange.sendNote(Ip, Id, Note);
                 }),
-      Confirmations(Whole.Time.runtime(), [this] { return Applied; }),
+      Confirmations(Whole.Time.runtime(), {[this] { return Applied; },
+                                           [] {
+                                             return StoreRevision{1, 1};
+                                           }}),
       Exchange(Whole.Time.runtime(),
                {View, Hosts, Decisions, LocalPlacer, Placement, &Confirmations},
                {[&Whole](const std::string &Ip, const std::string &Bytes) {
