--- a/src/fleet/customers.h
+++ b/src/fleet/customers.h
@@ -49,6 +49,7 @@
 /// A customer of the operator's configuration.
 struct Customer {
   CustomerId Name;
+  /// Empty in a CustomerTable, which finds customers by key.
   std::vector<KeyDigest> Keys;
   /// 0 is the most urgent; precedes the route's rank.
   unsigned Rank = 0;
--- a/src/fleet/internal/customers.cpp
+++ b/src/fleet/internal/customers.cpp
@@ -52,6 +52,9 @@
       continue;
     }
     addKeys(I);
+    // The map holds them.
+    Customers_[I].Keys.clear();
+    Customers_[I].Keys.shrink_to_fit();
   }
 }
 
