--- a/src/dispatch/internal/customerlimits.cpp
+++ b/src/dispatch/internal/customerlimits.cpp
@@ -182,6 +182,9 @@
   }
 
   void tick() {
+    const FleetTablesPtr &Tables = Fleet_.tables();
+    if (!Tables || !Tables->Customers)
+      return;
     Shares_.tick();
     TimePoint Now = Runtime_.Now();
     std::erase_if(NextReturn_, [&](const auto &Entry) {
