Confirm tables by summaries instead of copies between regions

Cause: after a start or a standstill each host asked two hosts of its region and one of another region every 100 ms for the changes of both mirrors. A host that loaded its copy later than the asker returns all keys, since it does not know the removals before its first list, so some 330 endpoint entries crossed regions for each doubtful host. The same question was also repeated while its answer was outstanding.

Change: hosts are asked for a summary (GET /mirror/summary, MirrorSummary): the revision from which on a copy includes all that they know, and whether they are current. That revision is not before their first list. A copy that has reached it is confirmed. Missing changes come from hosts of the own region; operator tables come from another region only if the own region has not provided them after 100 to 200 ms, at most once in 500 ms. Endpoint entries are no longer fetched from another region for a confirmation. A host is not asked again while its answer is outstanding; after a new standstill it is. The intervals between questions are 100, 100, 200, 400 and then 500 ms.

--- a/src/fleet/internal/recencycheck.cpp
+++ b/src/fleet/internal/recencycheck.cpp
@@ -1,9 +1,24 @@
 #include "fleet/recencycheck.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace celerybeam {
 
+namespace {
+
+/// Time from a request for a confirmation to the next one. \param Round  of the
+/// earlier request, from zero.
+Duration askInterval(unsigned Round) {
+  Duration Interval = RecencyCheck::AskInterval;
+  for (unsigned I = 1; I < Round && Interval < RecencyCheck::LongestAskInterval;
+       ++I)
+    Interval *= 2;
+  return std::min(Interval, RecencyCheck::LongestAskInterval);
+}
+
+} // namespace
+
 RecencyCheck::RecencyCheck(Runtime R, Hooks H)
     : Runtime_(std::move(R)), Hooks_(std::move(H)), LastCall_(Runtime_.Now()) {
   doubt(Duration::zero());
@@ -12,7 +27,7 @@
 void RecencyCheck::doubt(Duration Gap) {
   ++Episode_.Value;
   DoubtedSince_ = LastCall_;
-  LastAsked_ = LastCall_ - AskInterval;
+  AsksAt_ = LastCall_;
   WaitEnded_ = false;
   Round_ = 0;
   report(RecencyChange::Kind::Doubted, Gap);
@@ -32,9 +47,9 @@
     DoubtedSince_.reset();
     return;
   }
-  if (Now - LastAsked_ < AskInterval)
+  if (Now < AsksAt_)
     return;
-  LastAsked_ = Now;
+  AsksAt_ = Now + askInterval(Round_);
   Hooks_.Ask(Episode_, Round_++);
 }
 
--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -176,6 +176,12 @@
     return Copy;
   }
 
+  StoreRevision includedFrom() const {
+    return std::max(LastChange_, RemovalsFrom_);
+  }
+
+  bool isSettling() const { return SettlesAt_.has_value(); }
+
   bool isLoaded() const { return AsOf_ > StoreRevision(); }
 
   bool isCurrent() const {
@@ -524,6 +530,10 @@
 void StoreMirror::applyFromPeer(const StoreSnapshot &Got) {
   Impl_->applyFromPeer(Got);
 }
+StoreRevision StoreMirror::includedFrom() const {
+  return Impl_->includedFrom();
+}
+bool StoreMirror::isSettling() const { return Impl_->isSettling(); }
 StoreRevision StoreMirror::revision() const { return Impl_->AsOf_; }
 StoreRevision StoreMirror::lastChange() const { return Impl_->LastChange_; }
 bool StoreMirror::isLoaded() const { return Impl_->isLoaded(); }
--- a/src/fleet/recencycheck.h
+++ b/src/fleet/recencycheck.h
@@ -44,8 +44,9 @@
   };
 
   struct Hooks {
-    /// Requests a confirmation; called again every AskInterval. \param Round
-    /// counts the calls for an episode from zero.
+    /// Requests a confirmation; called again at intervals that grow from
+    /// AskInterval to LongestAskInterval. \param Round  counts the calls for an
+    /// episode from zero.
     std::function<void(Episode, unsigned Round)> Ask;
     /// May be empty.
     std::function<void(const RecencyChange &)> Changed;
@@ -75,7 +76,11 @@
   /// Longest time that requests wait: two round trips to another region, plus a
   /// margin.
   static constexpr Duration MaxWait = std::chrono::milliseconds(500);
+  /// The first two intervals between requests for a confirmation. The later
+  /// ones double, since a host that several others have not confirmed by then
+  /// is probably partitioned, or many hosts ask at the same time.
   static constexpr Duration AskInterval = std::chrono::milliseconds(100);
+  static constexpr Duration LongestAskInterval = std::chrono::milliseconds(500);
   /// Hosts in touch have received all earlier changes by then.
   static constexpr Duration MaxDoubt = std::chrono::seconds(5);
 
@@ -92,7 +97,7 @@
   Hooks Hooks_;
   Episode Episode_;
   TimePoint LastCall_;
-  TimePoint LastAsked_;
+  TimePoint AsksAt_;
   unsigned Round_ = 0;
   std::optional<TimePoint> DoubtedSince_;
   bool WaitEnded_ = false;
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -142,6 +142,13 @@
   /// removals since that revision are no longer known. Shortly after a rollback
   /// also what is in force from before it.
   StoreSnapshot changesSince(StoreRevision Since) const;
+  /// Revision from which on another host's copy includes all that this one
+  /// does. It is not before the first state that was loaded here, because
+  /// earlier removals are unknown.
+  StoreRevision includedFrom() const;
+  /// Whether content from before a rollback of the store may be in force, so
+  /// that a revision alone does not tell what another copy lacks.
+  bool isSettling() const;
   /// Revision up to which all changes have been applied.
   StoreRevision revision() const;
   /// Revision of the newest applied change.
--- a/src/fleet/tests/recencychecktest.cpp
+++ b/src/fleet/tests/recencychecktest.cpp
@@ -105,6 +105,13 @@
   BOOST_TEST(Asked.size() == Before);
 }
 
+// Guards against a steady load by all hosts of a region that nobody confirms.
+BOOST_AUTO_TEST_CASE(askingSlowsDown) {
+  runFor(RecencyCheck::MaxDoubt);
+  BOOST_TEST(Asked.size() >= 10U);
+  BOOST_TEST(Asked.size() <= 14U);
+}
+
 // A watch that was waiting during the standstill may have been answered in the
 // middle of it.
 BOOST_AUTO_TEST_CASE(onlyAReadOfTheStoreThatBeganAfterwardsConfirms) {
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -7,6 +7,7 @@
 #include "fleet/entrydirectory.h"
 #include "fleet/recencycheck.h"
 #include "fleethost/internal/hostannouncer.h"
+#include "fleethost/internal/peerconfirmation.h"
 #include "fleethost/internal/peersnapshots.h"
 #include "fleethost/internal/requestlog.h"
 #include "fleethost/internal/snapshotcodec.h"
@@ -36,8 +37,6 @@
 constexpr Duration DrainPoll = std::chrono::milliseconds(50);
 constexpr Duration HealthTick = std::chrono::milliseconds(50);
 constexpr Duration HealthTimeout = std::chrono::milliseconds(800);
-/// Hosts of this region that are asked at the same time to confirm the tables.
-constexpr std::size_t ConfirmersOfRegion = 2;
 /// The store is read once in so many rounds of asking, since each call is paid
 /// for.
 constexpr unsigned RoundsPerStoreRead = 3;
@@ -446,8 +445,7 @@
 
   RecencyCheck::Hooks recencyHooks() {
     return {[this](RecencyCheck::Episode Asked, unsigned Round) {
-              for (const std::string &Ip : drawConfirmers())
-                confirmByHost(Ip, Asked);
+              Confirmation_->ask(Asked);
               // The datagrams that came during a standstill, which show who is
               // alive, are read after the first round.
               bool AsksStore = Exchange_.isWatcher() || Hosts_.alive().empty();
@@ -457,53 +455,15 @@
             [this](const RecencyChange &Change) { logRecency(Change); }};
   }
 
-  void confirmByHost(const std::string &Ip, RecencyCheck::Episode Asked) {
-    if (EndpointMirror_.isLoaded())
-      Snapshots_.fetchOnce(Ip, MirrorPart::Endpoints,
-                           EndpointMirror_.revision(),
-                           confirmation(MirrorPart::Endpoints, {}));
-    Snapshots_.fetch(Ip, MirrorPart::OperatorTables, OperatorMirror_.revision(),
-                     confirmation(MirrorPart::OperatorTables, Asked));
-  }
-
-  /// Addresses of a few hosts that may know of changes that this one has
-  /// missed: of this region, watchers first, and of another region. None of
-  /// them counts as alive right after a start or standstill.
-  std::vector<std::string> drawConfirmers() const {
-    std::vector<HostState> Near = Hosts_.aliveInRegion();
-    std::vector<HostState> Far;
-    for (const HostState &Host : Hosts_.alive())
-      if (Host.Region != Settings_.Self.Region)
-        Far.push_back(Host);
-    for (std::vector<HostState> *Hosts : {&Near, &Far})
-      for (std::size_t I = Hosts->size(); I > 1; --I)
-        std::swap((*Hosts)[I - 1], (*Hosts)[Time_.Random() % I]);
-    std::stable_partition(Near.begin(), Near.end(),
-                          [](const HostState &Host) { return Host.Watches; });
-    Near.resize(std::min(Near.size(), ConfirmersOfRegion));
-    if (!Far.empty())
-      Near.push_back(Far.front());
-    if (Near.empty())
-      return Hosts_.silentContacts(ConfirmersOfRegion + 1);
-    std::vector<std::string> Ips(Near.size());
-    std::transform(Near.begin(), Near.end(), Ips.begin(),
-                   [](const HostState &Host) { return Host.Ip; });
-    return Ips;
-  }
-
-  /// Applies another host's snapshot and, if that host is current, takes it for
-  /// a confirmation.
-  StoreMirrorHooks::Answer confirmation(MirrorPart Part,
-                                        RecencyCheck::Episode Asked) {
-    return [Weak = weak_from_this(), Part, Asked](Result<StoreSnapshot> Got) {
-      auto Self = Weak.lock();
-      // Another one is asked shortly.
-      if (!Self || !Got)
-        return;
-      Self->mirrorOf(Part).applyFromPeer(*Got);
-      if (Got->Current)
-        Self->Recency_.confirm(Asked);
-    };
+  detail::PeerConfirmation::Hooks confirmationHooks() {
+    return {
+        [this](const std::string &Ip, const auto &Then) {
+          Snapshots_.askSummary(Ip, Then);
+        },
+        [this](const std::string &Ip, MirrorPart Part, StoreRevision Since,
+               const auto &Then) { Snapshots_.fetch(Ip, Part, Since, Then); },
+        [this](RecencyCheck::Episode Asked) { Recency_.confirm(Asked); },
+        [this] { return !Recency_.isConfirmed(); }};
   }
 
   void logRecency(const RecencyChange &Change) {
@@ -530,7 +490,7 @@
     // The field of a request could name any address.
     bool AsksSender = ++TableFetches_ % FetchesPerSender == 0 &&
                       Hosts_.silence(Sender).has_value();
-    auto Others = drawConfirmers();
+    auto Others = Confirmation_->draw();
     if (!AsksSender && Others.empty()) {
       FetchingTables_ = false;
       return;
@@ -568,9 +528,18 @@
       Changes.Current = Mirror.isCurrent() && Recency_.isConfirmed();
       return Answer->respond({Ok, {}}, detail::writeSnapshot(Changes));
     }
+    if (detail::PeerSnapshots::isSummaryRequest(Request.Head))
+      return Answer->respond({Ok, {}}, detail::writeSummary(summary()));
     relayRequest(Context_, std::move(Request), std::move(Answer), true);
   }
 
+  detail::MirrorSummary summary() {
+    return {Settings_.Self.Region, OperatorMirror_.includedFrom(),
+            EndpointMirror_.includedFrom(),
+            OperatorMirror_.isCurrent() && Recency_.isConfirmed(),
+            OperatorMirror_.isSettling()};
+  }
+
   /// Follows the region's watchers as long as one of them gets responses from
   /// the store, and watches the store itself otherwise.
   void updateFollowing() {
@@ -863,6 +832,9 @@
   detail::PeerSnapshots Snapshots_{Caller_, Settings_.HostPort};
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
+  std::shared_ptr<detail::PeerConfirmation> Confirmation_ =
+      std::make_shared<detail::PeerConfirmation>(
+          Time_, Hosts_, OperatorMirror_, EndpointMirror_, confirmationHooks());
   RecencyCheck Recency_{Time_, recencyHooks()};
   bool FetchingTables_ = false;
   unsigned TableFetches_ = 0;
--- a/src/fleethost/internal/peersnapshots.cpp
+++ b/src/fleethost/internal/peersnapshots.cpp
@@ -14,6 +14,7 @@
 const std::array<std::pair<MirrorPart, std::string>, 2> Paths = {
     {{MirrorPart::OperatorTables, "/mirror/operator/"},
      {MirrorPart::Endpoints, "/mirror/endpoints/"}}};
+const std::string SummaryPath = "/mirror/summary";
 constexpr Duration Timeout = std::chrono::seconds(1);
 /// Several times the size of the entries of the largest fleet that the design
 /// is for.
@@ -38,14 +39,11 @@
 PeerSnapshots::PeerSnapshots(HttpCaller &Caller, std::string Port)
     : Caller_(Caller), Port_(std::move(Port)) {}
 
-void PeerSnapshots::fetch(const std::string &Ip, MirrorPart Part,
-                          StoreRevision Since, const Answer &Then) {
+void PeerSnapshots::call(const std::string &Ip, const std::string &Path,
+                         std::function<void(std::optional<std::string>)> Then) {
   HttpCallRequest Call;
   Call.To = Address(Ip + ":" + Port_);
-  Call.Head = {"GET",
-               Paths.at(static_cast<std::size_t>(Part)).second +
-                   revisionText(Since),
-               {{"Host", Ip}}};
+  Call.Head = {"GET", Path, {{"Host", Ip}}};
   Call.Timeout = Timeout;
   auto Body = std::make_shared<std::string>();
   HttpCallHooks Hooks;
@@ -53,26 +51,41 @@
     *Body += Data;
     return Body->size() <= MaxBytes;
   };
-  Hooks.End = [Body, Then](HttpCallEnd End) {
-    if (End == HttpCallEnd::Complete)
-      return Then(readSnapshot(*Body));
-    Then(makeError(ErrorKind::ConnectionLost,
-                   "Another host did not hand over its snapshot; the next "
-                   "message of a host that knows more starts it again."));
+  Hooks.End = [Body, Then = std::move(Then)](HttpCallEnd End) {
+    Then(End == HttpCallEnd::Complete ? std::optional(std::move(*Body))
+                                      : std::nullopt);
   };
   Caller_.call(std::move(Call), std::move(Hooks));
 }
 
-void PeerSnapshots::fetchOnce(const std::string &Ip, MirrorPart Part,
-                              StoreRevision Since, const Answer &Then) {
-  if (!InProgress_.insert({Ip, Part}).second)
-    return;
-  fetch(Ip, Part, Since, [this, Ip, Part, Then](Result<StoreSnapshot> Got) {
-    InProgress_.erase({Ip, Part});
-    Then(std::move(Got));
+void PeerSnapshots::fetch(const std::string &Ip, MirrorPart Part,
+                          StoreRevision Since, const Answer &Then) {
+  call(Ip,
+       Paths.at(static_cast<std::size_t>(Part)).second + revisionText(Since),
+       [Then](const std::optional<std::string> &Body) {
+         if (Body)
+           return Then(readSnapshot(*Body));
+         Then(makeError(ErrorKind::ConnectionLost,
+                        "Another host did not hand over its snapshot; the next "
+                        "message of a host that knows more starts it again."));
+       });
+}
+
+void PeerSnapshots::askSummary(const std::string &Ip,
+                               const SummaryAnswer &Then) {
+  call(Ip, SummaryPath, [Then](const std::optional<std::string> &Body) {
+    if (Body)
+      return Then(readSummary(*Body));
+    Then(makeError(ErrorKind::ConnectionLost,
+                   "Another host did not tell what its copy includes; another "
+                   "host is asked."));
   });
 }
 
+bool PeerSnapshots::isSummaryRequest(const HttpRequestHead &Head) {
+  return Head.Method == "GET" && Head.Target == SummaryPath;
+}
+
 std::optional<std::pair<MirrorPart, StoreRevision>>
 PeerSnapshots::requested(const HttpRequestHead &Head) {
   for (const auto &[Part, Path] : Paths)
--- a/src/fleethost/internal/peersnapshots.h
+++ b/src/fleethost/internal/peersnapshots.h
@@ -1,13 +1,14 @@
 #ifndef CELERYBEAM_FLEETHOST_INTERNAL_PEERSNAPSHOTS_H
 #define CELERYBEAM_FLEETHOST_INTERNAL_PEERSNAPSHOTS_H
 
+#include <functional>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
 #include "fleet/storemirror.h"
 #include "fleethost/fleethost.h"
+#include "fleethost/internal/peerconfirmation.h"
 #include "relay/httpcaller.h"
 
 namespace celerybeam::detail {
@@ -28,21 +29,25 @@
   /// instead. Errors: ConnectionLost, Internal.
   void fetch(const std::string &Ip, MirrorPart Part, StoreRevision Since,
              const Answer &Then);
-  /// Like fetch, but does nothing while an earlier call of this function for
-  /// the same host is in progress.
-  void fetchOnce(const std::string &Ip, MirrorPart Part, StoreRevision Since,
-                 const Answer &Then);
+  /// Asks a host what its mirrors include, without their content. Errors:
+  /// ConnectionLost, Internal.
+  void askSummary(const std::string &Ip, const SummaryAnswer &Then);
 
   /// The part and revision that another host's request asks for; empty when it
   /// asks for something else. An unreadable revision counts as zero, for which
   /// all keys are sent.
   static std::optional<std::pair<MirrorPart, StoreRevision>>
   requested(const HttpRequestHead &Head);
+  /// Whether another host's request asks for a summary.
+  static bool isSummaryRequest(const HttpRequestHead &Head);
 
 private:
+  /// Calls a path of a host. The response is empty if it failed.
+  void call(const std::string &Ip, const std::string &Path,
+            std::function<void(std::optional<std::string>)> Then);
+
   HttpCaller &Caller_;
   std::string Port_;
-  std::set<std::pair<std::string, MirrorPart>> InProgress_;
 };
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/snapshotcodec.cpp
+++ b/src/fleethost/internal/snapshotcodec.cpp
@@ -63,4 +63,29 @@
   return Snapshot;
 }
 
+std::string writeSummary(const MirrorSummary &Summary) {
+  messages::MirrorSummary Message;
+  Message.set_region(Summary.Region.str());
+  Message.set_operator_era(Summary.Operator.Era);
+  Message.set_operator_from(Summary.Operator.Number);
+  Message.set_endpoint_era(Summary.Endpoints.Era);
+  Message.set_endpoint_from(Summary.Endpoints.Number);
+  Message.set_current(Summary.Current);
+  Message.set_settling(Summary.Settling);
+  return Message.SerializeAsString();
+}
+
+Result<MirrorSummary> readSummary(const std::string &Bytes) {
+  messages::MirrorSummary Message;
+  if (!Message.ParseFromString(Bytes))
+    return makeError(ErrorKind::Internal,
+                     "Another host's summary cannot be read; another host is "
+                     "asked.");
+  return MirrorSummary{RegionId(Message.region()),
+                       {Message.operator_era(), Message.operator_from()},
+                       {Message.endpoint_era(), Message.endpoint_from()},
+                       Message.current(),
+                       Message.settling()};
+}
+
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/snapshotcodec.h
+++ b/src/fleethost/internal/snapshotcodec.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "fleet/storemirror.h"
+#include "fleethost/internal/peerconfirmation.h"
 
 namespace celerybeam::detail {
 
@@ -13,6 +14,12 @@
 /// Decodes another entry host's snapshot. Errors: Internal.
 Result<StoreSnapshot> readSnapshot(const std::string &Bytes);
 
+/// Encodes what this host's mirrors include for another entry host.
+std::string writeSummary(const MirrorSummary &Summary);
+
+/// Decodes another entry host's summary. Errors: Internal.
+Result<MirrorSummary> readSummary(const std::string &Bytes);
+
 } // namespace celerybeam::detail
 
 #endif
--- a/src/fleethost/tests/snapshotcodectest.cpp
+++ b/src/fleethost/tests/snapshotcodectest.cpp
@@ -39,4 +39,16 @@
   BOOST_TEST(!detail::readSnapshot("\xff\xff").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(summaryIsReadAsWritten) {
+  detail::MirrorSummary Sent{RegionId("kigali"), {2, 40}, {1, 39}, true, false};
+  auto Read = detail::readSummary(detail::writeSummary(Sent));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Region.str() == "kigali");
+  BOOST_TEST((Read->Operator == Sent.Operator));
+  BOOST_TEST((Read->Endpoints == Sent.Endpoints));
+  BOOST_TEST(Read->Current);
+  BOOST_TEST(!Read->Settling);
+  BOOST_TEST(!detail::readSummary("\xff\xff").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
