Ask a second host for newer tables after 100 ms

Cause: FleetHost::fetchTables asked one host at a time. A host that stood still while it was asked held up the next fetch for the time-out of a call, a second, while requests wait 500 ms for newer tables. One in four fetches also went to the sender of the request, which may be in another region, whether or not hosts of the region had the tables.

Change: TableFetchPlan decides whom to ask and when. Another host is asked 100 ms after the last question, at most four at a time and none twice at once. The sender is asked after three answers of hosts of the region without newer tables, and a host of another region only if none of the region is left; one of these at a time. The log line names the host that was asked. The sources are drawn only when somebody may be asked, since waiting requests ask every few milliseconds.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -11,6 +11,7 @@
 #include "fleethost/internal/peersnapshots.h"
 #include "fleethost/internal/requestlog.h"
 #include "fleethost/internal/snapshotcodec.h"
+#include "fleethost/internal/tablefetchplan.h"
 #include "fleethost/internal/updateexchange.h"
 #include "logging/logger.h"
 #include "metrics/metricsregistry.h"
@@ -40,9 +41,6 @@
 /// The store is read once in so many rounds of asking, since each call is paid
 /// for.
 constexpr unsigned RoundsPerStoreRead = 3;
-/// One in so many fetches of newer tables asks the host that has sent a request
-/// by them.
-constexpr unsigned FetchesPerSender = 4;
 /// Problems of customers' entries that are logged for one version.
 constexpr std::size_t MaxLoggedProblems = 20;
 /// Longest wait of a watch of the tables where removed keys have to end on
@@ -481,32 +479,35 @@
                  {{"change", Message}});
   }
 
-  /// Fetches newer tables, one call at a time: from hosts of this region, which
-  /// receive them soon, and now and then from the host that acts by them, since
-  /// bytes between regions are paid for.
+  /// Fetches newer tables. Called repeatedly while a request needs them.
+  /// \param Sender  the host that has sent the request by them.
   void fetchTables(const std::string &Sender) {
-    if (std::exchange(FetchingTables_, true))
+    if (!TableFetch_.mayAsk(Time_.Now()))
       return;
+    detail::PeerConfirmation::Sources Drawn =
+        Confirmation_->draw(TableFetch_.asking());
+    detail::TableSources Sources{std::move(Drawn.Near), std::move(Drawn.Far),
+                                 ""};
     // The field of a request could name any address.
-    bool AsksSender = ++TableFetches_ % FetchesPerSender == 0 &&
-                      Hosts_.silence(Sender).has_value();
-    auto Others = Confirmation_->draw();
-    if (!AsksSender && Others.empty()) {
-      FetchingTables_ = false;
+    if (Hosts_.silence(Sender))
+      Sources.Sender = Sender;
+    auto From = TableFetch_.next(Time_.Now(), Sources);
+    if (!From)
       return;
-    }
-    std::string From = AsksSender ? Sender : Others.front();
     Snapshots_.fetch(
-        From, MirrorPart::OperatorTables, OperatorMirror_.revision(),
-        [Weak = weak_from_this()](Result<StoreSnapshot> Got) {
+        *From, MirrorPart::OperatorTables, OperatorMirror_.revision(),
+        [Weak = weak_from_this(), Ip = *From](Result<StoreSnapshot> Got) {
           auto Self = Weak.lock();
           if (!Self)
             return;
-          Self->FetchingTables_ = false;
-          if (!Got)
-            return Self->Log_.info("Tables of the sender not fetched.",
-                                   {{"why", Got.error().Message}});
-          Self->OperatorMirror_.applyFromPeer(*Got);
+          StoreMirror &Tables = Self->OperatorMirror_;
+          StoreRevision Before = Tables.lastChange();
+          if (Got)
+            Tables.applyFromPeer(*Got);
+          else
+            Self->Log_.info("Tables of the sender not fetched.",
+                            {{"from", Ip}, {"why", Got.error().Message}});
+          Self->TableFetch_.ended(Ip, Tables.lastChange() > Before);
         });
   }
 
@@ -836,8 +837,7 @@
       std::make_shared<detail::PeerConfirmation>(
           Time_, Hosts_, OperatorMirror_, EndpointMirror_, confirmationHooks());
   RecencyCheck Recency_{Time_, recencyHooks()};
-  bool FetchingTables_ = false;
-  unsigned TableFetches_ = 0;
+  detail::TableFetchPlan TableFetch_;
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
--- a/src/fleethost/internal/peerconfirmation.cpp
+++ b/src/fleethost/internal/peerconfirmation.cpp
@@ -25,7 +25,10 @@
     FarFetchScheduled_ = false;
     FarFetchedAt_.reset();
   }
-  for (const std::string &Ip : draw(Asking_)) {
+  Sources Drawn = draw(Asking_);
+  std::vector<std::string> Ips = std::move(Drawn.Near);
+  Ips.insert(Ips.end(), Drawn.Far.begin(), Drawn.Far.end());
+  for (const std::string &Ip : Ips) {
     Asking_.insert(Ip);
     Hooks_.AskSummary(
         Ip, duringEpisode<MirrorSummary>([this, Ip](Result<MirrorSummary> Got) {
@@ -48,7 +51,7 @@
   };
 }
 
-std::vector<std::string>
+PeerConfirmation::Sources
 PeerConfirmation::draw(const std::set<std::string> &Except) const {
   std::vector<HostState> Near;
   std::vector<HostState> Far;
@@ -62,18 +65,18 @@
   std::stable_partition(Near.begin(), Near.end(),
                         [](const HostState &Host) { return Host.Watches; });
   Near.resize(std::min(Near.size(), ConfirmersOfRegion));
+  Sources Drawn;
+  Drawn.Near.resize(Near.size());
+  std::transform(Near.begin(), Near.end(), Drawn.Near.begin(),
+                 [](const HostState &Host) { return Host.Ip; });
   if (!Far.empty())
-    Near.push_back(Far.front());
-  std::vector<std::string> Ips;
-  Ips.reserve(Near.size());
-  for (const HostState &Host : Near)
-    Ips.push_back(Host.Ip);
+    Drawn.Far.push_back(Far.front().Ip);
   if (!Alive.empty())
-    return Ips;
-  for (const std::string &Ip : Hosts_.silentContacts(ConfirmersOfRegion + 1))
-    if (!Except.contains(Ip))
-      Ips.push_back(Ip);
-  return Ips;
+    return Drawn;
+  Drawn.Far = Hosts_.silentContacts(ConfirmersOfRegion + 1);
+  std::erase_if(Drawn.Far,
+                [&](const std::string &Ip) { return Except.contains(Ip); });
+  return Drawn;
 }
 
 bool PeerConfirmation::includes(const MirrorSummary &Got) const {
--- a/src/fleethost/internal/peerconfirmation.h
+++ b/src/fleethost/internal/peerconfirmation.h
@@ -65,10 +65,16 @@
   void ask(RecencyCheck::Episode Asked);
 
   /// Addresses of a few hosts that may know of changes that this one has
-  /// missed: of this region, watchers first, and of another region. None of
-  /// them counts as alive right after a start or standstill.
+  /// missed.
+  struct Sources {
+    /// Of this region, watchers first.
+    std::vector<std::string> Near;
+    /// Of another region; while no host counts as alive, as right after a start
+    /// or standstill, of any region.
+    std::vector<std::string> Far;
+  };
   /// \param Except  are left out.
-  std::vector<std::string> draw(const std::set<std::string> &Except = {}) const;
+  Sources draw(const std::set<std::string> &Except) const;
 
   /// Time that hosts of this region have to provide missing changes before they
   /// are fetched from another region. A random part of up to the same length is
