Log the home regions of restricted routes with adopted tables

Cause: the log line "Fleet view changed." for tables told only the number of routes, so the log did not show whether a request ran outside its home regions.

Change: its detail lists each restricted route with its regions, at most 40 routes and then the number of the others. A route that is allowed in no region is listed with "none". Without restricted routes the line is as before.

Result: adoptedTablesAreLoggedWithHomeRegions passes, as do the other tests of test_fleet.

--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -27,6 +27,28 @@
 /// since its entry may come back after an outage of the store.
 constexpr Duration ReportRetention = std::chrono::minutes(1);
 
+/// Routes that are listed with their home regions in one log line, which has to
+/// stay readable for configurations with many routes.
+constexpr std::size_t MaxLoggedRoutes = 40;
+
+/// The restricted routes with their home regions, for the log, which shows with
+/// them whether a request ran outside its home regions. Empty when there are no
+/// such routes.
+std::string homesText(const FleetTables &Tables) {
+  std::string Text;
+  std::size_t Restricted = 0;
+  for (const FleetRoute &Route : Tables.Routes) {
+    if (!Route.Homes.isRestricted() || ++Restricted > MaxLoggedRoutes)
+      continue;
+    std::string Regions = Route.Homes.text();
+    Text += (Text.empty() ? "" : "; ") + Route.Name.str() + ": " +
+            (Regions.empty() ? "none" : Regions);
+  }
+  if (Restricted > MaxLoggedRoutes)
+    Text += "; " + std::to_string(Restricted - MaxLoggedRoutes) + " more";
+  return Text;
+}
+
 std::string millisecondsText(Duration D) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
@@ -117,6 +139,8 @@
   std::string Detail = "routes=" + std::to_string(Adopted.Routes.size());
   if (Adopted.Customers)
     Detail += " customers=" + std::to_string(Adopted.Customers->size());
+  if (std::string Homes = homesText(Adopted); !Homes.empty())
+    Detail += " homes=[" + Homes + "]";
   Impl_->changed("tables", std::to_string(Adopted.Version), Detail);
   if (Impl_->Hooks_.TablesAdopted)
     Impl_->Hooks_.TablesAdopted(Adopted);
--- a/src/fleet/tests/fleetviewtest.cpp
+++ b/src/fleet/tests/fleetviewtest.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 #include "fleet/fleetview.h"
 #include "support/virtualtime.h"
 
@@ -164,4 +166,37 @@
   BOOST_TEST((View.backOffOf(Key) == 0ms));
 }
 
+// Guards against logs that do not show whether a request ran outside its home
+// regions; without restricted routes the line stays as it was.
+BOOST_AUTO_TEST_CASE(adoptedTablesAreLoggedWithHomeRegions) {
+  std::string Detail;
+  FleetView Logged(Time.runtime(), {[&Detail](const ViewChange &Change) {
+                                      Detail = Change.Detail;
+                                    },
+                                    nullptr, nullptr});
+  auto RouteOf = [](const std::string &Name, const HomeRegions &Homes) {
+    FleetRoute Route;
+    Route.Name = RouteName(Name);
+    Route.Homes = Homes;
+    return Route;
+  };
+  FleetTables T = tables(1);
+  T.Routes = {RouteOf("open", {})};
+  Logged.adoptTables(T);
+  BOOST_TEST(Detail == "routes=1");
+
+  T.Version = 2;
+  T.Routes.push_back(RouteOf(
+      "records", HomeRegions::only({RegionId("kigali"), RegionId("oslo")})));
+  T.Routes.push_back(RouteOf("closed", HomeRegions::only({})));
+  Logged.adoptTables(T);
+  BOOST_TEST(Detail == "routes=3 homes=[records: kigali oslo; closed: none]");
+
+  T.Version = 3;
+  T.Routes.assign(45, RouteOf("r", HomeRegions::only({RegionId("oslo")})));
+  Logged.adoptTables(T);
+  BOOST_TEST(Detail.ends_with("r: oslo; 5 more]"));
+  BOOST_TEST(std::count(Detail.begin(), Detail.end(), ':') == 40);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
