Offer free engines to requests behind long ones that wait for theirs

Cause: only three requests of a pool got an offer in a round. Long prompts at the head, each of which preferred an engine that was not ready for it, kept all others from the engines that were.

Ruled out: memory and slots (at most 38 in flight), other regions without room.

Change: 16 offers a pool and round; a queued request that has waited 40 ms takes a ready engine in place of a preferred one that is not.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -50,6 +50,10 @@
   /// Score for each step down in a prefix's order of preference, so that hosts
   /// agree on an endpoint for a prefix that none has cached.
   Duration PreferenceStep = std::chrono::milliseconds(8);
+  /// A queued request that has waited this long takes an endpoint that is ready
+  /// in place of a preferred one that is not. To read a shared prefix again
+  /// takes about as long.
+  Duration MaxPreferenceWait = std::chrono::milliseconds(40);
   /// Score of an endpoint that fails all its requests.
   Duration FailurePenalty = std::chrono::milliseconds(1500);
   LongPromptSettings LongPrompts;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -212,6 +212,7 @@
     if (Source.Endpoint != nullptr && !Health_.isTrusted(Source.Endpoint->Key))
       Source = {};
     std::optional<Candidate> Best;
+    std::optional<Candidate> BestReady;
     Log.Inputs.Usable = static_cast<unsigned>(Endpoints.size());
     for (std::size_t I = 0; I < Endpoints.size(); ++I) {
       const FleetEndpoint *E = Endpoints[I];
@@ -254,8 +255,21 @@
                (!Pool.Engine && !Health_.isHealthy(E->Key));
       if (!Best || C.isBefore(*Best))
         Best = C;
+      if (C.Expected.Ready && !C.LastResort &&
+          (!BestReady || C.isBefore(*BestReady)))
+        BestReady = C;
     }
-    return Best;
+    bool WaitsForBest = Best && !Best->Expected.Ready && BestReady;
+    return WaitsForBest && hasWaitedForPreferred(Log) ? BestReady : Best;
+  }
+
+  /// Whether a queued request no longer waits for the endpoint that it prefers.
+  ///
+  /// Handles this load pattern: "a few long prompts, each of which waits for
+  /// one engine, are first in the queue, and other engines are idle".
+  bool hasWaitedForPreferred(const AttemptLog &Log) const {
+    return Log.Queued &&
+           Runtime_.Now() - Log.Arrived >= Settings_.MaxPreferenceWait;
   }
 
   std::optional<RemoteChoice> bestRemote(const RequestDescriptor &Request,
--- a/src/dispatch/requestqueue.h
+++ b/src/dispatch/requestqueue.h
@@ -66,9 +66,10 @@
                                      TimePoint Arrived, TimePoint Now) const;
   std::size_t size() const { return Requests_.size(); }
 
-  /// Requests of one pool that get an offer per round: those behind them wait
-  /// for the same endpoints.
-  static constexpr std::size_t OffersPerPool = 3;
+  /// Requests of one pool that get an offer per round. With fewer, some long
+  /// prompts that each wait for another endpoint keep all others from the
+  /// endpoints that are free; a placer has some ten endpoints of a pool.
+  static constexpr std::size_t OffersPerPool = 16;
 
 private:
   /// Order of service: rank, arrival, order of adding.
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -465,4 +465,30 @@
   BOOST_TEST(is<Enqueue>(send(request(0), Bookings)));
 }
 
+// Idle engines beside a queue: each request waited for the engine that its
+// prefix prefers.
+BOOST_AUTO_TEST_CASE(queuedRequestTakesAReadyEngineAfterAWhile) {
+  addEndpoint("a");
+  addEndpoint("b");
+  send(request(200), Questions);
+  // Too long to share a step with what waits at an engine.
+  constexpr std::uint32_t Long = 9400;
+  std::optional<DispatchDecision> Decision;
+  AttemptLog Log;
+  RequestDescriptor R;
+  for (std::uint64_t Prefix = 1; !Decision; ++Prefix) {
+    BOOST_REQUIRE(Prefix < 100U);
+    Log = {};
+    R = request(Long, Prefix);
+    DispatchDecision D = Decisions.choose(R, Quotes, Log);
+    if (is<Enqueue>(D))
+      Decision = D;
+  }
+  Log.Queued = true;
+  Time.runFor(DispatchSettings().MaxPreferenceWait - 1ms);
+  BOOST_TEST(is<Enqueue>(Decisions.choose(R, Quotes, Log)));
+  Time.runFor(1ms);
+  BOOST_TEST(is<ServeAt>(Decisions.choose(R, Quotes, Log)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/partstest.cpp
+++ b/src/dispatch/tests/partstest.cpp
@@ -387,4 +387,21 @@
   BOOST_TEST(Offers == 50U);
 }
 
+// Long prompts at the head, each of which waits for an endpoint of its own,
+// kept short ones from endpoints that were free.
+BOOST_AUTO_TEST_CASE(requestsBehindSomeThatWaitGetOffers) {
+  RequestQueue Queue;
+  for (int I = 0; I < 8; ++I)
+    Queue.add({Pool, 0, TimePoint(1s), TimePoint(9s), TimePoint(9s), 10ms,
+               false, [] { return false; }});
+  bool Offered = false;
+  Queue.add(
+      {Pool, 1, TimePoint(2s), TimePoint(9s), TimePoint(9s), 10ms, false, [&] {
+         Offered = true;
+         return false;
+       }});
+  Queue.offer(TimePoint(2500ms));
+  BOOST_TEST(Offered);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
