Read another host's mirror answers only with status 200

A host that does not know the path of summaries, or that drains, answers with a refusal whose text must not be read as a confirmation.

Change: any other status counts as a failed call.

No test covers the refused status: the fixtures of this module have no HTTP caller.

--- a/src/fleethost/internal/peersnapshots.cpp
+++ b/src/fleethost/internal/peersnapshots.cpp
@@ -14,6 +14,7 @@
 const std::array<std::pair<MirrorPart, std::string>, 2> Paths = {
     {{MirrorPart::OperatorTables, "/mirror/operator/"},
      {MirrorPart::Endpoints, "/mirror/endpoints/"}}};
+constexpr unsigned Ok = 200;
 const std::string SummaryPath = "/mirror/summary";
 constexpr Duration Timeout = std::chrono::seconds(1);
 /// Several times the size of the entries of the largest fleet that the design
@@ -46,14 +47,21 @@
   Call.Head = {"GET", Path, {{"Host", Ip}}};
   Call.Timeout = Timeout;
   auto Body = std::make_shared<std::string>();
+  auto IsOk = std::make_shared<bool>(false);
   HttpCallHooks Hooks;
+  // A host of an earlier version, or one that drains, refuses the request. Its
+  // message must not be read as a confirmation.
+  Hooks.Head = [IsOk](const HttpResponseHead &Head) {
+    *IsOk = Head.Status == Ok;
+    return HeadVerdict::Accept;
+  };
   Hooks.Body = [Body](std::string_view Data) {
     *Body += Data;
     return Body->size() <= MaxBytes;
   };
-  Hooks.End = [Body, Then = std::move(Then)](HttpCallEnd End) {
-    Then(End == HttpCallEnd::Complete ? std::optional(std::move(*Body))
-                                      : std::nullopt);
+  Hooks.End = [IsOk, Body, Then = std::move(Then)](HttpCallEnd End) {
+    Then(*IsOk && End == HttpCallEnd::Complete ? std::optional(std::move(*Body))
+                                               : std::nullopt);
   };
   Caller_.call(std::move(Call), std::move(Hooks));
 }
