Share each rank of a placer's queue among customers

Cause: a placer queued in order of arrival, so one customer at a multiple of its usual load filled the queue, and the others were late or refused for it.

Change: FairShare is start-time fair queueing by occupancy, with one virtual time for each pool and rank, since ranks are served at different speeds. RequestQueue orders by it within a rank, and serviceTimeAhead and hasRequestAhead predict in the same order. Requests are charged when they are dispatched, whether they waited or not; refused ones cost nothing.

Partial: customers that send a placer less than one request per queueing time have nothing waiting to share by, and are served in order of arrival. Late requests still wait behind all of their rank that can be on time.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -102,6 +102,8 @@
   /// prompt.
   QueueLane Lane = QueueLane::OnTime;
   bool QueuedAsUnderserved = false;
+  /// Rank under which it was last queued; unset if it never was.
+  std::optional<unsigned> QueuedRank;
   /// Inputs of the latest choice.
   DecisionInputs Inputs;
 };
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -373,15 +373,15 @@
   /// plain service. An engine runs one prefill at a time and has a slot taken
   /// until the stream ends: whichever is scarcer counts.
   Duration occupancyOf(const RequestDescriptor &Request, const FleetPool &Pool,
-                       const Candidate &Local) const {
+                       const FleetEndpoint &Endpoint,
+                       const Prediction &Expected) const {
     Duration ServiceTime =
-        Predictor_.serviceTime(Pool, Local.Expected.UncachedTokens);
+        Predictor_.serviceTime(Pool, Expected.UncachedTokens);
     if (!Pool.Engine)
       return ServiceTime;
     Duration Whole =
         ServiceTime + Predictor_.streamTime(Pool, Request.MaxOutputTokens);
-    auto Slots =
-        static_cast<Duration::rep>(std::max(1U, Local.Endpoint->Slots));
+    auto Slots = static_cast<Duration::rep>(std::max(1U, Endpoint.Slots));
     return std::max(ServiceTime - LatencyPredictor::EngineOverhead,
                     Whole / Slots);
   }
@@ -447,12 +447,13 @@
     Case.TimeToFirstOutput = Local->Expected.ToFirstOutput;
     unsigned Rank = queueRank(Route, Pool, Log, *Local);
     Case.MustWait = !Local->Expected.Ready ||
-                    (!Log.Queued && Queue_.hasRequestAhead(Log.Pool, Rank));
+                    (!Log.Queued &&
+                     Queue_.hasRequestAhead(Log.Pool, Rank, Request.Customer));
     Case.IsUnderservedLong = isUnderservedLong(Route, Pool, Log, *Local);
     if (!Case.MustWait)
       return Case;
-    QueuedServiceTime Ahead =
-        Queue_.serviceTimeAhead(Pool.Name, Rank, Log.Arrived, Runtime_.Now());
+    QueuedServiceTime Ahead = Queue_.serviceTimeAhead(
+        Pool.Name, Rank, Log.Arrived, Runtime_.Now(), Request.Customer);
     // Requests that can be on time get offers in order.
     if (!Log.Queued)
       Case.OnTimeWait = QueueWaits_.onTimeWait(Pool.Name, Ahead, slotsOf(Pool));
@@ -483,7 +484,9 @@
                        const Admission &LocalAdmission) {
     if (!Log.Queued) {
       if (LocalAdmission.Admitted && LocalAdmission.Lane == QueueLane::OnTime)
-        QueueWaits_.recordArrival(Pool.Name, occupancyOf(Request, Pool, Local));
+        QueueWaits_.recordArrival(
+            Pool.Name,
+            occupancyOf(Request, Pool, *Local.Endpoint, Local.Expected));
       Fairness_.recordDecision(classOf(Route, Pool, Local),
                                LocalAdmission.Admitted);
     } else if (!LocalAdmission.Admitted) {
@@ -491,11 +494,28 @@
     }
   }
 
+  /// Charges a dispatched request to its customer's share. Requests without a
+  /// customer are charged only where customers share the rank.
+  void chargeCustomer(const RequestDescriptor &Request, const FleetRoute &Route,
+                      const ServeAt &Choice, const AttemptLog &Log) {
+    ShareScope Scope{Log.Pool, Log.QueuedRank.value_or(Route.Rank)};
+    const FleetPool *Pool = poolOf(Log);
+    if (Pool != nullptr &&
+        (!Request.Customer.empty() || Queue_.isShared(Scope)))
+      Queue_.recordDispatch(
+          Scope, Request.Customer,
+          occupancyOf(Request, *Pool, Choice.Endpoint, Choice.Expected),
+          Runtime_.Now());
+  }
+
   Enqueue makeEnqueue(const RequestDescriptor &Request, const FleetRoute &Route,
                       const FleetPool &Pool, AttemptLog &Log,
                       const Candidate &Local, const AdmissionCase &Case,
                       const Admission &LocalAdmission) const {
     unsigned Rank = queueRank(Route, Pool, Log, Local);
+    // A queued request keeps the rank that it was queued with.
+    if (!Log.Queued)
+      Log.QueuedRank = Rank;
     Log.Lane = LocalAdmission.Lane;
     Log.QueuedAsUnderserved = Case.IsUnderservedLong;
     bool OnTime = LocalAdmission.Lane == QueueLane::OnTime;
@@ -504,7 +524,8 @@
     Enqueue Wait;
     Wait.Expected = LocalAdmission.Expected;
     Wait.QueueWait = OnTime ? Case.OnTimeWait : Duration::zero();
-    Wait.Occupancy = occupancyOf(Request, Pool, Local);
+    Wait.Occupancy =
+        occupancyOf(Request, Pool, *Local.Endpoint, Local.Expected);
     Wait.Rank = Rank;
     Wait.HasReservedEndpoint = Case.IsUnderservedLong;
     Wait.OnTimeUntil = Log.Arrived;
@@ -641,6 +662,7 @@
   if (Request.PromptTokens > 0)
     Impl_->Prefixes_.recordRequest(Key, Request.Levels,
                                    W.UncachedTokens + Request.MaxOutputTokens);
+  Impl_->chargeCustomer(Request, Route, Choice, Log);
   return Impl_->Loads_.recordStart(Key, W);
 }
 
--- a/src/dispatch/internal/placementserver.cpp
+++ b/src/dispatch/internal/placementserver.cpp
@@ -115,6 +115,7 @@
     Queued.Occupancy = Wait.Occupancy;
     Queued.HasReservedEndpoint = Wait.HasReservedEndpoint;
     Queued.Offer = [this, Id] { return decide(Id); };
+    Queued.Customer = P.Ask.Request.Customer;
     P.QueuedSince = Runtime_.Now();
     P.PredictedWait = Wait.QueueWait;
     P.QueueId = Decisions_.queue().add(std::move(Queued));
--- a/src/dispatch/requestqueue.h
+++ b/src/dispatch/requestqueue.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 #include "blackboard/idtypes.h"
+#include "dispatch/fairshare.h"
 #include "dispatch/queuewaitestimator.h"
 #include "framework/runtime.h"
 
@@ -29,6 +31,8 @@
   bool HasReservedEndpoint = false;
   /// Tries to dispatch it. \return whether the request has left the queue.
   std::function<bool()> Offer;
+  /// Empty when there is none.
+  CustomerId Customer{};
 };
 
 /// Identifies a queued request; 0 is none.
@@ -37,7 +41,9 @@
 };
 
 /// Queue of the requests that wait at their placer: first those that can still
-/// be on time, by rank and then by age; after them the others.
+/// be on time, by rank and then by age; after them the others. Where requests
+/// have customers, these share each rank, and age orders the requests of one
+/// customer.
 ///
 /// Handles this load pattern: "bursts fill the endpoints' own queues". A
 /// request that waits at the host can still go to whichever endpoint is free
@@ -56,16 +62,35 @@
   /// add and remove requests.
   void offer(TimePoint Now);
 
-  /// Whether a request of the pool that is at least as urgent waits for the
-  /// same slots as others.
-  bool hasRequestAhead(const PoolName &Pool, unsigned Rank) const;
+  /// Whether a request of the pool that is at least as urgent, and not behind a
+  /// new one of this customer, waits for the same slots as others.
+  bool hasRequestAhead(const PoolName &Pool, unsigned Rank,
+                       const CustomerId &Customer = {}) const;
   /// Occupancy of the requests that are served before one of this rank and
   /// arrival: all that are at least as urgent and can be on time, and the late
   /// ones that arrived before it.
   QueuedServiceTime serviceTimeAhead(const PoolName &Pool, unsigned Rank,
                                      TimePoint Arrived, TimePoint Now) const;
+  /// The same for a request of this customer. Of its rank, only the requests
+  /// count that precede it in the order in which customers share. Those that
+  /// can be on time and do not precede it count as Late, as they are ahead of
+  /// it once it is late.
+  QueuedServiceTime serviceTimeAhead(const PoolName &Pool, unsigned Rank,
+                                     TimePoint Arrived, TimePoint Now,
+                                     const CustomerId &Customer) const;
+  /// The least urgent rank that waits for the pool; 0 when none does.
+  unsigned leastUrgentRank(const PoolName &Pool) const;
   std::size_t size() const { return Requests_.size(); }
 
+  /// Whether customers share the scope.
+  bool isShared(const ShareScope &Scope) const {
+    return Shares_.isActive(Scope);
+  }
+  /// Charges a request that is dispatched to its customer, whether or not it
+  /// was queued.
+  void recordDispatch(const ShareScope &Scope, const CustomerId &Customer,
+                      Duration Occupancy, TimePoint Now);
+
   /// Requests of one pool that get an offer per round: those behind them wait
   /// for the same endpoints.
   static constexpr std::size_t OffersPerPool = 3;
@@ -76,16 +101,37 @@
     unsigned Rank;
     TimePoint Arrived;
     std::uint64_t Serial;
+    /// See WaitingCustomer. Has no effect on the order, as no serial repeats.
+    std::uint32_t Customer;
     auto operator<=>(const Position &) const = default;
   };
 
   /// Number of requests by rank; no entry is zero.
   using RankCounts = std::map<unsigned, std::size_t>;
 
+  /// A customer with queued requests. Numbers stand for names in loops over the
+  /// queue, where hashing the names takes most of the time.
+  struct WaitingCustomer {
+    std::uint32_t Number = 0;
+    std::size_t Requests = 0;
+  };
+
+  /// The number of a customer that has queued requests; 0 for none.
+  std::uint32_t numberOf(const CustomerId &Customer) const;
+  std::uint32_t addCustomer(const CustomerId &Customer);
+  void removeCustomer(const CustomerId &Customer);
+
+  /// Order of offers without and with customers.
+  std::vector<Position> orderByArrival(TimePoint Now) const;
+  std::vector<Position> sharedOrder(TimePoint Now) const;
+
   std::uint64_t LastSerial_ = 0;
   std::map<Position, QueuedRequest> Requests_;
   std::map<std::uint64_t, Position> Positions_;
   std::map<PoolName, RankCounts> Pools_;
+  std::unordered_map<CustomerId, WaitingCustomer> Customers_;
+  std::vector<std::uint32_t> FreeNumbers_;
+  FairShare Shares_;
 };
 
 } // namespace celerybeam
--- a/src/dispatch/tests/loadreplay.cpp
+++ b/src/dispatch/tests/loadreplay.cpp
@@ -54,14 +54,16 @@
     Caller->Number = Requests_.size();
     std::uint32_t Tokens = Kind.Tokens ? Kind.Tokens(Time_.random()) : 0;
     Caller->Deadline = Time_.now() + Kind.Deadline;
-    Requests_.push_back({Kind.Name,
-                         Tokens,
-                         Time_.now(),
-                         Kind.Route.LatencyTarget,
-                         {},
-                         {},
-                         0,
-                         {}});
+    Requests_.push_back(
+        {Kind.Name,
+         Tokens,
+         Time_.now(),
+         Kind.Route.LatencyTarget,
+         {},
+         {},
+         0,
+         {},
+         Kind.Customer ? Kind.Customer(Time_.random()) : CustomerId()});
     ask(Caller);
   }
 
@@ -99,6 +101,7 @@
     PlacementAsk Ask;
     Ask.Request = Fixture_->request(R.Tokens, Time_.random());
     Ask.Request.Fingerprint = Caller->Number + 1;
+    Ask.Request.Customer = R.Customer;
     // Requests share no prefix.
     Ask.Request.Parts.clear();
     Ask.Request.Levels.clear();
--- a/src/dispatch/tests/loadreplay.h
+++ b/src/dispatch/tests/loadreplay.h
@@ -25,6 +25,8 @@
   std::uint32_t OutputTokens = 0;
   /// How long callers wait for the first output.
   Duration Patience = std::chrono::seconds(4);
+  /// Draws the customer; null for requests without one.
+  std::function<CustomerId(std::uint64_t Random)> Customer = nullptr;
 };
 
 /// Result of one caller's request.
@@ -39,6 +41,7 @@
   unsigned Refusals = 0;
   /// Longest time from an arrival to its refusal.
   Duration LongestQueueTime{};
+  CustomerId Customer{};
 
   bool onTime() const { return Served && *FirstOutput <= LatencyTarget; }
 };
