Raise underserved ranks within their customer's priority

Cause: a combined rank has the customer's priority in its upper part. An underserved rank was compared with all lower ranks and raised to rank 0, past more urgent customers; and the wait told to other regions was that of rank 1, without the requests of less urgent customers.

Change: with customers, a rank is compared and raised within its customer's priority. Dispatcher::outlook tells the wait of the least urgent customer that waits. Requests without a customer are ranked as before.

Result (FairShareTests): with urgent customers at 2.4 times the capacity, one with a low priority is served 0.205 of what it sends, all 0.461 (16 customers); 0.208 and 0.469 (1,000). One with a low priority at 1.5 times the capacity beside urgent ones at 0.9 leaves these all served.

test_dispatch passes (96 cases), as do test_retrybudget, test_customerlimits, test_crashtracker, test_relay and test_fleethost.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -147,7 +147,8 @@
   TimePoint ReevaluateAt{};
   Duration Occupancy{};
   /// Rank in the queue; an underserved class is queued with the most urgent
-  /// rank.
+  /// rank of its customer's priority, and an underserved customer as one of the
+  /// most urgent.
   unsigned Rank = 0;
   bool HasReservedEndpoint = false;
 };
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -60,6 +60,11 @@
           Check};
 }
 
+/// The first combined rank of a customer's rank.
+constexpr unsigned firstRankOf(unsigned CustomerRank) {
+  return CustomerRank * (MaxPartialRank + 1);
+}
+
 bool contains(const auto &List, const auto &Item) {
   return std::find(List.begin(), List.end(), Item) != List.end();
 }
@@ -401,13 +406,28 @@
     return Class.Long && Fairness_.isLongUnderserved(Class);
   }
 
-  /// Rank in the queue; an underserved class gets the most urgent rank.
-  unsigned queueRank(const FleetRoute &Route, const FleetPool &Pool,
-                     const AttemptLog &Log, const Candidate &Local) const {
-    bool IsUnderserved =
-        isUnderservedLong(Route, Pool, Log, Local) ||
-        Fairness_.isRankUnderserved(classOf(Route, Pool, Local));
-    return IsUnderserved ? 0 : Route.Rank;
+  /// Rank in the queue; an underserved class gets the most urgent rank of its
+  /// customer's priority. A customer that more urgent ones leave too little
+  /// counts as one of the most urgent, among which it gets no more than a fair
+  /// share however much it sends; where that is too little for its size, it
+  /// gets the most urgent rank.
+  unsigned queueRank(const RequestDescriptor &Request, const FleetRoute &Route,
+                     const FleetPool &Pool, const AttemptLog &Log,
+                     const Candidate &Local) const {
+    ServiceClass Class = classOf(Route, Pool, Local);
+    unsigned MostUrgent =
+        Request.Customer.empty() ? 0 : firstRankOf(customerRankOf(Route.Rank));
+    if (MostUrgent > 0 &&
+        Fairness_.isCustomerUnderserved(Pool.Name, Request.Customer)) {
+      if (Fairness_.isCustomerUnderserved(Pool.Name, Request.Customer,
+                                          FairnessTracker::LeastCustomerRatio))
+        return 0;
+      Class.Rank -= MostUrgent;
+      MostUrgent = 0;
+    }
+    bool IsUnderserved = isUnderservedLong(Route, Pool, Log, Local) ||
+                         Fairness_.isRankUnderserved(Class, MostUrgent);
+    return IsUnderserved ? MostUrgent : Class.Rank;
   }
 
   bool isLong(const FleetRoute &Route, const Candidate &Local) const {
@@ -445,7 +465,7 @@
     if (!Local)
       return Case;
     Case.TimeToFirstOutput = Local->Expected.ToFirstOutput;
-    unsigned Rank = queueRank(Route, Pool, Log, *Local);
+    unsigned Rank = queueRank(Request, Route, Pool, Log, *Local);
     Case.MustWait = !Local->Expected.Ready ||
                     (!Log.Queued &&
                      Queue_.hasRequestAhead(Log.Pool, Rank, Request.Customer));
@@ -489,8 +509,13 @@
             occupancyOf(Request, Pool, *Local.Endpoint, Local.Expected));
       Fairness_.recordDecision(classOf(Route, Pool, Local),
                                LocalAdmission.Admitted);
+      if (!Request.Customer.empty())
+        Fairness_.recordCustomer(Pool.Name, Request.Customer,
+                                 LocalAdmission.Admitted);
     } else if (!LocalAdmission.Admitted) {
       Fairness_.recordLateRefusal(classOf(Route, Pool, Local));
+      if (!Request.Customer.empty())
+        Fairness_.recordLateRefusal(Pool.Name, Request.Customer);
     }
   }
 
@@ -512,7 +537,7 @@
                       const FleetPool &Pool, AttemptLog &Log,
                       const Candidate &Local, const AdmissionCase &Case,
                       const Admission &LocalAdmission) const {
-    unsigned Rank = queueRank(Route, Pool, Log, Local);
+    unsigned Rank = queueRank(Request, Route, Pool, Log, Local);
     // A queued request keeps the rank that it was queued with.
     if (!Log.Queued)
       Log.QueuedRank = Rank;
@@ -723,10 +748,15 @@
   const FleetTablesPtr &Tables = Impl_->Fleet_.tables();
   if (!Tables)
     return All;
-  // A request of ordinary rank, whose prompt is not counted.
-  FleetRoute Ordinary;
-  Ordinary.Rank = 1;
+  // A request of ordinary rank, whose prompt is not counted. Where there are
+  // customers, it is one of the least urgent customer that waits, so that the
+  // requests of all customers count.
   for (const auto &[Name, Pool] : Tables->Pools) {
+    FleetRoute Ordinary;
+    Ordinary.Rank = 1;
+    if (Tables->Customers)
+      Ordinary.Rank +=
+          firstRankOf(customerRankOf(Impl_->Queue_.leastUrgentRank(Name)));
     PoolLoadSummary Summary;
     Summary.Pool = poolHash(Name);
     Duration Sum{};
--- a/src/dispatch/tests/fairsharetest.cpp
+++ b/src/dispatch/tests/fairsharetest.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <numeric>
 
+#include "dispatch/fairnesstracker.h"
 #include "dispatch/fairshare.h"
 #include "dispatch/tests/dispatchfixture.h"
 #include "dispatch/tests/loadreplay.h"
@@ -180,6 +181,41 @@
   BOOST_TEST((std::find(Order.begin(), Order.end(), "b") - Order.begin()) == 1);
 }
 
+// A rank is compared only with the ranks of its customer's priority; a customer
+// with less than a quarter of the others' service is underserved.
+BOOST_AUTO_TEST_CASE(ranksAreComparedWithinTheCustomersPriority) {
+  testing::VirtualTime Time(1);
+  FairnessTracker Fairness(Time.runtime());
+  for (int I = 0; I < 20; ++I) {
+    Fairness.recordDecision({Scope.Pool, 0, false}, true);
+    Fairness.recordDecision({Scope.Pool, 16, false}, I < 5);
+    Fairness.recordDecision({Scope.Pool, 17, false}, I < 4);
+    Fairness.recordCustomer(Scope.Pool, A, true);
+    Fairness.recordCustomer(Scope.Pool, B, I < 3);
+  }
+  BOOST_TEST(Fairness.isRankUnderserved({Scope.Pool, 17, false}));
+  BOOST_TEST(!Fairness.isRankUnderserved({Scope.Pool, 17, false}, 16));
+  BOOST_TEST(Fairness.isCustomerUnderserved(Scope.Pool, B));
+  BOOST_TEST(!Fairness.isCustomerUnderserved(Scope.Pool, A));
+}
+
+// The wait told to other regions must contain the queue of less urgent
+// customers.
+BOOST_AUTO_TEST_CASE(outlookCountsLessUrgentCustomers) {
+  DispatchFixture Host;
+  FleetTables Tables = *Host.View.tables();
+  Tables.Version = 2;
+  Tables.Customers = std::make_shared<CustomerTable>(std::vector<Customer>(1));
+  Host.View.adoptTables(Tables);
+  Host.addEndpoint("e1", "plain");
+  TimePoint Now = Host.Time.now();
+  Host.Decisions.queue().add({Scope.Pool, 2 * 16 + 1, Now, Now + 5s, Now + 9s,
+                              10ms, false, [] { return false; }, B});
+  for (const PoolLoadSummary &Pool : Host.Decisions.outlook())
+    if (Pool.Pool == poolHash(Scope.Pool))
+      BOOST_TEST((Pool.Wait >= 5ms));
+}
+
 // One customer sends 7.5 times its usual load: the others must be served as
 // before, and idle capacity must be used.
 BOOST_AUTO_TEST_CASE(excessOfOneCustomerTakesOnlyWhatIsIdle) {
@@ -246,4 +282,32 @@
   BOOST_TEST(Most->second.Served < 1.8 * Total.Served / 1000);
 }
 
+// More urgent customers alone exceed the capacity: one with a low priority must
+// be served at least a quarter as often as all.
+BOOST_AUTO_TEST_CASE(lowPriorityIsServedAQuarterAsOften) {
+  for (unsigned Customers : {16U, 1000U}) {
+    auto All = replay({{Customers - 1, 2.4, 0, 1, 1, "c"},
+                       {1, 0.1, 0, 1, 2 * 16 + 1, "low"}});
+    auto Total = sumOf(All, [](const auto &) { return true; });
+    const CustomerResult &Low = All.at(CustomerId("low0"));
+    double Share = Low.Served / Low.Sent;
+    double OfAll = Total.Served / Total.Sent;
+    BOOST_TEST_MESSAGE(Customers << " customers: low priority served " << Share
+                                 << ", all " << OfAll);
+    BOOST_TEST(Share > 0.25 * OfAll);
+  }
+}
+
+// A customer with a low priority that sends more than the capacity is served
+// seldom because of what it sends: this must not cost the more urgent ones.
+BOOST_AUTO_TEST_CASE(excessOfALowPriorityCustomerCostsOthersNothing) {
+  auto All = replay({{15, 0.9, 0, 1, 1, "c"}, {1, 1.5, 0, 1, 16 + 1, "low"}});
+  auto Urgent = sumOf(All, [](const auto &C) { return C.str()[0] == 'c'; });
+  const CustomerResult &Low = All.at(CustomerId("low0"));
+  BOOST_TEST_MESSAGE("urgent served " << Urgent.Served / Urgent.Sent
+                                      << ", low priority "
+                                      << Low.Served / Low.Sent);
+  BOOST_TEST(Urgent.Served > 0.99 * Urgent.Sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
