--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -106,6 +106,8 @@
   /// prompt.
   QueueLane Lane = QueueLane::OnTime;
   bool QueuedAsUnderserved = false;
+  /// Rank under which it was last queued; unset if it never was.
+  std::optional<unsigned> QueuedRank;
   /// Inputs of the latest choice.
   DecisionInputs Inputs;
 };
@@ -149,7 +151,8 @@
   TimePoint ReevaluateAt{};
   Duration Occupancy{};
   /// Rank in the queue; an underserved class is queued with the most urgent
-  /// rank.
+  /// rank of its customer's priority, and an underserved customer as one of the
+  /// most urgent.
   unsigned Rank = 0;
   bool HasReservedEndpoint = false;
 };
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -60,6 +60,11 @@
           Check};
 }
 
+/// The first combined rank of a customer's rank.
+constexpr unsigned firstRankOf(unsigned CustomerRank) {
+  return CustomerRank * (MaxPartialRank + 1);
+}
+
 bool contains(const auto &List, const auto &Item) {
   return std::find(List.begin(), List.end(), Item) != List.end();
 }
@@ -387,15 +392,15 @@
   /// plain service. An engine runs one prefill at a time and has a slot taken
   /// until the stream ends: whichever is scarcer counts.
   Duration occupancyOf(const RequestDescriptor &Request, const FleetPool &Pool,
-                       const Candidate &Local) const {
+                       const FleetEndpoint &Endpoint,
+                       const Prediction &Expected) const {
     Duration ServiceTime =
-        Predictor_.serviceTime(Pool, Local.Expected.UncachedTokens);
+        Predictor_.serviceTime(Pool, Expected.UncachedTokens);
     if (!Pool.Engine)
       return ServiceTime;
     Duration Whole =
         ServiceTime + Predictor_.streamTime(Pool, Request.MaxOutputTokens);
-    auto Slots =
-        static_cast<Duration::rep>(std::max(1U, Local.Endpoint->Slots));
+    auto Slots = static_cast<Duration::rep>(std::max(1U, Endpoint.Slots));
     return std::max(ServiceTime - LatencyPredictor::EngineOverhead,
                     Whole / Slots);
   }
@@ -415,13 +420,28 @@
     return Class.Long && Fairness_.isLongUnderserved(Class);
   }
 
-  /// Rank in the queue; an underserved class gets the most urgent rank.
-  unsigned queueRank(const FleetRoute &Route, const FleetPool &Pool,
-                     const AttemptLog &Log, const Candidate &Local) const {
-    bool IsUnderserved =
-        isUnderservedLong(Route, Pool, Log, Local) ||
-        Fairness_.isRankUnderserved(classOf(Route, Pool, Local));
-    return IsUnderserved ? 0 : Route.Rank;
+  /// Rank in the queue; an underserved class gets the most urgent rank of its
+  /// customer's priority. A customer that more urgent ones leave too little
+  /// counts as one of the most urgent, among which it gets no more than a fair
+  /// share however much it sends; where that is too little for its size, it
+  /// gets the most urgent rank.
+  unsigned queueRank(const RequestDescriptor &Request, const FleetRoute &Route,
+                     const FleetPool &Pool, const AttemptLog &Log,
+                     const Candidate &Local) const {
+    ServiceClass Class = classOf(Route, Pool, Local);
+    unsigned MostUrgent =
+        Request.Customer.empty() ? 0 : firstRankOf(customerRankOf(Route.Rank));
+    if (MostUrgent > 0 &&
+        Fairness_.isCustomerUnderserved(Pool.Name, Request.Customer)) {
+      if (Fairness_.isCustomerUnderserved(Pool.Name, Request.Customer,
+                                          FairnessTracker::LeastCustomerRatio))
+        return 0;
+      Class.Rank -= MostUrgent;
+      MostUrgent = 0;
+    }
+    bool IsUnderserved = isUnderservedLong(Route, Pool, Log, Local) ||
+                         Fairness_.isRankUnderserved(Class, MostUrgent);
+    return IsUnderserved ? MostUrgent : Class.Rank;
   }
 
   bool isLong(const FleetRoute &Route, const Candidate &Local) const {
@@ -459,14 +479,15 @@
     if (!Local)
       return Case;
     Case.TimeToFirstOutput = Local->Expected.ToFirstOutput;
-    unsigned Rank = queueRank(Route, Pool, Log, *Local);
+    unsigned Rank = queueRank(Request, Route, Pool, Log, *Local);
     Case.MustWait = !Local->Expected.Ready ||
-                    (!Log.Queued && Queue_.hasRequestAhead(Log.Pool, Rank));
+                    (!Log.Queued &&
+                     Queue_.hasRequestAhead(Log.Pool, Rank, Request.Customer));
     Case.IsUnderservedLong = isUnderservedLong(Route, Pool, Log, *Local);
     if (!Case.MustWait)
       return Case;
-    QueuedServiceTime Ahead =
-        Queue_.serviceTimeAhead(Pool.Name, Rank, Log.Arrived, Runtime_.Now());
+    QueuedServiceTime Ahead = Queue_.serviceTimeAhead(
+        Pool.Name, Rank, Log.Arrived, Runtime_.Now(), Request.Customer);
     // Requests that can be on time get offers in order.
     if (!Log.Queued)
       Case.OnTimeWait = QueueWaits_.onTimeWait(Pool.Name, Ahead, slotsOf(Pool));
@@ -497,19 +518,43 @@
                        const Admission &LocalAdmission) {
     if (!Log.Queued) {
       if (LocalAdmission.Admitted && LocalAdmission.Lane == QueueLane::OnTime)
-        QueueWaits_.recordArrival(Pool.Name, occupancyOf(Request, Pool, Local));
+        QueueWaits_.recordArrival(
+            Pool.Name,
+            occupancyOf(Request, Pool, *Local.Endpoint, Local.Expected));
       Fairness_.recordDecision(classOf(Route, Pool, Local),
                                LocalAdmission.Admitted);
+      if (!Request.Customer.empty())
+        Fairness_.recordCustomer(Pool.Name, Request.Customer,
+                                 LocalAdmission.Admitted);
     } else if (!LocalAdmission.Admitted) {
       Fairness_.recordLateRefusal(classOf(Route, Pool, Local));
+      if (!Request.Customer.empty())
+        Fairness_.recordLateRefusal(Pool.Name, Request.Customer);
     }
   }
 
+  /// Charges a dispatched request to its customer's share. Requests without a
+  /// customer are charged only where customers share the rank.
+  void chargeCustomer(const RequestDescriptor &Request, const FleetRoute &Route,
+                      const ServeAt &Choice, const AttemptLog &Log) {
+    ShareScope Scope{Log.Pool, Log.QueuedRank.value_or(Route.Rank)};
+    const FleetPool *Pool = poolOf(Log);
+    if (Pool != nullptr &&
+        (!Request.Customer.empty() || Queue_.isShared(Scope)))
+      Queue_.recordDispatch(
+          Scope, Request.Customer,
+          occupancyOf(Request, *Pool, Choice.Endpoint, Choice.Expected),
+          Runtime_.Now());
+  }
+
   Enqueue makeEnqueue(const RequestDescriptor &Request, const FleetRoute &Route,
                       const FleetPool &Pool, AttemptLog &Log,
                       const Candidate &Local, const AdmissionCase &Case,
                       const Admission &LocalAdmission) const {
-    unsigned Rank = queueRank(Route, Pool, Log, Local);
+    unsigned Rank = queueRank(Request, Route, Pool, Log, Local);
+    // A queued request keeps the rank that it was queued with.
+    if (!Log.Queued)
+      Log.QueuedRank = Rank;
     Log.Lane = LocalAdmission.Lane;
     Log.QueuedAsUnderserved = Case.IsUnderservedLong;
     bool OnTime = LocalAdmission.Lane == QueueLane::OnTime;
@@ -518,7 +563,8 @@
     Enqueue Wait;
     Wait.Expected = LocalAdmission.Expected;
     Wait.QueueWait = OnTime ? Case.OnTimeWait : Duration::zero();
-    Wait.Occupancy = occupancyOf(Request, Pool, Local);
+    Wait.Occupancy =
+        occupancyOf(Request, Pool, *Local.Endpoint, Local.Expected);
     Wait.Rank = Rank;
     Wait.HasReservedEndpoint = Case.IsUnderservedLong;
     Wait.OnTimeUntil = Log.Arrived;
@@ -655,6 +701,7 @@
   if (Request.PromptTokens > 0)
     Impl_->Prefixes_.recordRequest(Key, Request.Levels,
                                    W.UncachedTokens + Request.MaxOutputTokens);
+  Impl_->chargeCustomer(Request, Route, Choice, Log);
   return Impl_->Loads_.recordStart(Key, W);
 }
 
@@ -715,10 +762,15 @@
   const FleetTablesPtr &Tables = Impl_->Fleet_.tables();
   if (!Tables)
     return All;
-  // A request of ordinary rank, whose prompt is not counted.
-  FleetRoute Ordinary;
-  Ordinary.Rank = 1;
+  // A request of ordinary rank, whose prompt is not counted. Where there are
+  // customers, it is one of the least urgent customer that waits, so that the
+  // requests of all customers count.
   for (const auto &[Name, Pool] : Tables->Pools) {
+    FleetRoute Ordinary;
+    Ordinary.Rank = 1;
+    if (Tables->Customers)
+      Ordinary.Rank +=
+          firstRankOf(customerRankOf(Impl_->Queue_.leastUrgentRank(Name)));
     PoolLoadSummary Summary;
     Summary.Pool = poolHash(Name);
     Duration Sum{};
