Move the hedge policy into a module of its own

Cause: the platform's path is to hedge slow requests too, but it is built without src/recovery, which holds the hedge policy of the native interface.

Change: src/hedging holds HedgePolicy unchanged.

--- a/src/recovery/internal/hedgepolicy.cpp
+++ b/src/hedging/internal/hedgepolicy.cpp
@@ -1,9 +1,9 @@
-#include "recovery/hedgepolicy.h"
+#include "hedging/hedgepolicy.h"
 
 #include <algorithm>
 
 #include "framework/shardedmap.h"
-#include "recovery/latencywindow.h"
+#include "hedging/quantilewindow.h"
 
 namespace celerybeam {
 
--- a/src/recovery/internal/progressmonitor.cpp
+++ b/src/recovery/internal/progressmonitor.cpp
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "framework/shardedmap.h"
-#include "recovery/latencywindow.h"
+#include "hedging/quantilewindow.h"
 
 namespace celerybeam {
 
--- a/src/recovery/tests/policytest.cpp
+++ b/src/recovery/tests/policytest.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "recovery/hedgepolicy.h"
+#include "hedging/hedgepolicy.h"
 #include "recovery/progressmonitor.h"
 #include "recovery/retrybudget.h"
 
