Place requests only at endpoints with a free slot when asked

Cause: a hedge that is queued, uses up a cold endpoint or crosses regions adds load where there is least room. PlacementAsk.only_free was declared but not used.

Change: RequestDescriptor::OnlyFree is sent as only_free. The dispatcher then serves only at a trusted endpoint of the region that is not cold and has a free slot, while nothing is queued in the pool, and refuses otherwise with no_free_slot; nothing is recorded for admission and fairness. A client turns other decisions, which placers of an earlier version make, into that refusal and returns the slot. Dispatcher::mayHedge tells whether a request may be hedged: repeatable, two runs left, twice the prediction left, nothing queued, no crashes under it, and room in the retry budget.

--- a/src/dispatch/descriptor.h
+++ b/src/dispatch/descriptor.h
@@ -56,6 +56,9 @@
   bool Forwarded = false;
   /// Time that it spent at the host that forwarded it.
   Duration WaitedBefore{};
+  /// Whether only an endpoint with a free slot is of use: the request is being
+  /// served by another one already.
+  bool OnlyFree = false;
   /// Number of endpoints that it may run on, if fewer than the route allows:
   /// the host that forwarded it may have used some.
   std::optional<unsigned> RunsLeft;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -134,6 +134,10 @@
 /// Reason of a refusal for a request under which endpoints crash.
 inline constexpr const char *CrashRefusal = "crashes_endpoints";
 
+/// Reason of a refusal for a request that is placed only at an endpoint with a
+/// free slot.
+inline constexpr const char *NoFreeSlotRefusal = "no_free_slot";
+
 /// Decision: wait in this host's queue, as every suitable endpoint is busy.
 struct Enqueue {
   Duration Expected{};
@@ -161,6 +165,10 @@
   ~Dispatcher();
 
   /// Chooses for the next attempt. Sets the log's pool on the first call.
+  ///
+  /// A request with OnlyFree is served by a trusted endpoint of this region
+  /// that is not cold and has a free slot now, if no request of the pool is
+  /// queued here, and is refused otherwise.
   DispatchDecision choose(const RequestDescriptor &Request,
                           const FleetRoute &Route, AttemptLog &Log);
 
@@ -188,6 +196,12 @@
   /// have used it up since mayRetry.
   RetryDecision takeRetry(const PoolName &Pool);
 
+  /// Whether the request may be sent a second time beside a send that has no
+  /// output yet, which the log does not count as a run.
+  /// \param Predicted  predicted time to first output of that send.
+  bool mayHedge(const RequestDescriptor &Request, const FleetRoute &Route,
+                const AttemptLog &Log, Duration Predicted);
+
   /// Number of endpoints on which the request may still run.
   static unsigned runsLeft(const RequestDescriptor &Request,
                            const FleetRoute &Route, const AttemptLog &Log);
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -27,6 +27,13 @@
 constexpr int SilenceFactor = 3;
 constexpr Duration SilenceMargin = std::chrono::milliseconds(250);
 
+/// A hedge has to have this multiple of the prediction left, so that it can
+/// still answer in time.
+constexpr int HedgeTimeFactor = 2;
+/// Endpoints that a hedged request may run on: that of the first send and that
+/// of the hedge.
+constexpr unsigned HedgeRuns = 2;
+
 /// How long a number of hosts alone may send the trial of a refused suspect.
 constexpr Duration TrialTurn = std::chrono::seconds(10);
 
@@ -226,6 +233,8 @@
       C.Endpoint = E;
       C.LastResort = LastResort;
       C.Cold = isCold(*E, Pool);
+      if (Request.OnlyFree && (!Trusted || C.Cold))
+        continue;
       if (C.Cold &&
           !(mayPlaceCold(E->Key) &&
             ColdStarts_.canTake(E->Key, Pool.ColdRequestsPerSecond))) {
@@ -252,6 +261,8 @@
                    Settings_.PreferenceStep * Preferences[I];
       C.Busy = !C.Expected.HasCapacity ||
                (!Pool.Engine && !Health_.isHealthy(E->Key));
+      if (Request.OnlyFree && (C.Busy || !C.Expected.Ready))
+        continue;
       if (!Best || C.isBefore(*Best))
         Best = C;
     }
@@ -327,6 +338,8 @@
       return *Refused;
     const FleetPool *Pool = poolOf(Log);
     Log.Inputs = {};
+    if (Request.OnlyFree)
+      return chooseFree(Request, Route, *Pool, Log);
     if (!Log.FirstRequestedAt)
       Log.FirstRequestedAt =
           RefusedCallers_.takeFirstRequestTime(Request.Fingerprint)
@@ -361,6 +374,24 @@
                    Local->CopyFrom};
   }
 
+  /// Chooses for a request that is being served elsewhere. Nothing is recorded
+  /// of it for admission and fairness, which its first placement did.
+  DispatchDecision chooseFree(const RequestDescriptor &Request,
+                              const FleetRoute &Route, const FleetPool &Pool,
+                              AttemptLog &Log) {
+    std::optional<Candidate> Local;
+    if (!Queue_.hasAny(Pool.Name))
+      Local = bestLocal(Request, Route, Pool, Log);
+    Log.Inputs.Limit = latestOutput(Request, Route, Pool, Log);
+    if (!Local)
+      return Refusal{MinRetryAfter, NoFreeSlotRefusal};
+    Log.Inputs.Local = Local->Expected.ToFirstOutput;
+    if (Runtime_.Now() - Log.Arrived + Local->Expected.ToFirstOutput >
+        Log.Inputs.Limit)
+      return Refusal{MinRetryAfter, "too_late"};
+    return ServeAt{*Local->Endpoint, Local->Expected, false, Local->CopyFrom};
+  }
+
   Refusal refuseLate(const RequestDescriptor &Request, const AttemptLog &Log,
                      Duration RetryAfter) {
     Refusal Why = refuse("too_late", RetryAfter);
@@ -622,6 +653,17 @@
   return decisionOf(Impl_->Budget_.take(Pool, Impl_->Hosts_.fleetSize()));
 }
 
+bool Dispatcher::mayHedge(const RequestDescriptor &Request,
+                          const FleetRoute &Route, const AttemptLog &Log,
+                          Duration Predicted) {
+  Duration Left = Request.Deadline - Impl_->Runtime_.Now();
+  return mayRepeat(Route.Kind) && runsLeft(Request, Route, Log) >= HedgeRuns &&
+         Left >= HedgeTimeFactor * Predicted &&
+         !Impl_->Queue_.hasAny(Log.Pool) &&
+         Impl_->Crashes_.crashesOf(Request.Suspects) == 0 &&
+         mayRetry(Request, Route, Log).isAllowed();
+}
+
 unsigned Dispatcher::runsLeft(const RequestDescriptor &Request,
                               const FleetRoute &Route, const AttemptLog &Log) {
   unsigned Most = std::min(Route.MaxEndpoints,
--- a/src/dispatch/internal/placementclient.cpp
+++ b/src/dispatch/internal/placementclient.cpp
@@ -182,6 +182,8 @@
     Placement &P = Found->second;
     if (!Answer.Decision)
       return sendToPlacer(Id);
+    if (P.Ask.Request.OnlyFree && !isFreeSlot(*Answer.Decision))
+      return refuseFreeSlot(Id, Answer);
     if (std::holds_alternative<Enqueue>(*Answer.Decision)) {
       P.State = Phase::Queued;
       return deliver(Id, P, Answer);
@@ -193,6 +195,24 @@
     deliver(Id, Ended, Answer);
   }
 
+  /// Whether a decision is one that a request with OnlyFree may get.
+  static bool isFreeSlot(const DispatchDecision &Decision) {
+    if (const auto *Local = std::get_if<ServeAt>(&Decision))
+      return !Local->Cold;
+    return std::holds_alternative<Refusal>(Decision);
+  }
+
+  /// Refuses a placement that a placer of an earlier version, which does not
+  /// know OnlyFree, has queued or decided in another way.
+  void refuseFreeSlot(PlacementId Id, PlacementAnswer Answer) {
+    auto Found = Placements_.find(Id.Value);
+    Placement Ended = std::move(Found->second);
+    Placements_.erase(Found);
+    releaseSlot(Ended.Placer, Id);
+    Answer.Decision = Refusal{{}, NoFreeSlotRefusal};
+    deliver(Id, Ended, std::move(Answer));
+  }
+
   void releaseSlot(const std::string &Ip, PlacementId Id) {
     if (Ip == selfIp())
       return LocalPlacer_.end(Id, {});
--- a/src/dispatch/internal/requestqueue.cpp
+++ b/src/dispatch/internal/requestqueue.cpp
@@ -67,6 +67,12 @@
          Found->second.begin()->first <= Rank;
 }
 
+bool RequestQueue::hasAny(const PoolName &Pool) const {
+  return std::any_of(
+      Requests_.begin(), Requests_.end(),
+      [&](const auto &Entry) { return Entry.second.Pool == Pool; });
+}
+
 QueuedServiceTime RequestQueue::serviceTimeAhead(const PoolName &Pool,
                                                  unsigned Rank,
                                                  TimePoint Arrived,
--- a/src/dispatch/requestqueue.h
+++ b/src/dispatch/requestqueue.h
@@ -59,6 +59,8 @@
   /// Whether a request of the pool that is at least as urgent waits for the
   /// same slots as others.
   bool hasRequestAhead(const PoolName &Pool, unsigned Rank) const;
+  /// Whether any request of the pool is queued.
+  bool hasAny(const PoolName &Pool) const;
   /// Occupancy of the requests that are served before one of this rank and
   /// arrival: all that are at least as urgent and can be on time, and the late
   /// ones that arrived before it.
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -465,4 +465,113 @@
   BOOST_TEST(is<Enqueue>(send(request(0), Bookings)));
 }
 
+namespace {
+
+RequestDescriptor onlyFree(RequestDescriptor R) {
+  R.OnlyFree = true;
+  return R;
+}
+
+} // namespace
+
+// Guards against hedges that wait for a slot or go where they are slow, too.
+BOOST_AUTO_TEST_CASE(onlyFreeIsServedByAnEndpointWithAFreeSlotOrRefused) {
+  auto Place = [&] { return send(onlyFree(request(0)), LookUps); };
+  BOOST_TEST(is<Refusal>(Place()));
+  FleetEndpoint A = addEndpoint("a", "plain");
+  auto D = Place();
+  BOOST_REQUIRE(is<ServeAt>(D));
+  BOOST_TEST((std::get<ServeAt>(D).Endpoint.Key == A.Key));
+  BOOST_TEST(is<ServeAt>(Place()));
+  // Both slots are taken.
+  auto Full = Place();
+  BOOST_REQUIRE(is<Refusal>(Full));
+  BOOST_TEST(std::get<Refusal>(Full).Reason == NoFreeSlotRefusal);
+  FleetEndpoint B = addEndpoint("b", "plain");
+  Decisions.health().markSuspect(B.Key);
+  BOOST_TEST(is<Refusal>(Place()));
+  addEndpoint("c", "plain");
+  BOOST_TEST(is<ServeAt>(Place()));
+}
+
+// Guards against hedges that use up the few requests of a cold endpoint.
+BOOST_AUTO_TEST_CASE(onlyFreeIsNotServedByAColdEndpoint) {
+  addEndpoint("cold", "engines", 3s);
+  // Its first request is due one interval after the host has learned of it.
+  BOOST_TEST(is<Refusal>(send(request(1000), Questions)));
+  Time.runFor(600ms);
+  BOOST_TEST(is<Refusal>(send(onlyFree(request(1000)), Questions)));
+  BOOST_TEST(is<ServeAt>(send(request(1000), Questions)));
+  addEndpoint("warm");
+  BOOST_TEST(is<ServeAt>(send(onlyFree(request(1000)), Questions)));
+}
+
+BOOST_AUTO_TEST_CASE(onlyFreeIsNotForwardedAndAvoidsTriedEndpoints) {
+  FleetEndpoint A = addEndpoint("a");
+  reportNeighbour(0ms);
+  AttemptLog Log;
+  Log.Pool = PoolName("engines");
+  Log.Arrived = Time.now();
+  Log.Tried = {A.Key};
+  BOOST_TEST(
+      is<Refusal>(Decisions.choose(onlyFree(request(1000)), Questions, Log)));
+}
+
+// Guards against extra sends under overload.
+BOOST_AUTO_TEST_CASE(onlyFreeIsRefusedWhileAnythingIsQueued) {
+  addEndpoint("a", "plain");
+  QueuedRequest Queued;
+  Queued.Pool = PoolName("plain");
+  Queued.HasReservedEndpoint = true;
+  QueuedRequestId Id = Decisions.queue().add(Queued);
+  BOOST_TEST(is<Refusal>(send(onlyFree(request(0)), LookUps)));
+  Decisions.queue().remove(Id);
+  BOOST_TEST(is<ServeAt>(send(onlyFree(request(0)), LookUps)));
+}
+
+BOOST_AUTO_TEST_CASE(hedgesAreOnlyForRepeatableRequestsWithRunsAndTimeLeft) {
+  Decisions.setRetryBounds({100, 10s, 0});
+  AttemptLog Log;
+  RequestDescriptor R = request(0);
+  BOOST_REQUIRE(!Decisions.admit(R, LookUps, Log).has_value());
+  FleetRoute Once = LookUps;
+  Once.MaxEndpoints = 1;
+  BOOST_TEST(Decisions.mayHedge(R, LookUps, Log, 100ms));
+  BOOST_TEST(!Decisions.mayHedge(R, Bookings, Log, 100ms));
+  BOOST_TEST(!Decisions.mayHedge(R, Once, Log, 100ms));
+  BOOST_TEST(!Decisions.mayHedge(R, LookUps, Log, 7s));
+  AttemptLog Ran = Log;
+  Ran.Runs = 1;
+  BOOST_TEST(!Decisions.mayHedge(R, LookUps, Ran, 100ms));
+  Decisions.queue().add({Log.Pool, 5, Time.now(), {}, {}, {}, false, {}});
+  BOOST_TEST(!Decisions.mayHedge(R, LookUps, Log, 100ms));
+}
+
+// Guards against a request that crashes two endpoints at a time.
+BOOST_AUTO_TEST_CASE(requestUnderWhichEndpointsCrashIsNotHedged) {
+  Decisions.setRetryBounds({100, 10s, 0});
+  AttemptLog Log;
+  RequestDescriptor R = request(0);
+  R.Suspects = suspectsOf(R);
+  BOOST_REQUIRE(!Decisions.admit(R, LookUps, Log).has_value());
+  BOOST_TEST(Decisions.mayHedge(R, LookUps, Log, 100ms));
+  for (std::uint64_t Endpoint : {1, 2}) {
+    Decisions.crashes().recordBreak({Endpoint}, R.Suspects, Time.now());
+    Time.runFor(1s);
+  }
+  BOOST_TEST(!Decisions.mayHedge(R, LookUps, Log, 100ms));
+}
+
+// Guards against hedges beyond the budget that retries have used up.
+BOOST_AUTO_TEST_CASE(hedgesNeedRoomInTheRetryBudget) {
+  Decisions.setRetryBounds({100, 10s, 0});
+  AttemptLog Log;
+  RequestDescriptor R = request(0);
+  BOOST_REQUIRE(!Decisions.admit(R, LookUps, Log).has_value());
+  BOOST_TEST(Decisions.mayHedge(R, LookUps, Log, 100ms));
+  while (Decisions.takeRetry(Log.Pool).isAllowed()) {
+  }
+  BOOST_TEST(!Decisions.mayHedge(R, LookUps, Log, 100ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/dispatch/tests/placementtest.cpp
+++ b/src/dispatch/tests/placementtest.cpp
@@ -484,6 +484,28 @@
   BOOST_TEST(O->served());
 }
 
+// Guards against hedges that wait at placers of an earlier version, which do
+// not know OnlyFree.
+BOOST_AUTO_TEST_CASE(onlyFreeIsRefusedWhenAPlacerQueuesIt) {
+  Region R(5);
+  R.addEndpoint("a", "plain");
+  R.exchangeHeartbeats();
+  RequestDescriptor Request = R.Fixture.request(0);
+  Request.OnlyFree = true;
+  auto O = R.place(R.other(), Request, Bookings);
+  R.All.at(Region::ipOf(R.other()))
+      ->Placement.answered(Region::ipOf(R.placer()), *O->Id, {Enqueue(), {}});
+  BOOST_REQUIRE(O->Answers.size() == 1U);
+  const auto *Refused = std::get_if<Refusal>(&*O->Answers.back().Decision);
+  BOOST_REQUIRE(Refused != nullptr);
+  BOOST_TEST(Refused->Reason == NoFreeSlotRefusal);
+  R.Time.runFor(20ms);
+  BOOST_TEST(O->Answers.size() == 1U);
+  Host &Placer = *R.All.at(Region::ipOf(R.placer()));
+  EndpointKey Key = endpointKeyOf(EndpointId("a"), 1);
+  BOOST_TEST(Placer.Decisions.loads().at(Key).InFlight == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(onlyTheEndpointsOfALostPlacerMove) {
   std::vector<HostState> Placers;
   for (unsigned I = 0; I < 4; ++I) {
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -47,6 +47,7 @@
   Out.set_waited_ms(millis(Now - Log.Arrived));
   Out.set_runs(Log.Runs);
   Out.set_forwarded(R.Forwarded);
+  Out.set_only_free(R.OnlyFree);
   Out.set_prompt_tokens(R.PromptTokens);
   Out.set_max_output_tokens(R.MaxOutputTokens);
   Out.set_fingerprint(R.Fingerprint);
@@ -82,6 +83,7 @@
     Ask.Route.Homes = HomeRegions::only(std::move(Homes));
   Ask.Request.Deadline = Now + span(In.left_ms());
   Ask.Request.Forwarded = In.forwarded();
+  Ask.Request.OnlyFree = In.only_free();
   Ask.Request.PromptTokens = In.prompt_tokens();
   Ask.Request.MaxOutputTokens = In.max_output_tokens();
   Ask.Request.Fingerprint = In.fingerprint();
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -279,4 +279,29 @@
   }
 }
 
+// Guards against a hedge that a placer queues because OnlyFree was lost.
+BOOST_AUTO_TEST_CASE(onlyFreeReachesThePlacer) {
+  Region R(5);
+  R.addEndpoint("a", 1);
+  Host &At = R.other(endpointKeyOf(EndpointId("a"), 1));
+  auto Place = [&](bool OnlyFree) {
+    RequestDescriptor Request = R.Fixture.request(0);
+    Request.OnlyFree = OnlyFree;
+    AttemptLog Log;
+    std::vector<PlacementAnswer> Answers;
+    At.Placement.place(Request, Bookings, Log,
+                       [&](PlacementId, const PlacementAnswer &Answer) {
+                         Answers.push_back(Answer);
+                       });
+    R.Time.runFor(20ms);
+    BOOST_REQUIRE(Answers.size() == 1U);
+    return *Answers.front().Decision;
+  };
+  BOOST_TEST(std::holds_alternative<ServeAt>(Place(true)));
+  auto Second = Place(true);
+  BOOST_REQUIRE(std::holds_alternative<Refusal>(Second));
+  BOOST_TEST(std::get<Refusal>(Second).Reason == NoFreeSlotRefusal);
+  BOOST_TEST(std::holds_alternative<Enqueue>(Place(false)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
