Send a hedge beside a slow first send on the platform's path

Change: after PredictedHedges::delay the relay requests a placement with OnlyFree and sends the request a second time beside the first. The first event, or complete response that is no failure, decides; the other send is cancelled at once and its slot returned without an effect on its endpoint's health. If one fails, the other continues and no retry is made. The hedge is taken from the retry budget and the share when its connection is made, after the checks of mayHedge, MayAct, TablesConfirmed, homes and crashes. Each send counts as a run. A request gets at most one hedge, and none once a part of its stream was delivered. Without a share no timer is set and nothing is recorded.

--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -80,6 +80,17 @@
   return Number;
 }
 
+/// A second send of a request beside its first, until one of them has output.
+struct Hedge {
+  std::shared_ptr<Attempt> Run;
+  ServeAt Choice;
+  PlacementId Placement;
+  std::shared_ptr<EventSplitter> Splitter;
+  bool IsSent = false;
+  /// Whether the connection was established but the request was not sent.
+  bool SendDeclined = false;
+};
+
 class Relay : public std::enable_shared_from_this<Relay> {
 public:
   Relay(RelayContext &Context, HttpServerRequest Request,
@@ -459,24 +470,33 @@
     ActivePlacement_ = Id;
     Log_.Tried.push_back(Choice.Endpoint.Key);
     ++Log_.Sends;
+    HttpCallRequest Call = callToEndpoint(Choice);
+    if (!Splitter_->lastId().empty())
+      setField(Call.Head.Fields, Context_.Names.LastEventId,
+               Splitter_->lastId());
+    noteAttempt(Target_->Endpoint.Id.str(), Target_->Expected.ToFirstOutput,
+                Target_->Expected);
+    watchForStall(Target_->Expected.ToFirstOutput);
+    if (Log_.Sends == 1)
+      Context_.Hedges.countRequest(Log_.Pool);
+    watchForHedge();
+    beginCall(std::move(Call));
+  }
+
+  HttpCallRequest callToEndpoint(const ServeAt &Choice) {
     const WireNames &Names = Context_.Names;
     HttpCallRequest Call =
-        callTo(Target_->Endpoint.Where,
+        callTo(Choice.Endpoint.Where,
                mayRepeat(Route_->Kind) ? ReuseForRepeatable : Duration::zero());
     setField(Call.Head.Fields, Names.ExpectedEndpoint,
-             Target_->Endpoint.Id.str());
+             Choice.Endpoint.Id.str());
     if (Descriptor_.PromptTokens > 0)
       setField(Call.Head.Fields, Names.Priority,
                std::to_string(enginePriority()));
-    if (!Target_->CopyFrom.empty())
-      setField(Call.Head.Fields, Names.CopyFrom, Target_->CopyFrom.str());
-    if (!Splitter_.lastId().empty())
-      setField(Call.Head.Fields, Names.LastEventId, Splitter_.lastId());
+    if (!Choice.CopyFrom.empty())
+      setField(Call.Head.Fields, Names.CopyFrom, Choice.CopyFrom.str());
     Call.ConnectTimeout = LocalConnectTimeout;
-    noteAttempt(Target_->Endpoint.Id.str(), Target_->Expected.ToFirstOutput,
-                Target_->Expected);
-    watchForStall(Target_->Expected.ToFirstOutput);
-    beginCall(std::move(Call));
+    return Call;
   }
 
   void forwardToHost(const ForwardTo &Choice) {
@@ -489,9 +509,9 @@
     HttpCallRequest Call =
         callTo(Address(Choice.Host.Ip + ":" + Context_.HostPort),
                HttpCaller::MaxIdleTime);
-    if (!Splitter_.lastId().empty())
+    if (!Splitter_->lastId().empty())
       setField(Call.Head.Fields, Context_.Names.LastEventId,
-               Splitter_.lastId());
+               Splitter_->lastId());
     AllottedRuns_ = Dispatcher::runsLeft(Descriptor_, *Route_, Log_);
     Call.ConnectTimeout = RemoteConnectTimeout;
     noteAttempt("via " + Choice.Host.Id.str(), Choice.Expected);
@@ -523,23 +543,23 @@
     };
     Hooks.AvailabilityReported =
         [Self](const ReportedAvailability &Availability) {
-          Self->reportAvailability(Availability);
+          Self->reportAvailability(Availability, Self->Target_);
         };
     Hooks.End = [Self](AttemptEnd End) { Self->attemptEnded(End); };
     Attempt_ =
         std::make_shared<Attempt>(Context_, Descriptor_.Id, !Target_,
-                                  isStream(Route_->Kind), Splitter_, Hooks);
+                                  isStream(Route_->Kind), *Splitter_, Hooks);
     Attempt_->start(std::move(Call));
   }
 
-  /// Whether the chosen endpoint may still receive the request. It may have
+  /// Whether a chosen endpoint may still receive the request. It may have
   /// begun to shut down, or its zone may have been evacuated, while the
   /// connection was made.
-  bool isTargetUsable() const {
+  bool isUsable(const ServeAt &Choice) const {
     const auto &Usable =
-        Context_.Fleet.usable(Target_->Endpoint.Pool, Target_->Endpoint.Region);
+        Context_.Fleet.usable(Choice.Endpoint.Pool, Choice.Endpoint.Region);
     return std::any_of(Usable.begin(), Usable.end(), [&](const auto &E) {
-      return E->Key == Target_->Endpoint.Key;
+      return E->Key == Choice.Endpoint.Key;
     });
   }
 
@@ -555,7 +575,7 @@
   /// since the decision, for example while the host stalled.
   bool beforeSend(HttpRequestHead &Head) {
     SendDeclined_ =
-        Ended_ || isPastDeadline() || (Target_ && !isTargetUsable());
+        Ended_ || isPastDeadline() || (Target_ && !isUsable(*Target_));
     CallerGone_ = !SendDeclined_ && !Exchange_->isCallerWaiting();
     SendDeclined_ = SendDeclined_ || CallerGone_;
     if (SendDeclined_)
@@ -627,11 +647,12 @@
     setField(Head.Fields, KeyField, Descriptor_.Key->hex());
   }
 
-  void reportAvailability(const ReportedAvailability &Availability) {
-    if (Target_ && Context_.Hooks.EndpointReported)
-      Context_.Hooks.EndpointReported(
-          {Target_->Endpoint.Key, Availability.Leaving, Availability.BackOffFor,
-           Context_.Hosts.self().Ip});
+  void reportAvailability(const ReportedAvailability &Availability,
+                          const std::optional<ServeAt> &By) {
+    if (By && Context_.Hooks.EndpointReported)
+      Context_.Hooks.EndpointReported({By->Endpoint.Key, Availability.Leaving,
+                                       Availability.BackOffFor,
+                                       Context_.Hosts.self().Ip});
   }
 
   void watchForStall(Duration Expected) {
@@ -653,9 +674,11 @@
       return;
     updateHomes();
     Descriptor_.Deadline = deadline();
+    if (!Hedge_ || !Hedge_->IsSent)
+      dropHedge();
     AttemptLog After = Log_;
     After.Execution = ExecutionState::Unknown;
-    After.Runs += 1;
+    After.Runs += Hedge_ ? 2 : 1;
     if (Dispatcher::runsLeft(Descriptor_, *Route_, After) == 0)
       return;
     SeekingAlternative_ = true;
@@ -686,6 +709,7 @@
       return Context_.Placement.end(Id, {});
     Record_.Attempts += " stalled";
     noteReceived();
+    dropHedge();
     Attempt_->cancel();
     endPlacement(AttemptOutcome::Failed);
     Log_ = After;
@@ -695,6 +719,233 @@
     forwardToHost(*Remote);
   }
 
+  void watchForHedge() {
+    if (HedgeRequested_ || !mayRepeat(Route_->Kind))
+      return;
+    auto Delay =
+        Context_.Hedges.delay(Log_.Pool, Target_->Expected.ToFirstOutput);
+    if (!Delay)
+      return;
+    Context_.Time.After(*Delay, [Weak = weak_from_this(), Number = Log_.Sends] {
+      auto Self = Weak.lock();
+      if (Self && Self->Log_.Sends == Number)
+        Self->seekHedge();
+    });
+  }
+
+  /// Whether the current attempt awaits its first output and the request may be
+  /// sent a second time beside it. Once a part of the stream was delivered,
+  /// only one run can continue it.
+  bool mayHedge() {
+    return !Ended_ && !GotOutput_ && !Streaming_ && Target_ && IsSent_ &&
+           isAttemptUnderWay() && !SeekingAlternative_ && mayAct() &&
+           mayRunAgain() && Context_.Hedges.canTake(Log_.Pool);
+  }
+
+  /// Requests a placement for a hedge at an endpoint with a free slot.
+  void seekHedge() {
+    if (!mayHedge())
+      return;
+    updateHomes();
+    Descriptor_.Deadline = deadline();
+    if (!Context_.Decisions.mayHedge(Descriptor_, *Route_, Log_,
+                                     Target_->Expected.ToFirstOutput))
+      return;
+    HedgeRequested_ = SeekingHedge_ = true;
+    RequestDescriptor Second = Descriptor_;
+    Second.OnlyFree = true;
+    AttemptLog Log = Log_;
+    PlacementId Id = Context_.Placement.place(
+        Second, *Route_, Log,
+        [Self = shared_from_this(),
+         Number = Log_.Sends](PlacementId Found, const PlacementAnswer &Reply) {
+          Self->hedgePlaced(Found, Number, Reply);
+        });
+    // The callback may already have run.
+    if (SeekingHedge_)
+      HedgePlacement_ = Id;
+  }
+
+  void hedgePlaced(PlacementId Id, unsigned Number,
+                   const PlacementAnswer &Reply) {
+    bool IsSought = std::exchange(SeekingHedge_, false);
+    HedgePlacement_.reset();
+    const auto *Local = std::get_if<ServeAt>(&*Reply.Decision);
+    if (Local == nullptr || !IsSought || !mayHedge() || Log_.Sends != Number)
+      return Context_.Placement.end(Id, {});
+    startHedge(Id, *Local);
+  }
+
+  void startHedge(PlacementId Id, const ServeAt &Choice) {
+    noteAttempt("hedge " + Choice.Endpoint.Id.str(),
+                Choice.Expected.ToFirstOutput, Choice.Expected);
+    auto Self = shared_from_this();
+    detail::AttemptHooks Hooks;
+    Hooks.BeforeSend = [Self](HttpRequestHead &Head) {
+      return Self->Hedge_ ? Self->beforeHedge(Head) : Self->beforeSend(Head);
+    };
+    Hooks.Events = [Self](std::string_view Events) {
+      if (Self->Hedge_)
+        Self->hedgeIsFirst();
+      Self->takeEvents(Events);
+    };
+    Hooks.AvailabilityReported =
+        [Self, Choice](const ReportedAvailability &Availability) {
+          Self->reportAvailability(Availability, Choice);
+        };
+    Hooks.End = [Self](AttemptEnd End) {
+      Self->Hedge_ ? Self->hedgeEnded(End) : Self->attemptEnded(End);
+    };
+    Hedge_ = Hedge{nullptr, Choice, Id, std::make_shared<EventSplitter>()};
+    Hedge_->Run = std::make_shared<Attempt>(
+        Context_, Descriptor_.Id, false, isStream(Route_->Kind),
+        *Hedge_->Splitter, std::move(Hooks));
+    Hedge_->Run->start(callToEndpoint(Choice));
+  }
+
+  /// Checks the hedge again before it is sent, and takes it from its budgets.
+  bool beforeHedge(HttpRequestHead &Head) {
+    Hedge_->SendDeclined = true;
+    updateHomes();
+    bool MaySend = mayHedge() && !isPastDeadline() &&
+                   isUsable(Hedge_->Choice) && isSentHome() &&
+                   Exchange_->isCallerWaiting() &&
+                   !crashes().check(Descriptor_.Suspects) && takeRetry() &&
+                   Context_.Hedges.take(Log_.Pool);
+    if (!MaySend) {
+      Record_.Attempts += " hedge_not_sent";
+      return false;
+    }
+    detail::setTimeLeft(Head, Context_.Names, deadline() - Context_.Time.Now());
+    Hedge_->SendDeclined = false;
+    Hedge_->IsSent = true;
+    Log_.Tried.push_back(Hedge_->Choice.Endpoint.Key);
+    ++Log_.Sends;
+    watchForStall(Hedge_->Choice.Expected.ToFirstOutput);
+    return true;
+  }
+
+  /// Cancels the current attempt, as the hedge has output first. It may have
+  /// run.
+  void hedgeIsFirst() {
+    Record_.Attempts += " cancelled";
+    noteReceived();
+    observeForHedges();
+    Attempt_->cancel();
+    dropAlternative();
+    Context_.Placement.end(ActivePlacement_, {});
+    countRun();
+    adoptHedge();
+    Record_.Attempts += "; hedge first";
+  }
+
+  /// Records how long the current attempt has taken. Predictions do not hold
+  /// for cold endpoints.
+  void observeForHedges() {
+    if (Target_ && !Target_->Cold)
+      Context_.Hedges.observe(Log_.Pool, Attempt_->sinceSent(),
+                              Target_->Expected.ToFirstOutput);
+  }
+
+  /// Counts a run of which the outcome is not known.
+  void countRun() {
+    Log_.Execution = combine(Log_.Execution, ExecutionState::Unknown);
+    Log_.Runs += 1;
+    HasArrived_ = true;
+  }
+
+  /// Makes the hedge the current attempt.
+  void adoptHedge() {
+    Hedge Adopted = std::move(*Hedge_);
+    Hedge_.reset();
+    Target_ = std::move(Adopted.Choice);
+    LatestPlacement_ = ActivePlacement_ = Adopted.Placement;
+    Attempt_ = std::move(Adopted.Run);
+    Splitter_ = std::move(Adopted.Splitter);
+    IsSent_ = Adopted.IsSent;
+    MayBeRunning_ = MayBeRunning_ || Adopted.IsSent;
+    GotOutput_ = SoundRecorded_ = false;
+    if (!Adopted.IsSent) {
+      Log_.Tried.push_back(Target_->Endpoint.Key);
+      ++Log_.Sends;
+      watchForStall(Target_->Expected.ToFirstOutput);
+    }
+  }
+
+  /// Goes on with the hedge after the current attempt has failed. \return
+  /// whether there is one.
+  bool continueWithHedge() {
+    if (!Hedge_)
+      return false;
+    adoptHedge();
+    Record_.Attempts += "; hedge remains";
+    return true;
+  }
+
+  void hedgeEnded(AttemptEnd End) {
+    const HttpResponseHead &Head = Hedge_->Run->head();
+    bool IsAnswer = End == AttemptEnd::StreamEnded ||
+                    (End == AttemptEnd::Answered && !isFailure(Head.Status));
+    if (IsAnswer) {
+      hedgeIsFirst();
+      return attemptEnded(End);
+    }
+    Hedge Lost = std::move(*Hedge_);
+    Hedge_.reset();
+    Record_.Attempts += " hedge_failed" + Lost.Run->describeReceived();
+    Context_.Placement.end(Lost.Placement, {outcomeOf(Lost, End)});
+  }
+
+  /// Records how a hedge without output ended. \return the outcome for its
+  /// endpoint; empty if that did not get the request.
+  std::optional<AttemptOutcome> outcomeOf(const Hedge &Lost, AttemptEnd End) {
+    if (End == AttemptEnd::NotConnected) {
+      bool LocalCause =
+          Lost.SendDeclined ||
+          Lost.Run->sinceSent() > LocalConnectTimeout + LocalStallMargin;
+      return LocalCause ? std::nullopt : std::optional(AttemptOutcome::Broken);
+    }
+    if (End == AttemptEnd::NotRun)
+      return outcomeOfRefusal(*Lost.Run, Lost.Choice);
+    countRun();
+    if (End != AttemptEnd::Broken)
+      return AttemptOutcome::Failed;
+    recordBreak(*Lost.Run, Lost.Choice, false);
+    return AttemptOutcome::Broken;
+  }
+
+  /// The outcome for an endpoint that refused the request as not run.
+  AttemptOutcome outcomeOfRefusal(const Attempt &Run, const ServeAt &Choice) {
+    if (Run.head().Status == Misdirected) {
+      Context_.Fleet.noteMoved(Choice.Endpoint.Id);
+      return AttemptOutcome::Moved;
+    }
+    return Run.wantsBackOff() ? AttemptOutcome::Declined
+                              : AttemptOutcome::Failed;
+  }
+
+  /// Cancels the hedge, or the request for its placement.
+  void dropHedge() {
+    SeekingHedge_ = false;
+    if (HedgePlacement_)
+      Context_.Placement.end(*std::exchange(HedgePlacement_, std::nullopt), {});
+    if (!Hedge_)
+      return;
+    Hedge Lost = std::move(*Hedge_);
+    Hedge_.reset();
+    Record_.Attempts += " hedge_cancelled" + Lost.Run->describeReceived();
+    Lost.Run->cancel();
+    if (Lost.IsSent)
+      countRun();
+    Context_.Placement.end(Lost.Placement, {});
+  }
+
+  /// Whether a response with this status counts as a failure. Forwarded to the
+  /// caller, a status that promises that a request has not run would be false.
+  static bool isFailure(unsigned Status) {
+    return Status >= ServerFailure || detail::promisesNotRun(Status);
+  }
+
   /// Whether the newest tables allow a second run. Tables that may be outdated
   /// do not: a first run cannot wait for better ones, a second one can be left.
   bool mayRunAgain() const {
@@ -738,6 +989,8 @@
     if (Target_)
       Context_.Placement.reportFirstOutput(
           ActivePlacement_, {Attempt_->sinceSent(), Attempt_->slowness()});
+    observeForHedges();
+    dropHedge();
     dropAlternative();
   }
 
@@ -789,11 +1042,13 @@
       Record_.Attempts += " not_connected after_ms=" +
                           std::to_string(millisOf(Attempt_->sinceSent()));
       notConnected();
+      if (continueWithHedge())
+        return;
       if (BudgetUsedUp_)
         return giveUp(false, "retry_budget_used_up");
       return attempt();
     case AttemptEnd::Broken:
-      Record_.Attempts += Splitter_.outOfOrder() ? " out_of_order" : " broken";
+      Record_.Attempts += Splitter_->outOfOrder() ? " out_of_order" : " broken";
       noteReceived();
       return attemptBroken();
     case AttemptEnd::NotRun:
@@ -829,17 +1084,15 @@
     Record_.Attempts += " refused=" + std::to_string(Status);
     Log_.Execution = combine(Log_.Execution, ExecutionState::RefusedByEndpoint);
     bool ByHost = !Target_;
-    bool Moved = Target_ && Status == Misdirected;
-    if (Moved)
-      Context_.Fleet.noteMoved(Target_->Endpoint.Id);
     bool Arrived =
         !ByHost || findField(Attempt_->head().Fields, ArrivedField).has_value();
     // What was taken for a send that reached no endpoint is left for the next.
     RetryTaken_ = !Arrived && HasArrived_;
     HasArrived_ = HasArrived_ || Arrived;
-    endPlacement(Moved                      ? AttemptOutcome::Moved
-                 : Attempt_->wantsBackOff() ? AttemptOutcome::Declined
-                                            : AttemptOutcome::Failed);
+    if (Target_)
+      endPlacement(outcomeOfRefusal(*Attempt_, *Target_));
+    if (continueWithHedge())
+      return;
     if (!Arrived || mayRetry(Log_))
       return attempt();
     giveUp(false, "refused_by_endpoint");
@@ -850,31 +1103,33 @@
     Log_.Runs += Target_ ? 1 : AllottedRuns_;
     HasArrived_ = true;
     if (Target_)
-      recordBreak();
+      recordBreak(*Attempt_, *Target_, GotOutput_);
     endPlacement(AttemptOutcome::Broken);
-    if (Splitter_.mayResume() && mayRetry(Log_))
+    if (continueWithHedge())
+      return;
+    if (Splitter_->mayResume() && mayRetry(Log_))
       return attempt();
     giveUp(false, "endpoint_broke_off");
   }
 
   /// Records that the endpoint broke off, if that may be a crash under this
   /// request.
-  void recordBreak() {
+  void recordBreak(const Attempt &Run, const ServeAt &Choice, bool GotOutput) {
     TimePoint Now = Context_.Time.Now();
-    PeerClose Peer = Attempt_->progress().Peer;
-    const FleetEndpoint *Known = Context_.Fleet.endpoint(Target_->Endpoint.Key);
+    PeerClose Peer = Run.progress().Peer;
+    const FleetEndpoint *Known = Context_.Fleet.endpoint(Choice.Endpoint.Key);
     bool IsLeaving =
         Known == nullptr || Known->Leaving || Known->EndsAt.has_value();
     bool MayBeCrash =
         (Peer == PeerClose::Closed || Peer == PeerClose::Reset) && !IsLeaving;
-    bool IsSound = GotOutput_ && crashes().survives(OutputAt_);
+    bool IsSound = GotOutput && crashes().survives(OutputAt_);
     if (MayBeCrash && !IsSound)
-      crashes().recordBreak(Target_->Endpoint.Key, Descriptor_.Suspects,
-                            Now - Attempt_->sinceSent());
+      crashes().recordBreak(Choice.Endpoint.Key, Descriptor_.Suspects,
+                            Now - Run.sinceSent());
     Record_.Parts = partsText(Descriptor_.Parts);
     Record_.Attempts +=
-        " broke_ms=" + std::to_string(millisOf(Attempt_->sinceSent()));
-    if (GotOutput_)
+        " broke_ms=" + std::to_string(millisOf(Run.sinceSent()));
+    if (GotOutput)
       Record_.Attempts +=
           " output_ms=" + std::to_string(millisOf(Now - OutputAt_));
     Record_.Attempts +=
@@ -895,10 +1150,8 @@
     HasArrived_ = true;
     if (Attempt_->isEvents())
       return streamEnded();
-    // Forwarded to the caller, such a status would promise that a request that
-    // may have run has not run.
     bool FalseNotRun = detail::promisesNotRun(Head.Status);
-    bool Failed = Head.Status >= ServerFailure || FalseNotRun;
+    bool Failed = isFailure(Head.Status);
     if (!Failed) {
       firstOutput();
       // When it began to respond is not known.
@@ -912,6 +1165,8 @@
       return finishWith(callerHead(), Attempt_->takeBody(), "answered");
     if (Signed && !Streaming_ && !FalseNotRun)
       EndpointFailure_ = {callerHead(), Attempt_->takeBody()};
+    if (continueWithHedge())
+      return;
     if (mayRepeat(Route_->Kind) && mayRetry(Log_))
       return attempt();
     giveUp(false, "endpoint_failed");
@@ -925,12 +1180,13 @@
   }
 
   void streamEnded() {
+    dropHedge();
     recordSound(GotOutput_ ? OutputAt_
                            : Context_.Time.Now() - Attempt_->sinceSent());
     endPlacement(AttemptOutcome::Answered);
     if (!Streaming_)
-      return finishWith(callerHead(), Splitter_.partial(), "answered");
-    Exchange_->streamPiece(Splitter_.partial());
+      return finishWith(callerHead(), Splitter_->partial(), "answered");
+    Exchange_->streamPiece(Splitter_->partial());
     Exchange_->endStream();
     Record_.SentAs = "chunks";
     done(Ok, "answered");
@@ -985,6 +1241,7 @@
   bool isAttemptUnderWay() const { return Attempt_ && Attempt_->isUnderWay(); }
 
   void cancelAttempts(AttemptOutcome Outcome) {
+    dropHedge();
     if (isAttemptUnderWay()) {
       noteReceived();
       Attempt_->cancel();
@@ -997,6 +1254,7 @@
 
   void finishWith(HttpResponseHead Head, const std::string &Body,
                   const std::string &Outcome) {
+    dropHedge();
     unsigned Status = Head.Status;
     if (Status >= FirstFailure && !Descriptor_.Id.empty() &&
         !findField(Head.Fields, Context_.Names.RequestId))
@@ -1011,6 +1269,7 @@
   }
 
   void done(unsigned Status, const std::string &Outcome) {
+    dropHedge();
     Ended_ = true;
     Record_.Status = Status;
     Record_.Outcome = Outcome;
@@ -1101,7 +1360,16 @@
   std::optional<std::pair<HttpResponseHead, std::string>> EndpointFailure_;
   /// Whether the response to the caller is a stream that has begun.
   bool Streaming_ = false;
-  EventSplitter Splitter_;
+  /// Splits the events of the attempts of the request. A hedge has one of its
+  /// own, which takes the place of this one when the hedge is first.
+  std::shared_ptr<EventSplitter> Splitter_ = std::make_shared<EventSplitter>();
+  /// The second send beside the current attempt, and the placement that is
+  /// requested for one.
+  std::optional<Hedge> Hedge_;
+  std::optional<PlacementId> HedgePlacement_;
+  bool SeekingHedge_ = false;
+  /// Whether a hedge was requested. A request gets one at most.
+  bool HedgeRequested_ = false;
 };
 
 } // namespace
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -11,6 +11,7 @@
 #include "fleet/fleetview.h"
 #include "fleet/hostregistry.h"
 #include "framework/error.h"
+#include "hedging/predictedhedges.h"
 #include "relay/bytebudget.h"
 #include "relay/httpcaller.h"
 #include "relay/httpserver.h"
@@ -153,6 +154,8 @@
   static constexpr std::size_t DefaultResponseMemory = 16U << 20U;
   /// Null where no limits of customers apply.
   CustomerLimits *Limits = nullptr;
+  /// Second sends beside slow first ones; off unless a share is set.
+  PredictedHedges Hedges = {};
 };
 
 /// Header field between entry hosts. In a response: the request has not run.
