--- a/src/fleethost/fleethost.h
+++ b/src/fleethost/fleethost.h
@@ -31,6 +31,8 @@
   /// All regions that may have hosts.
   std::set<RegionId> Regions;
   RetryBudgetBounds RetryBounds;
+  /// See PredictedHedges::setShare.
+  double HedgeShare = 0;
   /// A request that arrives later than this after the tables were last
   /// confirmed is not handled by a customer's key, which may have been removed.
   /// Unset where only hosts in touch with the store have to follow.
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -116,6 +116,7 @@
       Metrics_.add("exceptions_total", "Handlers that threw an exception.", {});
     });
     Context_.Limits = &Limits_;
+    Context_.Hedges.setShare(Settings_.HedgeShare);
     Context_.Responses.setLimit(Settings_.ResponseMemoryBytes);
     Context_.Hooks.TablesCurrent = [this] {
       return OperatorMirror_.isCurrent() && Recency_.isConfirmed();
@@ -266,6 +267,7 @@
     for (const std::string &Contact : Settings.Contacts)
       Hosts_.addContact(Contact);
     Decisions_.setRetryBounds(Settings.RetryBounds);
+    Context_.Hedges.setShare(Settings.HedgeShare);
     Settings_.Grace = Settings.Grace;
     Log_.info("Settings reloaded.");
   }
