--- a/src/dispatch/internal/requestqueue.cpp
+++ b/src/dispatch/internal/requestqueue.cpp
@@ -211,6 +211,12 @@
   Shares_.charge(Scope, Customer, Occupancy, Now);
 }
 
+bool RequestQueue::hasAny(const PoolName &Pool) const {
+  return std::any_of(
+      Requests_.begin(), Requests_.end(),
+      [&](const auto &Entry) { return Entry.second.Pool == Pool; });
+}
+
 QueuedServiceTime RequestQueue::serviceTimeAhead(const PoolName &Pool,
                                                  unsigned Rank,
                                                  TimePoint Arrived,
