Test customers' keys and limits with real gateway processes

Cause: keys, their lifetime on hosts without confirmed tables and limits over all hosts were tested by parts and on virtual time only.

Change: GatewayCustomerTests start real processes with strictRevoke and a lifetime of 4 s: a confirmation is up to 2.5 s old, so that 3 s would leave too little to see keys go on while the store is away. The second host reaches the store through the soak's proxy. Cases: the endpoint gets the customer and not the key; unknown, empty and doubled keys; the store away and back; a removed key on a host without a store that has a peer, on one that hears nothing, and on one that was paused; a limit over two hosts of two regions.

--- a/tests/gateway/gatewayprocess.cpp
+++ b/tests/gateway/gatewayprocess.cpp
@@ -32,8 +32,10 @@
   Out << "internalPorts: [28160, 28175]\nseeds: [";
   for (const std::string &Seed : O.Seeds)
     Out << "\"" << Seed << ":28146\", ";
-  Out << "]\nbounds: {graceS: 8, retryBudgetRatio: 0.2, retryBudgetSlack: 100}"
-      << "\nplatform: {address: \"" << O.Store << "\"}\n";
+  Out << "]\nbounds: {graceS: 8, retryBudgetRatio: 0.2, retryBudgetSlack: 100";
+  if (O.KeyLifetimeMs > 0)
+    Out << ", strictRevoke: true, revokeMs: " << O.KeyLifetimeMs;
+  Out << "}\nplatform: {address: \"" << O.Store << "\"}\n";
 }
 
 } // namespace
--- a/tests/gateway/gatewayprocess.h
+++ b/tests/gateway/gatewayprocess.h
@@ -22,6 +22,8 @@
   std::string Zone;
   /// Share of a core that the settings name.
   double Cores = 0.25;
+  /// Lifetime of removed keys on hosts without confirmed tables; 0: unlimited.
+  int KeyLifetimeMs = 0;
 };
 
 /// A loopback address that only this process uses: two runs on one machine have
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <csignal>
 #include <map>
 #include <optional>
@@ -8,6 +9,7 @@
 #include "gateway/gatewayprocess.h"
 #include "gateway/storestandin.h"
 #include "relay/tests/rawpeer.h"
+#include "soak/faultproxy.h"
 #include "support/temporaryfolder.h"
 
 using namespace celerybeam;
@@ -35,6 +37,10 @@
   /// Answers that the endpoint holds back until the test says so.
   bool Withhold = false;
   std::vector<std::string> Ran;
+  /// Fields of the latest request that ran.
+  HttpFields RanFields;
+  /// Customers of the tables; null when they name none.
+  json Customers;
   std::vector<std::shared_ptr<HttpExchange>> Withheld;
   std::optional<HttpResponseHead> WithheldHead;
   HttpServer Endpoint{Loop, [this](const HttpServerRequest &R, auto Answer) {
@@ -55,6 +61,8 @@
     HttpResponseHead Head{
         200, {{"X-Attempt-Id", Id}, {"X-Response-Stamp", "stamp"}}};
     bool HealthCheck = Id.empty();
+    if (!HealthCheck)
+      RanFields = R.Head.Fields;
     if (!Withhold || HealthCheck)
       return Answer->respond(Head, "done");
     Withheld.push_back(std::move(Answer));
@@ -93,6 +101,11 @@
                      {"maxBodyBytes", 100000},
                      {"headerTimeoutMs", 3000},
                      {"idleTimeoutMs", 15000}}}};
+    if (!Customers.is_null()) {
+      Tables["tenants"] = Customers;
+      Tables["routes"].push_back(route("/open/", json::array()));
+      Tables["routes"].back()["public"] = true;
+    }
     Store.put("op/config", Tables.dump());
   }
 
@@ -158,10 +171,11 @@
         .starts_with("HTTP/1.1 200");
   }
 
-  std::string bookingRequest(const std::string &Path) {
-    return "POST /" + Path +
-           "/a HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: q" +
-           std::to_string(++Requests) +
+  /// \param Fields  further fields, each with its line end.
+  std::string bookingRequest(const std::string &Path,
+                             const std::string &Fields = {}) {
+    return "POST /" + Path + "/a HTTP/1.1\r\nHost: x.example\r\n" + Fields +
+           "X-Attempt-Id: q" + std::to_string(++Requests) +
            "\r\nX-Deadline-Ms: 8000\r\nContent-Length: 1\r\n\r\nx";
   }
 
@@ -202,6 +216,98 @@
   return Answer.starts_with(std::string("HTTP/1.1 ") + Status);
 }
 
+/// Two hosts whose tables name customers, with one route for callers with a key
+/// and a public one. The second host reaches the store through a proxy.
+struct CustomerFixture : Fixture {
+  /// A confirmation is at most 2.5 s old, so that keys are still served for
+  /// more than a second after the store is gone.
+  static constexpr int KeyLifetimeMs = 4000;
+  static constexpr Duration KeyLifetime =
+      std::chrono::milliseconds(KeyLifetimeMs);
+
+  FaultProxy SecondWay{Loop, Store.address()};
+  unsigned TablesVersion = 10;
+
+  CustomerFixture() { putCustomers({"key-a"}); }
+
+  static json customer(const char *Name, const std::vector<std::string> &Keys) {
+    return {{"name", Name}, {"apiKeys", Keys}, {"priority", 1}};
+  }
+
+  /// \param Keys  of the customer "atlas"; "borea" always has "key-b", and
+  /// "limited" has "key-l" and a limit.
+  void putCustomers(const std::vector<std::string> &Keys) {
+    json Limited = customer("limited", {"key-l"});
+    Limited.update(
+        {{"unit", "requests"}, {"ratePerS", LimitRate}, {"burst", LimitBurst}});
+    Customers = json::array(
+        {customer("atlas", Keys), customer("borea", {"key-b"}), Limited});
+    putTables(static_cast<int>(++TablesVersion), "book");
+  }
+
+  void start(const std::string &Name, const std::string &Ip,
+             const std::string &Region = "north") {
+    GatewayOptions O{Name, Ip,  Region, Store.address(), {FirstIp, SecondIp},
+                     "",   0.25};
+    O.KeyLifetimeMs = KeyLifetimeMs;
+    if (Ip == SecondIp)
+      O.Store = SecondWay.address();
+    Hosts[Name] = std::make_unique<GatewayProcess>(O, Folder.path(""));
+  }
+
+  void startKeyed(const std::string &SecondRegion = "north") {
+    start("n1", FirstIp);
+    start("n2", SecondIp, SecondRegion);
+    // Directories name the hosts of one region only.
+    if (SecondRegion == "north")
+      until([&] { return named(FirstIp) == 2 && named(SecondIp) == 2; });
+    until([&] {
+      return says(call(FirstIp, "key-b"), "200") &&
+             says(call(SecondIp, "key-b"), "200");
+    });
+  }
+
+  std::string call(const std::string &Ip, const std::string &Key,
+                   const std::string &More = {}) {
+    return exchange(
+        Ip, GatewayProcess::CallerPort,
+        bookingRequest("book", "X-Credential: " + Key + "\r\n" + More));
+  }
+
+  bool hasRun(unsigned Request) const {
+    return std::ranges::find(Ran, "q" + std::to_string(Request)) != Ran.end();
+  }
+
+  TimePoint now() { return Loop.runtime().Now(); }
+
+  /// Sends requests with the key to a host until none has run that was sent
+  /// later than the lifetime after this time, which is that of the removal or
+  /// of the store's end. Checks it, and that those that did not run were
+  /// refused so that their callers return. \return when the last one that ran
+  /// was sent.
+  TimePoint checkEnds(const std::string &Ip, const std::string &Key,
+                      const char *Refusal, TimePoint Since) {
+    constexpr Duration Beyond = std::chrono::milliseconds(1500);
+    TimePoint Last = Since;
+    while (now() < Since + KeyLifetime + Beyond) {
+      TimePoint Sent = now();
+      std::string Answer = call(Ip, Key);
+      if (!hasRun(Requests)) {
+        BOOST_TEST((says(Answer, Refusal) || says(Answer, "503")));
+        BOOST_TEST(
+            (says(Answer, "401") || !field(Answer, "Retry-After").empty()));
+        continue;
+      }
+      BOOST_TEST((Sent <= Since + KeyLifetime));
+      Last = Sent;
+    }
+    return Last;
+  }
+
+  static constexpr int LimitRate = 20;
+  static constexpr int LimitBurst = 10;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(GatewayTests, Fixture)
@@ -344,3 +450,159 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(GatewayCustomerTests, CustomerFixture)
+
+// Guards against a key that reaches an endpoint, and against callers who name
+// themselves a customer.
+BOOST_AUTO_TEST_CASE(endpointGetsTheCustomerAndNotTheKey) {
+  startKeyed();
+  for (const std::string &Ip : {FirstIp, SecondIp}) {
+    BOOST_TEST(says(call(Ip, "key-a", "X-Tenant: borea\r\n"), "200"));
+    BOOST_TEST(findField(RanFields, "X-Tenant").value_or("") == "atlas");
+    for (const HttpField &Field : RanFields)
+      BOOST_TEST((Field.Value.find("key-a") == std::string::npos));
+    BOOST_TEST(says(exchange(Ip, GatewayProcess::CallerPort,
+                             bookingRequest("open", "X-Credential: key-a\r\n"
+                                                    "X-Tenant: borea\r\n")),
+                    "200"));
+    BOOST_TEST(!findField(RanFields, "X-Tenant"));
+    BOOST_TEST(!findField(RanFields, "X-Credential"));
+  }
+}
+
+// Guards against requests of unknown callers that run.
+BOOST_AUTO_TEST_CASE(unknownKeyIsRefused) {
+  startKeyed();
+  std::size_t Before = Ran.size();
+  for (const std::string &Ip : {FirstIp, SecondIp}) {
+    until([&] { return says(call(Ip, "key-x"), "401"); });
+    BOOST_TEST(says(call(Ip, ""), "401"));
+    BOOST_TEST(says(call(Ip, "key-a", "X-Credential: key-a\r\n"), "401"));
+    BOOST_TEST(says(book(Ip), "401"));
+  }
+  BOOST_TEST(Ran.size() == Before);
+}
+
+// Guards against hosts that resolve keys without a bound while the store is
+// away, and against those that stop at once or stay stopped.
+BOOST_AUTO_TEST_CASE(keysEndWhileTheStoreIsAwayAndReturnWithIt) {
+  startKeyed();
+  Store.setDown(true);
+  TimePoint Down = now();
+  BOOST_TEST(says(call(FirstIp, "key-a"), "200"));
+  BOOST_TEST(says(call(SecondIp, "key-a"), "200"));
+  TimePoint Last = checkEnds(FirstIp, "key-a", "503", Down);
+  BOOST_TEST((Last > Down));
+  std::size_t Before = Ran.size();
+  for (const std::string &Ip : {FirstIp, SecondIp}) {
+    std::string Answer = call(Ip, "key-a");
+    BOOST_TEST(says(Answer, "503"));
+    BOOST_TEST(!field(Answer, "Retry-After").empty());
+  }
+  BOOST_TEST(Ran.size() == Before);
+  BOOST_TEST(says(book(FirstIp, "open"), "200"));
+  BOOST_TEST(says(book(SecondIp, "open"), "200"));
+  Store.setDown(false);
+  until([&] {
+    return says(call(FirstIp, "key-a"), "200") &&
+           says(call(SecondIp, "key-a"), "200");
+  });
+}
+
+// Guards against a removed key that runs on a host without its store: the other
+// host has to tell it, or its right to resolve keys has to end.
+BOOST_AUTO_TEST_CASE(removedKeyEndsOnTheHostWithoutAStore) {
+  startKeyed();
+  SecondWay.setMode(FaultProxy::Mode::Silence);
+  putCustomers({"key-new"});
+  checkEnds(SecondIp, "key-a", "401", now());
+}
+
+// As before, on a host that nobody tells of the removal.
+BOOST_AUTO_TEST_CASE(removedKeyEndsOnAHostThatHearsNothing) {
+  start("n2", SecondIp);
+  until([&] { return says(call(SecondIp, "key-a"), "200"); });
+  SecondWay.setMode(FaultProxy::Mode::Silence);
+  putCustomers({"key-new"});
+  TimePoint Removed = now();
+  BOOST_TEST(says(call(SecondIp, "key-a"), "200"));
+  TimePoint Last = checkEnds(SecondIp, "key-a", "503", Removed);
+  BOOST_TEST((Last > Removed));
+}
+
+// Guards against a host that resumes and goes by what it knew before its pause.
+BOOST_AUTO_TEST_CASE(removedKeyRunsOnNoHostThatWasPausedMeanwhile) {
+  startKeyed();
+  Hosts["n2"]->signal(SIGSTOP);
+  putCustomers({"key-new"});
+  TimePoint Resumed = now() + KeyLifetime + std::chrono::milliseconds(200);
+  until([&] { return now() > Resumed; });
+  unsigned Before = Requests;
+  std::vector<std::unique_ptr<RawCaller>> Callers;
+  constexpr std::size_t Count = 20;
+  Callers.reserve(Count);
+  for (std::size_t I = 0; I < Count; ++I)
+    Callers.push_back(std::make_unique<RawCaller>(
+        Loop, SecondIp + ":" + std::to_string(GatewayProcess::CallerPort),
+        bookingRequest("book", "X-Credential: key-a\r\n")));
+  Hosts["n2"]->signal(SIGCONT);
+  for (const auto &Caller : Callers) {
+    until([&] {
+      return Caller->received().find("\r\n\r\n") != std::string::npos;
+    });
+    BOOST_TEST(
+        (says(Caller->received(), "401") || says(Caller->received(), "503")));
+  }
+  for (unsigned Request = Before + 1; Request <= Requests; ++Request)
+    BOOST_TEST(!hasRun(Request));
+  until([&] { return says(call(SecondIp, "key-new"), "200"); });
+}
+
+// Guards against a limit that each host holds for itself alone.
+BOOST_AUTO_TEST_CASE(limitHoldsOverAllHosts) {
+  constexpr double Tolerance = 1.1;
+  constexpr Duration Gap = std::chrono::milliseconds(20);
+  constexpr Duration Length = std::chrono::seconds(6);
+  constexpr Duration Window = std::chrono::seconds(4);
+  constexpr double MostInWindow = Tolerance * (LimitRate * 4 + LimitBurst);
+  startKeyed("south");
+  std::size_t Before = Ran.size();
+  std::vector<TimePoint> RunTimes;
+  std::vector<std::unique_ptr<RawCaller>> Callers;
+  TimePoint Start = now();
+  for (TimePoint Next = Start; Next < Start + Length; Next += Gap) {
+    for (const std::string &Ip : {FirstIp, SecondIp})
+      Callers.push_back(std::make_unique<RawCaller>(
+          Loop, Ip + ":" + std::to_string(GatewayProcess::CallerPort),
+          bookingRequest("book", "X-Credential: key-l\r\n")));
+    until([&] {
+      RunTimes.resize(Ran.size() - Before, now());
+      return now() >= Next + Gap;
+    });
+  }
+  std::size_t OverLimit = 0;
+  for (const auto &Caller : Callers) {
+    until([&] {
+      return Caller->received().find("\r\n\r\n") != std::string::npos;
+    });
+    if (!says(Caller->received(), "429"))
+      continue;
+    ++OverLimit;
+    BOOST_TEST(!field(Caller->received(), "Retry-After").empty());
+  }
+  BOOST_TEST(OverLimit > 0U);
+  std::size_t Most = 0;
+  for (std::size_t I = 0, First = 0; I < RunTimes.size(); ++I) {
+    while (RunTimes[First] + Window < RunTimes[I])
+      ++First;
+    Most = std::max(Most, I - First + 1);
+  }
+  BOOST_TEST(static_cast<double>(Most) <= MostInWindow);
+  // Nothing is shown by hosts that refuse everything.
+  BOOST_TEST(static_cast<double>(Most) >= LimitRate * 2);
+  BOOST_TEST_MESSAGE("runs in 4 s: " << Most << ", refused " << OverLimit
+                                     << " of " << Callers.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
