Let the soak's callers send keys, and judge keys and limits

Cause: the soak's tables named no customers, so that keys, their lifetime and limits were never tried under kills, pauses and a store that is away.

Change: three customers, two with limits that their callers exceed several times. Keys are replaced and limits halved or restored at random moments; callers use valid, removed and unknown keys. Endpoints report the customer's name or that they saw a key. The judge checks removed keys (4 s), names, keys, 401 and limits. For a limit, requests that were sent and ran within a window of 4 s count: 1.1 x (4 s x rate + burst) of the highest limit of the window and 8 s before, plus a slack of one burst (killed allocators forget what was used of it) and the dearest request for each host. Tests with a faulty endpoint, and the new soak.plain, run without customers, as before; other faults cannot pass for theirs.

--- a/tests/soak/endpointprocess.cpp
+++ b/tests/soak/endpointprocess.cpp
@@ -63,6 +63,16 @@
     Answer.respond(std::move(Head), "");
   }
 
+  /// The customer whose name came with a request, or what no endpoint may see.
+  static std::string customerSeen(const HttpFields &Fields) {
+    for (const HttpField &Field : Fields)
+      if (sameFieldName(Field.Name, "X-Credential") ||
+          sameFieldName(Field.Name, "Celerybeam-Key") ||
+          Field.Value.find(KeyPrefix) != std::string::npos)
+        return SeenKey;
+    return std::string(findField(Fields, "X-Tenant").value_or(""));
+  }
+
   void take(const HttpServerRequest &Request,
             const std::shared_ptr<HttpExchange> &Answer) {
     std::string Id(findField(Request.Head.Fields, "X-Attempt-Id").value_or(""));
@@ -73,9 +83,10 @@
       return refuse(Misdirected, Id, *Answer);
     if (Busy_ >= Options_.Slots)
       return refuse(Unavailable, Id, *Answer);
-    say("ran " + Id + " " + Request.Head.Target);
+    std::string Ran = "ran " + Id + " " + customerSeen(Request.Head.Fields);
+    say(Ran);
     if (isPlanted("run-twice"))
-      say("ran " + Id + " " + Request.Head.Target);
+      say(Ran);
     if (isPlanted("run-refused"))
       return refuse(Unavailable, Id, *Answer);
     ++Busy_;
--- a/tests/soak/endpointprocess.h
+++ b/tests/soak/endpointprocess.h
@@ -20,6 +20,11 @@
 /// address and then a line for each request that it runs to standard output.
 int serveEndpoint(const EndpointOptions &Options);
 
+/// All keys of callers begin with this.
+inline constexpr const char *KeyPrefix = "key-";
+/// An endpoint's word, instead of a customer's name, for a request with a key.
+inline constexpr const char *SeenKey = "!key";
+
 /// The body that an endpoint answers to a request, by which a caller knows that
 /// the answer is its own. Longer for a request whose id ends with "-big" than
 /// what a kernel takes for a caller that reads nothing.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -65,7 +65,7 @@
   void keepCalling() {
     if (Time_.Now() >= EndsAt_)
       return Time_.After(Recovery, [this] { callAtTheEnd(LastRequests); });
-    call([](const std::string &, const CallResult &) {});
+    call(World_.anyCaller(), [](const std::string &, const CallResult &) {});
     constexpr double UsPerSecond = 1e6;
     double Mean = UsPerSecond / Options_.RequestsPerSecond;
     std::exponential_distribution<double> Gap(1 / Mean);
@@ -78,7 +78,8 @@
       LastCallAt_ = Time_.Now();
       return awaitAnswers();
     }
-    call([this](const std::string &What, const CallResult &R) {
+    call(World_.steadyCaller(), [this](const std::string &What,
+                                       const CallResult &R) {
       constexpr unsigned Ok = 200;
       bool Served = R.Whole && R.Status == Ok;
       ServedLast_ += Served ? 1 : 0;
@@ -98,7 +99,8 @@
     Time_.After(Look, [this] { awaitAnswers(); });
   }
 
-  void call(const std::function<void(const std::string &What,
+  void call(const SoakIdentity &From,
+            const std::function<void(const std::string &What,
                                      const CallResult &)> &Also) {
     auto Routes = World_.routes();
     const SoakRoute &Route = Routes[Random_() % Routes.size()];
@@ -106,9 +108,9 @@
     std::string Id = "q" + std::to_string(++Requests_);
     std::string Request =
         "POST " + Route.Path + "a HTTP/1.1\r\nHost: x.example\r\n" +
-        "X-Attempt-Id: " + Id + "\r\nX-Deadline-Ms: 5000\r\n" +
+        "X-Attempt-Id: " + Id + "\r\nX-Deadline-Ms: 5000\r\n" + From.Fields +
         "Content-Length: " + std::to_string(Id.size()) + "\r\n\r\n" + Id;
-    Judge_.sent(Id, Route, Host.start(), Time_.Now());
+    Judge_.sent(Id, Route, Host.start(), Time_.Now(), From);
     Duration Before = Host.stood(Time_.Now());
     Duration Patience =
         SoakJudge::CallerPatience +
@@ -131,7 +133,8 @@
               << " requests, " << Judge_.served() << " served, "
               << Judge_.refused() << " refused, " << Judge_.runs() << " runs, "
               << Faults_.done().size() << " faults, " << Hostile_.visits()
-              << " hostile, soak late by "
+              << " hostile, " << Judge_.mostUsed()
+              << " of a limit, soak late by "
               << std::chrono::duration_cast<std::chrono::milliseconds>(
                      MostLate_)
                      .count()
@@ -187,6 +190,7 @@
   Options.RequestsPerSecond = Given["rate"].as<double>();
   Options.Plant = Given["plant"].as<std::string>();
   Options.Rough = Given["rough"].as<bool>();
+  Options.Plain = Given["plain"].as<bool>();
   bool Held = Soak(Options).run();
   // A planted fault must be found.
   return Held == Options.Plant.empty() ? 0 : 1;
@@ -207,6 +211,7 @@
       "units of 5 entry hosts and 6 endpoints")(
       "rough", options::bool_switch(),
       "hosts paused in series, and hostile callers")(
+      "plain", options::bool_switch(), "tables name no customers")(
       "rate", options::value<double>()->default_value(60), "requests a second")(
       "plant", options::value<std::string>()->default_value(""),
       "a fault of the endpoints that must be found: run-twice, run-refused, "
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -27,15 +27,25 @@
 
 SoakFaults::SoakFaults(SoakWorld &World, std::uint64_t Seed)
     : World_(World), Random_(Seed), PauseRandom_(~Seed),
-      Time_(World.Loop.runtime()) {}
+      CustomerRandom_(Seed * 7 + 3), Time_(World.Loop.runtime()) {}
 
 void SoakFaults::start(Duration Length) {
   Until_ = Time_.Now() + Length;
   next();
+  if (World_.namesCustomers())
+    changeCustomers();
   if (World_.rough())
     pauseSeries();
 }
 
+void SoakFaults::changeCustomers() {
+  if (Time_.Now() >= Until_)
+    return;
+  note("change customers");
+  World_.changeCustomers();
+  later(draw(2 * LongestGap, CustomerRandom_), [this] { changeCustomers(); });
+}
+
 void SoakFaults::later(Duration After, std::function<void()> Work) {
   Time_.After(After, std::move(Work));
 }
--- a/tests/soak/soakfaults.h
+++ b/tests/soak/soakfaults.h
@@ -59,6 +59,7 @@
   void changeTables();
   void evacuate();
 
+  void changeCustomers();
   void pauseSeries();
   void hangConnects(Duration Span);
   void crashEndpoints();
@@ -67,6 +68,7 @@
   std::mt19937_64 Random_;
   /// Of the series of pauses, which leaves the order of the others as it is.
   std::mt19937_64 PauseRandom_;
+  std::mt19937_64 CustomerRandom_;
   Runtime Time_;
   TimePoint Until_{};
   std::vector<std::string> Done_;
--- a/tests/soak/soakhostile.cpp
+++ b/tests/soak/soakhostile.cpp
@@ -17,6 +17,7 @@
 struct Asked {
   std::string Id;
   SoakRoute Route;
+  SoakIdentity From;
   std::size_t Begin = 0;
   std::size_t End = 0;
   /// False behind a request that closes the connection (RFC 9112, 9.6).
@@ -101,7 +102,7 @@
     }
     for (Asked &A : Plan_.Requests) {
       if (A.Begin >= From && A.Begin < To) {
-        Judge_.sent(A.Id, A.Route, Start_, Time_.Now());
+        Judge_.sent(A.Id, A.Route, Start_, Time_.Now(), A.From);
         Judge_.sentInPart(A.Id);
         A.Begun = true;
       }
@@ -254,10 +255,10 @@
   const SoakRoute &Route =
       Routes[Big || Random_() % 2 == 0 ? 0 : Random_() % (Routes.size() - 1)];
   std::string Id = "h" + std::to_string(++Requests_) + (Big ? "-big" : "");
-  Asked A{Id, Route, P.Text.size(), 0, !P.Closes};
+  Asked A{Id, Route, World_.steadyCaller(), P.Text.size(), 0, !P.Closes};
   P.Text += "POST " + Route.Path + "a HTTP/1.1\r\nHost: x.example\r\n" +
             "X-Attempt-Id: " + Id + "\r\nX-Deadline-Ms: 5000\r\n" +
-            (Close ? "Connection: close\r\n" : "") +
+            A.From.Fields + (Close ? "Connection: close\r\n" : "") +
             "Content-Length: " + std::to_string(Body) + "\r\n\r\n" +
             std::string(Body, 'x');
   A.End = P.Text.size();
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -19,6 +19,15 @@
 
 constexpr std::int64_t FirstStart = 1700000000000;
 
+/// Callers of both limited customers send several times their limits. Half a
+/// burst, a region's part, has room for the dearest request.
+constexpr double EagerRate = 120;
+constexpr double EagerBurst = 240;
+constexpr unsigned MostTokens = 60;
+constexpr unsigned PlainTokens = 30;
+constexpr double BriskRate = 2;
+constexpr double BriskBurst = 4;
+
 json row(const SoakRoute &Route, const char *Kind, const char *Service) {
   json Row = {
       {"name", "r" + std::to_string(std::hash<std::string>{}(Route.Path))},
@@ -30,12 +39,18 @@
       {"gapAimMs", 1000},
       {"priority", 1},
       {"backend", Service},
+      {"public", Route.Public},
       {"maxAttempts", Route.Once ? 1 : 2}};
   for (const std::string &Region : Route.Homes)
     Row["homeRegions"].push_back(Region);
   return Row;
 }
 
+/// Units of its limit that a request without a number of tokens costs.
+double plainCost(const SoakCustomer &C) {
+  return C.Unit == "tokens" ? PlainTokens : 1;
+}
+
 json service(const char *Name) {
   return {{"name", Name},
           {"healthPath", "/healthz"},
@@ -63,7 +78,8 @@
 }
 
 SoakWorld::SoakWorld(EventLoop &L, const SoakOptions &Options, SoakJudge &Judge)
-    : Loop(L), Store(L), Options_(Options), Judge_(Judge) {
+    : Loop(L), Store(L), Options_(Options), Judge_(Judge),
+      Random_(Options.Seed * 5 + 2) {
   for (unsigned I = 0; I < Options.Scale; ++I) {
     for (const char *Zone : {"north-a", "north-a", "north-b"})
       addHost("north", Zone);
@@ -75,6 +91,11 @@
       addEndpoint(Service, "south", "south-a");
     }
   }
+  if (!Options.Plain) {
+    addCustomer("steady", "tokens", 0, 0, 0);
+    addCustomer("eager", "tokens", EagerRate, EagerBurst, MostTokens);
+    addCustomer("brisk", "requests", BriskRate, BriskBurst, 1);
+  }
   nextTables();
   for (SoakEndpoint &E : Endpoints)
     startEndpoint(E);
@@ -98,6 +119,9 @@
   Host.Options.Region = Region;
   Host.Options.Zone = Zone;
   Host.Options.Cores = Number % 3 == 0 ? 1 : 0.25;
+  if (!Options_.Plain)
+    Host.Options.KeyLifetimeMs =
+        static_cast<int>(SoakJudge::KeyLifetime / std::chrono::milliseconds(1));
   for (unsigned Seed = 1; Seed <= 3; ++Seed)
     Host.Options.Seeds.push_back(ownLoopbackIp(Seed));
   Host.ToStore = std::make_unique<FaultProxy>(Loop, Store.address());
@@ -190,7 +214,9 @@
     announce(E, "ready");
   } else if (Line.starts_with("ran ")) {
     std::string Rest = Line.substr(Line.find(' ') + 1);
-    Judge_.ran(Rest.substr(0, Rest.find(' ')), E.Region);
+    auto End = Rest.find(' ');
+    Judge_.ran(Rest.substr(0, End), E.Region, Rest.substr(End + 1),
+               Loop.runtime().Now());
   }
 }
 
@@ -234,7 +260,7 @@
 
 std::vector<SoakRoute> SoakWorld::routes() const {
   return {{"/book/", true, false, {}, 0},
-          {"/look/", false, false, {}, 0},
+          {"/look/", false, false, {}, 0, true},
           {"/home/", true, false, {"north"}, 0},
           {"/sdraft/", true, true, {}, 0},
           {"/v" + std::to_string(Version_) + "/", false, false, {}, Version_}};
@@ -261,7 +287,75 @@
         {"maxBodyBytes", 100000},
         {"headerTimeoutMs", Ms(RoughHeader, 3000)},
         {"idleTimeoutMs", Ms(RoughIdle, 15000)}}}};
+  for (const SoakCustomer &C : Customers_)
+    Tables["tenants"].push_back({{"name", C.Name},
+                                 {"apiKeys", C.Keys},
+                                 {"priority", 1},
+                                 {"unit", C.Unit},
+                                 {"plainTokens", PlainTokens},
+                                 {"ratePerS", C.Limit.PerSecond},
+                                 {"burst", C.Limit.Burst}});
   Store.put("op/config", Tables.dump());
+  for (const SoakCustomer &C : Customers_)
+    Judge_.customerSet(C.Name, C.Keys, C.Limit, Loop.runtime().Now());
+}
+
+void SoakWorld::addCustomer(const std::string &Name, const std::string &Unit,
+                            double PerSecond, double Burst, double MostCost) {
+  constexpr unsigned KeyCount = 3;
+  SoakCustomer C{Name, Unit, {}, {PerSecond, Burst, 0}};
+  // Allocators that are killed lose how much of the burst was used, and each
+  // host may have been granted what a single request needs.
+  C.Limit.Slack = Burst + MostCost * static_cast<double>(Hosts.size());
+  while (C.Keys.size() < KeyCount)
+    C.Keys.insert(newKey());
+  Customers_.push_back(std::move(C));
+}
+
+void SoakWorld::changeCustomers() {
+  SoakCustomer &C = Customers_[Random_() % Customers_.size()];
+  auto Removed = C.Keys.begin();
+  std::advance(Removed, Random_() % C.Keys.size());
+  RemovedCallers_.push_back(
+      {*Removed, "X-Credential: " + *Removed + "\r\n", plainCost(C)});
+  C.Keys.erase(Removed);
+  C.Keys.insert(newKey());
+  Customers_[1].Limit.PerSecond = EagerRate / anyDivisor();
+  Customers_[2].Limit.PerSecond = BriskRate / anyDivisor();
+  nextTables();
+}
+
+SoakIdentity SoakWorld::callerOf(const SoakCustomer &C) {
+  auto Key = C.Keys.begin();
+  std::advance(Key, Random_() % C.Keys.size());
+  SoakIdentity Caller{*Key, "X-Credential: " + *Key + "\r\n", plainCost(C)};
+  if (C.Unit != "tokens" || Random_() % 2 == 0)
+    return Caller;
+  unsigned Prompt = 1 + static_cast<unsigned>(Random_() % (MostTokens / 2));
+  unsigned Output = static_cast<unsigned>(Random_() % (MostTokens / 2));
+  Caller.Cost = Prompt + Output;
+  Caller.Fields += "X-Token-Count: " + std::to_string(Prompt) + "," +
+                   std::to_string(Output) + "\r\n";
+  return Caller;
+}
+
+SoakIdentity SoakWorld::steadyCaller() {
+  return Customers_.empty() ? SoakIdentity() : callerOf(Customers_.front());
+}
+
+SoakIdentity SoakWorld::anyCaller() {
+  if (Customers_.empty())
+    return {};
+  constexpr unsigned Draws = 20;
+  constexpr unsigned OfEager = 8;
+  constexpr unsigned OfBrisk = 12;
+  auto Draw = Random_() % Draws;
+  if (Draw == Draws - 1)
+    return {"key-of-nobody",
+            "X-Credential: key-of-nobody\r\nX-Tenant: steady\r\n", 0};
+  if (Draw >= Draws - 3 && !RemovedCallers_.empty())
+    return RemovedCallers_[Random_() % RemovedCallers_.size()];
+  return callerOf(Customers_[Draw < OfEager ? 1 : Draw < OfBrisk ? 2 : 0]);
 }
 
 } // namespace celerybeam::testing
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 
 #include "gateway/gatewayprocess.h"
 #include "gateway/storestandin.h"
+#include "soak/endpointprocess.h"
 #include "soak/faultproxy.h"
 #include "soak/soakjudge.h"
 #include "support/temporaryfolder.h"
@@ -30,6 +32,8 @@
   std::string Plant;
   /// Hosts paused in series, and hostile callers.
   bool Rough = false;
+  /// Tables name no customers.
+  bool Plain = false;
 };
 
 /// An entry host, its place in the fleet and its way to the store.
@@ -71,6 +75,14 @@
   std::string Text;
 };
 
+/// A customer of the soak's tables, with a limit unless its rate is zero.
+struct SoakCustomer {
+  std::string Name;
+  std::string Unit;
+  std::set<std::string> Keys;
+  SoakLimit Limit;
+};
+
 /// The processes of a soak and the platform around them.
 class SoakWorld {
 public:
@@ -88,9 +100,18 @@
   /// Writes the next version of the tables.
   void nextTables();
 
+  /// Writes tables with one key of a customer replaced and other limits.
+  void changeCustomers();
+
+  /// Draws who calls: a customer, mostly with a key that holds.
+  SoakIdentity anyCaller();
+  /// A caller with a key that holds, of the customer without a limit.
+  SoakIdentity steadyCaller();
+
   /// The routes that callers use now; the last is the one of this version.
   std::vector<SoakRoute> routes() const;
   bool rough() const { return Options_.Rough; }
+  bool namesCustomers() const { return !Options_.Plain; }
 
   /// Time-outs of a rough soak's tables: short enough to be passed by a pause.
   static constexpr Duration RoughHeader = std::chrono::milliseconds(800);
@@ -107,6 +128,12 @@
   void addHost(const std::string &Region, const std::string &Zone);
   void addEndpoint(const std::string &Service, const std::string &Region,
                    const std::string &Zone);
+  void addCustomer(const std::string &Name, const std::string &Unit,
+                   double PerSecond, double Burst, double MostCost);
+  std::string newKey() { return KeyPrefix + std::to_string(++KeysMade_); }
+  /// One or two, by which a limit is divided.
+  double anyDivisor() { return Random_() % 2 == 0 ? 1 : 2; }
+  SoakIdentity callerOf(const SoakCustomer &Customer);
   void readOutput(SoakEndpoint &Endpoint);
   void takeLine(SoakEndpoint &Endpoint, const std::string &Line);
 
@@ -114,6 +141,12 @@
   SoakJudge &Judge_;
   TemporaryFolder Folder_;
   unsigned Version_ = 0;
+  /// Of keys and limits; leaves the order of other draws as it is.
+  std::mt19937_64 Random_;
+  std::vector<SoakCustomer> Customers_;
+  /// Callers with keys that were removed, some of which still hold.
+  std::vector<SoakIdentity> RemovedCallers_;
+  unsigned KeysMade_ = 0;
 };
 
 } // namespace celerybeam::testing
