--- a/scripts/plants.sh
+++ b/scripts/plants.sh
@@ -1,17 +1,18 @@
 #!/usr/bin/env bash
 # Shows that the soak finds a planted fault: scripts/plants.sh
-# [--revision REV | --plant NAME] [--seed N] [--seeds COUNT] [--scale K]
+# [--revision REV | --plant NAME] [--promise TEXT] [--seed N] [--seeds COUNT] [--scale K]
 # [--jobs J]. Builds the gateway of HEAD with tests/soak/plants/NAME.patch, or
 # that of REV as it is, in a scratch copy; runs this tree's rough soak with it
 # for up to COUNT seeds and says at which the fault was found. Ends with 1 if it
-# was not.
+# was not. With --promise only breaks of promises that begin with TEXT count.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-revision=HEAD plant='' seed=1 seeds=50 scale=1 jobs=3
+revision=HEAD plant='' promise='' seed=1 seeds=50 scale=1 jobs=3
 while [ $# -gt 0 ]; do
   case $1 in
   --revision) revision=$2 ;;
   --plant) plant=$2 ;;
+  --promise) promise=$2 ;;
   --seed) seed=$2 ;;
   --seeds) seeds=$2 ;;
   --scale) scale=$2 ;;
@@ -53,6 +54,7 @@
     echo "$said" >&2
     exit 2
   }
+  grep -q "^BROKEN $promise" <<<"$said" || continue
   echo "$name: found at seed $i"
   exit 0
 done
