Cut the soak's hosts off from the store for longer than the key lifetime

Change: once in the first half, with customers, the ways of all hosts to the store are silent for 7 s, while keys go on being replaced.

--- a/tests/soak/soakfaults.h
+++ b/tests/soak/soakfaults.h
@@ -26,6 +26,9 @@
   static constexpr Duration LongestFault = std::chrono::milliseconds(3500);
   /// A pause exceeds the time-out that it is drawn for by less than this.
   static constexpr Duration MostBeyond = std::chrono::milliseconds(600);
+  /// How long all hosts miss the store once: removed keys end meanwhile.
+  static constexpr Duration KeyOutage =
+      SoakJudge::KeyLifetime + std::chrono::seconds(3);
   static constexpr Duration LongestPause =
       SoakWorld::WholeTime + MostBeyond + FaultProxy::SynRetry;
 
@@ -60,6 +63,7 @@
   void evacuate();
 
   void changeCustomers();
+  void cutOffStore();
   void pauseSeries();
   void hangConnects(Duration Span);
   void crashEndpoints();
