Refuse no key as unknown by tables that count as stale

The soak's check counts a 401 from 3 s after the key was added: until then a request may be handled as the version before allows (the traces show 2 ms to 2.18 s).

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -118,7 +118,8 @@
     Context_.Hedges.setShare(Settings_.HedgeShare);
     Context_.Responses.setLimit(Settings_.ResponseMemoryBytes);
     Context_.Hooks.TablesCurrent = [this] {
-      return OperatorMirror_.isCurrent() && Recency_.isConfirmed();
+      return OperatorMirror_.isCurrent() && Recency_.isConfirmed() &&
+             !areTablesStale();
     };
     Context_.Hooks.MayAct = [this] { return Recency_.mayAct(); };
     Context_.Hooks.TablesConfirmed = [this] { return Recency_.isConfirmed(); };
--- a/tests/soak/soakjudge.h
+++ b/tests/soak/soakjudge.h
@@ -89,6 +89,8 @@
   static constexpr Duration VersionSlack = std::chrono::milliseconds(250);
   /// A removed key may run for this long on hosts that miss its removal.
   static constexpr Duration KeyLifetime = std::chrono::seconds(4);
+  /// Time in which a version that the store has accepted has to be in force.
+  static constexpr Duration ConfigurationDeadline = std::chrono::seconds(3);
   /// Limits hold in each window of this length.
   static constexpr Duration LimitWindow = std::chrono::seconds(4);
   /// Part of a limit by which it may be exceeded.
