Deny no request without a key by tables that may be old

What callers could see: 401 for a request without a key on a route that a newer version makes public, from a host that has just started, follows others or lost the store. Found by reading: only unknown keys asked whether the tables are current.

Change: without a customer, 401 needs current tables in every case, else 503.

Result: missingKeyIsNotDeniedByTablesThatMayBeOld fails without the change (401); customerkeys passes (15 cases).

--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -195,8 +195,8 @@
       Descriptor_.Customer = Record_.Customer = Found->Name;
       return true;
     }
-    // The key may be new.
-    if (Descriptor_.Key && !Context_.Hooks.TablesCurrent())
+    // The key may be new, or the route public by now.
+    if (!Context_.Hooks.TablesCurrent())
       refuse({NewRouteRetryAfter, "tables_may_be_old"});
     else
       refuseCaller(Unauthorized, "no customer holds the key", "unknown_key");
--- a/src/relay/tests/customerkeystest.cpp
+++ b/src/relay/tests/customerkeystest.cpp
@@ -102,6 +102,15 @@
   BOOST_TEST(!field(Answer, "Retry-After").empty());
 }
 
+// DENIED: a host with old tables does not know that a route has become public,
+// or that keys are no longer needed.
+BOOST_AUTO_TEST_CASE(missingKeyIsNotDeniedByTablesThatMayBeOld) {
+  RawServer &E = addEndpointIn("e");
+  TablesCurrent = false;
+  BOOST_TEST(hasStatus(ask(request("look")), "503"));
+  BOOST_TEST(E.Requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(publicRouteNeedsNoKeyAndNamesNoCustomer) {
   RawServer &E = addEndpointIn("e");
   change([](FleetTables &Tables) {
