--- a/src/dispatch/tests/customerlimitstest.cpp
+++ b/src/dispatch/tests/customerlimitstest.cpp
@@ -48,6 +48,7 @@
           Limits(Whole.Time.runtime(), View, Hosts, Whole.Regions,
                  [&Whole, Ip = Self.Ip](const std::string &To,
                                         const ShareNote &Note) {
+                   ++Whole.Notes;
                    Whole.send(Ip, To, [Ip, Note](Host &H) {
                      H.Limits.received(Ip, Note);
                    });
@@ -151,6 +152,7 @@
   std::uint64_t Version = 0;
   unsigned Passed = 0;
   unsigned Refused = 0;
+  unsigned Notes = 0;
   std::vector<Duration> RetryAfters;
 
 private:
@@ -328,6 +330,47 @@
   BOOST_TEST(F.passedPerSecond(10s) <= Rate / 10 * (1 + Overage));
 }
 
+// QUOTA: the host that grants shares is killed, and the one that takes over
+// from it; each process had granted the whole limit.
+BOOST_AUTO_TEST_CASE(limitHoldsWhenTheAllocatorsOfAllRegionsAreKilledTwice) {
+  Fleet F(10);
+  F.run(6s, Fleet::hosts(30), 3 * Rate);
+  for (int Round = 0; Round < 2; ++Round) {
+    std::set<std::string> Placers;
+    for (const RegionId &Region : F.Regions)
+      for (const HostState &Host :
+           F.All.begin()->second->Hosts.delegates(Region).Placers)
+        Placers.insert(Host.Ip);
+    for (const std::string &Ip : Placers)
+      F.All.erase(Ip);
+    BOOST_REQUIRE(!F.All.empty());
+    F.run(2s, Fleet::hosts(30), 3 * Rate);
+  }
+  F.run(12s, Fleet::hosts(30), 3 * Rate);
+  BOOST_TEST(F.mostInWindow() <= Fleet::allowed(Rate));
+  F.Passed = 0;
+  F.run(5s, Fleet::hosts(30), 3 * Rate);
+  BOOST_TEST(F.Passed > 0U);
+}
+
+// Deployments without customers cost what they did before.
+BOOST_AUTO_TEST_CASE(nothingIsSentWhereTheTablesNameNoCustomers) {
+  Fleet F(2);
+  F.run(1s, Fleet::hosts(6), Rate);
+  ++F.Version;
+  for (auto &[Ip, H] : F.All) {
+    FleetTables None;
+    None.Version = F.Version;
+    H->View.adoptTables(std::move(None));
+  }
+  F.run(100ms, {}, 0);
+  F.Notes = F.Passed = F.Refused = 0;
+  F.run(10s, Fleet::hosts(6), Rate);
+  BOOST_TEST(F.Notes == 0U);
+  BOOST_TEST(F.Passed > 0U);
+  BOOST_TEST(F.Refused == 0U);
+}
+
 // An unreadable limit counts as none that lets nothing pass.
 BOOST_AUTO_TEST_CASE(limitOfZeroLetsNothingPass) {
   Fleet F(1, 0);
--- a/src/fleet/tests/customerstest.cpp
+++ b/src/fleet/tests/customerstest.cpp
@@ -81,4 +81,11 @@
   BOOST_TEST(!None.allows(A));
 }
 
+// The digests of 49,000 customers would be held twice.
+BOOST_AUTO_TEST_CASE(tableHoldsEachDigestOnce) {
+  CustomerTable Table({customer("a", {"k1"})});
+  BOOST_TEST(Table.find(CustomerId("a"))->Keys.capacity() == 0U);
+  BOOST_TEST(Table.findByKey(digestOfKey("k1")) != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
