Forward each crash report once

A crash report carries the age of the crash, which does not grow in transit. A host short of processor time reads datagrams seconds late, so it took a copy for another crash of the same endpoint, counted it, and as an aggregator sent it to the whole region again. The copies never reached the age at which they are dropped. A request that had crashed one endpoint once could be refused.

A received report of a run that is known is of the same crash for 10 s. A host forwards each run once, and at most 1,024 runs of other hosts in 10 s: crashes that were dropped for room were forwarded again, too.

Three new tests fail without the change: hosts counted one crash 33 times, sent 640 reports for 128, and forwarded 2,048 runs. test_crashtracker, test_dispatch and test_fleethost pass with it.

--- a/src/dispatch/crashtracker.h
+++ b/src/dispatch/crashtracker.h
@@ -103,6 +103,11 @@
   static constexpr Duration AliveMargin = std::chrono::milliseconds(20);
   /// Reports of one endpoint's crashes within this time are of the same crash.
   static constexpr Duration SameCrashTime = std::chrono::milliseconds(600);
+  /// A report of a run that is known arrives at most this much later. A host
+  /// that is short of processor time reads datagrams seconds late, and the age
+  /// in a report does not grow in transit: without this limit such hosts took
+  /// each other's copies for new crashes and forwarded them without end.
+  static constexpr Duration LateReportTime = std::chrono::seconds(10);
   /// Crashes of several endpoints within this time count as one.
   static constexpr Duration CommonCauseTime = std::chrono::milliseconds(200);
   static constexpr Duration Retention = std::chrono::minutes(10);
@@ -120,6 +125,9 @@
   static constexpr std::size_t MaxRunsPerCrash = 16;
   static constexpr std::size_t MaxEntries = 4096;
   static constexpr std::size_t MaxRefused = 1024;
+  /// Runs of other hosts that are forwarded within LateReportTime: as many as
+  /// the tracker holds.
+  static constexpr std::size_t MaxForwardedRuns = MaxCrashes * MaxRunsPerCrash;
 
 private:
   class Impl;
--- a/src/dispatch/internal/crashtracker.cpp
+++ b/src/dispatch/internal/crashtracker.cpp
@@ -9,6 +9,7 @@
 
 #include "dispatch/arrivalsketch.h"
 #include "dispatch/internal/crashjudge.h"
+#include "framework/stablehash.h"
 
 namespace celerybeam {
 
@@ -152,20 +153,33 @@
     }
   }
 
+  static bool hasRun(const CountedCrash &Crash, const CountedRun &Run) {
+    return std::any_of(
+        Crash.Runs.begin(), Crash.Runs.end(),
+        [&](const CountedRun &C) { return C.Suspects == Run.Suspects; });
+  }
+
+  /// \param IsOwn  whether B was seen by this host.
+  static bool isSameCrash(const CountedCrash &A, const CountedCrash &B,
+                          bool IsOwn) {
+    if (A.Endpoint != B.Endpoint)
+      return false;
+    Duration Between = std::chrono::abs(A.At - B.At);
+    if (Between <= SameCrashTime || IsOwn)
+      return Between <= SameCrashTime;
+    return Between <= LateReportTime &&
+           std::any_of(B.Runs.begin(), B.Runs.end(),
+                       [&](const CountedRun &Run) { return hasRun(A, Run); });
+  }
+
   /// Adds a crash, or the runs that are new of one that is known.
   void count(CountedCrash Crash, bool IsOwn) {
     auto Known = std::find_if(
-        Crashes_.begin(), Crashes_.end(), [&](const CountedCrash &C) {
-          return C.Endpoint == Crash.Endpoint &&
-                 std::chrono::abs(C.At - Crash.At) <= SameCrashTime;
-        });
+        Crashes_.begin(), Crashes_.end(),
+        [&](const CountedCrash &C) { return isSameCrash(C, Crash, IsOwn); });
     if (Known != Crashes_.end()) {
-      std::erase_if(Crash.Runs, [&](const CountedRun &Run) {
-        return std::any_of(Known->Runs.begin(), Known->Runs.end(),
-                           [&](const CountedRun &Other) {
-                             return Other.Suspects == Run.Suspects;
-                           });
-      });
+      std::erase_if(Crash.Runs,
+                    [&](const CountedRun &Run) { return hasRun(*Known, Run); });
       std::size_t Room =
           MaxRunsPerCrash - std::min(MaxRunsPerCrash, Known->Runs.size());
       Crash.Runs.resize(std::min(Crash.Runs.size(), Room));
@@ -178,8 +192,9 @@
       addEntries(Run.Suspects);
     if (Known == Crashes_.end())
       report(changeOf(CrashChange::Kind::Crashed, Crash));
-    if (IsOwn || now() - Crash.At <= MaxForwardedAge)
-      Outbox_.push_back({Crash, now(), IsOwn, false});
+    if (CountedCrash Unsent = notForwarded(Crash, IsOwn);
+        !Unsent.Runs.empty() && (IsOwn || now() - Crash.At <= MaxForwardedAge))
+      Outbox_.push_back({std::move(Unsent), now(), IsOwn, false});
     if (Known == Crashes_.end())
       Crashes_.insert(std::upper_bound(Crashes_.begin(), Crashes_.end(), Crash,
                                        [](const auto &A, const auto &B) {
@@ -195,6 +210,27 @@
     }
   }
 
+  /// The crash with the runs that this host has not yet sent to others.
+  /// Crashes_ can't tell: it drops the oldest when many endpoints crash.
+  CountedCrash notForwarded(CountedCrash Crash, bool IsOwn) {
+    std::erase_if(Forwarded_, [this](const auto &Entry) {
+      return now() - Entry.second > LateReportTime;
+    });
+    std::erase_if(Crash.Runs, [&](const CountedRun &Run) {
+      std::uint64_t Id =
+          stableHash(Crash.Endpoint.Value, Run.Suspects.Whole.Value);
+      for (CrashSuspect Part : Run.Suspects.Parts)
+        Id = stableHash(Id, Part.Value);
+      if (IsOwn) {
+        Forwarded_[Id] = now();
+        return false;
+      }
+      return Forwarded_.size() >= MaxForwardedRuns ||
+             !Forwarded_.emplace(Id, now()).second;
+    });
+    return Crash;
+  }
+
   void addEntries(const CrashSuspects &Request) {
     forEachSuspect(Request, [&](CrashSuspect Suspect, bool IsWhole) {
       auto [Found, IsNew] = Entries_.try_emplace(Suspect);
@@ -579,6 +615,8 @@
   TimePoint JudgedAt_{};
   TimePoint OldDroppedAt_{};
   std::vector<Outgoing> Outbox_;
+  /// When a run was put into Outbox_, by endpoint and request.
+  std::unordered_map<std::uint64_t, TimePoint> Forwarded_;
   std::vector<OutgoingSound> SoundToReport_;
   std::vector<OutgoingRefusal> RefusalsToReport_;
   /// Those that other hosts reported, to be forwarded.
--- a/src/dispatch/tests/crashtrackertest.cpp
+++ b/src/dispatch/tests/crashtrackertest.cpp
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <utility>
+#include <vector>
 
 #include "dispatch/descriptor.h"
 #include "dispatch/tests/crashreplay.h"
@@ -266,6 +268,91 @@
   BOOST_TEST(There.check(Request).has_value());
 }
 
+// Aggregators that read datagrams late took each other's copies of one crash
+// for new crashes and forwarded them without end, and blamed the request.
+BOOST_FIXTURE_TEST_CASE(crashReportedLateCountsOnceAndIsForwardedOnce,
+                        OneHost) {
+  constexpr std::size_t Hosts = 4;
+  std::vector<std::unique_ptr<CrashTracker>> All;
+  std::vector<std::size_t> Counted(Hosts);
+  for (std::size_t I = 0; I < Hosts; ++I) {
+    All.push_back(std::make_unique<CrashTracker>(Time.runtime()));
+    CrashTracker::Hooks Hooks;
+    Hooks.Changed = [&Counted, I](const CrashChange &Change) {
+      Counted[I] += Change.What == CrashChange::Kind::Crashed ? 1 : 0;
+    };
+    All.back()->setHooks(Hooks);
+  }
+  All[0]->recordBreak({42}, {{7777}, {}, {1}}, Time.now());
+  std::size_t Sent = 0;
+  for (Duration Past{}; Past < 30s; Past += 100ms) {
+    Time.runFor(100ms);
+    for (std::size_t From = 0; From < Hosts; ++From) {
+      CrashNews News = All[From]->takeNews(true);
+      if (News.isEmpty())
+        continue;
+      Sent += News.Crashes.size();
+      for (std::size_t To = 0; To < Hosts; ++To)
+        if (To != From)
+          Time.after(900ms, [&All, To, News] { All[To]->received(News); });
+    }
+  }
+  for (std::size_t I = 0; I < Hosts; ++I)
+    BOOST_TEST(Counted[I] == 1U, "host " << I << ": " << Counted[I]);
+  // The report, its repetition, and one copy by each other host.
+  BOOST_TEST(Sent == 2 + (Hosts - 1));
+  BOOST_TEST(!All[1]->check({{7777}, {}, {1}}).has_value());
+}
+
+// More crashes at once than are kept, as after a power loss: a copy of one that
+// was dropped for room is not forwarded again.
+BOOST_FIXTURE_TEST_CASE(crashesDroppedForRoomAreNotForwardedAgain, OneHost) {
+  CrashNews Lost;
+  constexpr std::size_t Many = 2 * CrashTracker::MaxCrashes;
+  for (std::size_t I = 0; I < Many; ++I)
+    Lost.Crashes.push_back(
+        {{100 + I}, 100ms, {{{{7777}, {}, {1000 + I}}, 50ms}}});
+  std::size_t Sent = 0;
+  for (int Copy = 0; Copy < 5; ++Copy) {
+    Tracker.received(Lost);
+    Time.runFor(200ms);
+    Sent += Tracker.takeNews(true).Crashes.size();
+  }
+  BOOST_TEST(Sent == Many);
+}
+
+// Bounds what one power loss costs an aggregator, which sends each forwarded
+// run to every host of the region.
+BOOST_FIXTURE_TEST_CASE(forwardedRunsAreLimited, OneHost) {
+  std::size_t Runs = 0;
+  for (std::size_t I = 0; I < CrashTracker::MaxForwardedRuns; ++I) {
+    Tracker.received(CrashNews{
+        {{{100 + I},
+          100ms,
+          {{{{7777}, {}, {2 * I}}, 50ms}, {{{7777}, {}, {2 * I + 1}}, 50ms}}}},
+        {},
+        {}});
+  }
+  auto Count = [&Runs](const CrashNews &News) {
+    for (const CrashReport &Report : News.Crashes)
+      Runs += Report.Runs.size();
+  };
+  Count(Tracker.takeNews(true));
+  BOOST_TEST(Runs == CrashTracker::MaxForwardedRuns);
+  // What this host sees itself is always sent.
+  Runs = 0;
+  crash(request({}));
+  Count(Tracker.takeNews(true));
+  BOOST_TEST(Runs == 1U);
+  Time.runFor(CrashTracker::LateReportTime + 1s);
+  Tracker.takeNews(true);
+  Runs = 0;
+  Tracker.received(
+      CrashNews{{{{7}, 100ms, {{{{7777}, {}, {99999}}, 50ms}}}}, {}, {}});
+  Count(Tracker.takeNews(true));
+  BOOST_TEST(Runs == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(endpointThatGoesOnHasNotCrashed, OneHost) {
   CrashSuspects Request = request({});
   for (std::uint64_t I = 1; I <= 10; ++I) {
