Take over a limit early only with messages from all regions

An allocator that takes over grants after 1.5 s in place of 6 s while all hosts are in contact. Hosts of other regions count as alive for up to 13 s by reports, so it granted the shares of a region again that had been cut off when the allocator started.

The new test fails without the change. test_fleet, test_customerlimits, test_dispatch and test_fleethost pass with it.

--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -89,7 +89,10 @@
   /// Whether more than half of the hosts of this host's region with an update
   /// within this time, self included, are alive.
   bool isInContactWithMost(Duration Within) const;
-  /// Whether all hosts with an update within this time are alive.
+  /// Whether all hosts with an update within this time are alive, and each of
+  /// their regions has sent this host a message within RegionSilence: reports
+  /// about a region's hosts go on for some seconds after it is cut off. For
+  /// placers, to which those of all regions send every 500 ms.
   bool allInContact(Duration Within) const;
   /// Addresses without a recent update, at most Max, drawn at random.
   std::vector<std::string> silentContacts(std::size_t Max) const;
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -380,11 +380,24 @@
 }
 
 bool HostRegistry::allInContact(Duration Within) const {
+  TimePoint Now = Impl_->Runtime_.Now();
+  std::map<RegionId, Duration> LatestMessage;
+  for (const auto &[Ip, Host] : Impl_->Hosts_) {
+    Duration Age = Now - Host.LastUpdate;
+    if (Age > Within)
+      continue;
+    if (!Impl_->isAlive(Host))
+      return false;
+    Duration &Latest =
+        LatestMessage.try_emplace(Host.State.Region, Duration::max())
+            .first->second;
+    if (Host.ReceivedDirectly)
+      Latest = std::min(Latest, Age);
+  }
+  LatestMessage.erase(Impl_->Self_.Region);
   return std::all_of(
-      Impl_->Hosts_.begin(), Impl_->Hosts_.end(), [&](const auto &Entry) {
-        return Impl_->isAlive(Entry.second) ||
-               Impl_->Runtime_.Now() - Entry.second.LastUpdate > Within;
-      });
+      LatestMessage.begin(), LatestMessage.end(),
+      [](const auto &Entry) { return Entry.second <= RegionSilence; });
 }
 
 std::vector<std::string> HostRegistry::entriesIn(const RegionId &Region) const {
--- a/src/fleet/tests/hostregistrytest.cpp
+++ b/src/fleet/tests/hostregistrytest.cpp
@@ -224,4 +224,27 @@
   BOOST_TEST(Hosts.delegates(RegionId("kigali")).Placers[0].Ip == "10.0.0.1");
 }
 
+// A region that has just been cut off counts as alive for up to 13 s by
+// reports: an allocator that relies on them grants the shares of its hosts
+// anew.
+BOOST_AUTO_TEST_CASE(regionIsInContactOnlyByItsOwnMessages) {
+  constexpr Duration Within = 6s;
+  BOOST_TEST(Hosts.allInContact(Within));
+  Hosts.received(host("10.0.0.2", "kigali"));
+  Hosts.hostReported(host("10.1.0.1", "musanze"), 500ms);
+  BOOST_TEST(!Hosts.allInContact(Within));
+  Hosts.received(host("10.1.0.2", "musanze"));
+  BOOST_TEST(Hosts.allInContact(Within));
+  Time.runFor(HostRegistry::RegionSilence + 1ms);
+  Hosts.received(host("10.0.0.2", "kigali"));
+  BOOST_TEST(Hosts.isAlive("10.1.0.1"));
+  BOOST_TEST(Hosts.isAlive("10.1.0.2"));
+  BOOST_TEST(!Hosts.allInContact(Within));
+  // A region that has been silent for longer holds no shares.
+  Time.runFor(Within);
+  Hosts.received(host("10.0.0.2", "kigali"));
+  BOOST_TEST(Hosts.isAlive("10.1.0.1"));
+  BOOST_TEST(Hosts.allInContact(Within));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
