Split what is sent about crashes from what is believed

CrashOutbox has the reports that are due, their repetitions and what is forwarded once; the tracker keeps counts, judgements and refusals. No change of behavior: test_crashtracker and test_dispatch pass unchanged.

--- a/src/dispatch/internal/crashtracker.cpp
+++ b/src/dispatch/internal/crashtracker.cpp
@@ -9,7 +9,7 @@
 
 #include "dispatch/arrivalsketch.h"
 #include "dispatch/internal/crashjudge.h"
-#include "framework/stablehash.h"
+#include "dispatch/internal/crashoutbox.h"
 
 namespace celerybeam {
 
@@ -20,15 +20,10 @@
 
 /// Least time between two judgements.
 constexpr Duration JudgeInterval = std::chrono::milliseconds(50);
-/// Older reports are not forwarded; they were when they were new.
-constexpr Duration MaxForwardedAge = std::chrono::seconds(5);
 /// A suspect whose trial is due at another host is worth asking again for after
 /// this time.
 constexpr Duration MinRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t MaxReportedCrashes = 32;
-/// How often a refusal or trial is reported.
-constexpr unsigned RefusalReports = 3;
-
 struct Entry {
   CrashScope Scope;
   bool IsWhole = false;
@@ -49,25 +44,6 @@
   bool IsProbed = false;
 };
 
-struct Outgoing {
-  CountedCrash Crash;
-  TimePoint Due{};
-  bool IsOwn = false;
-  bool IsRepeat = false;
-};
-
-struct OutgoingRefusal {
-  CrashSuspect Suspect;
-  TimePoint Due{};
-  unsigned Left = 0;
-};
-
-struct OutgoingSound {
-  CrashSuspect Suspect;
-  TimePoint BegunAt{};
-  bool IsOwn = false;
-};
-
 Duration trialInterval(std::uint32_t Trials) {
   Duration Interval = CrashTracker::FirstTrialAfter;
   for (std::uint32_t I = 0;
@@ -192,9 +168,7 @@
       addEntries(Run.Suspects);
     if (Known == Crashes_.end())
       report(changeOf(CrashChange::Kind::Crashed, Crash));
-    if (CountedCrash Unsent = notForwarded(Crash, IsOwn);
-        !Unsent.Runs.empty() && (IsOwn || now() - Crash.At <= MaxForwardedAge))
-      Outbox_.push_back({std::move(Unsent), now(), IsOwn, false});
+    Outbox_.addCrash(Crash, IsOwn, now());
     if (Known == Crashes_.end())
       Crashes_.insert(std::upper_bound(Crashes_.begin(), Crashes_.end(), Crash,
                                        [](const auto &A, const auto &B) {
@@ -210,27 +184,6 @@
     }
   }
 
-  /// The crash with the runs that this host has not yet sent to others.
-  /// Crashes_ can't tell: it drops the oldest when many endpoints crash.
-  CountedCrash notForwarded(CountedCrash Crash, bool IsOwn) {
-    std::erase_if(Forwarded_, [this](const auto &Entry) {
-      return now() - Entry.second > LateReportTime;
-    });
-    std::erase_if(Crash.Runs, [&](const CountedRun &Run) {
-      std::uint64_t Id =
-          stableHash(Crash.Endpoint.Value, Run.Suspects.Whole.Value);
-      for (CrashSuspect Part : Run.Suspects.Parts)
-        Id = stableHash(Id, Part.Value);
-      if (IsOwn) {
-        Forwarded_[Id] = now();
-        return false;
-      }
-      return Forwarded_.size() >= MaxForwardedRuns ||
-             !Forwarded_.emplace(Id, now()).second;
-    });
-    return Crash;
-  }
-
   void addEntries(const CrashSuspects &Request) {
     forEachSuspect(Request, [&](CrashSuspect Suspect, bool IsWhole) {
       auto [Found, IsNew] = Entries_.try_emplace(Suspect);
@@ -316,12 +269,6 @@
         review(Suspect, E, Of.contains(Suspect) ? Of[Suspect] : nullptr);
   }
 
-  /// Tells the other hosts, so that all refuse or try it alike although a
-  /// datagram may be lost.
-  void reportRefusal(CrashSuspect Suspect) {
-    RefusalsToReport_.push_back({Suspect, now(), RefusalReports});
-  }
-
   void refuse(const detail::SuspectFinding &Finding, Entry &E) {
     E.LatestCrash = std::max(E.LatestCrash, Finding.Latest);
     if (E.IsRefused)
@@ -334,7 +281,7 @@
     E.LatestCrash = Finding.Latest;
     report(changeOf(CrashChange::Kind::Refused, Finding.Suspect, E,
                     "crashes_endpoints"));
-    reportRefusal(Finding.Suspect);
+    Outbox_.addRefusal(Finding.Suspect, now());
     if (Hooks_.Absolve)
       for (const EndpointKey &Endpoint : Finding.Endpoints)
         Hooks_.Absolve(Endpoint);
@@ -423,7 +370,7 @@
       return;
     ++E->Trials;
     E->LatestTrial = now();
-    reportRefusal(Suspect);
+    Outbox_.addRefusal(Suspect, now());
     report(changeOf(CrashChange::Kind::TrialBegun, Suspect, *E, "due"));
   }
 
@@ -439,8 +386,7 @@
     // A refusal that is contradicted ends at once.
     if (E->IsRefused)
       JudgedAt_ = {};
-    if (now() - BegunAt <= MaxForwardedAge || IsOwn)
-      SoundToReport_.push_back({Suspect, BegunAt, IsOwn});
+    Outbox_.addSound(Suspect, BegunAt, IsOwn, now());
   }
 
   void received(const CrashNews &News) {
@@ -487,15 +433,7 @@
       return;
     E.Trials = Report.Trials;
     E.LatestTrial = Trial;
-    if (*Report.SinceTrial <= MaxForwardedAge)
-      ForeignRefusals_.push_back(Report.Suspect);
-  }
-
-  CrashReport reportOf(const CountedCrash &Crash) const {
-    CrashReport Report{Crash.Endpoint, now() - Crash.At, {}};
-    for (const CountedRun &Run : Crash.Runs)
-      Report.Runs.push_back({Run.Suspects, Crash.At - Run.SentAt});
-    return Report;
+    Outbox_.addForeignTrial(Report.Suspect, *Report.SinceTrial);
   }
 
   RefusedSuspect reportOf(CrashSuspect Suspect, const Entry &E) const {
@@ -514,40 +452,11 @@
 
   CrashNews takeNews(bool ForwardsOthers) {
     judge();
-    CrashNews News;
-    std::vector<Outgoing> Later;
-    for (Outgoing &Out : std::exchange(Outbox_, {})) {
-      if (Out.Due > now()) {
-        Later.push_back(std::move(Out));
-        continue;
-      }
-      if (!Out.IsOwn && !ForwardsOthers)
-        continue;
-      News.Crashes.push_back(reportOf(Out.Crash));
-      if (Out.IsOwn && !Out.IsRepeat)
-        Later.push_back({Out.Crash, now() + RepeatAfter, true, true});
-    }
-    Outbox_ = std::move(Later);
-    for (const OutgoingSound &Out : std::exchange(SoundToReport_, {}))
-      if (Out.IsOwn || ForwardsOthers)
-        News.Sound.push_back({Out.Suspect, now() - Out.BegunAt});
-    for (OutgoingRefusal &Out : std::exchange(RefusalsToReport_, {})) {
-      const Entry *E = find(Out.Suspect);
-      if (E == nullptr || !E->IsRefused)
-        continue;
-      if (Out.Due <= now()) {
-        News.Refused.push_back(reportOf(Out.Suspect, *E));
-        Out.Due = now() + RepeatAfter;
-        --Out.Left;
-      }
-      if (Out.Left > 0)
-        RefusalsToReport_.push_back(Out);
-    }
-    for (CrashSuspect Suspect : std::exchange(ForeignRefusals_, {}))
-      if (const Entry *E = find(Suspect);
-          ForwardsOthers && E != nullptr && E->IsRefused)
-        News.Refused.push_back(reportOf(Suspect, *E));
-    return News;
+    return Outbox_.take(ForwardsOthers, now(), [this](CrashSuspect Suspect) {
+      const Entry *E = find(Suspect);
+      return E != nullptr && E->IsRefused ? std::optional(reportOf(Suspect, *E))
+                                          : std::nullopt;
+    });
   }
 
   CrashNews currentNews() {
@@ -556,7 +465,7 @@
     std::size_t Skip =
         Crashes_.size() - std::min(Crashes_.size(), MaxReportedCrashes);
     for (std::size_t I = Skip; I < Crashes_.size(); ++I)
-      News.Crashes.push_back(reportOf(Crashes_[I]));
+      News.Crashes.push_back(detail::reportOf(Crashes_[I], now()));
     for (const auto &[Suspect, E] : Entries_) {
       if (E.SoundAt && !Crashes_.empty() && *E.SoundAt >= Crashes_[Skip].At)
         News.Sound.push_back({Suspect, now() - *E.SoundAt});
@@ -614,13 +523,7 @@
   bool IsChanged_ = false;
   TimePoint JudgedAt_{};
   TimePoint OldDroppedAt_{};
-  std::vector<Outgoing> Outbox_;
-  /// When a run was put into Outbox_, by endpoint and request.
-  std::unordered_map<std::uint64_t, TimePoint> Forwarded_;
-  std::vector<OutgoingSound> SoundToReport_;
-  std::vector<OutgoingRefusal> RefusalsToReport_;
-  /// Those that other hosts reported, to be forwarded.
-  std::vector<CrashSuspect> ForeignRefusals_;
+  detail::CrashOutbox Outbox_;
 };
 
 CrashTracker::CrashTracker(Runtime R)
