Review case 6: slow readers cost others their answers

Shows that six clients who read long answers slowly make a machine close the kept channels of clients who read at full speed, after the runner has run their unsafe requests (LOST).

--- /dev/null
+++ b/review/standins-2/fleet.h
@@ -0,0 +1,104 @@
+#ifndef CELERYBEAM_REVIEW_FLEET_H
+#define CELERYBEAM_REVIEW_FLEET_H
+
+#include <memory>
+
+#include <sys/types.h>
+
+#include "store.h"
+
+namespace celerybeam::review {
+
+/// A runner of one service. It answers a path that ends in a number with a body
+/// of so many bytes, after a short time of work.
+class Runner {
+public:
+  Runner(std::string Id, std::string Address, std::string Service,
+         std::string Zone);
+
+  const std::string &id() const { return Id_; }
+  nlohmann::json entry() const;
+  /// How often it has run a request.
+  unsigned runsOf(const std::string &Request) const;
+
+private:
+  void serve(Connection &Peer);
+  bool answer(Connection &Peer, const Message &Request);
+
+  std::string Id_;
+  std::string Address_;
+  std::string Service_;
+  std::string Zone_;
+  mutable std::mutex Mutex_;
+  std::map<std::string, unsigned> Runs_;
+  std::unique_ptr<Listener> Listener_;
+};
+
+/// One process of the gateway, started with the command of the deploy file.
+class Gateway {
+public:
+  struct Options {
+    std::string Name;
+    std::string Ip;
+    std::string Zone;
+    std::string StoreAddress;
+    std::vector<std::string> Seeds;
+    unsigned MemoryMb = 182;
+  };
+
+  Gateway(const Options &O, const std::string &Folder);
+  ~Gateway();
+  Gateway(const Gateway &) = delete;
+  Gateway &operator=(const Gateway &) = delete;
+
+  std::string callerAddress() const;
+  bool isReady() const;
+  /// Whether it still runs.
+  bool runs();
+
+private:
+  Options Options_;
+  pid_t Process_ = -1;
+};
+
+/// A small deployment: the store, three regions with one gateway and one runner
+/// each, and one route whose requests may run once.
+class Deployment {
+public:
+  struct Options {
+    unsigned MemoryMb = 182;
+    unsigned TimeoutMs = 12000;
+    unsigned IdleTimeoutMs = 15000;
+  };
+
+  Deployment(const Options &O, const std::string &Program);
+  ~Deployment();
+
+  /// Waits until all gateways are ready and know each other.
+  bool start();
+  Gateway &gateway(std::size_t Index) { return *Gateways_.at(Index); }
+  bool allRun();
+  unsigned runsOf(const std::string &Request) const;
+
+  static constexpr const char *Host = "shop.example";
+  static constexpr const char *Path = "/book/";
+
+private:
+  nlohmann::json config(const Options &O) const;
+
+  std::string Folder_;
+  std::unique_ptr<Store> Store_;
+  std::vector<std::unique_ptr<Runner>> Runners_;
+  std::vector<std::unique_ptr<Gateway>> Gateways_;
+};
+
+/// A request for an answer of so many bytes.
+std::string requestText(const std::string &Id, std::size_t AnswerBytes,
+                        unsigned TimeLeftMs);
+
+/// Whether the disruption is to be made: false with TROUBLE=0.
+bool hasTrouble();
+
+} // namespace celerybeam::review
+
+#endif
