Review case 6: a burst of long heads exceeds the machine's memory

Shows that 1.7 times the usual users, with prompts of 1,200 parts in heads below maxHeaderBytes, bring a gateway of 120 MB above its memory, so that the platform kills it and all streams that run break off (LOST). Ruled out: bodies and answers (a few bytes each), slow readers, the runners.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -14,6 +14,6 @@
   objects+=("$object")
 done
 wait
-for program in slowreaders pausedreader; do
+for program in slowreaders pausedreader longheads; do
   g++ "${flags[@]}" "review/standins-2/$program.cpp" "${objects[@]}" -o "$out/$program"
 done
--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -1,6 +1,8 @@
 #include "fleet.h"
 
+#include <array>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -16,7 +18,9 @@
 
 using nlohmann::json;
 
-constexpr const char *Service = "order-app";
+constexpr const char *Service = "school-api";
+constexpr const char *ModelService = "planner-llm";
+constexpr Millis EventGap(250);
 constexpr Millis WorkTime(20);
 constexpr Millis LongestIdle(30000);
 constexpr Millis ReadyWait(500);
@@ -28,6 +32,8 @@
 constexpr int DirectoryPort = 18143;
 constexpr int RunnerPort = 18200;
 constexpr int StorePort = 18142;
+/// The last part of the store's address; the runners follow.
+constexpr unsigned StoreNumber = 100;
 
 struct Place {
   const char *Zone;
@@ -112,9 +118,9 @@
 } // namespace
 
 Runner::Runner(std::string Id, std::string Address, std::string Service,
-               std::string Zone)
+               std::string Zone, bool Streams)
     : Id_(std::move(Id)), Address_(std::move(Address)),
-      Service_(std::move(Service)), Zone_(std::move(Zone)),
+      Service_(std::move(Service)), Zone_(std::move(Zone)), Streams_(Streams),
       Listener_(std::make_unique<Listener>(
           Address_, [this](Connection &Peer) { serve(Peer); })) {}
 
@@ -158,12 +164,30 @@
     ++Runs_[Attempt];
   }
   std::this_thread::sleep_for(WorkTime);
-  std::size_t Bytes = std::stoul(Target.substr(Target.rfind('/') + 1));
-  return Peer.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
-                    "\r\nX-Response-Stamp: " + Id_ + "." + Attempt +
-                    "\r\nX-Server-Load: 1,0," + std::to_string(Slots) +
-                    "\r\nContent-Length: " + std::to_string(Bytes) +
-                    "\r\n\r\n" + std::string(Bytes, 'x'));
+  std::size_t Number = std::stoul(Target.substr(Target.rfind('/') + 1));
+  std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
+                     "\r\nX-Response-Stamp: " + Id_ + "." + Attempt +
+                     "\r\nX-Server-Load: 1,0," + std::to_string(Slots) + "\r\n";
+  if (Streams_)
+    return stream(Peer, Head, static_cast<unsigned>(Number));
+  return Peer.write(Head + "Content-Length: " + std::to_string(Number) +
+                    "\r\n\r\n" + std::string(Number, 'x'));
+}
+
+bool Runner::stream(Connection &Peer, const std::string &Head,
+                    unsigned Events) const {
+  if (!Peer.write(Head + "Content-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n"))
+    return false;
+  for (unsigned I = 1; I <= Events; ++I) {
+    std::string Event = "id: " + std::to_string(I) + "\ndata: lesson\n\n";
+    std::array<char, 16> Length{};
+    std::snprintf(Length.data(), Length.size(), "%zx\r\n", Event.size());
+    if (!Peer.write(Length.data() + Event + "\r\n"))
+      return false;
+    std::this_thread::sleep_for(EventGap);
+  }
+  return Peer.write("0\r\n\r\n");
 }
 
 Gateway::Gateway(const Options &O, const std::string &Folder) : Options_(O) {
@@ -210,30 +234,53 @@
   return Process_ > 0;
 }
 
+double Gateway::memoryMb() {
+  if (!runs())
+    return 0;
+  std::ifstream In("/proc/" + std::to_string(Process_) + "/statm");
+  double Pages = 0;
+  double Resident = 0;
+  In >> Pages >> Resident;
+  constexpr double BytesPerMb = 1e6;
+  return Resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / BytesPerMb;
+}
+
+void Gateway::kill() {
+  if (runs())
+    ::kill(Process_, SIGKILL);
+}
+
 Deployment::Deployment(const Options &O, const std::string &Program) {
   std::string Pattern = "/tmp/" + Program + "-XXXXXX";
   if (::mkdtemp(Pattern.data()) == nullptr)
     throw std::runtime_error("no temporary folder");
   Folder_ = Pattern;
-  constexpr unsigned StoreIp = 100;
-  std::string StoreAddress = at(ownIp(StoreIp), StorePort);
+  std::string StoreAddress = at(ownIp(StoreNumber), StorePort);
   Store_ = std::make_unique<Store>(StoreAddress);
   std::vector<std::string> Ips;
-  for (unsigned I = 0; I < std::size(Places); ++I) {
-    Ips.push_back(ownIp(1 + I));
-    Runners_.push_back(std::make_unique<Runner>(
-        "i-" + std::to_string(I), at(ownIp(StoreIp + 1 + I), RunnerPort),
-        Service, Places[I].Zone));
-    Store_->put("servers/" + Runners_.back()->id(), Runners_.back()->entry());
+  unsigned Runners = 0;
+  for (const Place &P : Places) {
+    Ips.push_back(ownIp(1 + static_cast<unsigned>(Ips.size())));
+    addRunner(++Runners, P.Zone, false);
   }
+  for (unsigned I = 0; I < O.ModelRunners; ++I)
+    addRunner(++Runners, Places[0].Zone, true);
   Store_->put("op/config", config(O));
-  for (unsigned I = 0; I < std::size(Places); ++I)
+  for (std::size_t I = 0; I < std::size(Places); ++I)
     Gateways_.push_back(std::make_unique<Gateway>(
         Gateway::Options{std::string("front-") + Places[I].Zone + "-1", Ips[I],
                          Places[I].Zone, StoreAddress, Ips, O.MemoryMb},
         Folder_));
 }
 
+void Deployment::addRunner(unsigned Number, const char *Zone, bool Streams) {
+  Runners_.push_back(std::make_unique<Runner>(
+      "i-" + std::to_string(Number),
+      at(ownIp(StoreNumber + Number), RunnerPort),
+      Streams ? ModelService : Service, Zone, Streams));
+  Store_->put("servers/" + Runners_.back()->id(), Runners_.back()->entry());
+}
+
 Deployment::~Deployment() {
   Gateways_.clear();
   Runners_.clear();
@@ -242,29 +289,47 @@
   std::filesystem::remove_all(Folder_, Ignored);
 }
 
-json Deployment::config(const Options &O) const {
-  return {{"version", 5},
-          {"routes",
-           {{{"name", "book"},
-             {"hostname", Host},
-             {"pathPrefix", Path},
-             {"routeType", "unsafe"},
-             {"timeoutMs", O.TimeoutMs},
-             {"targetLatencyMs", 500},
-             {"priority", 1},
-             {"maxAttempts", 1},
-             {"backend", Service}}}},
-          {"services",
-           {{{"name", Service},
-             {"healthPath", "/healthz"},
-             {"maxConnections", 760},
-             {"coldStartS", 0},
-             {"coldPerS", 0}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16384},
-            {"maxBodyBytes", 4194304},
-            {"headerTimeoutMs", 3000},
-            {"idleTimeoutMs", O.IdleTimeoutMs}}}};
+json Deployment::config(const Options &O) {
+  json Booking = {{"name", "book"},
+                  {"hostname", Host},
+                  {"pathPrefix", Path},
+                  {"routeType", "unsafe"},
+                  {"timeoutMs", O.TimeoutMs},
+                  {"targetLatencyMs", 500},
+                  {"priority", 1},
+                  {"maxAttempts", 1},
+                  {"backend", Service}};
+  json Api = {{"name", Service},
+              {"healthPath", "/healthz"},
+              {"maxConnections", 760},
+              {"coldStartS", 0},
+              {"coldPerS", 0}};
+  json Config = {{"version", 5},
+                 {"routes", json::array({Booking})},
+                 {"services", json::array({Api})},
+                 {"limits",
+                  {{"maxHeaderBytes", 16384},
+                   {"maxBodyBytes", 4194304},
+                   {"headerTimeoutMs", 3000},
+                   {"idleTimeoutMs", O.IdleTimeoutMs}}}};
+  if (O.ModelRunners == 0)
+    return Config;
+  json Plan = Booking;
+  Plan.update({{"name", "plan"},
+               {"pathPrefix", StreamPath},
+               {"routeType", "streaming"},
+               {"targetLatencyMs", 1000},
+               {"gapAimMs", 400},
+               {"sticky", true},
+               {"backend", ModelService}});
+  json Model = Api;
+  Model.update(
+      {{"name", ModelService},
+       {"engine",
+        {{"slots", Slots}, {"kvCapacityTokens", 444000}, {"stride", 13}}}});
+  Config["routes"].push_back(Plan);
+  Config["services"].push_back(Model);
+  return Config;
 }
 
 bool Deployment::start() {
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -10,11 +10,12 @@
 namespace celerybeam::review {
 
 /// A runner of one service. It answers a path that ends in a number with a body
-/// of so many bytes, after a short time of work.
+/// of so many bytes, after a short time of work; a model runner answers with a
+/// stream of so many events.
 class Runner {
 public:
   Runner(std::string Id, std::string Address, std::string Service,
-         std::string Zone);
+         std::string Zone, bool Streams);
 
   const std::string &id() const { return Id_; }
   nlohmann::json entry() const;
@@ -24,11 +25,13 @@
 private:
   void serve(Connection &Peer);
   bool answer(Connection &Peer, const Message &Request);
+  bool stream(Connection &Peer, const std::string &Head, unsigned Events) const;
 
   std::string Id_;
   std::string Address_;
   std::string Service_;
   std::string Zone_;
+  bool Streams_;
   mutable std::mutex Mutex_;
   std::map<std::string, unsigned> Runs_;
   std::unique_ptr<Listener> Listener_;
@@ -55,6 +58,10 @@
   bool isReady() const;
   /// Whether it still runs.
   bool runs();
+  /// The memory that it occupies, in MB of a million bytes; 0 once it has
+  /// ended.
+  double memoryMb();
+  void kill();
 
 private:
   Options Options_;
@@ -62,13 +69,15 @@
 };
 
 /// A small deployment: the store, three regions with one gateway and one runner
-/// each, and one route whose requests may run once.
+/// each, and a route whose requests may run once. With model runners, which
+/// stand in the first region, also a route of streams that may not be resumed.
 class Deployment {
 public:
   struct Options {
     unsigned MemoryMb = 182;
     unsigned TimeoutMs = 12000;
     unsigned IdleTimeoutMs = 15000;
+    unsigned ModelRunners = 0;
   };
 
   Deployment(const Options &O, const std::string &Program);
@@ -82,9 +91,11 @@
 
   static constexpr const char *Host = "shop.example";
   static constexpr const char *Path = "/book/";
+  static constexpr const char *StreamPath = "/plan/";
 
 private:
-  nlohmann::json config(const Options &O) const;
+  void addRunner(unsigned Number, const char *Zone, bool Streams);
+  static nlohmann::json config(const Options &O);
 
   std::string Folder_;
   std::unique_ptr<Store> Store_;
