Review case 6: a planned stop keeps other hosts on an old config

Shows that while a stopped machine finishes its streams, hosts that are in touch go on by the config from before for over 7 s, run bookings at the old service and send failed ones twice (TWICE, CONFIG), with nothing but roll_term and config_change. Ruled out: the store (its watch answers at once; other hosts have the version within 0.2 s), standstills, a retry of the client.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,8 @@
 # TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
-[ -x target/review-2/longheads ] && [ -x target/platform/celerybeam-gateway ] || exit 2
-timeout -k 5 100 target/review-2/longheads review/6/record.txt
+[ -x target/review-2/staledrain ] && [ -x target/platform/celerybeam-gateway ] || exit 2
+timeout -k 5 118 target/review-2/staledrain review/6/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -14,6 +14,6 @@
   objects+=("$object")
 done
 wait
-for program in slowreaders pausedreader longheads; do
+for program in slowreaders pausedreader longheads staledrain; do
   g++ "${flags[@]}" "review/standins-2/$program.cpp" "${objects[@]}" -o "$out/$program"
 done
--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -18,12 +18,11 @@
 
 using nlohmann::json;
 
-constexpr const char *Service = "school-api";
-constexpr const char *ModelService = "planner-llm";
 constexpr Millis EventGap(250);
 constexpr Millis WorkTime(20);
 constexpr Millis LongestIdle(30000);
 constexpr Millis ReadyWait(500);
+constexpr Millis BeforeFirst(150);
 constexpr unsigned Slots = 64;
 
 constexpr int CallerPort = 18144;
@@ -40,7 +39,7 @@
   const char *Region;
 };
 constexpr Place Places[] = {
-    {"kigali-a", "kigali"}, {"musanze-a", "musanze"}, {"huye-a", "huye"}};
+    {"casa-a", "casablanca"}, {"fes-a", "fes"}, {"mrk-a", "marrakech"}};
 
 std::string at(const std::string &Ip, int Port) {
   return Ip + ":" + std::to_string(Port);
@@ -84,7 +83,7 @@
                    {"bootstrap", true},
                    {"inFaultBudget", false},
                    {"limits",
-                    {{"cpuShare", 0.5},
+                    {{"cpuShare", O.CpuShare},
                      {"cores", 1},
                      {"memoryMb", O.MemoryMb},
                      {"maxFds", 2870},
@@ -165,9 +164,11 @@
   }
   std::this_thread::sleep_for(WorkTime);
   std::size_t Number = std::stoul(Target.substr(Target.rfind('/') + 1));
-  std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
-                     "\r\nX-Response-Stamp: " + Id_ + "." + Attempt +
-                     "\r\nX-Server-Load: 1,0," + std::to_string(Slots) + "\r\n";
+  bool Fails = Attempt.ends_with(FailingId);
+  std::string Head =
+      std::string("HTTP/1.1 ") + (Fails ? "500 Failed" : "200 OK") +
+      "\r\nX-Attempt-Id: " + Attempt + "\r\nX-Response-Stamp: " + Id_ + "." +
+      Attempt + "\r\nX-Server-Load: 1,0," + std::to_string(Slots) + "\r\n";
   if (Streams_)
     return stream(Peer, Head, static_cast<unsigned>(Number));
   return Peer.write(Head + "Content-Length: " + std::to_string(Number) +
@@ -190,17 +191,20 @@
   return Peer.write("0\r\n\r\n");
 }
 
-Gateway::Gateway(const Options &O, const std::string &Folder) : Options_(O) {
-  std::string Settings = Folder + "/" + O.Name + ".yaml";
-  std::ofstream(Settings) << settingsOf(O);
-  std::string Variable = "CELERYBEAM_CONFIG=" + Settings;
+Gateway::Gateway(const Options &O, const std::string &Folder)
+    : Options_(O), Settings_(Folder + "/" + O.Name + ".yaml"),
+      Log_(Folder + "/" + O.Name + ".log") {
+  std::ofstream(Settings_) << settingsOf(O);
+}
+
+void Gateway::start() {
+  std::string Variable = "CELERYBEAM_CONFIG=" + Settings_;
   std::string Program = "target/platform/celerybeam-gateway";
-  std::string Log = Folder + "/" + O.Name + ".log";
   Process_ = ::fork();
   if (Process_ != 0)
     return;
   constexpr mode_t Mode = 0644;
-  int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, Mode);
+  int Out = ::open(Log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, Mode);
   ::dup2(Out, STDOUT_FILENO);
   ::dup2(Out, STDERR_FILENO);
   char *Arguments[] = {Program.data(), nullptr};
@@ -245,39 +249,55 @@
   return Resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / BytesPerMb;
 }
 
-void Gateway::kill() {
+void Gateway::signal(int Number) {
   if (runs())
-    ::kill(Process_, SIGKILL);
+    ::kill(Process_, Number);
 }
 
-Deployment::Deployment(const Options &O, const std::string &Program) {
+Deployment::Deployment(const Options &O, const std::string &Program)
+    : Options_(O) {
   std::string Pattern = "/tmp/" + Program + "-XXXXXX";
   if (::mkdtemp(Pattern.data()) == nullptr)
     throw std::runtime_error("no temporary folder");
   Folder_ = Pattern;
-  std::string StoreAddress = at(ownIp(StoreNumber), StorePort);
-  Store_ = std::make_unique<Store>(StoreAddress);
-  std::vector<std::string> Ips;
-  unsigned Runners = 0;
-  for (const Place &P : Places) {
-    Ips.push_back(ownIp(1 + static_cast<unsigned>(Ips.size())));
-    addRunner(++Runners, P.Zone, false);
-  }
+  Gateway::Options G;
+  G.StoreAddress = at(ownIp(StoreNumber), StorePort);
+  G.MemoryMb = O.MemoryMb;
+  Store_ = std::make_unique<Store>(G.StoreAddress);
+  for (std::size_t I = 0; I < std::size(Places); ++I)
+    for (unsigned J = 0; J < (I == 0 ? O.Runners : 1); ++J)
+      addRunner(Places[I].Zone, BookingService);
   for (unsigned I = 0; I < O.ModelRunners; ++I)
-    addRunner(++Runners, Places[0].Zone, true);
-  Store_->put("op/config", config(O));
+    addRunner(Places[0].Zone, ModelService);
+  if (O.HasDesk)
+    addRunner(Places[0].Zone, DeskService);
+  Store_->put("op/config", config());
+  for (unsigned I = 1; I <= std::size(Places); ++I)
+    G.Seeds.push_back(ownIp(I));
+  unsigned Hosts = 0;
   for (std::size_t I = 0; I < std::size(Places); ++I)
-    Gateways_.push_back(std::make_unique<Gateway>(
-        Gateway::Options{std::string("front-") + Places[I].Zone + "-1", Ips[I],
-                         Places[I].Zone, StoreAddress, Ips, O.MemoryMb},
-        Folder_));
+    for (unsigned J = 1; J <= (I == 0 ? O.Gateways : 1); ++J) {
+      G.Zone = Places[I].Zone;
+      G.Name = "front-" + G.Zone + "-" + std::to_string(J);
+      G.Ip = ownIp(++Hosts);
+      Gateways_.push_back(std::make_unique<Gateway>(G, Folder_));
+      constexpr double SmallerShare = 0.3;
+      G.CpuShare = SmallerShare;
+    }
+  // The first one last: "All machines start within 0.3 s of each other, in any
+  // order".
+  for (std::size_t I = 1; I < Gateways_.size(); ++I)
+    Gateways_[I]->start();
+  std::this_thread::sleep_for(BeforeFirst);
+  Gateways_.front()->start();
 }
 
-void Deployment::addRunner(unsigned Number, const char *Zone, bool Streams) {
+void Deployment::addRunner(const char *Zone, const char *Service) {
+  auto Number = static_cast<unsigned>(Runners_.size()) + 1;
   Runners_.push_back(std::make_unique<Runner>(
       "i-" + std::to_string(Number),
-      at(ownIp(StoreNumber + Number), RunnerPort),
-      Streams ? ModelService : Service, Zone, Streams));
+      at(ownIp(StoreNumber + Number), RunnerPort), Service, Zone,
+      Service == std::string_view(ModelService)));
   Store_->put("servers/" + Runners_.back()->id(), Runners_.back()->entry());
 }
 
@@ -289,39 +309,43 @@
   std::filesystem::remove_all(Folder_, Ignored);
 }
 
-json Deployment::config(const Options &O) {
-  json Booking = {{"name", "book"},
-                  {"hostname", Host},
-                  {"pathPrefix", Path},
-                  {"routeType", "unsafe"},
-                  {"timeoutMs", O.TimeoutMs},
-                  {"targetLatencyMs", 500},
-                  {"priority", 1},
-                  {"maxAttempts", 1},
-                  {"backend", Service}};
-  json Api = {{"name", Service},
+json Deployment::route(const char *Name, const char *Prefix, const char *Kind,
+                       unsigned MaxAttempts, const char *Service) const {
+  return {{"name", Name},
+          {"hostname", Host},
+          {"pathPrefix", Prefix},
+          {"routeType", Kind},
+          {"timeoutMs", Options_.TimeoutMs},
+          {"targetLatencyMs", 500},
+          {"priority", 1},
+          {"maxAttempts", MaxAttempts},
+          {"backend", Service}};
+}
+
+json Deployment::config() const {
+  json Api = {{"name", BookingService},
               {"healthPath", "/healthz"},
               {"maxConnections", 760},
               {"coldStartS", 0},
               {"coldPerS", 0}};
   json Config = {{"version", 5},
-                 {"routes", json::array({Booking})},
+                 {"routes", json::array({route("book", Path, "unsafe", 1,
+                                               BookingService)})},
                  {"services", json::array({Api})},
                  {"limits",
                   {{"maxHeaderBytes", 16384},
                    {"maxBodyBytes", 4194304},
                    {"headerTimeoutMs", 3000},
-                   {"idleTimeoutMs", O.IdleTimeoutMs}}}};
-  if (O.ModelRunners == 0)
+                   {"idleTimeoutMs", Options_.IdleTimeoutMs}}}};
+  if (Options_.HasDesk) {
+    json Desk = Api;
+    Desk["name"] = DeskService;
+    Config["services"].push_back(Desk);
+  }
+  if (Options_.ModelRunners == 0)
     return Config;
-  json Plan = Booking;
-  Plan.update({{"name", "plan"},
-               {"pathPrefix", StreamPath},
-               {"routeType", "streaming"},
-               {"targetLatencyMs", 1000},
-               {"gapAimMs", 400},
-               {"sticky", true},
-               {"backend", ModelService}});
+  json Plan = route("plan", StreamPath, "streaming", 1, ModelService);
+  Plan.update({{"targetLatencyMs", 1000}, {"gapAimMs", 400}, {"sticky", true}});
   json Model = Api;
   Model.update(
       {{"name", ModelService},
@@ -332,6 +356,14 @@
   return Config;
 }
 
+void Deployment::writeConfig(unsigned Version, const json &MoreRoutes) {
+  json Config = config();
+  Config["version"] = Version;
+  for (const json &Route : MoreRoutes)
+    Config["routes"].push_back(Route);
+  Store_->put("op/config", Config);
+}
+
 bool Deployment::start() {
   auto Until = Clock::now() + std::chrono::seconds(15);
   for (const auto &Each : Gateways_)
@@ -359,6 +391,14 @@
   return Runs;
 }
 
+std::string Deployment::servicesOf(const std::string &Request) const {
+  std::string Services;
+  for (const auto &Each : Runners_)
+    for (unsigned I = 0; I < Each->runsOf(Request); ++I)
+      Services += (Services.empty() ? "" : ", ") + Each->service();
+  return Services;
+}
+
 std::string requestText(const std::string &Id, std::size_t AnswerBytes,
                         unsigned TimeLeftMs) {
   return std::string("POST ") + Deployment::Path + std::to_string(AnswerBytes) +
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -11,17 +11,21 @@
 
 /// A runner of one service. It answers a path that ends in a number with a body
 /// of so many bytes, after a short time of work; a model runner answers with a
-/// stream of so many events.
+/// stream of so many events. A request whose id ends with FailingId runs and is
+/// answered with 500.
 class Runner {
 public:
   Runner(std::string Id, std::string Address, std::string Service,
          std::string Zone, bool Streams);
 
   const std::string &id() const { return Id_; }
+  const std::string &service() const { return Service_; }
   nlohmann::json entry() const;
   /// How often it has run a request.
   unsigned runsOf(const std::string &Request) const;
 
+  static constexpr std::string_view FailingId = "-fails";
+
 private:
   void serve(Connection &Peer);
   bool answer(Connection &Peer, const Message &Request);
@@ -47,8 +51,10 @@
     std::string StoreAddress;
     std::vector<std::string> Seeds;
     unsigned MemoryMb = 182;
+    double CpuShare = 0.5;
   };
 
+  /// Writes its settings.
   Gateway(const Options &O, const std::string &Folder);
   ~Gateway();
   Gateway(const Gateway &) = delete;
@@ -61,10 +67,13 @@
   /// The memory that it occupies, in MB of a million bytes; 0 once it has
   /// ended.
   double memoryMb();
-  void kill();
+  void signal(int Number);
+  void start();
 
 private:
   Options Options_;
+  std::string Settings_;
+  std::string Log_;
   pid_t Process_ = -1;
 };
 
@@ -78,6 +87,13 @@
     unsigned TimeoutMs = 12000;
     unsigned IdleTimeoutMs = 15000;
     unsigned ModelRunners = 0;
+    /// Gateways in the first region; its first one has the lowest address and
+    /// is the largest.
+    unsigned Gateways = 1;
+    /// Runners of bookings in the first region.
+    unsigned Runners = 1;
+    /// Whether that region also has a runner of DeskService.
+    bool HasDesk = false;
   };
 
   Deployment(const Options &O, const std::string &Program);
@@ -87,16 +103,27 @@
   bool start();
   Gateway &gateway(std::size_t Index) { return *Gateways_.at(Index); }
   bool allRun();
+  /// Writes a version with further routes; the store acknowledges it at once.
+  void writeConfig(unsigned Version, const nlohmann::json &MoreRoutes);
+  nlohmann::json route(const char *Name, const char *Path, const char *Kind,
+                       unsigned MaxAttempts, const char *Service) const;
   unsigned runsOf(const std::string &Request) const;
+  /// The services at which a request has run, once for each run.
+  std::string servicesOf(const std::string &Request) const;
+
+  static constexpr const char *BookingService = "school-api";
+  static constexpr const char *DeskService = "room-desk";
+  static constexpr const char *ModelService = "planner-llm";
 
   static constexpr const char *Host = "shop.example";
   static constexpr const char *Path = "/book/";
   static constexpr const char *StreamPath = "/plan/";
 
 private:
-  void addRunner(unsigned Number, const char *Zone, bool Streams);
-  static nlohmann::json config(const Options &O);
+  void addRunner(const char *Zone, const char *Service);
+  nlohmann::json config() const;
 
+  Options Options_;
   std::string Folder_;
   std::unique_ptr<Store> Store_;
   std::vector<std::unique_ptr<Runner>> Runners_;
--- a/review/standins-2/longheads.cpp
+++ b/review/standins-2/longheads.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <cstdio>
 #include <iostream>
 
@@ -99,7 +100,7 @@
       double Memory = Watched.memoryMb();
       MostMemory_ = std::max(MostMemory_, Memory);
       if (Memory > MemoryMb) {
-        Watched.kill();
+        Watched.signal(SIGKILL);
         Record_.line("the platform kills the gateway at " +
                      std::to_string(Memory) + " MB");
         return;
