Fetch newer tables from whichever host hands them over

Cause: a host that follows the region's watchers fetched changes from the host with the highest revision, of several the first by address, and after a failure from the same one again. A stopped host refuses fetches from 1.5 s after its SIGTERM and reports its revision until its end. Three places chose whom to ask, each by its own rule; none remembered failures. The error was dropped, so that the log looked like that of a slow store.

Change: SourceRanking orders the hosts for all who ask them for content of the store: recent failures last, then those that report the revision, then those that do not leave; the own region first, equals at random. MirrorCatchUp asks the next one at once after a failure, another beside a silent one, and has the store read after 1.5 to 3 s in vain, then ever more rarely. The mirror knows since when it lacks changes; a read of the store that began after a report refutes it. The first failure of each source, the reads and the end are logged, the lag is a gauge.

To pass over leaving hosts alone: a host that was killed, stands still, is reached by datagrams alone or hands over less than it reports does the same (mirrorcatchuptest has each).

--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -70,6 +70,9 @@
   /// Empty for a region without hosts.
   RegionDelegates delegates(const RegionId &Region) const;
 
+  /// The last known state of another host, alive or not; empty when it is
+  /// unknown.
+  std::optional<HostState> stateOf(const std::string &Ip) const;
   /// When a host's process started, by the last update; zero when it is
   /// unknown.
   std::int64_t startOf(const std::string &Ip) const;
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -330,6 +330,12 @@
   return From.empty() ? std::nullopt : std::optional(*From.back());
 }
 
+std::optional<HostState> HostRegistry::stateOf(const std::string &Ip) const {
+  auto Found = Impl_->Hosts_.find(Ip);
+  return Found == Impl_->Hosts_.end() ? std::nullopt
+                                      : std::optional(Found->second.State);
+}
+
 std::int64_t HostRegistry::startOf(const std::string &Ip) const {
   auto Found = Impl_->Hosts_.find(Ip);
   return Found == Impl_->Hosts_.end() ? 0 : Found->second.State.StartedAt;
--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -18,6 +18,8 @@
 constexpr Duration ShortestOutage = std::chrono::milliseconds(700);
 /// A healthy store responds to a watch within its wait plus this time.
 constexpr Duration ResponseSlack = std::chrono::milliseconds(1500);
+/// Longest wait of a read for changes that are known to exist.
+constexpr Duration ReadWait = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -61,25 +63,46 @@
       Idle_ = true;
       return;
     }
-    Hooks_.Watch(AsOf_, watchWait(),
-                 guarded([this, After = AsOf_,
-                          Begun = Runtime_.Now()](Result<StoreSnapshot> Got) {
-                   if (!Got && Got.error().Kind == ErrorKind::StoreConflict) {
-                     succeeded();
-                     return list();
-                   }
-                   if (!Got)
-                     return failed(Got.error(), &Impl::watch);
-                   succeeded();
-                   // The changes count from a revision of another era, so they
-                   // do not apply to the keys known here.
-                   if (Got->AsOf.Era != After.Era)
-                     return list();
-                   Confirmed_ = true;
-                   apply(*Got);
-                   reportRead(Begun);
-                   watch();
-                 }));
+    watchOnce(watchWait(), [this](const Result<void> &Got) {
+      if (Got)
+        return watch();
+      if (Got.error().Kind == ErrorKind::StoreConflict)
+        return list();
+      failed(Got.error(), &Impl::watch);
+    });
+  }
+
+  /// Makes one watch call and applies what it returns. Errors: StoreConflict
+  /// when only a list can tell the changes, StoreUnreachable.
+  void watchOnce(Duration Wait, std::function<void(Result<void>)> Done) {
+    auto Apply = [this, After = AsOf_, Begun = Runtime_.Now(),
+                  Done = std::move(Done)](Result<StoreSnapshot> Got) {
+      bool Answered = Got || Got.error().Kind == ErrorKind::StoreConflict;
+      if (Answered)
+        succeeded();
+      if (!Got)
+        return Done(tl::unexpected(Got.error()));
+      // The changes count from a revision of another era, so they do not apply
+      // to the keys known here.
+      if (Got->AsOf.Era != After.Era)
+        return Done(makeError(ErrorKind::StoreConflict,
+                              "The store was rolled back; it is listed."));
+      Confirmed_ = true;
+      apply(*Got);
+      reportRead(Begun);
+      Done({});
+    };
+    Hooks_.Watch(AsOf_, Wait, guarded(Apply));
+  }
+
+  void readChanges(std::function<void(Result<void>)> Done) {
+    watchOnce(ReadWait, [this, Done = std::move(Done)](Result<void> Got) {
+      if (!Got && Got.error().Kind == ErrorKind::StoreConflict) {
+        readAgain();
+        return Done({});
+      }
+      Done(std::move(Got));
+    });
   }
 
   void fetchFromPeer() {
@@ -116,6 +139,7 @@
         LastWatcherReport_ = Runtime_.Now();
       return;
     }
+    noteReported(Applied);
     if (PeerFetchScheduled_)
       return;
     PeerFetchScheduled_ = true;
@@ -137,6 +161,22 @@
     });
   }
 
+  void noteReported(StoreRevision Reported) {
+    if (!behindSince())
+      Awaited_ = {Reported, Runtime_.Now()};
+    if (Reported > Newest_.Revision)
+      Newest_ = {Reported, Runtime_.Now()};
+  }
+
+  std::optional<TimePoint> behindSince() const {
+    if (Awaited_.Revision > AsOf_)
+      return Awaited_.Since;
+    return Newest_.Revision > AsOf_ ? std::optional(Newest_.Since)
+                                    : std::nullopt;
+  }
+
+  StoreRevision newestReported() const { return Newest_.Revision; }
+
   void readAgain() {
     Hooks_.List(
         guarded([this, Begun = Runtime_.Now()](Result<StoreSnapshot> Got) {
@@ -149,7 +189,11 @@
         }));
   }
 
-  void reportRead(TimePoint Begun) const {
+  void reportRead(TimePoint Begun) {
+    // The store knows of no such revision.
+    for (ReportedRevision *Known : {&Awaited_, &Newest_})
+      if (Known->Since <= Begun)
+        *Known = {};
     if (Hooks_.Read)
       Hooks_.Read(Begun);
   }
@@ -493,6 +537,14 @@
   /// Whether it is following with no call to the store in progress.
   bool Idle_ = false;
   TimePoint LastWatcherReport_{};
+  /// A revision that another host has reported, and when first.
+  struct ReportedRevision {
+    StoreRevision Revision;
+    TimePoint Since{};
+  };
+  /// The first one that was missing here, until it has come, and the newest.
+  ReportedRevision Awaited_;
+  ReportedRevision Newest_;
   /// When another host last handed over something new.
   TimePoint LastSnapshot_{};
   bool Reachable_ = false;
@@ -538,5 +590,14 @@
 StoreRevision StoreMirror::lastChange() const { return Impl_->LastChange_; }
 bool StoreMirror::isLoaded() const { return Impl_->isLoaded(); }
 bool StoreMirror::isCurrent() const { return Impl_->isCurrent(); }
+std::optional<TimePoint> StoreMirror::behindSince() const {
+  return Impl_->behindSince();
+}
+StoreRevision StoreMirror::newestReported() const {
+  return Impl_->newestReported();
+}
+void StoreMirror::readChanges(std::function<void(Result<void>)> Done) {
+  Impl_->readChanges(std::move(Done));
+}
 
 } // namespace celerybeam
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -125,6 +125,10 @@
 
   /// Reads all keys from the store once more.
   void readAgain();
+  /// Reads the changes after the mirror's revision from the store once, whether
+  /// or not it follows. \param Done  gets the error StoreUnreachable when the
+  /// store has not returned them.
+  void readChanges(std::function<void(Result<void>)> Done);
   /// Applies another entry host's snapshot: its full state, or the changes
   /// since a revision that this mirror had reached when it asked.
   void applyFromPeer(const StoreSnapshot &Got);
@@ -158,6 +162,13 @@
   /// Whether there was a recent response from the store or update from a host
   /// that watches it, and no change is known to be missing here.
   bool isCurrent() const;
+  /// Since when changes are known that are missing here; empty when there are
+  /// none. Later once some of them have come. Reports of other hosts are
+  /// forgotten when a read of the store that began after them does not confirm
+  /// them.
+  std::optional<TimePoint> behindSince() const;
+  /// The newest revision that another host has reported.
+  StoreRevision newestReported() const;
 
   /// Delay of the first watch after the first read, which may be old. Most
   /// hosts have received an update from a host that watches by then, and need
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -270,6 +270,41 @@
   BOOST_TEST(!Mirror.isCurrent());
 }
 
+// With changes all the time each is missing for a moment, and none for long.
+BOOST_AUTO_TEST_CASE(lagBeginsAnewWithEachChangeThatComes) {
+  Mirror.start();
+  Time.runFor(100ms);
+  Mirror.setFollowing(true);
+  for (unsigned I = 0; I < 20; ++I) {
+    PeerState = {{{"a", "1", at(Now), false}}, at(Now), true};
+    ++Now;
+    Mirror.peerReported(at(Now), true);
+    Time.runFor(200ms);
+  }
+  BOOST_REQUIRE(Mirror.behindSince().has_value());
+  BOOST_TEST((Time.now() - *Mirror.behindSince() <= 400ms));
+}
+
+// A report may be wrong; the store knows.
+BOOST_AUTO_TEST_CASE(readOfTheStoreEndsALag) {
+  put("a", "1");
+  Mirror.start();
+  Time.runFor(100ms);
+  Mirror.setFollowing(true);
+  Time.runFor(StoreMirror::WatchWait);
+  put("a", "2");
+  PeerState.AsOf = {};
+  Mirror.peerReported(at(Now + 7), true);
+  Time.runFor(1s);
+  BOOST_TEST(Mirror.behindSince().has_value());
+  bool Read = false;
+  Mirror.readChanges([&](const Result<void> &Got) { Read = Got.has_value(); });
+  Time.runFor(100ms);
+  BOOST_TEST(Read);
+  BOOST_TEST((heldKeys() == Map{{"a", "2"}}));
+  BOOST_TEST(!Mirror.behindSince().has_value());
+}
+
 // The changes for another host include removals, also of keys that were written
 // again.
 BOOST_AUTO_TEST_CASE(changesIncludeRemovals) {
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -7,11 +7,11 @@
 #include "fleet/entrydirectory.h"
 #include "fleet/recencycheck.h"
 #include "fleethost/internal/hostannouncer.h"
+#include "fleethost/internal/mirrorcatchup.h"
 #include "fleethost/internal/peerconfirmation.h"
 #include "fleethost/internal/peersnapshots.h"
 #include "fleethost/internal/requestlog.h"
 #include "fleethost/internal/snapshotcodec.h"
-#include "fleethost/internal/tablefetchplan.h"
 #include "fleethost/internal/updateexchange.h"
 #include "logging/logger.h"
 #include "metrics/metricsregistry.h"
@@ -128,7 +128,8 @@
              Confirmations_.covers(Arrived, *Settings_.KeyLifetime);
     };
     Context_.Hooks.FetchTables = [this](const std::string &Ip) {
-      fetchTables(Ip);
+      // The field of a request could name any address.
+      OperatorCatchUp_->fetchFor(Hosts_.silence(Ip) ? Ip : "");
     };
     Context_.Hooks.HasFleetState = [this] { return isInformed(); };
     Decisions_.setOwnership(
@@ -186,6 +187,8 @@
       refreshSelf();
       Exchange_.tick();
       Limits_.tick();
+      OperatorCatchUp_->tick();
+      EndpointCatchUp_->tick();
     });
     every(FleetView::TickInterval, [this] { Fleet_.tick(); });
     LastTick_ = Time_.Now();
@@ -197,6 +200,7 @@
     every(SlowTick, [this] {
       Caller_.tick();
       applyLimits();
+      showLag();
     });
     // A host that starts while the store is unreachable loads the state from
     // the others.
@@ -367,8 +371,8 @@
     H.Watch = [this, Part](StoreRevision After, Duration Wait, auto Answer) {
       Hooks_.Store.Watch(prefixOf(Part), After, Wait, std::move(Answer));
     };
-    H.FetchFromPeer = [this, Part](StoreRevision Since, const auto &Answer) {
-      fetchFromPeer(Part, Since, Answer);
+    H.FetchFromPeer = [this, Part](StoreRevision, const auto &Answer) {
+      catchUpOf(Part).fetch(Answer);
     };
     H.Changed = [this, Part](const StoreChange &Change, bool AfterOutage) {
       Hooks_.Apply(Part, Change,
@@ -423,27 +427,58 @@
       Mirror->storeRolledBack(Return.After.Era);
   }
 
-  void fetchFromPeer(MirrorPart Part, StoreRevision Since,
-                     const StoreMirrorHooks::Answer &Answer) {
-    const HostState *Best = nullptr;
-    auto Alive = Hosts_.alive();
-    auto RevisionOf = [&](const HostState &Host) {
-      return Part == MirrorPart::OperatorTables ? Host.OperatorRevision
-                                                : Host.EndpointRevision;
-    };
-    for (const HostState &Host : Alive) {
-      bool Nearer = Best != nullptr && Host.Region == Settings_.Self.Region &&
-                    Best->Region != Settings_.Self.Region;
-      if (Best == nullptr || RevisionOf(Host) > RevisionOf(*Best) ||
-          (RevisionOf(Host) == RevisionOf(*Best) && Nearer))
-        Best = &Host;
+  detail::MirrorCatchUp &catchUpOf(MirrorPart Part) {
+    return Part == MirrorPart::OperatorTables ? *OperatorCatchUp_
+                                              : *EndpointCatchUp_;
+  }
+
+  std::shared_ptr<detail::MirrorCatchUp> makeCatchUp(MirrorPart Part) {
+    return std::make_shared<detail::MirrorCatchUp>(
+        Time_, Sources_, mirrorOf(Part), Part,
+        detail::MirrorCatchUp::Hooks{
+            [this, Part](const std::string &Ip, StoreRevision Since,
+                         const auto &Then) {
+              Snapshots_.fetch(Ip, Part, Since, Then);
+            },
+            [this](const detail::CatchUpEvent &Event) { logCatchUp(Event); }});
+  }
+
+  void logCatchUp(const detail::CatchUpEvent &Event) const {
+    using Kind = detail::CatchUpEvent::Kind;
+    const char *Message = Event.What == Kind::SourceFailed
+                              ? "Known changes not handed over by a host."
+                          : Event.What == Kind::StoreAsked
+                              ? "Known changes read from the store."
+                          : Event.What == Kind::StoreFailed
+                              ? "Known changes not read from the store."
+                              : "Known changes have come.";
+    Log_.warning(Message,
+                 {{"prefix", prefixOf(Event.Part)},
+                  {"from", Event.From},
+                  {"why", Event.Why},
+                  {"behind_ms", Event.Behind / std::chrono::milliseconds(1)},
+                  {"asked", Event.Asked},
+                  {"applied", detail::revisionText(Event.Applied)},
+                  {"known", detail::revisionText(Event.Known)}});
+    if (Event.What == Kind::CaughtUp)
+      return;
+    Metrics_.add("catch_up_failures_total",
+                 "Hosts and calls to the store that did not hand over known "
+                 "changes, and reads of the store for them.",
+                 {{"prefix", prefixOf(Event.Part)}, {"event", Message}});
+  }
+
+  void showLag() {
+    for (MirrorPart Part :
+         {MirrorPart::OperatorTables, MirrorPart::Endpoints}) {
+      auto Since = catchUpOf(Part).behindSince();
+      std::chrono::duration<double> Lag =
+          Since ? Time_.Now() - *Since : Duration::zero();
+      Metrics_.set("store_copy_behind_seconds",
+                   "Time for which the copy of the store has lacked changes "
+                   "that other hosts report.",
+                   {{"prefix", prefixOf(Part)}}, Lag.count());
     }
-    if (Best == nullptr)
-      return Time_.After(Duration::zero(), [Answer] {
-        Answer(makeError(ErrorKind::NoEndpoint,
-                         "No other host is heard; the store is asked again."));
-      });
-    Snapshots_.fetch(Best->Ip, Part, Since, Answer);
   }
 
   RecencyCheck::Hooks recencyHooks() {
@@ -484,38 +519,6 @@
                  {{"change", Message}});
   }
 
-  /// Fetches newer tables. Called repeatedly while a request needs them.
-  /// \param Sender  the host that has sent the request by them.
-  void fetchTables(const std::string &Sender) {
-    if (!TableFetch_.mayAsk(Time_.Now()))
-      return;
-    detail::PeerConfirmation::Sources Drawn =
-        Confirmation_->draw(TableFetch_.asking());
-    detail::TableSources Sources{std::move(Drawn.Near), std::move(Drawn.Far),
-                                 ""};
-    // The field of a request could name any address.
-    if (Hosts_.silence(Sender))
-      Sources.Sender = Sender;
-    auto From = TableFetch_.next(Time_.Now(), Sources);
-    if (!From)
-      return;
-    Snapshots_.fetch(
-        *From, MirrorPart::OperatorTables, OperatorMirror_.revision(),
-        [Weak = weak_from_this(), Ip = *From](Result<StoreSnapshot> Got) {
-          auto Self = Weak.lock();
-          if (!Self)
-            return;
-          StoreMirror &Tables = Self->OperatorMirror_;
-          StoreRevision Before = Tables.lastChange();
-          if (Got)
-            Tables.applyFromPeer(*Got);
-          else
-            Self->Log_.info("Tables of the sender not fetched.",
-                            {{"from", Ip}, {"why", Got.error().Message}});
-          Self->TableFetch_.ended(Ip, Tables.lastChange() > Before);
-        });
-  }
-
   void loadFromPeers() {
     if (OperatorMirror_.isLoaded() && EndpointMirror_.isLoaded())
       return;
@@ -838,11 +841,16 @@
   detail::PeerSnapshots Snapshots_{Caller_, Settings_.HostPort};
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
+  detail::SourceRanking Sources_{Time_, Hosts_};
+  std::shared_ptr<detail::MirrorCatchUp> OperatorCatchUp_ =
+      makeCatchUp(MirrorPart::OperatorTables);
+  std::shared_ptr<detail::MirrorCatchUp> EndpointCatchUp_ =
+      makeCatchUp(MirrorPart::Endpoints);
   std::shared_ptr<detail::PeerConfirmation> Confirmation_ =
       std::make_shared<detail::PeerConfirmation>(
-          Time_, Hosts_, OperatorMirror_, EndpointMirror_, confirmationHooks());
+          Time_, Hosts_, Sources_, OperatorMirror_, EndpointMirror_,
+          confirmationHooks());
   RecencyCheck Recency_{Time_, recencyHooks()};
-  detail::TableFetchPlan TableFetch_;
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
--- /dev/null
+++ b/src/fleethost/internal/mirrorcatchup.cpp
@@ -0,0 +1,167 @@
+#include "fleethost/internal/mirrorcatchup.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace celerybeam::detail {
+
+MirrorCatchUp::MirrorCatchUp(Runtime R, SourceRanking &Sources,
+                             StoreMirror &Mirror, MirrorPart Part, Hooks H)
+    : Runtime_(std::move(R)), Sources_(Sources), Mirror_(Mirror), Part_(Part),
+      Hooks_(std::move(H)) {}
+
+void MirrorCatchUp::fetch(StoreMirrorHooks::Answer Then) {
+  Pending_ = std::move(Then);
+  // Not on the stack of the mirror, which must not be answered on it.
+  Runtime_.After(Duration::zero(), [Weak = weak_from_this()] {
+    if (auto Self = Weak.lock())
+      Self->ask();
+  });
+}
+
+void MirrorCatchUp::fetchFor(const std::string &Sender) {
+  if (!RequestNeed_ || Mirror_.lastChange() > RequestNeed_->After)
+    RequestNeed_ = RequestNeed{Runtime_.Now(), Mirror_.lastChange()};
+  ask(true, Sender);
+}
+
+std::optional<TimePoint> MirrorCatchUp::behindSince() const {
+  auto Since = Mirror_.behindSince();
+  if (!RequestNeed_ || Mirror_.lastChange() > RequestNeed_->After)
+    return Since;
+  return std::min(Since.value_or(RequestNeed_->Since), RequestNeed_->Since);
+}
+
+bool MirrorCatchUp::awaitsNearReport() const {
+  auto Since = Mirror_.behindSince();
+  return Since && Runtime_.Now() - *Since < FarDelay && Sources_.hasNear() &&
+         !Sources_.isReportedNear(Part_, Mirror_.revision());
+}
+
+void MirrorCatchUp::ask(bool ForRequest, const std::string &Sender) {
+  if (!Pending_ && !ForRequest)
+    return;
+  TimePoint Now = Runtime_.Now();
+  if (!Plan_.mayAsk(Now) || (!ForRequest && awaitsNearReport()))
+    return askLater();
+  RankedSources Ranked =
+      Sources_.newerThan(Part_, Mirror_.revision(), Plan_.asking());
+  auto From =
+      Plan_.next(Now, {std::move(Ranked.Near), std::move(Ranked.Far), Sender});
+  if (!From && Plan_.asking().empty())
+    return finish(
+        makeError(ErrorKind::NoEndpoint,
+                  "No other host hands over its copy now; the next report of "
+                  "one that knows more starts the search again."));
+  if (!From)
+    return askLater();
+  ++Asked_;
+  StoreRevision Expected = Sources_.reportedBy(*From, Part_);
+  Hooks_.Fetch(*From, Mirror_.revision(),
+               [Weak = weak_from_this(), Ip = *From,
+                Expected](const Result<StoreSnapshot> &Got) {
+                 if (auto Self = Weak.lock())
+                   Self->answered(Ip, Expected, Got);
+               });
+  askLater();
+}
+
+void MirrorCatchUp::askLater() {
+  if (!Pending_ || std::exchange(AskScheduled_, true))
+    return;
+  Runtime_.After(TableFetchPlan::SecondSourceDelay, [Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->AskScheduled_ = false;
+    // Another call may have brought the changes.
+    if (!Self->Mirror_.behindSince())
+      return Self->finish(
+          makeError(ErrorKind::NoEndpoint, "The changes came from elsewhere."));
+    Self->ask();
+  });
+}
+
+void MirrorCatchUp::answered(const std::string &Ip, StoreRevision Expected,
+                             const Result<StoreSnapshot> &Got) {
+  StoreRevision Before = Mirror_.revision();
+  if (Got)
+    Mirror_.applyFromPeer(*Got);
+  bool Newer = Mirror_.revision() > Before;
+  bool Failed = !Got || Got->AsOf < Expected;
+  if (Failed) {
+    Sources_.recordFailure(Ip);
+    report(CatchUpEvent::Kind::SourceFailed, Ip,
+           Got ? "older copy than reported" : Got.error().Message);
+  } else {
+    Sources_.recordSuccess(Ip);
+  }
+  Plan_.ended(Ip, Newer);
+  if (Newer)
+    return finish(Got);
+  // A host that has nothing newer yet may have it in a moment.
+  if (!Failed)
+    return askLater();
+  ask();
+}
+
+void MirrorCatchUp::finish(Result<StoreSnapshot> Got) {
+  if (auto Then = std::exchange(Pending_, nullptr))
+    Then(std::move(Got));
+}
+
+void MirrorCatchUp::tick() {
+  auto Since = behindSince();
+  if (Since != BehindSince_) {
+    if (std::exchange(Reported_, false))
+      report(CatchUpEvent::Kind::CaughtUp);
+    BehindSince_ = Since;
+    ReportedSources_.clear();
+    Asked_ = 0;
+    StoreReadInterval_ = StoreReadDelay;
+    ReadsStoreAt_ = Since.value_or(Runtime_.Now()) + StoreReadDelay + spread();
+  }
+  if (Since && Runtime_.Now() >= ReadsStoreAt_ && !ReadingStore_)
+    readStore();
+}
+
+Duration MirrorCatchUp::spread() const {
+  return Duration(static_cast<Duration::rep>(
+      Runtime_.Random() % static_cast<std::uint64_t>(StoreReadDelay.count())));
+}
+
+void MirrorCatchUp::readStore() {
+  StoreReadInterval_ = std::min(2 * StoreReadInterval_, LongestStoreReadDelay);
+  ReadsStoreAt_ = Runtime_.Now() + StoreReadInterval_;
+  ReadingStore_ = true;
+  report(CatchUpEvent::Kind::StoreAsked);
+  Mirror_.readChanges([Weak = weak_from_this()](const Result<void> &Done) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->ReadingStore_ = false;
+    if (!Done)
+      return Self->report(CatchUpEvent::Kind::StoreFailed, "",
+                          Done.error().Message);
+    Self->RequestNeed_.reset();
+  });
+}
+
+void MirrorCatchUp::report(CatchUpEvent::Kind What, const std::string &From,
+                           const std::string &Why) {
+  if (What == CatchUpEvent::Kind::SourceFailed) {
+    bool Known = ReportedSources_.contains(From);
+    if (Known || ReportedSources_.size() >= MaxReportedSources)
+      return;
+    ReportedSources_.insert(From);
+  }
+  Reported_ = What != CatchUpEvent::Kind::CaughtUp;
+  // A source may fail before the first tick of a lag.
+  auto Since = BehindSince_ ? BehindSince_ : behindSince();
+  if (Hooks_.Report)
+    Hooks_.Report({What, Part_, From, Why,
+                   Since ? Runtime_.Now() - *Since : Duration::zero(), Asked_,
+                   Mirror_.revision(), Mirror_.newestReported()});
+}
+
+} // namespace celerybeam::detail
--- a/src/fleethost/internal/peerconfirmation.cpp
+++ b/src/fleethost/internal/peerconfirmation.cpp
@@ -12,10 +12,11 @@
 } // namespace
 
 PeerConfirmation::PeerConfirmation(Runtime R, const HostRegistry &Hosts,
+                                   SourceRanking &Sources,
                                    StoreMirror &Operator,
                                    StoreMirror &Endpoints, Hooks H)
-    : Runtime_(std::move(R)), Hosts_(Hosts), Operator_(Operator),
-      Endpoints_(Endpoints), Hooks_(std::move(H)) {}
+    : Runtime_(std::move(R)), Hosts_(Hosts), Sources_(Sources),
+      Operator_(Operator), Endpoints_(Endpoints), Hooks_(std::move(H)) {}
 
 void PeerConfirmation::ask(RecencyCheck::Episode Asked) {
   if (Asked != Episode_) {
@@ -25,17 +26,16 @@
     FarFetchScheduled_ = false;
     FarFetchedAt_.reset();
   }
-  Sources Drawn = draw(Asking_);
-  std::vector<std::string> Ips = std::move(Drawn.Near);
-  Ips.insert(Ips.end(), Drawn.Far.begin(), Drawn.Far.end());
-  for (const std::string &Ip : Ips) {
+  for (const std::string &Ip : drawHosts()) {
     Asking_.insert(Ip);
     Hooks_.AskSummary(
         Ip, duringEpisode<MirrorSummary>([this, Ip](Result<MirrorSummary> Got) {
           Asking_.erase(Ip);
           // Another host is asked shortly.
-          if (Got)
-            answered(Ip, *Got);
+          if (!Got)
+            return Sources_.recordFailure(Ip);
+          Sources_.recordSuccess(Ip);
+          answered(Ip, *Got);
         }));
   }
 }
@@ -51,32 +51,14 @@
   };
 }
 
-PeerConfirmation::Sources
-PeerConfirmation::draw(const std::set<std::string> &Except) const {
-  std::vector<HostState> Near;
-  std::vector<HostState> Far;
-  auto Alive = Hosts_.alive();
-  for (const HostState &Host : Alive)
-    if (!Except.contains(Host.Ip))
-      (Host.Region == Hosts_.self().Region ? Near : Far).push_back(Host);
-  for (std::vector<HostState> *Hosts : {&Near, &Far})
-    for (std::size_t I = Hosts->size(); I > 1; --I)
-      std::swap((*Hosts)[I - 1], (*Hosts)[Runtime_.Random() % I]);
-  std::stable_partition(Near.begin(), Near.end(),
-                        [](const HostState &Host) { return Host.Watches; });
-  Near.resize(std::min(Near.size(), ConfirmersOfRegion));
-  Sources Drawn;
-  Drawn.Near.resize(Near.size());
-  std::transform(Near.begin(), Near.end(), Drawn.Near.begin(),
-                 [](const HostState &Host) { return Host.Ip; });
-  if (!Far.empty())
-    Drawn.Far.push_back(Far.front().Ip);
-  if (!Alive.empty())
-    return Drawn;
-  Drawn.Far = Hosts_.silentContacts(ConfirmersOfRegion + 1);
-  std::erase_if(Drawn.Far,
-                [&](const std::string &Ip) { return Except.contains(Ip); });
-  return Drawn;
+std::vector<std::string> PeerConfirmation::drawHosts() const {
+  RankedSources Ranked = Sources_.confirmers(Asking_);
+  std::vector<std::string> Ips = std::move(Ranked.Near);
+  Ips.resize(std::min(Ips.size(), ConfirmersOfRegion));
+  std::size_t FarHosts = Hosts_.alive().empty() ? Ranked.Far.size() : 1;
+  Ranked.Far.resize(std::min(Ranked.Far.size(), FarHosts));
+  Ips.insert(Ips.end(), Ranked.Far.begin(), Ranked.Far.end());
+  return Ips;
 }
 
 bool PeerConfirmation::includes(const MirrorSummary &Got) const {
@@ -131,7 +113,7 @@
                           [this, Ip, Part, &Mirror](Result<StoreSnapshot> Got) {
                             Fetching_.erase({Ip, Part});
                             if (!Got)
-                              return;
+                              return Sources_.recordFailure(Ip);
                             Mirror.applyFromPeer(*Got);
                             if (Got->Current &&
                                 Part == MirrorPart::OperatorTables)
--- a/src/fleethost/internal/peerconfirmation.h
+++ b/src/fleethost/internal/peerconfirmation.h
@@ -13,6 +13,7 @@
 #include "fleet/recencycheck.h"
 #include "fleet/storemirror.h"
 #include "fleethost/fleethost.h"
+#include "fleethost/internal/sourceranking.h"
 
 namespace celerybeam::detail {
 
@@ -57,25 +58,13 @@
     std::function<bool()> IsNeeded;
   };
 
-  PeerConfirmation(Runtime R, const HostRegistry &Hosts, StoreMirror &Operator,
-                   StoreMirror &Endpoints, Hooks H);
+  PeerConfirmation(Runtime R, const HostRegistry &Hosts, SourceRanking &Sources,
+                   StoreMirror &Operator, StoreMirror &Endpoints, Hooks H);
 
   /// Asks a few hosts for an episode, except those whose answer for it is
   /// outstanding.
   void ask(RecencyCheck::Episode Asked);
 
-  /// Addresses of a few hosts that may know of changes that this one has
-  /// missed.
-  struct Sources {
-    /// Of this region, watchers first.
-    std::vector<std::string> Near;
-    /// Of another region; while no host counts as alive, as right after a start
-    /// or standstill, of any region.
-    std::vector<std::string> Far;
-  };
-  /// \param Except  are left out.
-  Sources draw(const std::set<std::string> &Except) const;
-
   /// Time that hosts of this region have to provide missing changes before they
   /// are fetched from another region. A random part of up to the same length is
   /// added, so that the first host that has them can hand them to the others of
@@ -88,6 +77,8 @@
   static constexpr Duration FarInterval = std::chrono::milliseconds(500);
 
 private:
+  /// Hosts to ask in a round: a few of this region and one of another.
+  std::vector<std::string> drawHosts() const;
   void answered(const std::string &Ip, const MirrorSummary &Got);
   /// Whether this host's operator tables include all that a host knew.
   bool includes(const MirrorSummary &Got) const;
@@ -100,6 +91,7 @@
 
   Runtime Runtime_;
   const HostRegistry &Hosts_;
+  SourceRanking &Sources_;
   StoreMirror &Operator_;
   StoreMirror &Endpoints_;
   Hooks Hooks_;
--- a/src/fleethost/internal/peersnapshots.cpp
+++ b/src/fleethost/internal/peersnapshots.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <charconv>
 #include <memory>
+#include <optional>
 
 #include "fleethost/internal/snapshotcodec.h"
 
@@ -21,6 +22,24 @@
 /// is for.
 constexpr std::size_t MaxBytes = 16U << 20U;
 
+/// Why a call has brought no usable body; empty if it has.
+std::string failureOf(HttpCallEnd End, unsigned Status, std::size_t Bytes) {
+  if (Bytes > MaxBytes)
+    return "body over " + std::to_string(MaxBytes) + " bytes";
+  switch (End) {
+  case HttpCallEnd::Complete:
+    return Status == Ok ? "" : "status " + std::to_string(Status);
+  case HttpCallEnd::NotConnected:
+    return "not connected";
+  case HttpCallEnd::TimedOut:
+    return "timed out";
+  case HttpCallEnd::Unmarked:
+  case HttpCallEnd::Broken:
+    break;
+  }
+  return "broken off";
+}
+
 StoreRevision parseRevision(std::string_view Text) {
   StoreRevision Read;
   const char *End = Text.data() + Text.size();
@@ -41,27 +60,29 @@
     : Caller_(Caller), Port_(std::move(Port)) {}
 
 void PeerSnapshots::call(const std::string &Ip, const std::string &Path,
-                         std::function<void(std::optional<std::string>)> Then) {
+                         std::function<void(Result<std::string>)> Then) {
   HttpCallRequest Call;
   Call.To = Address(Ip + ":" + Port_);
   Call.Head = {"GET", Path, {{"Host", Ip}}};
   Call.Timeout = Timeout;
   auto Body = std::make_shared<std::string>();
-  auto IsOk = std::make_shared<bool>(false);
+  auto Status = std::make_shared<unsigned>(0);
   HttpCallHooks Hooks;
   // A host of an earlier version, or one that drains, refuses the request. Its
   // message must not be read as a confirmation.
-  Hooks.Head = [IsOk](const HttpResponseHead &Head) {
-    *IsOk = Head.Status == Ok;
+  Hooks.Head = [Status](const HttpResponseHead &Head) {
+    *Status = Head.Status;
     return HeadVerdict::Accept;
   };
   Hooks.Body = [Body](std::string_view Data) {
     *Body += Data;
     return Body->size() <= MaxBytes;
   };
-  Hooks.End = [IsOk, Body, Then = std::move(Then)](HttpCallEnd End) {
-    Then(*IsOk && End == HttpCallEnd::Complete ? std::optional(std::move(*Body))
-                                               : std::nullopt);
+  Hooks.End = [Status, Body, Then = std::move(Then)](HttpCallEnd End) {
+    std::string Why = failureOf(End, *Status, Body->size());
+    if (Why.empty())
+      return Then(std::move(*Body));
+    Then(makeError(ErrorKind::ConnectionLost, Why));
   };
   Caller_.call(std::move(Call), std::move(Hooks));
 }
@@ -70,23 +91,23 @@
                           StoreRevision Since, const Answer &Then) {
   call(Ip,
        Paths.at(static_cast<std::size_t>(Part)).second + revisionText(Since),
-       [Then](const std::optional<std::string> &Body) {
+       [Then](const Result<std::string> &Body) {
          if (Body)
            return Then(readSnapshot(*Body));
          Then(makeError(ErrorKind::ConnectionLost,
-                        "Another host did not hand over its snapshot; the next "
-                        "message of a host that knows more starts it again."));
+                        "Another host did not hand over its snapshot (" +
+                            Body.error().Message + "); another one is asked."));
        });
 }
 
 void PeerSnapshots::askSummary(const std::string &Ip,
                                const SummaryAnswer &Then) {
-  call(Ip, SummaryPath, [Then](const std::optional<std::string> &Body) {
+  call(Ip, SummaryPath, [Then](const Result<std::string> &Body) {
     if (Body)
       return Then(readSummary(*Body));
     Then(makeError(ErrorKind::ConnectionLost,
-                   "Another host did not tell what its copy includes; another "
-                   "host is asked."));
+                   "Another host did not tell what its copy includes (" +
+                       Body.error().Message + "); another one is asked."));
   });
 }
 
--- a/src/fleethost/internal/peersnapshots.h
+++ b/src/fleethost/internal/peersnapshots.h
@@ -42,9 +42,10 @@
   static bool isSummaryRequest(const HttpRequestHead &Head);
 
 private:
-  /// Calls a path of a host. The response is empty if it failed.
+  /// Calls a path of a host and returns the body. Errors: ConnectionLost, with
+  /// what went wrong.
   void call(const std::string &Ip, const std::string &Path,
-            std::function<void(std::optional<std::string>)> Then);
+            std::function<void(Result<std::string>)> Then);
 
   HttpCaller &Caller_;
   std::string Port_;
--- /dev/null
+++ b/src/fleethost/tests/mirrorcatchuptest.cpp
@@ -0,0 +1,260 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleethost/internal/mirrorcatchup.h"
+#include "support/virtualtime.h"
+
+using namespace celerybeam;
+using namespace std::chrono_literals;
+using detail::CatchUpEvent;
+using detail::MirrorCatchUp;
+using detail::SourceRanking;
+
+namespace {
+
+const RegionId Home("kigali");
+const RegionId Abroad("oslo");
+constexpr StoreRevision Old{1, 5};
+constexpr StoreRevision New{1, 6};
+
+/// A host that hands over its copy, or fails to.
+struct Peer {
+  HostState State;
+  /// What it hands over.
+  StoreRevision Has;
+  bool Refuses = false;
+  /// Asked, it says nothing until the call gives up.
+  bool Hangs = false;
+  unsigned Asked = 0;
+};
+
+StoreSnapshot tablesAt(StoreRevision At) {
+  StoreSnapshot S;
+  S.AsOf = At;
+  S.Items = {{"tables", std::to_string(At.Number), At, false}};
+  return S;
+}
+
+/// A host that follows others, and the store behind them.
+struct Fixture {
+  testing::VirtualTime Time{1};
+  std::map<std::string, Peer> Peers;
+  HostRegistry Hosts{Time.runtime(), state("10.0.0.9", Home, Old)};
+  SourceRanking Ranking{Time.runtime(), Hosts};
+  StoreRevision InStore = Old;
+  bool StoreReachable = true;
+  unsigned StoreCalls = 0;
+  StoreMirror Mirror{Time.runtime(), mirrorHooks()};
+  std::vector<CatchUpEvent> Events;
+  std::shared_ptr<MirrorCatchUp> CatchUp = std::make_shared<MirrorCatchUp>(
+      Time.runtime(), Ranking, Mirror, MirrorPart::OperatorTables,
+      MirrorCatchUp::Hooks{
+          [this](const std::string &Ip, StoreRevision, const auto &Then) {
+            answer(Ip, Then);
+          },
+          [this](const CatchUpEvent &Event) { Events.push_back(Event); }});
+
+  Fixture() {
+    Mirror.applyFromPeer(tablesAt(Old));
+    Mirror.setFollowing(true);
+  }
+
+  static HostState state(const std::string &Ip, const RegionId &Region,
+                         StoreRevision Reports) {
+    HostState H;
+    H.Id = HostId(Ip);
+    H.Ip = Ip;
+    H.Region = Region;
+    H.Ready = true;
+    H.Watches = true;
+    H.OperatorRevision = Reports;
+    return H;
+  }
+
+  StoreMirrorHooks mirrorHooks() {
+    StoreMirrorHooks H;
+    H.Changed = [](const StoreChange &, bool) {};
+    H.Reachability = [](bool, const std::string &) {};
+    H.FetchFromPeer = [this](StoreRevision, auto Then) {
+      CatchUp->fetch(Then);
+    };
+    H.Watch = [this](StoreRevision, Duration, const auto &Then) {
+      ++StoreCalls;
+      Time.after(5ms, [this, Then] {
+        if (StoreReachable)
+          return Then(tablesAt(InStore));
+        Then(makeError(ErrorKind::StoreUnreachable, "down"));
+      });
+    };
+    return H;
+  }
+
+  Peer &add(const std::string &Ip, const RegionId &Region, StoreRevision At) {
+    Peers[Ip] = {state(Ip, Region, At), At};
+    Hosts.received(Peers[Ip].State);
+    return Peers[Ip];
+  }
+
+  void answer(const std::string &Ip, const StoreMirrorHooks::Answer &Then) {
+    Peer &From = Peers.at(Ip);
+    ++From.Asked;
+    auto Fail = [Then] {
+      Then(makeError(ErrorKind::ConnectionLost, "not connected"));
+    };
+    if (From.Hangs)
+      return Time.after(1s, Fail);
+    if (From.Refuses)
+      return Time.after(1ms, Fail);
+    Time.after(From.State.Region == Home ? 2ms : 80ms,
+               [Has = From.Has, Then] { Then(tablesAt(Has)); });
+  }
+
+  void runFor(Duration Span) {
+    for (Duration Passed{}; Passed < Span; Passed += 50ms) {
+      if (Passed % 200ms == Duration::zero())
+        for (const auto &[Ip, From] : Peers) {
+          Hosts.received(From.State);
+          Mirror.peerReported(From.State.OperatorRevision, true);
+        }
+      CatchUp->tick();
+      Time.runFor(50ms);
+    }
+  }
+
+  bool isUpToDate() const { return Mirror.revision() >= New; }
+
+  unsigned count(CatchUpEvent::Kind What) const {
+    unsigned Found = 0;
+    for (const CatchUpEvent &Event : Events)
+      Found += Event.What == What ? 1 : 0;
+    return Found;
+  }
+};
+
+/// Time in which known changes come from a host that answers, though others do
+/// not.
+constexpr Duration InTime = 1s;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MirrorCatchUpTests, Fixture)
+
+// CONFIG, TWICE, HOME (review/6): followers fetched tables from a host that was
+// being stopped, which refused them until its end, though others had them.
+BOOST_AUTO_TEST_CASE(stoppedHostDoesNotKeepTablesFromTheOthers) {
+  Peer &Stopped = add("10.0.0.1", Home, New);
+  Stopped.State.Leaving = true;
+  Stopped.Refuses = true;
+  add("10.0.0.2", Home, Old);
+  runFor(400ms);
+  BOOST_TEST(!isUpToDate());
+  add("10.0.0.2", Home, New);
+  runFor(200ms);
+  BOOST_TEST(isUpToDate());
+  BOOST_TEST(StoreCalls == 0U);
+}
+
+// The host does not say that it leaves: it was killed, or only its datagrams
+// arrive.
+BOOST_AUTO_TEST_CASE(anotherHostIsAskedWhenTheNewestRefuses) {
+  add("10.0.0.1", Home, {1, 9}).Refuses = true;
+  add("10.0.0.2", Home, New);
+  runFor(InTime);
+  BOOST_TEST(isUpToDate());
+}
+
+BOOST_AUTO_TEST_CASE(anotherHostIsAskedBesideOneThatStandsStill) {
+  add("10.0.0.1", Home, {1, 9}).Hangs = true;
+  add("10.0.0.2", Home, {1, 9}).Hangs = true;
+  add("10.0.0.3", Home, New);
+  runFor(InTime);
+  BOOST_TEST(isUpToDate());
+}
+
+BOOST_AUTO_TEST_CASE(hostThatHandsOverLessThanItReportsIsPassedOver) {
+  add("10.0.0.1", Home, {1, 9}).Has = Old;
+  add("10.0.0.2", Home, New);
+  runFor(InTime);
+  BOOST_TEST(isUpToDate());
+}
+
+BOOST_AUTO_TEST_CASE(otherRegionHelpsWhenNoHostOfThisOneCan) {
+  add("10.0.0.1", Home, New).Refuses = true;
+  add("10.1.0.1", Abroad, New);
+  runFor(InTime);
+  BOOST_TEST(isUpToDate());
+}
+
+// Bytes between regions are paid for.
+BOOST_AUTO_TEST_CASE(hostsOfTheRegionHaveTimeToReportWhatAnotherRegionHas) {
+  add("10.0.0.1", Home, Old);
+  Peer &Far = add("10.1.0.1", Abroad, New);
+  runFor(200ms);
+  add("10.0.0.1", Home, New);
+  runFor(400ms);
+  BOOST_TEST(isUpToDate());
+  BOOST_TEST(Far.Asked == 0U);
+}
+
+// A cut in one direction: reports come and connections fail.
+BOOST_AUTO_TEST_CASE(storeIsReadOnceWhenNoHostHandsOverItsCopy) {
+  InStore = New;
+  add("10.0.0.1", Home, New).Refuses = true;
+  add("10.1.0.1", Abroad, New).Refuses = true;
+  runFor(2 * MirrorCatchUp::StoreReadDelay + 200ms);
+  BOOST_TEST(isUpToDate());
+  BOOST_TEST(StoreCalls == 1U);
+  BOOST_TEST(count(CatchUpEvent::Kind::SourceFailed) == 2U);
+  BOOST_TEST(count(CatchUpEvent::Kind::CaughtUp) == 1U);
+  BOOST_TEST(Events.back().Why.empty());
+}
+
+// Each call to the store is paid for, and a host that is cut off stays so for
+// minutes.
+BOOST_AUTO_TEST_CASE(readsOfAnUnreachableStoreBecomeRare) {
+  StoreReachable = false;
+  Peer &Refusing = add("10.0.0.1", Home, New);
+  Refusing.Refuses = true;
+  runFor(60s);
+  BOOST_TEST(!isUpToDate());
+  BOOST_TEST(CatchUp->behindSince().has_value());
+  BOOST_TEST(StoreCalls >= 4U);
+  BOOST_TEST(StoreCalls <= 8U);
+  BOOST_TEST(Refusing.Asked <= 60s / SourceRanking::RetryInterval + 1);
+  BOOST_TEST(count(CatchUpEvent::Kind::SourceFailed) == 1U);
+}
+
+// A report that no host and not the store confirms must not be believed for
+// ever.
+BOOST_AUTO_TEST_CASE(readOfTheStoreRefutesAWrongReport) {
+  add("10.0.0.1", Home, {1, 99}).Has = Old;
+  runFor(200ms);
+  BOOST_TEST(Mirror.behindSince().has_value());
+  Peers.clear();
+  runFor(2 * MirrorCatchUp::StoreReadDelay);
+  BOOST_TEST(!Mirror.behindSince().has_value());
+}
+
+// A request came by newer tables that no host reports.
+BOOST_AUTO_TEST_CASE(needOfARequestIsAskedOfItsSenderAndThenOfTheStore) {
+  add("10.0.0.1", Home, Old);
+  Peer &Sender = add("10.1.0.1", Abroad, Old);
+  Sender.Refuses = true;
+  InStore = New;
+  for (Duration Passed{}; Passed < 500ms; Passed += 20ms) {
+    CatchUp->fetchFor("10.1.0.1");
+    CatchUp->tick();
+    Time.runFor(20ms);
+  }
+  BOOST_TEST(Sender.Asked >= 1U);
+  BOOST_TEST(CatchUp->behindSince().has_value());
+  runFor(2 * MirrorCatchUp::StoreReadDelay);
+  BOOST_TEST(isUpToDate());
+  BOOST_TEST(!CatchUp->behindSince().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/tests/peerconfirmationtest.cpp
+++ b/src/fleethost/tests/peerconfirmationtest.cpp
@@ -69,8 +69,9 @@
   std::map<std::string, std::unique_ptr<Copy>> Others;
   std::optional<Duration> ConfirmedAfter;
   TimePoint Start = Time.runtime().Now();
+  detail::SourceRanking Sources{Time.runtime(), Hosts};
   std::shared_ptr<PeerConfirmation> Peers = std::make_shared<PeerConfirmation>(
-      Time.runtime(), Hosts, Own.Operator, Own.Endpoints, hooks());
+      Time.runtime(), Hosts, Sources, Own.Operator, Own.Endpoints, hooks());
   RecencyCheck Check{
       Time.runtime(),
       {[this](RecencyCheck::Episode Asked, unsigned) { Peers->ask(Asked); },
