Count tables that lack known changes as unconfirmed

What callers could see: a host that knew of newer tables, from a report or from a request that came by them, and did not get them repeated requests, sent copies and answered 404 as if its own were confirmed; asked by a host that woke, it called its copy current as long as one of two watchers lacked the changes, too.

Cause: RecencyCheck knew of gaps of its own loop alone, and ended each doubt after 5 s. StoreMirror::isCurrent took the last report of any watcher for all that is known.

Change: isCurrent is false while a known change is missing. After MaxLag, 1 s, the tables are not confirmed until the changes have come or a read of the store has refuted them; first runs go on, since the host may be cut off. Whether a host watches the store (HostState::Watches) allows for changes on their way, so that hosts do not change their mode with each change.

Ruled out: to let requests wait at the start of such a doubt: the changes have been asked for all the time, and a host that is cut off must serve. To end the doubt by a confirmation of another host: that host may not know of the change. Keys need nothing: a confirmation counts only once its revision has been applied.

--- a/src/fleet/internal/recencycheck.cpp
+++ b/src/fleet/internal/recencycheck.cpp
@@ -33,8 +33,19 @@
   report(RecencyChange::Kind::Doubted, Gap);
 }
 
+void RecencyCheck::updateLag() {
+  auto Since = Hooks_.BehindSince ? Hooks_.BehindSince() : std::nullopt;
+  Duration Lag = Since ? Runtime_.Now() - *Since : Duration::zero();
+  bool IsBehind = Lag > MaxLag;
+  if (IsBehind == std::exchange(IsBehind_, IsBehind))
+    return;
+  report(IsBehind ? RecencyChange::Kind::Behind : RecencyChange::Kind::CaughtUp,
+         Lag);
+}
+
 void RecencyCheck::update() {
   TimePoint Now = Runtime_.Now();
+  updateLag();
   Duration Gap = Now - std::exchange(LastCall_, Now);
   if (Gap > MaxGap)
     doubt(Gap);
@@ -62,7 +73,7 @@
 
 bool RecencyCheck::isConfirmed() {
   update();
-  return !DoubtedSince_;
+  return !DoubtedSince_ && !IsBehind_;
 }
 
 bool RecencyCheck::mayHaveStoodStill() const {
@@ -86,8 +97,9 @@
 }
 
 void RecencyCheck::report(RecencyChange::Kind What, Duration Gap) {
+  TimePoint Now = Runtime_.Now();
   if (Hooks_.Changed)
-    Hooks_.Changed({What, Gap, Runtime_.Now() - *DoubtedSince_});
+    Hooks_.Changed({What, Gap, Now - DoubtedSince_.value_or(Now)});
 }
 
 } // namespace celerybeam
--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -228,7 +228,16 @@
 
   bool isLoaded() const { return AsOf_ > StoreRevision(); }
 
-  bool isCurrent() const {
+  bool isCurrent() const { return hasRecentUpdate() && !behindSince(); }
+
+  bool isInContact() const {
+    auto Since = behindSince();
+    return hasRecentUpdate() && (!Since || Runtime_.Now() - *Since <= MaxLag);
+  }
+
+  /// Whether there was a recent response from the store or update from a host
+  /// that watches it.
+  bool hasRecentUpdate() const {
     if (Following_)
       return Runtime_.Now() - LastWatcherReport_ <= MaxWatcherSilence;
     return Reachable_ && Confirmed_ &&
@@ -590,6 +599,7 @@
 StoreRevision StoreMirror::lastChange() const { return Impl_->LastChange_; }
 bool StoreMirror::isLoaded() const { return Impl_->isLoaded(); }
 bool StoreMirror::isCurrent() const { return Impl_->isCurrent(); }
+bool StoreMirror::isInContact() const { return Impl_->isInContact(); }
 std::optional<TimePoint> StoreMirror::behindSince() const {
   return Impl_->behindSince();
 }
--- a/src/fleet/recencycheck.h
+++ b/src/fleet/recencycheck.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 
+#include "fleet/storemirror.h"
 #include "framework/runtime.h"
 
 namespace celerybeam {
@@ -17,23 +18,30 @@
     /// A current host or the store has confirmed it.
     Confirmed,
     /// Nobody has confirmed it in time; requests go on with it.
-    Unconfirmed
+    Unconfirmed,
+    /// It has lacked known changes for MaxLag; requests go on with it.
+    Behind,
+    /// Those changes have come.
+    CaughtUp
   };
   Kind What = Kind::Doubted;
-  /// Time for which the process stood still; zero after a start.
+  /// Time for which the process stood still, or has known of changes that the
+  /// copy lacks; zero after a start.
   Duration Gap{};
-  /// Time since the copy became doubtful.
+  /// Time since the copy became doubtful by a start or standstill.
   Duration Age{};
 };
 
 /// Tells whether this host's copy of the store may have missed changes because
-/// its process has just started or stood still. Requests that arrived meanwhile
-/// are handled before any update is, so they wait until the copy has been
-/// confirmed, for MaxWait at most: a host that nobody can confirm has to go on.
+/// its process has just started or stood still, or because known changes have
+/// not come. Requests that arrived during a standstill are handled before any
+/// update is, so they wait until the copy has been confirmed, for MaxWait at
+/// most: a host that nobody can confirm has to go on.
 ///
 /// A standstill is noticed by the first call after it, in whatever order the
 /// event loop runs timers and sockets. Handles these load patterns: "a host
-/// freezes and wakes", "hosts are killed and restarted". Not thread-safe.
+/// freezes and wakes", "hosts are killed and restarted", "no host hands over
+/// the changes that it reports". Not thread-safe.
 class RecencyCheck {
 public:
   /// Identifies a start or standstill. A confirmation that was requested before
@@ -50,6 +58,9 @@
     std::function<void(Episode, unsigned Round)> Ask;
     /// May be empty.
     std::function<void(const RecencyChange &)> Changed;
+    /// Since when changes are known that the copy lacks; empty when there are
+    /// none. May be empty.
+    std::function<std::optional<TimePoint>()> BehindSince = {};
   };
 
   /// The copy is doubtful from the construction on.
@@ -60,8 +71,9 @@
   /// Whether requests may be handled by the copy now.
   bool mayAct();
   /// Whether the copy is known to be recent, or has been in use unconfirmed for
-  /// MaxDoubt. Needed for what only the tables allow: a second run of a
-  /// request, or the verdict that a route does not exist.
+  /// MaxDoubt without a sign that it lacks changes. Needed for what only the
+  /// tables allow: a second run of a request, or the verdict that a route does
+  /// not exist.
   bool isConfirmed();
   /// Records that the copy includes all that a current host or the store knew
   /// when it was asked.
@@ -84,10 +96,16 @@
   /// Hosts in touch have received all earlier changes by then.
   static constexpr Duration MaxDoubt = std::chrono::seconds(5);
 
+  /// A copy that has lacked known changes for longer is not confirmed until
+  /// they have come.
+  static constexpr Duration MaxLag = StoreMirror::MaxLag;
+
 private:
   /// Notices a standstill, or that a doubt has lasted for MaxWait or MaxDoubt.
   void update();
   void doubt(Duration Gap);
+  /// Notices that known changes have not come, or have come at last.
+  void updateLag();
   /// Whether the host may have stood still since the last call.
   bool mayHaveStoodStill() const;
   void end();
@@ -101,6 +119,7 @@
   unsigned Round_ = 0;
   std::optional<TimePoint> DoubtedSince_;
   bool WaitEnded_ = false;
+  bool IsBehind_ = false;
 };
 
 } // namespace celerybeam
--- a/src/fleet/storemirror.h
+++ b/src/fleet/storemirror.h
@@ -162,6 +162,9 @@
   /// Whether there was a recent response from the store or update from a host
   /// that watches it, and no change is known to be missing here.
   bool isCurrent() const;
+  /// Like isCurrent, but changes may be missing that have been known for less
+  /// than MaxLag: they are on their way.
+  bool isInContact() const;
   /// Since when changes are known that are missing here; empty when there are
   /// none. Later once some of them have come. Reports of other hosts are
   /// forgotten when a read of the store that began after them does not confirm
@@ -183,6 +186,9 @@
   /// Time without an update from any host that watches after which a follower
   /// no longer counts as current: the time of seven such updates.
   static constexpr Duration MaxWatcherSilence = std::chrono::milliseconds(1500);
+  /// Longest time in which a known change arrives from another host: that of a
+  /// few updates between hosts, of which some are lost.
+  static constexpr Duration MaxLag = std::chrono::seconds(1);
   /// Number of removals that are kept for hosts that ask for changes.
   static constexpr std::size_t MaxRemovals = 256;
   /// Entries that lapsed during an outage of the store are written again within
--- a/src/fleet/tests/recencychecktest.cpp
+++ b/src/fleet/tests/recencychecktest.cpp
@@ -14,10 +14,12 @@
   testing::VirtualTime Time{1};
   std::vector<RecencyCheck::Episode> Asked;
   std::vector<RecencyChange::Kind> Changes;
+  std::optional<TimePoint> BehindSince;
   RecencyCheck Check{
       Time.runtime(),
       {[this](RecencyCheck::Episode E, unsigned) { Asked.push_back(E); },
-       [this](const RecencyChange &C) { Changes.push_back(C.What); }}};
+       [this](const RecencyChange &C) { Changes.push_back(C.What); },
+       [this] { return BehindSince; }}};
 
   /// Lets time pass with ticks, as a loop does that does not stand still.
   void runFor(Duration D) {
@@ -137,4 +139,29 @@
   BOOST_TEST(Check.isConfirmed());
 }
 
+// TWICE: a host that knew of newer tables and did not get them repeated
+// requests as if its own were confirmed.
+BOOST_AUTO_TEST_CASE(tablesThatLackKnownChangesAreNotConfirmed) {
+  confirmStart();
+  BehindSince = Time.runtime().Now();
+  runFor(RecencyCheck::MaxLag);
+  BOOST_TEST(Check.isConfirmed());
+  runFor(RecencyCheck::MaxDoubt + 10s);
+  BOOST_TEST(!Check.isConfirmed());
+  // It may be cut off, and goes on with what needs no newer tables.
+  BOOST_TEST(Check.mayAct());
+  BehindSince.reset();
+  BOOST_TEST(Check.isConfirmed());
+  using Kind = RecencyChange::Kind;
+  BOOST_TEST((Changes == std::vector{Kind::Behind, Kind::CaughtUp}));
+}
+
+// The end of the doubt after a start is no confirmation either.
+BOOST_AUTO_TEST_CASE(unconfirmedTablesThatLackChangesStayInDoubt) {
+  BehindSince = Time.runtime().Now();
+  runFor(RecencyCheck::MaxDoubt + 1s);
+  BOOST_TEST(Check.mayAct());
+  BOOST_TEST(!Check.isConfirmed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleet/tests/storemirrortest.cpp
+++ b/src/fleet/tests/storemirrortest.cpp
@@ -270,6 +270,30 @@
   BOOST_TEST(!Mirror.isCurrent());
 }
 
+// TWICE, CONFIG: a host that knew of changes that it lacked told others that
+// its copy was complete, since one of two watchers lacked them, too.
+BOOST_AUTO_TEST_CASE(copyThatLacksKnownChangesIsNotCurrent) {
+  Mirror.start();
+  Time.runFor(100ms);
+  Mirror.setFollowing(true);
+  PeerState.AsOf = at(Now);
+  Mirror.peerReported(at(Now + 3), true);
+  Mirror.peerReported(at(Now), true);
+  BOOST_TEST(!Mirror.isCurrent());
+  // They are on their way.
+  BOOST_TEST(Mirror.isInContact());
+  BOOST_TEST((Mirror.behindSince() == Time.now()));
+  Time.runFor(StoreMirror::MaxLag + 1ms);
+  Mirror.peerReported(at(Now), true);
+  BOOST_TEST(!Mirror.isInContact());
+  PeerState = {{{"a", "1", at(Now + 3), false}}, at(Now + 3), true};
+  Mirror.peerReported(at(Now + 3), true);
+  Time.runFor(300ms);
+  Mirror.peerReported(at(Now + 3), true);
+  BOOST_TEST(Mirror.isCurrent());
+  BOOST_TEST(!Mirror.behindSince().has_value());
+}
+
 // With changes all the time each is missing for a moment, and none for long.
 BOOST_AUTO_TEST_CASE(lagBeginsAnewWithEachChangeThatComes) {
   Mirror.start();
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -490,7 +490,8 @@
               if (Round % RoundsPerStoreRead == 1 && AsksStore)
                 OperatorMirror_.readAgain();
             },
-            [this](const RecencyChange &Change) { logRecency(Change); }};
+            [this](const RecencyChange &Change) { logRecency(Change); },
+            [this] { return OperatorCatchUp_->behindSince(); }};
   }
 
   detail::PeerConfirmation::Hooks confirmationHooks() {
@@ -506,11 +507,14 @@
 
   void logRecency(const RecencyChange &Change) {
     const FleetTablesPtr &Tables = Fleet_.tables();
-    const char *Message = Change.What == RecencyChange::Kind::Doubted
-                              ? "Tables may be outdated."
-                          : Change.What == RecencyChange::Kind::Confirmed
-                              ? "Tables confirmed to be recent."
-                              : "Requests handled by unconfirmed tables.";
+    using Kind = RecencyChange::Kind;
+    const char *Message =
+        Change.What == Kind::Doubted     ? "Tables may be outdated."
+        : Change.What == Kind::Confirmed ? "Tables confirmed to be recent."
+        : Change.What == Kind::Behind    ? "Tables lack known changes."
+        : Change.What == Kind::CaughtUp ? "Tables no longer lack known changes."
+                                        : "Requests handled by unconfirmed "
+                                          "tables.";
     Log_.info(Message, {{"tables", Tables ? Tables->Version : 0},
                         {"gap_ms", Change.Gap / std::chrono::milliseconds(1)},
                         {"age_ms", Change.Age / std::chrono::milliseconds(1)}});
@@ -584,7 +588,8 @@
     Self.OperatorRevision = OperatorMirror_.lastChange();
     Self.EndpointRevision = EndpointMirror_.lastChange();
     Self.Watches = !OperatorMirror_.isFollowing() &&
-                   OperatorMirror_.isCurrent() && EndpointMirror_.isCurrent();
+                   OperatorMirror_.isInContact() &&
+                   EndpointMirror_.isInContact();
     Hosts_.setSelf(Self);
     if (Hosts_.self().FleetHosts != Self.FleetHosts)
       logFleetSize();
--- a/src/fleethost/tests/mirrorcatchuptest.cpp
+++ b/src/fleethost/tests/mirrorcatchuptest.cpp
@@ -136,8 +136,8 @@
 };
 
 /// Time in which known changes come from a host that answers, though others do
-/// not.
-constexpr Duration InTime = 1s;
+/// not: RecencyCheck counts tables as unconfirmed after it.
+constexpr Duration InTime = StoreMirror::MaxLag;
 
 } // namespace
 
