Refuse requests before the process exceeds its memory

Cause: bodies, responses and unread bytes have budgets, heads have none, and a request in flight holds its head several times over, some 210 KB. Nothing compared what the process holds with the memory that it has.

Up to 16 requests in flight are accepted in any case, so that a host that is full of what it knows of the fleet goes on to serve.

Ruled out: a budget for heads alone, which needs a factor for what is held beside the text and misses the next cost without a budget; a lower limit of connections, which refuses short requests, too.

--- a/src/fleethost/fleethost.h
+++ b/src/fleethost/fleethost.h
@@ -39,6 +39,9 @@
   std::optional<Duration> KeyLifetime;
   /// Time from the request to stop until the process is killed.
   Duration Grace = std::chrono::seconds(8);
+  /// Memory above which the process is killed, in bytes. Unset when it is
+  /// unknown; requests are then never refused for it.
+  std::optional<std::size_t> MemoryBytes;
   /// Limit on the bytes of incomplete responses in memory.
   std::size_t ResponseMemoryBytes = RelayContext::DefaultResponseMemory;
   DispatchSettings Dispatch;
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <optional>
 
+#include <malloc.h>
+
 #include "fleet/confirmationtracker.h"
 #include "fleet/entrydirectory.h"
 #include "fleet/recencycheck.h"
 #include "fleethost/internal/hostannouncer.h"
+#include "fleethost/internal/memoryguard.h"
 #include "fleethost/internal/mirrorcatchup.h"
 #include "fleethost/internal/peerconfirmation.h"
 #include "fleethost/internal/peersnapshots.h"
@@ -54,6 +57,9 @@
 /// A host that has just started waits so long for a first confirmation until it
 /// names itself ready.
 constexpr Duration FirstConfirmationWait = std::chrono::seconds(2);
+/// Requests in flight up to which memory refuses none: what a host knows of a
+/// large fleet may nearly fill it, and it has to serve all the same.
+constexpr std::size_t AcceptedWithoutMemory = 16;
 constexpr Duration SlowTick = std::chrono::seconds(1);
 /// A tick that is later than this is logged as a stall: the event loop was
 /// blocked for longer than the shortest timeout between hosts and endpoints.
@@ -131,6 +137,10 @@
       // The field of a request could name any address.
       OperatorCatchUp_->fetchFor(Hosts_.silence(Ip) ? Ip : "");
     };
+    if (Settings_.MemoryBytes)
+      Context_.Hooks.HasMemory = [this] {
+        return Memory_.hasRoom() || inFlight() <= AcceptedWithoutMemory;
+      };
     Context_.Hooks.HasFleetState = [this] { return isInformed(); };
     Decisions_.setOwnership(
         [this](const EndpointKey &Key) { return Placement_.owns(Key); },
@@ -195,6 +205,8 @@
     LastTick_ = Time_.Now();
     every(HealthTick, [this] {
       Recency_.tick();
+      if (Settings_.MemoryBytes)
+        Memory_.tick();
       logStall();
       checkHealth();
     });
@@ -676,6 +688,17 @@
                  {});
   }
 
+  void logMemory(const detail::MemoryChange &Change) {
+    Log_.warning(Change.IsShort ? "Memory is short; requests are refused."
+                                : "Memory is no longer short.",
+                 {{"resident", Change.Resident},
+                  {"limit", Change.Limit},
+                  {"in_flight", inFlight()}});
+    Metrics_.set("memory_short",
+                 "Whether requests are refused for lack of memory.", {},
+                 Change.IsShort ? 1 : 0);
+  }
+
   void checkHealth() {
     for (const EndpointKey &Key : Decisions_.health().dueForCheck())
       checkOne(Key);
@@ -869,6 +892,11 @@
           Time_, Hosts_, Sources_, OperatorMirror_, EndpointMirror_,
           confirmationHooks());
   RecencyCheck Recency_{Time_, recencyHooks()};
+  detail::MemoryGuard Memory_{
+      Time_,
+      Settings_.MemoryBytes.value_or(0),
+      {[] { return detail::residentBytes(); }, [] { malloc_trim(0); },
+       [this](const detail::MemoryChange &Change) { logMemory(Change); }}};
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -34,6 +34,9 @@
 /// Longest time that a request waits for the tables of a host that has just
 /// started: two round trips to a store in another region, plus a margin.
 constexpr Duration MaxTablesWait = std::chrono::milliseconds(500);
+/// Retry-After while the host is short of memory: streams that hold it end
+/// within seconds, and other hosts may have some.
+constexpr Duration MemoryRetryAfter = std::chrono::seconds(1);
 constexpr Duration TablesPoll = std::chrono::milliseconds(20);
 /// Retry-After for an unknown route while the tables may be outdated: the route
 /// may be new.
@@ -129,6 +132,8 @@
   void routeRequest() {
     if (Ended_)
       return;
+    if (Context_.Hooks.HasMemory && !Context_.Hooks.HasMemory())
+      return refuse({MemoryRetryAfter, "no_memory"});
     // A host that has just started receives the tables within moments.
     if (!Context_.Hooks.HasFleetState())
       return waitForTables();
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -123,6 +123,8 @@
   /// Requests the newest tables from another entry host, which forwarded a
   /// request by them. May be empty.
   std::function<void(const std::string &Ip)> FetchTables;
+  /// Whether the process has memory for another request. May be empty.
+  std::function<bool()> HasMemory;
   /// Whether any tables and endpoints have been received.
   std::function<bool()> HasFleetState;
   /// Whether the tables are known to be the newest. Only then is a missing
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -37,6 +37,20 @@
   BOOST_TEST(E.Requests[0].ends_with("\r\n\r\nbody"));
 }
 
+// A process that exceeds its memory is killed, and loses what it has accepted.
+BOOST_AUTO_TEST_CASE(requestIsRefusedAtOnceWhileMemoryIsShort) {
+  RawServer &E = addEndpoint(
+      "a", "plain", [](const std::string &R) { return ran(R, "done"); });
+  bool HasMemory = false;
+  Context.Hooks.HasMemory = [&] { return HasMemory; };
+  std::string Answer = ask(request("book"));
+  BOOST_TEST(hasStatus(Answer, "503"));
+  BOOST_TEST(!field(Answer, "Retry-After").empty());
+  BOOST_TEST(E.Requests.empty());
+  HasMemory = true;
+  BOOST_TEST(hasStatus(ask(request("book")), "200"));
+}
+
 // A booking must never run twice: after its connection broke it may have run.
 BOOST_AUTO_TEST_CASE(brokenBookingIsNeverSentAgain) {
   RawServer &A = addEndpoint("a", "plain", [](const std::string &) {
