Tell newer tables by their latest change, not by the store's revision

What callers could see: a request that was forwarded by newer tables waited 500 ms and was refused, though its sender had them.

Cause: the revision of a copy also grows with changes of other prefixes, so each host of the region seemed to have brought newer tables, and the sender, which is asked after three that have not, was never asked.

Responses to other hosts that are broken off unread are logged, too.

Result: senderIsAskedThoughRevisionsGrow fails without it (the sender is not asked) and passes with it.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -169,7 +169,8 @@
         [this](const ReadRefusal &R) { logRefusal("caller", R); });
     FromHosts_.onRefused(
         [this](const ReadRefusal &R) { logRefusal("host", R); });
-    Callers_.onUnread([this](const UnreadResponse &R) { logUnread(R); });
+    for (HttpServer *Server : {&Callers_, &FromHosts_})
+      Server->onUnread([this](const UnreadResponse &R) { logUnread(R); });
     Announcer_ = std::make_shared<detail::HostAnnouncer>(
         Time_, Hooks_.Store, Hooks_.HostPrefix,
         Hooks_.HostPrefix + Settings_.Self.Id.str(), Settings_.Self.Ip,
--- a/src/fleethost/internal/mirrorcatchup.cpp
+++ b/src/fleethost/internal/mirrorcatchup.cpp
@@ -84,10 +84,11 @@
 
 void MirrorCatchUp::answered(const std::string &Ip, StoreRevision Expected,
                              const Result<StoreSnapshot> &Got) {
-  StoreRevision Before = Mirror_.revision();
+  StoreRevision Before = Mirror_.lastChange();
   if (Got)
     Mirror_.applyFromPeer(*Got);
-  bool Newer = Mirror_.revision() > Before;
+  // The revision alone also grows with changes of other prefixes.
+  bool Newer = Mirror_.lastChange() > Before;
   bool Failed = !Got || Got->AsOf < Expected;
   if (Failed) {
     Sources_.recordFailure(Ip);
--- a/src/fleethost/tests/mirrorcatchuptest.cpp
+++ b/src/fleethost/tests/mirrorcatchuptest.cpp
@@ -24,18 +24,19 @@
 /// A host that hands over its copy, or fails to.
 struct Peer {
   HostState State;
-  /// What it hands over.
+  /// What it hands over, and the latest change in it.
   StoreRevision Has;
+  StoreRevision ChangedAt;
   bool Refuses = false;
   /// Asked, it says nothing until the call gives up.
   bool Hangs = false;
   unsigned Asked = 0;
 };
 
-StoreSnapshot tablesAt(StoreRevision At) {
+StoreSnapshot tablesAt(StoreRevision At, StoreRevision ChangedAt) {
   StoreSnapshot S;
   S.AsOf = At;
-  S.Items = {{"tables", std::to_string(At.Number), At, false}};
+  S.Items = {{"tables", std::to_string(ChangedAt.Number), ChangedAt, false}};
   return S;
 }
 
@@ -59,7 +60,7 @@
           [this](const CatchUpEvent &Event) { Events.push_back(Event); }});
 
   Fixture() {
-    Mirror.applyFromPeer(tablesAt(Old));
+    Mirror.applyFromPeer(tablesAt(Old, Old));
     Mirror.setFollowing(true);
   }
 
@@ -86,7 +87,7 @@
       ++StoreCalls;
       Time.after(5ms, [this, Then] {
         if (StoreReachable)
-          return Then(tablesAt(InStore));
+          return Then(tablesAt(InStore, InStore));
         Then(makeError(ErrorKind::StoreUnreachable, "down"));
       });
     };
@@ -94,11 +95,14 @@
   }
 
   Peer &add(const std::string &Ip, const RegionId &Region, StoreRevision At) {
-    Peers[Ip] = {state(Ip, Region, At), At};
+    Peers[Ip] = {state(Ip, Region, At), At, At};
     Hosts.received(Peers[Ip].State);
     return Peers[Ip];
   }
 
+  /// Has a host hand over an older copy than it reports.
+  static void hasLess(Peer &P) { P.Has = P.ChangedAt = Old; }
+
   void answer(const std::string &Ip, const StoreMirrorHooks::Answer &Then) {
     Peer &From = Peers.at(Ip);
     ++From.Asked;
@@ -110,7 +114,9 @@
     if (From.Refuses)
       return Time.after(1ms, Fail);
     Time.after(From.State.Region == Home ? 2ms : 80ms,
-               [Has = From.Has, Then] { Then(tablesAt(Has)); });
+               [Has = From.Has, ChangedAt = From.ChangedAt, Then] {
+                 Then(tablesAt(Has, ChangedAt));
+               });
   }
 
   void runFor(Duration Span) {
@@ -176,7 +182,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(hostThatHandsOverLessThanItReportsIsPassedOver) {
-  add("10.0.0.1", Home, {1, 9}).Has = Old;
+  hasLess(add("10.0.0.1", Home, {1, 9}));
   add("10.0.0.2", Home, New);
   runFor(InTime);
   BOOST_TEST(isUpToDate());
@@ -231,7 +237,7 @@
 // A report that no host and not the store confirms must not be believed for
 // ever.
 BOOST_AUTO_TEST_CASE(readOfTheStoreRefutesAWrongReport) {
-  add("10.0.0.1", Home, {1, 99}).Has = Old;
+  hasLess(add("10.0.0.1", Home, {1, 99}));
   runFor(200ms);
   BOOST_TEST(Mirror.behindSince().has_value());
   Peers.clear();
@@ -239,6 +245,24 @@
   BOOST_TEST(!Mirror.behindSince().has_value());
 }
 
+// Other prefixes change all the time, so the hosts of the region always have a
+// later revision, and not the tables.
+BOOST_AUTO_TEST_CASE(senderIsAskedThoughRevisionsGrow) {
+  Peer &Near = add("10.0.0.1", Home, Old);
+  Peer &Sender = add("10.1.0.1", Abroad, Old);
+  Sender.Has = Sender.ChangedAt = {1, 1000};
+  // As a request does that waits for the tables.
+  for (Duration Passed{}; Passed < 500ms && Mirror.lastChange() == Old;
+       Passed += 20ms) {
+    ++Near.Has.Number;
+    CatchUp->fetchFor("10.1.0.1");
+    Time.runFor(20ms);
+  }
+  BOOST_TEST(Sender.Asked >= 1U);
+  BOOST_TEST((Mirror.lastChange() == Sender.ChangedAt));
+  BOOST_TEST(!CatchUp->behindSince().has_value());
+}
+
 // A request came by newer tables that no host reports.
 BOOST_AUTO_TEST_CASE(needOfARequestIsAskedOfItsSenderAndThenOfTheStore) {
   add("10.0.0.1", Home, Old);
