Pass the load of other regions on inside a region

Cause: what other regions report of their load reached the placer alone, and they went on to send it there for 2.6 s, or 13 s where they know it by reports. The next placer knew nothing, and not knowing is a refusal.

Change: the first placer passes what it was sent, combined by region and pool and with its age, on to the aggregators that are no placers, every 500 ms. A host that has become a placer says so at once; others answer it with the next tick and for 2 s after its latest word, whomever they take for the placer.

Ruled out: to send from every region to the spare aggregators, too: bytes between regions would grow by a third or more all the time. To relay each report as it comes: six placers that relay the reports of all others are some 2,000 datagrams a second in a region of 60 hosts.

--- a/src/dispatch/internal/regionloadtracker.cpp
+++ b/src/dispatch/internal/regionloadtracker.cpp
@@ -17,6 +17,54 @@
   Placers[Placer] = {Summary, Now};
 }
 
+bool RegionLoadTracker::receivedRelayed(const RegionPoolLoad &Load) {
+  if (Load.Age < Duration::zero() || Load.Age > MaxAge)
+    return false;
+  TimePoint At = Runtime_.Now() - Load.Age;
+  auto &Relayed = Pools_[{Load.Region, Load.Summary.Pool}].Relayed;
+  if (!Relayed || At > Relayed->At)
+    Relayed = Entry{Load.Summary, At};
+  return true;
+}
+
+std::vector<RegionLoadTracker::Entry>
+RegionLoadTracker::recent(const PoolState &S) const {
+  TimePoint Now = Runtime_.Now();
+  std::vector<Entry> Found;
+  for (const auto &[Placer, E] : S.Placers)
+    if (Now - E.At <= MaxAge)
+      Found.push_back(E);
+  if (Found.empty() && S.Relayed && Now - S.Relayed->At <= MaxAge)
+    Found.push_back(*S.Relayed);
+  return Found;
+}
+
+std::vector<RegionPoolLoad> RegionLoadTracker::combined() const {
+  TimePoint Now = Runtime_.Now();
+  std::vector<RegionPoolLoad> All;
+  for (const auto &[Where, S] : Pools_) {
+    RegionPoolLoad Load{Where.first, {}, {}};
+    PoolLoadSummary &Sum = Load.Summary;
+    Sum.Pool = Where.second;
+    for (const auto &[Placer, E] : S.Placers) {
+      if (Now - E.At > MaxAge)
+        continue;
+      Load.Age = std::max(Load.Age, Now - E.At);
+      Sum.Endpoints += E.Summary.Endpoints;
+      Sum.Slots += E.Summary.Slots;
+      Sum.FreeSlots += E.Summary.FreeSlots;
+      Sum.Wait += E.Summary.Wait * E.Summary.Slots;
+      Sum.LateWait += E.Summary.LateWait * E.Summary.Slots;
+    }
+    if (Sum.Slots == 0)
+      continue;
+    Sum.Wait /= Sum.Slots;
+    Sum.LateWait /= Sum.Slots;
+    All.push_back(std::move(Load));
+  }
+  return All;
+}
+
 void RegionLoadTracker::recordForward(const RegionId &Region,
                                       const PoolName &Pool,
                                       Duration ServiceTime) {
@@ -53,17 +101,15 @@
     return std::nullopt;
   const PoolState &S = Found->second;
   TimePoint Now = Runtime_.Now();
+  std::vector<Entry> Recent = recent(S);
   Duration::rep Slots = 0;
-  for (const auto &[Placer, E] : S.Placers)
-    if (Now - E.At <= MaxAge)
-      Slots += E.Summary.Slots;
+  for (const Entry &E : Recent)
+    Slots += E.Summary.Slots;
   if (Slots == 0)
     return std::nullopt;
   // Service time that is ahead at all slots together.
   Duration Ahead{};
-  for (const auto &[Placer, E] : S.Placers) {
-    if (Now - E.At > MaxAge)
-      continue;
+  for (const Entry &E : Recent) {
     TimePoint KnownUntil = E.At - UpdateLag;
     Duration Sent = sentSince(S, KnownUntil) * E.Summary.Slots / Slots;
     // Free slots take a request each at once, and then the next ones.
@@ -82,9 +128,7 @@
     return {};
   Duration Sum{};
   Duration::rep Slots = 0;
-  for (const auto &[Placer, E] : Found->second.Placers) {
-    if (Runtime_.Now() - E.At > MaxAge)
-      continue;
+  for (const Entry &E : recent(Found->second)) {
     Sum += E.Summary.LateWait * E.Summary.Slots;
     Slots += E.Summary.Slots;
   }
--- a/src/dispatch/regionloadtracker.h
+++ b/src/dispatch/regionloadtracker.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "blackboard/idtypes.h"
 #include "framework/runtime.h"
@@ -27,6 +28,15 @@
   Duration LateWait{};
 };
 
+/// Load of a pool in a whole region, as one host passes it on to others of its
+/// own region.
+struct RegionPoolLoad {
+  RegionId Region;
+  PoolLoadSummary Summary;
+  /// Time since the oldest of the summaries in it arrived.
+  Duration Age{};
+};
+
 /// Hash of a pool's name.
 std::uint64_t poolHash(const PoolName &Pool);
 
@@ -44,6 +54,13 @@
 
   void received(const RegionId &Region, const HostId &Placer,
                 const PoolLoadSummary &Summary);
+  /// Records what another host of this region was sent by a region's placers.
+  /// Counts only while those send this host nothing. \return false for an age
+  /// of the future or over MaxAge, and the load is then ignored.
+  bool receivedRelayed(const RegionPoolLoad &Load);
+  /// The recent summaries that placers sent to this host, combined by region
+  /// and pool.
+  std::vector<RegionPoolLoad> combined() const;
   /// Records that a request that takes a slot this long was forwarded there.
   void recordForward(const RegionId &Region, const PoolName &Pool,
                      Duration ServiceTime);
@@ -76,12 +93,15 @@
   };
   struct PoolState {
     std::map<HostId, Entry> Placers;
+    std::optional<Entry> Relayed;
     /// Running sums of the forwarded service time, the oldest first; trimmed to
     /// MaxAge.
     std::deque<SentUpTo> Sent;
     Duration TrimmedServiceTime{};
   };
 
+  /// Recent entries: those of placers, or without any the relayed one.
+  std::vector<Entry> recent(const PoolState &S) const;
   static Duration sentSince(const PoolState &S, TimePoint From);
 
   Runtime Runtime_;
--- a/src/dispatch/tests/regionloadtrackertest.cpp
+++ b/src/dispatch/tests/regionloadtrackertest.cpp
@@ -166,4 +166,39 @@
   BOOST_TEST(Replay.Late < 0.05);
 }
 
+// The next placer of a region decides by it until other regions send to it.
+BOOST_AUTO_TEST_CASE(relayedLoadCountsWhilePlacersSendNothing) {
+  testing::VirtualTime Time{1};
+  RegionLoadTracker First(Time.runtime());
+  RegionLoadTracker Next(Time.runtime());
+  const RegionId Oslo("oslo");
+  First.received(Oslo, HostId("o0"), {poolHash(Plain), 30ms, 1, 1, 0, 10ms});
+  First.received(Oslo, HostId("o1"), {poolHash(Plain), 90ms, 2, 3, 2, 50ms});
+  Time.runFor(200ms);
+  auto Loads = First.combined();
+  BOOST_REQUIRE(Loads.size() == 1U);
+  BOOST_TEST((Loads[0].Age == 200ms));
+  BOOST_TEST(Next.receivedRelayed(Loads[0]));
+  BOOST_TEST((Next.wait(Oslo, Plain, Service) == 75ms));
+  BOOST_TEST(
+      (Next.wait(Oslo, Plain, Service) == First.wait(Oslo, Plain, Service)));
+  BOOST_TEST((Next.lateWait(Oslo, Plain) == 40ms));
+  // It is not passed on once more, or it would never end.
+  BOOST_TEST(Next.combined().empty());
+  Next.received(Oslo, HostId("o0"), {poolHash(Plain), 5ms, 1, 1, 0});
+  BOOST_TEST((Next.wait(Oslo, Plain, Service) == 5ms));
+  Time.runFor(RegionLoadTracker::MaxAge);
+  BOOST_TEST(!First.wait(Oslo, Plain, Service).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(relayedLoadOfAnOddAgeIsIgnored) {
+  testing::VirtualTime Time{1};
+  RegionLoadTracker Tracker(Time.runtime());
+  RegionPoolLoad Load{RegionId("oslo"), {poolHash(Plain), 30ms, 1, 1, 0}, -1ms};
+  BOOST_TEST(!Tracker.receivedRelayed(Load));
+  Load.Age = RegionLoadTracker::MaxAge + 1ms;
+  BOOST_TEST(!Tracker.receivedRelayed(Load));
+  BOOST_TEST(!Tracker.wait(Load.Region, Plain, Service).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -275,6 +275,24 @@
   Out.set_needed(Note.Needed);
 }
 
+void writeOutlook(const PoolLoadSummary &Load, messages::PoolOutlook &Out) {
+  auto MillisOf = [](Duration D) {
+    return static_cast<std::uint32_t>(D / std::chrono::milliseconds(1));
+  };
+  Out.set_pool(Load.Pool);
+  Out.set_wait_ms(MillisOf(Load.Wait));
+  Out.set_endpoints(Load.Endpoints);
+  Out.set_places(Load.Slots);
+  Out.set_free_places(Load.FreeSlots);
+  Out.set_late_wait_ms(MillisOf(Load.LateWait));
+}
+
+PoolLoadSummary readOutlook(const messages::PoolOutlook &In) {
+  return {In.pool(),        std::chrono::milliseconds(In.wait_ms()),
+          In.endpoints(),   In.places(),
+          In.free_places(), std::chrono::milliseconds(In.late_wait_ms())};
+}
+
 // A share or credit that is no number of its range is an error of the sender;
 // it must not make this host exceed the limit.
 ShareNote readShare(const messages::ShareNote &In) {
--- a/src/fleethost/internal/updatecodec.h
+++ b/src/fleethost/internal/updatecodec.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "dispatch/placementtypes.h"
+#include "dispatch/regionloadtracker.h"
 #include "fleet/confirmationtracker.h"
 #include "fleet/fleetview.h"
 #include "fleet/hoststate.h"
@@ -25,6 +26,8 @@
 void writeConfirmation(const TablesConfirmation &Confirmation,
                        messages::TablesConfirmation &Out);
 TablesConfirmation readConfirmation(const messages::TablesConfirmation &In);
+void writeOutlook(const PoolLoadSummary &Load, messages::PoolOutlook &Out);
+PoolLoadSummary readOutlook(const messages::PoolOutlook &In);
 void writeShare(const ShareNote &Note, messages::ShareNote &Out);
 ShareNote readShare(const messages::ShareNote &In);
 /// A time stamp of this host's clock, which other hosts only return.
--- a/src/fleethost/internal/updateexchange.cpp
+++ b/src/fleethost/internal/updateexchange.cpp
@@ -89,6 +89,12 @@
                      [&](const HostState &H) { return H.Ip == Self.Ip; });
 }
 
+bool UpdateExchange::isPlacer() const {
+  const HostState &Self = Components_.Hosts.self();
+  return ipsOf(Components_.Hosts.delegates(Self.Region).Placers)
+      .contains(Self.Ip);
+}
+
 bool UpdateExchange::isWatcher() const {
   const HostState &Self = Components_.Hosts.self();
   auto Aggregators = Components_.Hosts.delegates(Self.Region).Aggregators;
@@ -151,24 +157,51 @@
 void UpdateExchange::sendToOtherRegions() {
   const HostState &Self = Components_.Hosts.self();
   auto Placers = Components_.Hosts.delegates(Self.Region).Placers;
-  if (!ipsOf(Placers).contains(Self.Ip))
+  if (!isPlacer())
     return;
   Update Message = updateOfSelf();
-  for (const PoolLoadSummary &Outlook : Components_.Decisions.outlook()) {
-    auto *Item = Message.add_outlook();
-    Item->set_pool(Outlook.Pool);
-    Item->set_wait_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(Outlook.Wait)
-            .count()));
-    Item->set_endpoints(Outlook.Endpoints);
-    Item->set_places(Outlook.Slots);
-    Item->set_free_places(Outlook.FreeSlots);
-    Item->set_late_wait_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(Outlook.LateWait)
-            .count()));
-  }
-  for (const std::string &Ip : remotePlacers())
+  Message.set_places(true);
+  for (const PoolLoadSummary &Outlook : Components_.Decisions.outlook())
+    writeOutlook(Outlook, *Message.add_outlook());
+  std::set<std::string> To = remotePlacers();
+  To.merge(recentRemoteSenders());
+  for (const std::string &Ip : To)
     send(Ip, Message);
+  if (Placers.front().Ip == Self.Ip)
+    relayOutlooks();
+}
+
+std::set<std::string> UpdateExchange::recentRemoteSenders() {
+  TimePoint Now = Runtime_.Now();
+  std::erase_if(RemoteSenders_, [Now](const auto &Entry) {
+    return Now - Entry.second > RemoteSenderMemory;
+  });
+  std::set<std::string> Ips;
+  for (const auto &[Ip, At] : RemoteSenders_)
+    Ips.insert(Ip);
+  return Ips;
+}
+
+void UpdateExchange::relayOutlooks() {
+  auto Delegates = Components_.Hosts.delegates(Components_.Hosts.self().Region);
+  std::set<std::string> To = ipsOf(Delegates.Aggregators);
+  for (const std::string &Placer : ipsOf(Delegates.Placers))
+    To.erase(Placer);
+  std::vector<RegionPoolLoad> Loads =
+      Components_.Decisions.regions().combined();
+  for (std::size_t At = 0; At < Loads.size();) {
+    Update Message = updateOfSelf();
+    std::size_t End = std::min(Loads.size(), At + OutlooksPerDatagram);
+    for (; At < End; ++At) {
+      auto *Item = Message.add_relayed();
+      Item->set_region(Loads[At].Region.str());
+      writeOutlook(Loads[At].Summary, *Item->mutable_outlook());
+      Item->set_age_ms(static_cast<std::uint32_t>(
+          Loads[At].Age / std::chrono::milliseconds(1)));
+    }
+    for (const std::string &Ip : To)
+      send(Ip, Message);
+  }
 }
 
 void UpdateExchange::sendGreetings() {
@@ -303,6 +336,9 @@
     sendToRegion();
     Components_.LocalPlacer.tick();
   }
+  // Other regions learn of a new placer at once, and it of their load.
+  if (bool Places = isPlacer(); Places != std::exchange(WasPlacer_, Places))
+    NextRemoteUpdate_ = Now;
   if (isDue(NextRemoteUpdate_, Now, RemoteInterval))
     sendToOtherRegions();
   if (isDue(NextGreeting_, Now, GreetingInterval))
@@ -381,12 +417,20 @@
     Components_.Hosts.hostReported(Other,
                                    std::chrono::milliseconds(Item.age_ms()));
   }
+  const RegionId &OwnRegion = Components_.Hosts.self().Region;
+  if (Message.places() && From.Region != OwnRegion) {
+    if (!RemoteSenders_.contains(From.Ip))
+      NextRemoteUpdate_ = Runtime_.Now();
+    RemoteSenders_[From.Ip] = Runtime_.Now();
+  }
   for (const auto &Item : Message.outlook())
-    Components_.Decisions.regions().received(
-        From.Region, From.Id,
-        {Item.pool(), std::chrono::milliseconds(Item.wait_ms()),
-         Item.endpoints(), Item.places(), Item.free_places(),
-         std::chrono::milliseconds(Item.late_wait_ms())});
+    Components_.Decisions.regions().received(From.Region, From.Id,
+                                             readOutlook(Item));
+  if (From.Region == OwnRegion)
+    for (const auto &Item : Message.relayed())
+      Components_.Decisions.regions().receivedRelayed(
+          {RegionId(Item.region()), readOutlook(Item.outlook()),
+           std::chrono::milliseconds(Item.age_ms())});
   if (CrashNews News = readCrashNews(Message); !News.isEmpty())
     Components_.Decisions.crashes().received(News);
   for (const auto &Item : Message.words())
--- a/src/fleethost/internal/updateexchange.h
+++ b/src/fleethost/internal/updateexchange.h
@@ -82,6 +82,9 @@
   /// Time between updates to the placers of other regions; their bytes are paid
   /// for.
   static constexpr Duration RemoteInterval = std::chrono::milliseconds(500);
+  /// How long a host of another region that has said that it is a placer gets
+  /// the load of this one: a few of its updates may be lost.
+  static constexpr Duration RemoteSenderMemory = 4 * RemoteInterval;
   /// Time between the digests that a watcher sends to its region: of the
   /// region's hosts, and of all hosts.
   static constexpr Duration RegionDigestInterval = std::chrono::seconds(1);
@@ -103,6 +106,8 @@
   /// Reports of sound or refused suspects in one datagram; each takes up to 60
   /// bytes.
   static constexpr std::size_t SuspectsPerDatagram = 400;
+  /// Loads of other regions' pools in one datagram; each takes about 60 bytes.
+  static constexpr std::size_t OutlooksPerDatagram = 200;
   /// Listed placements in one datagram; each takes about 35 bytes.
   static constexpr std::size_t ListedPerDatagram = 300;
   /// A batch of placement messages is sent at once when it has reached this
@@ -126,6 +131,12 @@
   /// as needed.
   void sendList(const std::string &Ip);
   void sendToOtherRegions();
+  /// Sends what the placers of other regions reported to the region's other
+  /// aggregators: the next placer needs it the moment this host falls silent.
+  void relayOutlooks();
+  /// Hosts of other regions that have just said that they are placers. One that
+  /// has become one gets the load before others name it here.
+  std::set<std::string> recentRemoteSenders();
   void sendGreetings();
   void sendHosts(const std::set<std::string> &To,
                  const HostRegistry::Hosts &Of);
@@ -134,6 +145,8 @@
   void sendCrashNews(const std::set<std::string> &To, const CrashNews &News);
   std::set<std::string> regionIps() const;
   std::set<std::string> remotePlacers() const;
+  /// Whether this host is one of its region's placers.
+  bool isPlacer() const;
   void handleNote(const std::string &From, const messages::PlacementNote &Note);
   void applyUpdate(const HostState &From, const Update &Message);
 
@@ -147,8 +160,11 @@
     TimePoint At{};
   };
   std::deque<ReceivedReport> Reports_;
+  /// By address; when the latest such update arrived.
+  std::map<std::string, TimePoint> RemoteSenders_;
   /// Hosts whose state has changed since the last update to the region.
   std::set<std::string> ChangedHosts_;
+  bool WasPlacer_ = false;
   TimePoint NextRegionUpdate_{};
   TimePoint NextRemoteUpdate_{};
   TimePoint NextGreeting_{};
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -53,13 +53,37 @@
     // The real link drops longer datagrams, too.
     if (LosesDatagrams || Bytes.size() > DatagramLink::MaxBytes)
       return;
-    Time.after(1ms, [this, To, Bytes] { All.at(To)->Exchange.receive(Bytes); });
+    Time.after(1ms, [this, To, Bytes] {
+      if (!Silent.contains(To))
+        All.at(To)->Exchange.receive(Bytes);
+    });
+  }
+
+  /// Adds the only host of another region, with an endpoint there.
+  void addRemoteHost(const RegionId &Where) {
+    HostState Self = testing::DispatchFixture::self();
+    Self.Id = HostId("o0");
+    Self.Ip = "10.1.0.0";
+    Self.Region = Where;
+    FleetEndpoint E = Fixture.addEndpoint("far", "plain");
+    E.Region = Where;
+    E.Slots = 4;
+    All[Self.Ip] = std::make_unique<Host>(*this, Self);
+    All[Self.Ip]->View.adoptTables(*Fixture.View.tables());
+    for (const auto &[Ip, H] : All) {
+      H->View.putEndpoint(E);
+      if (Ip == Self.Ip)
+        continue;
+      H->Hosts.received(Self);
+      All[Self.Ip]->Hosts.received(H->Hosts.self());
+    }
   }
 
   void run(Duration Span) {
     for (Duration Past{}; Past < Span; Past += UpdateExchange::TickInterval) {
       for (const auto &[Ip, H] : All)
-        H->Exchange.tick();
+        if (!Silent.contains(Ip))
+          H->Exchange.tick();
       Time.runFor(UpdateExchange::TickInterval);
     }
   }
@@ -100,6 +124,8 @@
   std::map<std::string, std::unique_ptr<Host>> All;
   std::size_t LongestDatagram = 0;
   bool LosesDatagrams = false;
+  /// Hosts that were killed or stand still.
+  std::set<std::string> Silent;
 };
 
 Host::Host(Region &Whole, const HostState &Self, std::set<RegionId> Regions)
@@ -307,4 +333,32 @@
   BOOST_TEST(std::holds_alternative<Enqueue>(Place(false)));
 }
 
+// All requests whose homes are elsewhere were refused for 2.4 s to 8.5 s: the
+// load of other regions was known to the region's placer alone, and these went
+// on to report it to that host.
+BOOST_AUTO_TEST_CASE(loadOfOtherRegionsOutlivesThePlacer) {
+  const RegionId Oslo("oslo");
+  Region R(5);
+  R.addRemoteHost(Oslo);
+  // All hosts know each other by digests.
+  R.run(2 * UpdateExchange::FullDigestInterval + 1s);
+  const RegionId Own = testing::DispatchFixture::self().Region;
+  // The placer falls silent, and then the next one.
+  for (int Loss = 0; Loss < 2; ++Loss) {
+    Host &Any = *R.All.at("10.1.0.0");
+    R.Silent.insert(Any.Hosts.delegates(Own).Placers.front().Ip);
+    for (Duration Past{}; Past < 16s; Past += 100ms) {
+      R.run(100ms);
+      for (const auto &[Ip, H] : R.All) {
+        if (R.Silent.contains(Ip) || H->Hosts.self().Region != Own)
+          continue;
+        BOOST_TEST_CONTEXT(Ip << " " << Past / 1ms << " ms after " << Loss)
+        BOOST_TEST(H->Decisions.regions()
+                       .wait(Oslo, PoolName("plain"), 60ms)
+                       .has_value());
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
