Soak: count every standstill of a host, not only those in series

Trace: the host got q549 with 5 s to its deadline, was stopped by the soak's own SIGSTOP 4.9 s later and went on 3.19 s after that ("Event loop stalled.", 3,151 ms; "Tables may be outdated.", gap 3,185 ms). It answered 504 in the same millisecond, 8,092 ms after the request came; the soak's caller had left after 8 s. A process that stands still can't answer, and the soak allows for that where it pauses hosts in series: the time stood counts beside the 8 s. Single freezes, of up to 3.5 s, did not count.

A pause that begins within another, and one that ends with its process, are counted right, too.

--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -67,6 +67,7 @@
 
 void SoakHost::pause(TimePoint Now) {
   Process->signal(SIGSTOP);
+  StoodBefore = stood(Now);
   Paused = true;
   PausedAt = Now;
 }
@@ -144,6 +145,9 @@
 void SoakWorld::startHost(SoakHost &Host) {
   ++Host.Starts;
   Host.Stopping = false;
+  // A process that was killed while it stood still has ended.
+  Host.StoodBefore = Host.stood(Loop.runtime().Now());
+  Host.Paused = false;
   Host.Process =
       std::make_unique<GatewayProcess>(Host.Options, Folder_.path(""));
 }
