Soak: count the time that starting hosts takes as being late

The hosts' logs show that they had answered after 0.5 to 5.0 s; the soak made no call for some 9 s, each time right after a host was started again.

Cause: the time from which lateness is counted was taken after the hosts had been started, so that a start that blocks was left out.

Change: it is taken before.

That the 9 s were starts, too, is only suspected.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -53,10 +53,11 @@
 
 private:
   void keepHosts() {
-    World_.restartEnded();
     constexpr Duration Look = std::chrono::milliseconds(300);
+    TimePoint Due = Time_.Now() + Look;
+    World_.restartEnded();
     // What callers saw in time says nothing once the soak itself stood still.
-    Time_.After(Look, [this, Due = Time_.Now() + Look] {
+    Time_.After(Look, [this, Due] {
       MostLate_ = std::max(MostLate_, Time_.Now() - Due);
       keepHosts();
     });
