Let copies of the tables take as long as they arrive

Cause: the fetch of a copy from another host had one second in all, and after 100 ms without its end another host was asked beside it, up to four. A copy of 0.8 MB takes 0.64 s alone on such a link. Two or more at once take over a second each, are all given up, what has arrived is dropped, and the next round is the same. A copy of over 1.2 MB, as after a third change, never comes even alone.

Change: a fetch ends when nothing has arrived for a second. While one is on its way (bytes within 400 ms, and the rest within 3 s at its rate) no other host is asked and the store is not read; a host that begins to hand over ends the questions beside it. A confirmation after a start or standstill follows the same rule. The error of a fetch says how many bytes had arrived.

Ruled out: tables that come and are not applied (the applied revision stood still), requests routed by older tables than their host has (the versions are equal).

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -454,7 +454,8 @@
                          const auto &Then) {
               Snapshots_.fetch(Ip, Part, Since, Then);
             },
-            [this](const detail::CatchUpEvent &Event) { logCatchUp(Event); }});
+            [this](const detail::CatchUpEvent &Event) { logCatchUp(Event); },
+            [this, Part] { return Snapshots_.isReceiving(Part); }});
   }
 
   void logCatchUp(const detail::CatchUpEvent &Event) const {
@@ -516,7 +517,8 @@
         [this](const std::string &Ip, MirrorPart Part, StoreRevision Since,
                const auto &Then) { Snapshots_.fetch(Ip, Part, Since, Then); },
         [this](RecencyCheck::Episode Asked) { Recency_.confirm(Asked); },
-        [this] { return !Recency_.isConfirmed(); }};
+        [this] { return !Recency_.isConfirmed(); },
+        [this](MirrorPart Part) { return Snapshots_.isReceiving(Part); }};
   }
 
   void logRecency(const RecencyChange &Change) {
@@ -880,7 +882,7 @@
   mutable ConfirmationTracker Confirmations_;
   CustomerLimits Limits_;
   detail::UpdateExchange Exchange_;
-  detail::PeerSnapshots Snapshots_{Caller_, Settings_.HostPort};
+  detail::PeerSnapshots Snapshots_{Time_, Caller_, Settings_.HostPort};
   StoreMirror OperatorMirror_;
   StoreMirror EndpointMirror_;
   detail::SourceRanking Sources_{Time_, Hosts_};
--- a/src/fleethost/internal/mirrorcatchup.cpp
+++ b/src/fleethost/internal/mirrorcatchup.cpp
@@ -42,7 +42,8 @@
   if (!Pending_ && !ForRequest)
     return;
   TimePoint Now = Runtime_.Now();
-  if (!Plan_.mayAsk(Now) || (!ForRequest && awaitsNearReport()))
+  if (isReceiving() || !Plan_.mayAsk(Now) ||
+      (!ForRequest && awaitsNearReport()))
     return askLater();
   RankedSources Ranked =
       Sources_.newerThan(Part_, Mirror_.revision(), Plan_.asking());
@@ -84,6 +85,10 @@
 
 void MirrorCatchUp::answered(const std::string &Ip, StoreRevision Expected,
                              const Result<StoreSnapshot> &Got) {
+  if (!Got && Got.error().Kind == ErrorKind::Cancelled) {
+    Plan_.withdrawn(Ip);
+    return askLater();
+  }
   StoreRevision Before = Mirror_.lastChange();
   if (Got)
     Mirror_.applyFromPeer(*Got);
@@ -122,7 +127,8 @@
     StoreReadInterval_ = StoreReadDelay;
     ReadsStoreAt_ = Since.value_or(Runtime_.Now()) + StoreReadDelay + spread();
   }
-  if (Since && Runtime_.Now() >= ReadsStoreAt_ && !ReadingStore_)
+  if (Since && Runtime_.Now() >= ReadsStoreAt_ && !ReadingStore_ &&
+      !isReceiving())
     readStore();
 }
 
--- a/src/fleethost/internal/mirrorcatchup.h
+++ b/src/fleethost/internal/mirrorcatchup.h
@@ -55,6 +55,10 @@
         Fetch;
     /// May be empty.
     std::function<void(const CatchUpEvent &)> Report;
+    /// Whether a host is handing over the changes. No other one is asked
+    /// meanwhile, and the store is not read: on a slow link none of them would
+    /// come to an end. May be empty.
+    std::function<bool()> IsReceiving = {};
   };
 
   MirrorCatchUp(Runtime R, SourceRanking &Sources, StoreMirror &Mirror,
@@ -91,6 +95,9 @@
   void answered(const std::string &Ip, StoreRevision Expected,
                 const Result<StoreSnapshot> &Got);
   void finish(Result<StoreSnapshot> Got);
+  bool isReceiving() const {
+    return Hooks_.IsReceiving && Hooks_.IsReceiving();
+  }
   /// Whether to leave hosts of this region time to report the changes.
   bool awaitsNearReport() const;
   void readStore();
--- a/src/fleethost/internal/peerconfirmation.cpp
+++ b/src/fleethost/internal/peerconfirmation.cpp
@@ -104,21 +104,24 @@
 }
 
 void PeerConfirmation::fetch(const std::string &Ip, MirrorPart Part) {
-  if (!Fetching_.insert({Ip, Part}).second)
+  bool Receiving = Hooks_.IsReceiving && Hooks_.IsReceiving(Part);
+  if (Receiving || !Fetching_.insert({Ip, Part}).second)
     return;
   StoreMirror &Mirror =
       Part == MirrorPart::OperatorTables ? Operator_ : Endpoints_;
-  Hooks_.FetchChanges(Ip, Part, Mirror.revision(),
-                      duringEpisode<StoreSnapshot>(
-                          [this, Ip, Part, &Mirror](Result<StoreSnapshot> Got) {
-                            Fetching_.erase({Ip, Part});
-                            if (!Got)
-                              return Sources_.recordFailure(Ip);
-                            Mirror.applyFromPeer(*Got);
-                            if (Got->Current &&
-                                Part == MirrorPart::OperatorTables)
-                              Hooks_.Confirmed(Episode_);
-                          }));
+  Hooks_.FetchChanges(
+      Ip, Part, Mirror.revision(),
+      duringEpisode<StoreSnapshot>(
+          [this, Ip, Part, &Mirror](Result<StoreSnapshot> Got) {
+            Fetching_.erase({Ip, Part});
+            if (!Got && Got.error().Kind == ErrorKind::Cancelled)
+              return;
+            if (!Got)
+              return Sources_.recordFailure(Ip);
+            Mirror.applyFromPeer(*Got);
+            if (Got->Current && Part == MirrorPart::OperatorTables)
+              Hooks_.Confirmed(Episode_);
+          }));
 }
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/peerconfirmation.h
+++ b/src/fleethost/internal/peerconfirmation.h
@@ -56,6 +56,8 @@
     std::function<void(RecencyCheck::Episode)> Confirmed;
     /// Whether an episode's confirmation is still needed.
     std::function<bool()> IsNeeded;
+    /// See MirrorCatchUp::Hooks. May be empty.
+    std::function<bool(MirrorPart)> IsReceiving = {};
   };
 
   PeerConfirmation(Runtime R, const HostRegistry &Hosts, SourceRanking &Sources,
--- a/src/fleethost/internal/peersnapshots.h
+++ b/src/fleethost/internal/peersnapshots.h
@@ -2,6 +2,7 @@
 #define CELERYBEAM_FLEETHOST_INTERNAL_PEERSNAPSHOTS_H
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,12 +24,19 @@
   using Answer = StoreMirrorHooks::Answer;
 
   /// \param Port  at which entry hosts receive requests from each other.
-  PeerSnapshots(HttpCaller &Caller, std::string Port);
+  PeerSnapshots(Runtime R, HttpCaller &Caller, std::string Port);
+  ~PeerSnapshots();
 
   /// Fetches the changes after a revision from a host; it may return all keys
-  /// instead. Errors: ConnectionLost, Internal.
+  /// instead. A transfer may take as long as bytes arrive; when one begins,
+  /// those of the same part that have not begun are ended. Errors:
+  /// ConnectionLost, Internal, Cancelled when another host has begun to hand
+  /// over the part.
   void fetch(const std::string &Ip, MirrorPart Part, StoreRevision Since,
              const Answer &Then);
+  /// Whether a host is handing over a part, so that it is not worth asking
+  /// another one; see TransferProgress::isOnItsWay.
+  bool isReceiving(MirrorPart Part) const;
   /// Asks a host what its mirrors include, without their content. Errors:
   /// ConnectionLost, Internal.
   void askSummary(const std::string &Ip, const SummaryAnswer &Then);
@@ -42,13 +50,20 @@
   static bool isSummaryRequest(const HttpRequestHead &Head);
 
 private:
+  struct Transfer;
+  struct OpenTransfers;
   /// Calls a path of a host and returns the body. Errors: ConnectionLost, with
-  /// what went wrong.
+  /// what went wrong. \param Of  the transfer that the call belongs to; null
+  /// for none.
   void call(const std::string &Ip, const std::string &Path,
+            const std::shared_ptr<Transfer> &Of,
             std::function<void(Result<std::string>)> Then);
 
+  Runtime Runtime_;
   HttpCaller &Caller_;
   std::string Port_;
+  /// Outlives this object while calls are open.
+  std::shared_ptr<OpenTransfers> Open_;
 };
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/tablefetchplan.cpp
+++ b/src/fleethost/internal/tablefetchplan.cpp
@@ -48,4 +48,9 @@
     ++Fruitless_;
 }
 
+void TableFetchPlan::withdrawn(const std::string &Ip) {
+  Asking_.erase(Ip);
+  AskingFar_.erase(Ip);
+}
+
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/tablefetchplan.h
+++ b/src/fleethost/internal/tablefetchplan.h
@@ -24,10 +24,11 @@
 /// Decides which hosts are asked for newer tables, and when.
 ///
 /// Handles this load pattern: "the host that is asked stands still". Another
-/// one is asked after SecondSourceDelay. Bytes between regions are paid for, so
-/// the sender of a request and hosts of other regions are asked only when hosts
-/// of this region have not had newer tables, or none of them is left to ask,
-/// and one at a time. Not thread-safe.
+/// one is asked after SecondSourceDelay; once a
+/// host has begun to hand over its tables, the owner asks no other. Bytes
+/// between regions are paid for, so the sender of a request and hosts of other
+/// regions are asked only when hosts of this region have not had newer tables,
+/// or none of them is left to ask, and one at a time. Not thread-safe.
 class TableFetchPlan {
 public:
   /// Whether next may name a host, so that no sources are looked for in vain.
@@ -39,6 +40,8 @@
   /// Records that a question has ended. \param Newer  whether it brought newer
   /// tables.
   void ended(const std::string &Ip, bool Newer);
+  /// Records that a question was ended before it could be answered.
+  void withdrawn(const std::string &Ip);
 
   /// Hosts whose answer is outstanding.
   const std::set<std::string> &asking() const { return Asking_; }
--- a/src/fleethost/tests/peersnapshotstest.cpp
+++ b/src/fleethost/tests/peersnapshotstest.cpp
@@ -23,7 +23,7 @@
   });
   std::string Where = Host.address();
   std::size_t Colon = Where.find(':');
-  PeerSnapshots Snapshots(Caller, Where.substr(Colon + 1));
+  PeerSnapshots Snapshots(Loop.runtime(), Caller, Where.substr(Colon + 1));
   std::optional<Result<MirrorSummary>> Got;
   Snapshots.askSummary(
       Where.substr(0, Colon),
--- a/src/fleethost/tests/slowhandovertest.cpp
+++ b/src/fleethost/tests/slowhandovertest.cpp
@@ -1,19 +1,20 @@
 #include <boost/test/unit_test.hpp>
 
-#include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "fleethost/internal/mirrorcatchup.h"
 #include "fleethost/internal/peersnapshots.h"
 #include "fleethost/internal/snapshotcodec.h"
-#include "relay/internal/beast.h"
-#include "relay/internal/sockets.h"
+#include "relay/tests/slowlink.h"
 
 using namespace celerybeam;
 using namespace celerybeam::detail;
 using namespace std::chrono_literals;
+using celerybeam::testing::SlowLink;
 
 namespace {
 
@@ -34,93 +35,6 @@
   return S;
 }
 
-/// Other hosts on loopback. Their responses share the link of the host that
-/// asks.
-class SlowLink {
-public:
-  /// How a host answers.
-  enum class Manner { Sends, StopsHalfway, Trickles };
-
-  SlowLink(EventLoop &Loop, std::size_t TableBytes)
-      : Loop_(Loop), Body_(writeSnapshot(tablesOf(TableBytes))) {}
-
-  void add(const std::string &Ip, Manner How) {
-    Hosts_.emplace_back(Loop_, Ip, Port_, How);
-    Port_ = Hosts_.back().Acceptor.local_endpoint().port();
-    accept(Hosts_.back());
-  }
-
-  /// Passes what the link carries in one step to all open responses.
-  void pass() {
-    std::erase_if(Responses_, [](const auto &R) { return R->Left.empty(); });
-    std::size_t Share =
-        LinkBytesPerStep / std::max<std::size_t>(Responses_.size(), 1);
-    for (const auto &R : Responses_) {
-      bool IsHalf = R->Left.size() <= Body_.size() / 2;
-      if (R->How == Manner::StopsHalfway && IsHalf)
-        continue;
-      send(*R, R->How == Manner::Trickles ? 1 : Share);
-    }
-  }
-
-  std::string port() const { return std::to_string(Port_); }
-  unsigned requests() const { return Requests_; }
-  std::size_t passedBytes() const { return PassedBytes_; }
-
-private:
-  struct Host {
-    Host(EventLoop &Loop, const std::string &Ip, std::uint16_t Port, Manner How)
-        : Acceptor(Loop.context(), {asio::ip::make_address(Ip), Port}),
-          How(How) {}
-    Tcp::acceptor Acceptor;
-    Manner How;
-  };
-  struct Response {
-    Response(Tcp::socket S, Manner How) : Socket(std::move(S)), How(How) {}
-    Tcp::socket Socket;
-    Manner How;
-    std::array<char, 4096> Buffer{};
-    std::string Left;
-  };
-
-  void accept(Host &At) {
-    At.Acceptor.async_accept([this, &At](ErrorCode Error, Tcp::socket Socket) {
-      if (Error)
-        return;
-      auto R = std::make_shared<Response>(std::move(Socket), At.How);
-      R->Socket.async_read_some(asio::buffer(R->Buffer),
-                                [this, R](ErrorCode Failed, std::size_t) {
-                                  if (!Failed)
-                                    begin(R);
-                                });
-      accept(At);
-    });
-  }
-
-  void begin(const std::shared_ptr<Response> &R) {
-    ++Requests_;
-    R->Left = "HTTP/1.1 200 OK\r\nContent-Length: " +
-              std::to_string(Body_.size()) + "\r\n\r\n" + Body_;
-    Responses_.push_back(R);
-  }
-
-  void send(Response &R, std::size_t Bytes) {
-    Bytes = std::min(Bytes, R.Left.size());
-    ErrorCode Error;
-    asio::write(R.Socket, asio::buffer(R.Left.data(), Bytes), Error);
-    PassedBytes_ += Error ? 0 : Bytes;
-    R.Left.erase(0, Error ? R.Left.size() : Bytes);
-  }
-
-  EventLoop &Loop_;
-  std::string Body_;
-  std::uint16_t Port_ = 0;
-  std::deque<Host> Hosts_;
-  std::vector<std::shared_ptr<Response>> Responses_;
-  unsigned Requests_ = 0;
-  std::size_t PassedBytes_ = 0;
-};
-
 /// A host on a slow link that follows others, on virtual time.
 struct Fixture {
   TimePoint Now{1000s};
@@ -135,12 +49,14 @@
   std::optional<PeerSnapshots> Snapshots;
   std::shared_ptr<MirrorCatchUp> CatchUp = std::make_shared<MirrorCatchUp>(
       Time, Ranking, Mirror, MirrorPart::OperatorTables,
-      MirrorCatchUp::Hooks{[this](const std::string &Ip, StoreRevision Since,
-                                  const auto &Then) {
-                             Snapshots->fetch(Ip, MirrorPart::OperatorTables,
-                                              Since, Then);
-                           },
-                           {}});
+      MirrorCatchUp::Hooks{
+          [this](const std::string &Ip, StoreRevision Since, const auto &Then) {
+            Snapshots->fetch(Ip, MirrorPart::OperatorTables, Since, Then);
+          },
+          {},
+          [this] {
+            return Snapshots->isReceiving(MirrorPart::OperatorTables);
+          }});
 
   Fixture() {
     StoreSnapshot First = tablesOf(1);
@@ -184,11 +100,12 @@
   /// Adds hosts that all have the newest tables, of a size.
   void addHosts(std::size_t TableBytes,
                 const std::vector<SlowLink::Manner> &Manners) {
-    Link.emplace(Loop, TableBytes);
+    Link.emplace(Loop,
+                 testing::responseWith(writeSnapshot(tablesOf(TableBytes))));
     for (std::size_t I = 0; I < Manners.size(); ++I)
       Link->add("127.0.0." + std::to_string(11 + I), Manners[I]);
     HostCount = Manners.size();
-    Snapshots.emplace(Caller, Link->port());
+    Snapshots.emplace(Time, Caller, Link->port());
   }
 
   void report() {
@@ -203,7 +120,7 @@
       if (Passed % 200ms == Duration::zero())
         report();
       CatchUp->tick();
-      Link->pass();
+      Link->pass(LinkBytesPerStep);
       poll();
       Now += Step;
       Loop.timers().runDue(Now);
@@ -213,8 +130,8 @@
 
   /// Runs what is ready.
   void poll() {
-    while (Loop.context().poll() > 0)
-      ;
+    while (Loop.context().poll() > 0) {
+    }
   }
 
   bool isUpToDate() const { return Mirror.revision() >= New; }
--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -23,6 +23,10 @@
   Duration ConnectTimeout = std::chrono::milliseconds(400);
   /// Limit for the whole call; unset: only the owner ends it, by cancel().
   std::optional<Duration> Timeout;
+  /// Limit for the time in which nothing of the response arrives, from the
+  /// start of the call on. For responses whose length the caller does not know:
+  /// on a slow link they take longer than any limit for the whole call allows.
+  std::optional<Duration> SilenceTimeout;
   /// A pooled connection is reused only if it has been idle for at most this
   /// long. Zero always opens a new connection.
   Duration ReuseIdleAtMost{};
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -77,11 +77,13 @@
        HttpCallHooks Hooks)
       : Context_(Loop.context()), Pool_(std::move(Pool)),
         ConnectionsMade_(ConnectionsMade), Request_(std::move(Request)),
-        Hooks_(std::move(Hooks)), ConnectTimer_(Loop), WholeTimer_(Loop) {}
+        Hooks_(std::move(Hooks)), ConnectTimer_(Loop), WholeTimer_(Loop),
+        SilenceTimer_(Loop) {}
 
   void start() {
     if (Request_.Timeout)
       endIn(WholeTimer_, *Request_.Timeout, HttpCallEnd::TimedOut);
+    watchSilence();
     Channel_ = Pool_->take(Request_.To, Request_.ReuseIdleAtMost);
     Reused_ = Channel_ != nullptr;
     // BeforeSend must never run on this stack.
@@ -119,6 +121,11 @@
     });
   }
 
+  void watchSilence() {
+    if (Request_.SilenceTimeout)
+      endIn(SilenceTimer_, *Request_.SilenceTimeout, HttpCallEnd::TimedOut);
+  }
+
   void useIdleConnection() {
     if (State_ != State::Connecting)
       return;
@@ -198,6 +205,7 @@
           if (Self->State_ != State::Sent)
             return;
           Self->Channel_->Buffer.commit(Bytes);
+          Self->watchSilence();
           if (Error)
             Self->Progress_.Peer = closeOf(Error);
           Self->parse(Error);
@@ -307,6 +315,7 @@
     State_ = State::Ended;
     ConnectTimer_.cancel();
     WholeTimer_.cancel();
+    SilenceTimer_.cancel();
     if (Channel_) {
       ErrorCode Ignored;
       Channel_->Socket.close(Ignored);
@@ -320,6 +329,7 @@
   HttpCallHooks Hooks_;
   Timer ConnectTimer_;
   Timer WholeTimer_;
+  Timer SilenceTimer_;
   State State_ = State::Connecting;
   std::unique_ptr<Channel> Channel_;
   std::unique_ptr<Parser> Parser_;
