Refuse requests by tables that are known to be outdated

Cause: a host that lacks known changes held back second runs and 404s only. All else went on by the old tables, however long, as if the host were cut off, while dozens of hosts beside it offered the new ones.

Change: when changes that another host offers have not come for 2.5 s, requests are refused as not run (503 tables_outdated, Retry-After 0.3 s), at arrival, before each placement and before each send; the host is not named to callers and gets no requests from other regions while others are there. 2.5 s is what is left of the 3 s in which hosts in touch have to follow a change, after half a second for the report. A host counts changes as offered while one that reports them is alive and has not failed within 3 s: one that is cut off goes on.

Ruled out: refusing by MaxLag (1 s): a change of all tables takes about that long on small links, and most of a fleet would refuse at once.

--- a/src/fleet/hostregistry.h
+++ b/src/fleet/hostregistry.h
@@ -62,7 +62,7 @@
   /// The hosts of a region that accept requests, self excluded.
   Hosts serving(const RegionId &Region) const;
   /// One of the serving hosts, drawn at random in proportion to its size; empty
-  /// when there is none.
+  /// when there is none. One whose tables are stale only if all are.
   std::optional<HostState> drawServing(const RegionId &Region) const;
   /// Regions with alive hosts, this host's region excluded.
   std::set<RegionId> otherRegions() const;
--- a/src/fleet/hoststate.h
+++ b/src/fleet/hoststate.h
@@ -25,8 +25,8 @@
   StoreRevision EndpointRevision;
   /// Whether it watches the store itself and got a response recently.
   bool Watches = false;
-  /// Whether its right to resolve customers' keys ends soon unless its tables
-  /// are confirmed.
+  /// Whether its tables are outdated, or its right to resolve customers' keys
+  /// ends soon unless they are confirmed: it refuses requests, or soon will.
   bool TablesStale = false;
   /// Processor capacity in thousandths of a core. Work is divided in proportion
   /// to it.
--- a/src/fleet/internal/hostregistry.cpp
+++ b/src/fleet/internal/hostregistry.cpp
@@ -315,12 +315,15 @@
 HostRegistry::drawServing(const RegionId &Region) const {
   Impl_->refresh();
   std::vector<const HostState *> From;
-  double Sum = 0;
   for (const HostState &Host : Impl_->Alive_)
-    if (Host.Region == Region && Impl_->serves(Host)) {
+    if (Host.Region == Region && Impl_->serves(Host))
       From.push_back(&Host);
-      Sum += Host.MilliCores;
-    }
+  auto IsStale = [](const HostState *Host) { return Host->TablesStale; };
+  if (!std::all_of(From.begin(), From.end(), IsStale))
+    std::erase_if(From, IsStale);
+  double Sum = 0;
+  for (const HostState *Host : From)
+    Sum += Host->MilliCores;
   double At = Impl_->random() * Sum;
   for (const HostState *Host : From) {
     At -= Host->MilliCores;
@@ -414,7 +417,8 @@
   });
   if (Self.Region == Region && Impl::isServing(Self))
     Found.insert(Found.begin(), Self);
-  // Hosts that will soon refuse keys are named only if all would.
+  // Hosts that refuse requests for their tables, or soon will, are named only
+  // if all would.
   auto IsStale = [](const HostState &Host) { return Host.TablesStale; };
   if (!std::all_of(Found.begin(), Found.end(), IsStale))
     std::erase_if(Found, IsStale);
--- a/src/fleet/internal/recencycheck.cpp
+++ b/src/fleet/internal/recencycheck.cpp
@@ -37,10 +37,14 @@
   auto Since = Hooks_.BehindSince ? Hooks_.BehindSince() : std::nullopt;
   Duration Lag = Since ? Runtime_.Now() - *Since : Duration::zero();
   bool IsBehind = Lag > MaxLag;
-  if (IsBehind == std::exchange(IsBehind_, IsBehind))
-    return;
-  report(IsBehind ? RecencyChange::Kind::Behind : RecencyChange::Kind::CaughtUp,
-         Lag);
+  bool IsOutdated = Lag > MaxOutdated && Hooks_.IsOffered && Hooks_.IsOffered();
+  bool WasBehind = std::exchange(IsBehind_, IsBehind);
+  bool WasOutdated = std::exchange(IsOutdated_, IsOutdated);
+  using Kind = RecencyChange::Kind;
+  if (IsOutdated && !WasOutdated)
+    return report(Kind::Outdated, Lag);
+  if (IsBehind != WasBehind || IsOutdated != WasOutdated)
+    report(IsBehind ? Kind::Behind : Kind::CaughtUp, Lag);
 }
 
 void RecencyCheck::update() {
@@ -76,6 +80,11 @@
   return !DoubtedSince_ && !IsBehind_;
 }
 
+bool RecencyCheck::isOutdated() {
+  update();
+  return IsOutdated_;
+}
+
 bool RecencyCheck::mayHaveStoodStill() const {
   return Runtime_.Now() - LastCall_ > MaxGap;
 }
--- a/src/fleet/recencycheck.h
+++ b/src/fleet/recencycheck.h
@@ -19,8 +19,12 @@
     Confirmed,
     /// Nobody has confirmed it in time; requests go on with it.
     Unconfirmed,
-    /// It has lacked known changes for MaxLag; requests go on with it.
+    /// It has lacked known changes for MaxLag, or nobody offers them any more;
+    /// requests go on with it.
     Behind,
+    /// It has lacked changes that other hosts offer for MaxOutdated; requests
+    /// are refused.
+    Outdated,
     /// Those changes have come.
     CaughtUp
   };
@@ -61,6 +65,8 @@
     /// Since when changes are known that the copy lacks; empty when there are
     /// none. May be empty.
     std::function<std::optional<TimePoint>()> BehindSince = {};
+    /// Whether another host that answers has these changes. May be empty.
+    std::function<bool()> IsOffered = {};
   };
 
   /// The copy is doubtful from the construction on.
@@ -75,6 +81,10 @@
   /// tables allow: a second run of a request, or the verdict that a route does
   /// not exist.
   bool isConfirmed();
+  /// Whether the copy is known to be outdated and requests must not be handled
+  /// by it: changes that another host offers have not come within MaxOutdated.
+  /// A host that nobody offers them may be cut off and goes on.
+  bool isOutdated();
   /// Records that the copy includes all that a current host or the store knew
   /// when it was asked.
   void confirm(Episode Asked);
@@ -99,6 +109,9 @@
   /// A copy that has lacked known changes for longer is not confirmed until
   /// they have come.
   static constexpr Duration MaxLag = StoreMirror::MaxLag;
+  /// Hosts in touch follow a change within 3 s of its acknowledgement. Other
+  /// hosts report it within half a second of that.
+  static constexpr Duration MaxOutdated = std::chrono::milliseconds(2500);
 
 private:
   /// Notices a standstill, or that a doubt has lasted for MaxWait or MaxDoubt.
@@ -120,6 +133,7 @@
   std::optional<TimePoint> DoubtedSince_;
   bool WaitEnded_ = false;
   bool IsBehind_ = false;
+  bool IsOutdated_ = false;
 };
 
 } // namespace celerybeam
--- a/src/fleet/tests/hostregistrytest.cpp
+++ b/src/fleet/tests/hostregistrytest.cpp
@@ -206,6 +206,17 @@
   BOOST_TEST(Busy.entriesIn(RegionId("kigali")).size() == 1U);
 }
 
+// Such a host refuses the request.
+BOOST_AUTO_TEST_CASE(hostWithStaleTablesGetsRequestsOnlyIfAllHaveThem) {
+  HostState Stale = host("10.1.0.1", "oslo");
+  Stale.TablesStale = true;
+  Hosts.received(Stale);
+  BOOST_TEST(Hosts.drawServing(RegionId("oslo"))->Ip == "10.1.0.1");
+  Hosts.received(host("10.1.0.2", "oslo"));
+  for (unsigned I = 0; I < 50; ++I)
+    BOOST_TEST(Hosts.drawServing(RegionId("oslo"))->Ip == "10.1.0.2");
+}
+
 BOOST_AUTO_TEST_CASE(hostsOfOneSizeAreAllNamed) {
   for (int I = 2; I < 6; ++I)
     Hosts.received(host("10.0.0." + std::to_string(I), "kigali"));
--- a/src/fleet/tests/recencychecktest.cpp
+++ b/src/fleet/tests/recencychecktest.cpp
@@ -15,11 +15,12 @@
   std::vector<RecencyCheck::Episode> Asked;
   std::vector<RecencyChange::Kind> Changes;
   std::optional<TimePoint> BehindSince;
+  bool Offered = false;
   RecencyCheck Check{
       Time.runtime(),
       {[this](RecencyCheck::Episode E, unsigned) { Asked.push_back(E); },
        [this](const RecencyChange &C) { Changes.push_back(C.What); },
-       [this] { return BehindSince; }}};
+       [this] { return BehindSince; }, [this] { return Offered; }}};
 
   /// Lets time pass with ticks, as a loop does that does not stand still.
   void runFor(Duration D) {
@@ -164,4 +165,26 @@
   BOOST_TEST(!Check.isConfirmed());
 }
 
+// HOME (issue 61): a host ran requests by tables of which it had known for ten
+// seconds that they were outdated.
+BOOST_AUTO_TEST_CASE(tablesThatLackOfferedChangesForLongAreOutdated) {
+  confirmStart();
+  Offered = true;
+  BehindSince = Time.runtime().Now();
+  runFor(RecencyCheck::MaxOutdated);
+  BOOST_TEST(!Check.isOutdated());
+  runFor(50ms);
+  BOOST_TEST(Check.isOutdated());
+  // Cut off from the hosts that have them, it goes on.
+  Offered = false;
+  BOOST_TEST(!Check.isOutdated());
+  Offered = true;
+  BOOST_TEST(Check.isOutdated());
+  BehindSince.reset();
+  BOOST_TEST(!Check.isOutdated());
+  using Kind = RecencyChange::Kind;
+  BOOST_TEST((Changes == std::vector{Kind::Behind, Kind::Outdated, Kind::Behind,
+                                     Kind::Outdated, Kind::CaughtUp}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -129,6 +129,7 @@
     };
     Context_.Hooks.MayAct = [this] { return Recency_.mayAct(); };
     Context_.Hooks.TablesConfirmed = [this] { return Recency_.isConfirmed(); };
+    Context_.Hooks.TablesOutdated = [this] { return Recency_.isOutdated(); };
     Context_.Hooks.MayResolveKey = [this](TimePoint Arrived) {
       return !Settings_.KeyLifetime ||
              Confirmations_.covers(Arrived, *Settings_.KeyLifetime);
@@ -506,7 +507,8 @@
                 OperatorMirror_.readAgain();
             },
             [this](const RecencyChange &Change) { logRecency(Change); },
-            [this] { return OperatorCatchUp_->behindSince(); }};
+            [this] { return OperatorCatchUp_->behindSince(); },
+            [this] { return OperatorCatchUp_->isOffered(); }};
   }
 
   detail::PeerConfirmation::Hooks confirmationHooks() {
@@ -528,6 +530,8 @@
         Change.What == Kind::Doubted     ? "Tables may be outdated."
         : Change.What == Kind::Confirmed ? "Tables confirmed to be recent."
         : Change.What == Kind::Behind    ? "Tables lack known changes."
+        : Change.What == Kind::Outdated
+            ? "Tables outdated; requests are refused."
         : Change.What == Kind::CaughtUp ? "Tables no longer lack known changes."
                                         : "Requests handled by unconfirmed "
                                           "tables.";
@@ -598,9 +602,9 @@
     Self.Ready = Ready;
     Self.Leaving = Draining_;
     bool Stale = areTablesStale();
-    if (Stale != Self.TablesStale)
+    if (Stale != std::exchange(KeysEndSoon_, Stale))
       logStale(Stale);
-    Self.TablesStale = Stale;
+    Self.TablesStale = Stale || Recency_.isOutdated();
     Self.OperatorRevision = OperatorMirror_.lastChange();
     Self.EndpointRevision = EndpointMirror_.lastChange();
     Self.Watches = !OperatorMirror_.isFollowing() &&
@@ -903,6 +907,8 @@
   std::shared_ptr<detail::HostAnnouncer> Announcer_;
   TimePoint StartedAt_ = Time_.Now();
   bool Draining_ = false;
+  /// Whether the right to resolve keys ended soon at the latest tick.
+  bool KeysEndSoon_ = false;
   TimePoint DrainStarted_{};
   /// When the requests that were still open got their final responses.
   std::optional<TimePoint> EndedOpenAt_;
--- a/src/fleethost/internal/mirrorcatchup.cpp
+++ b/src/fleethost/internal/mirrorcatchup.cpp
@@ -32,6 +32,10 @@
   return std::min(Since.value_or(RequestNeed_->Since), RequestNeed_->Since);
 }
 
+bool MirrorCatchUp::isOffered() const {
+  return Mirror_.behindSince() && Sources_.isOffered(Part_, Mirror_.revision());
+}
+
 bool MirrorCatchUp::awaitsNearReport() const {
   auto Since = Mirror_.behindSince();
   return Since && Runtime_.Now() - *Since < FarDelay && Sources_.hasNear() &&
--- a/src/fleethost/internal/mirrorcatchup.h
+++ b/src/fleethost/internal/mirrorcatchup.h
@@ -73,6 +73,8 @@
   /// Since when the mirror has lacked changes that other hosts report or that a
   /// request has needed; empty when it lacks none.
   std::optional<TimePoint> behindSince() const;
+  /// Whether a host that answers has changes that the mirror lacks.
+  bool isOffered() const;
   /// Call often. Has the store read when it is due, and notes the end of a lag.
   void tick();
 
--- a/src/fleethost/internal/sourceranking.cpp
+++ b/src/fleethost/internal/sourceranking.cpp
@@ -98,6 +98,14 @@
   });
 }
 
+bool SourceRanking::isOffered(MirrorPart Part, StoreRevision After) const {
+  auto Alive = Hosts_.alive();
+  return std::any_of(Alive.begin(), Alive.end(), [&](const HostState &Host) {
+    return revisionOf(Host, Part) > After &&
+           candidate(Host).FailedAt == TimePoint();
+  });
+}
+
 StoreRevision SourceRanking::reportedBy(const std::string &Ip,
                                         MirrorPart Part) const {
   auto Host = Hosts_.stateOf(Ip);
--- a/src/fleethost/internal/sourceranking.h
+++ b/src/fleethost/internal/sourceranking.h
@@ -47,6 +47,9 @@
   bool hasNear() const { return !Hosts_.aliveInRegion().empty(); }
   /// Whether a host of this region reports a revision after this one.
   bool isReportedNear(MirrorPart Part, StoreRevision After) const;
+  /// Whether a host that reports a revision after this one has not failed
+  /// within FailureMemory.
+  bool isOffered(MirrorPart Part, StoreRevision After) const;
   /// The revision that a host reports; zero when it is unknown.
   StoreRevision reportedBy(const std::string &Ip, MirrorPart Part) const;
 
--- a/src/fleethost/tests/sourcerankingtest.cpp
+++ b/src/fleethost/tests/sourcerankingtest.cpp
@@ -121,4 +121,17 @@
       (Ranking.confirmers({}).Near == Ips{"10.0.0.3", "10.0.0.1", "10.0.0.2"}));
 }
 
+// A host that nobody hands the changes over may be cut off.
+BOOST_AUTO_TEST_CASE(changesAreOfferedByHostsThatHaveNotFailed) {
+  add("10.0.0.1", Home, Old);
+  BOOST_TEST(!Ranking.isOffered(MirrorPart::OperatorTables, Old));
+  add("10.1.0.1", Abroad, New);
+  BOOST_TEST(Ranking.isOffered(MirrorPart::OperatorTables, Old));
+  BOOST_TEST(!Ranking.isOffered(MirrorPart::OperatorTables, New));
+  Ranking.recordFailure("10.1.0.1");
+  BOOST_TEST(!Ranking.isOffered(MirrorPart::OperatorTables, Old));
+  Ranking.recordSuccess("10.1.0.1");
+  BOOST_TEST(Ranking.isOffered(MirrorPart::OperatorTables, Old));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -44,6 +44,9 @@
 /// Retry-After while customers' keys cannot be resolved, since the store has
 /// been away for some seconds.
 constexpr Duration ConfirmationRetryAfter = std::chrono::seconds(1);
+/// While newer tables are on their way to this host; other hosts have them.
+const Refusal OutdatedTables = {std::chrono::milliseconds(300),
+                                "tables_outdated"};
 /// A repeatable request is tried at another endpoint when its first output is
 /// later than this multiple of the prediction plus a margin.
 constexpr int StallFactor = 3;
@@ -139,6 +142,8 @@
       return waitForTables();
     if (!mayAct())
       return later(&Relay::routeRequest);
+    if (areTablesOutdated())
+      return refuse(OutdatedTables);
     Tables_ = Context_.Fleet.tables();
     Record_.TablesVersion = Tables_->Version;
     if (Descriptor_.Forwarded && SenderTables_ > Tables_->Version)
@@ -283,6 +288,10 @@
     return !Context_.Hooks.MayAct || Context_.Hooks.MayAct();
   }
 
+  bool areTablesOutdated() const {
+    return Context_.Hooks.TablesOutdated && Context_.Hooks.TablesOutdated();
+  }
+
   /// Tries a step again after a moment.
   void later(void (Relay::*Step)(), Duration Delay = TablesPoll) {
     Context_.Time.After(Delay, [Self = shared_from_this(), Step] {
@@ -418,6 +427,10 @@
   void attempt() {
     if (!mayAct())
       return later(&Relay::attempt);
+    if (areTablesOutdated())
+      return provenNotRun(Log_.Execution) && !Streaming_
+                 ? refuse(OutdatedTables)
+                 : giveUp(false, OutdatedTables.Reason);
     updateHomes();
     if (!provenNotRun(Log_.Execution) && !mayRunAgain()) {
       Record_.Attempts += " may_not_run_again";
@@ -591,6 +604,11 @@
       undoChoice();
       return false;
     }
+    SendDeclined_ = areTablesOutdated();
+    if (SendDeclined_) {
+      Record_.Attempts += " tables_outdated";
+      return false;
+    }
     updateHomes();
     SendDeclined_ = !isSentHome();
     if (SendDeclined_) {
--- a/src/relay/relaytypes.h
+++ b/src/relay/relaytypes.h
@@ -116,6 +116,9 @@
   /// are confirmed to be recent; see RecencyCheck. When empty, both hold.
   std::function<bool()> MayAct;
   std::function<bool()> TablesConfirmed;
+  /// Whether no request may be handled by the tables, since newer ones are
+  /// known and have not come; see RecencyCheck::isOutdated. May be empty.
+  std::function<bool()> TablesOutdated;
   /// Whether a request that arrived at this time may be handled by the customer
   /// of its key, which may have been removed since the tables were confirmed.
   /// May be empty.
--- a/src/relay/tests/outdatedtablestest.cpp
+++ b/src/relay/tests/outdatedtablestest.cpp
@@ -15,6 +15,7 @@
   Fixture() {
     Context.Hooks.MayAct = [this] { return MayAct; };
     Context.Hooks.TablesConfirmed = [this] { return Confirmed; };
+    Context.Hooks.TablesOutdated = [this] { return Outdated; };
   }
 
   /// Puts tables in force in which all routes belong to the pool of the engines
@@ -43,6 +44,7 @@
   RegionId NewHome{"kigali"};
   bool MayAct = true;
   bool Confirmed = true;
+  bool Outdated = false;
 };
 
 RawServer::Answer failed(const std::string &Request) {
@@ -97,6 +99,32 @@
   BOOST_TEST(Done[0].Status == 200U);
 }
 
+// HOME (issue 61): the host knows of newer tables and does not get them.
+BOOST_AUTO_TEST_CASE(requestIsRefusedByAHostWhoseTablesAreOutdated) {
+  RawServer &E = addEndpoint("a", "plain", done);
+  Outdated = true;
+  for (const char *Route : {"look", "book"}) {
+    std::string Answer = ask(request(Route));
+    BOOST_TEST(Answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(Answer.find("Retry-After: 0.300") != std::string::npos);
+    BOOST_TEST(Answer.find("not run: tables_outdated") != std::string::npos);
+  }
+  BOOST_TEST(E.Requests.empty());
+}
+
+// They become outdated while the host connects to the endpoint.
+BOOST_AUTO_TEST_CASE(requestIsNotSentByTablesThatHaveBecomeOutdated) {
+  RawServer &E = addEndpoint("a", "plain", done);
+  testing::RawCaller C(Loop, Front.address().str(), request("book"));
+  while (Caller.connectionsMade() == 0)
+    Loop.context().run_one();
+  Outdated = true;
+  testing::runUntil(Loop, [&] { return Done.size() == 1; });
+  BOOST_TEST(E.Requests.empty());
+  BOOST_TEST(Done[0].Status == 503U);
+  BOOST_TEST(Done[0].Outcome == "tables_outdated");
+}
+
 // TWICE: a second run is left when newer tables may forbid it; the first is
 // not.
 BOOST_AUTO_TEST_CASE(requestIsNotRepeatedByUnconfirmedTables) {
