End a watch whose response stops halfway as soon as before

Cause: the wait of a watch counted as silence after each byte, so a watch of 3 s whose response stopped halfway ended 7.8 s after it began, not 4.5 s; the mirror takes a store that is silent for longer than that for lost.

Change: the wait counts until the response begins.

--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -27,6 +27,9 @@
   /// start of the call on. For responses whose length the caller does not know:
   /// on a slow link they take longer than any limit for the whole call allows.
   std::optional<Duration> SilenceTimeout;
+  /// Added to it until the response begins, where the other end holds the call
+  /// until there is something to tell.
+  Duration LongPoll{};
   /// A pooled connection is reused only if it has been idle for at most this
   /// long. Zero always opens a new connection.
   Duration ReuseIdleAtMost{};
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -83,7 +83,7 @@
   void start() {
     if (Request_.Timeout)
       endIn(WholeTimer_, *Request_.Timeout, HttpCallEnd::TimedOut);
-    watchSilence();
+    watchSilence(Request_.LongPoll);
     Channel_ = Pool_->take(Request_.To, Request_.ReuseIdleAtMost);
     Reused_ = Channel_ != nullptr;
     // BeforeSend must never run on this stack.
@@ -121,9 +121,10 @@
     });
   }
 
-  void watchSilence() {
+  void watchSilence(Duration Extra = {}) {
     if (Request_.SilenceTimeout)
-      endIn(SilenceTimer_, *Request_.SilenceTimeout, HttpCallEnd::TimedOut);
+      endIn(SilenceTimer_, *Request_.SilenceTimeout + Extra,
+            HttpCallEnd::TimedOut);
   }
 
   void useIdleConnection() {
