Count a lag from the first report of what is missing

Cause: the mirror kept the first revision that it lacked and the newest one. When the first had come, the lag counted from the latest report, so with a change each second it never reached the 2.5 s after which requests are refused.

Change: the time of each reported revision is kept, 64 at most.

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -18,6 +18,8 @@
 constexpr Duration ShortestOutage = std::chrono::milliseconds(700);
 /// A healthy store responds to a watch within its wait plus this time.
 constexpr Duration ResponseSlack = std::chrono::milliseconds(1500);
+/// Most revisions that other hosts have reported of which the time is kept.
+constexpr std::size_t MaxReported = 64;
 /// Longest wait of a read for changes that are known to exist.
 constexpr Duration ReadWait = std::chrono::milliseconds(100);
 
@@ -162,20 +164,28 @@
   }
 
   void noteReported(StoreRevision Reported) {
-    if (!behindSince())
-      Awaited_ = {Reported, Runtime_.Now()};
-    if (Reported > Newest_.Revision)
-      Newest_ = {Reported, Runtime_.Now()};
+    std::erase_if(Reported_, [this](const ReportedRevision &Known) {
+      return Known.Revision <= AsOf_;
+    });
+    if (!Reported_.empty() && Reported_.back().Revision >= Reported)
+      return;
+    // With too many the last one stands for those after it as well.
+    if (Reported_.size() == MaxReported)
+      Reported_.back().Revision = Reported;
+    else
+      Reported_.push_back({Reported, Runtime_.Now()});
   }
 
   std::optional<TimePoint> behindSince() const {
-    if (Awaited_.Revision > AsOf_)
-      return Awaited_.Since;
-    return Newest_.Revision > AsOf_ ? std::optional(Newest_.Since)
-                                    : std::nullopt;
+    for (const ReportedRevision &Known : Reported_)
+      if (Known.Revision > AsOf_)
+        return Known.Since;
+    return std::nullopt;
   }
 
-  StoreRevision newestReported() const { return Newest_.Revision; }
+  StoreRevision newestReported() const {
+    return Reported_.empty() ? StoreRevision() : Reported_.back().Revision;
+  }
 
   void readAgain() {
     Hooks_.List(
@@ -191,9 +201,9 @@
 
   void reportRead(TimePoint Begun) {
     // The store knows of no such revision.
-    for (ReportedRevision *Known : {&Awaited_, &Newest_})
-      if (Known->Since <= Begun)
-        *Known = {};
+    std::erase_if(Reported_, [Begun](const ReportedRevision &Known) {
+      return Known.Since <= Begun;
+    });
     if (Hooks_.Read)
       Hooks_.Read(Begun);
   }
@@ -551,9 +561,8 @@
     StoreRevision Revision;
     TimePoint Since{};
   };
-  /// The first one that was missing here, until it has come, and the newest.
-  ReportedRevision Awaited_;
-  ReportedRevision Newest_;
+  /// Those that were missing here, in their order, and the newest.
+  std::deque<ReportedRevision> Reported_;
   /// When another host last handed over something new.
   TimePoint LastSnapshot_{};
   bool Reachable_ = false;
