Have the changes come from whoever can hand them over

- A region in which no host had the changes and the store did not answer never asked another region: hosts that answer and have nothing newer count as no failure and were asked for ever.
Now hosts that do not report the changes are left out once the reports of the region are in, and a request that came by newer tables fetches them from its sender before it is refused.
Now the one of which least has arrived is given up when all places are taken and none will be done soon, once a second.
- Transfers of copies that had come meanwhile ran on and held back the next.
- An open fetch and its call held each other when their loop ended.
- A host that hands its copy to many at once would break them off at 32 MB of unsent bytes, after it had held these in memory.
From 8 MB on it says that it is busy.
By reading; no test of this limit.

--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -27,6 +27,12 @@
 namespace {
 
 constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+
+/// Unsent bytes to other hosts from which this host hands over no further copy.
+/// Many at once would take long over a slow link and hold much memory; hosts
+/// that have a copy hand it on.
+constexpr std::size_t MaxUnsentToHosts = 8U << 20U;
 
 /// How long callers are still accepted after the request to stop, since they
 /// may use earlier responses of the directory. Later callers find the port
@@ -456,7 +462,9 @@
               Snapshots_.fetch(Ip, Part, Since, Then);
             },
             [this](const detail::CatchUpEvent &Event) { logCatchUp(Event); },
-            [this, Part] { return Snapshots_.isReceiving(Part); }});
+            [this, Part] { return Snapshots_.isReceiving(Part); },
+            [this, Part] { Snapshots_.endSlowest(Part); },
+            [this, Part] { Snapshots_.endAll(Part); }});
   }
 
   void logCatchUp(const detail::CatchUpEvent &Event) const {
@@ -556,6 +564,8 @@
   void handleHostRequest(HttpServerRequest Request,
                          std::shared_ptr<HttpExchange> Answer) {
     if (auto Asked = detail::PeerSnapshots::requested(Request.Head)) {
+      if (FromHosts_.unsentBytesHeld() > MaxUnsentToHosts)
+        return Answer->respond({Unavailable, {}}, "");
       const StoreMirror &Mirror = mirrorOf(Asked->first);
       StoreSnapshot Changes = Mirror.changesSince(Asked->second);
       Changes.Current = Mirror.isCurrent() && Recency_.isConfirmed();
--- a/src/fleethost/internal/mirrorcatchup.cpp
+++ b/src/fleethost/internal/mirrorcatchup.cpp
@@ -5,6 +5,17 @@
 
 namespace celerybeam::detail {
 
+namespace {
+
+/// Whether a host that has not handed over its copy is not cut off from this
+/// one.
+bool isReached(const Result<StoreSnapshot> &Got) {
+  return !Got && (Got.error().Kind == ErrorKind::StreamStalled ||
+                  Got.error().Kind == ErrorKind::Overloaded);
+}
+
+} // namespace
+
 MirrorCatchUp::MirrorCatchUp(Runtime R, SourceRanking &Sources,
                              StoreMirror &Mirror, MirrorPart Part, Hooks H)
     : Runtime_(std::move(R)), Sources_(Sources), Mirror_(Mirror), Part_(Part),
@@ -46,14 +57,20 @@
   if (!Pending_ && !ForRequest)
     return;
   TimePoint Now = Runtime_.Now();
+  if (!isReceiving() && Plan_.isFull())
+    replaceSlowest();
   if (isReceiving() || !Plan_.mayAsk(Now) ||
       (!ForRequest && awaitsNearReport()))
     return askLater();
-  RankedSources Ranked =
-      Sources_.newerThan(Part_, Mirror_.revision(), Plan_.asking());
+  // Once the reports of this region are in, a host without the changes would
+  // only keep those of other regions from being asked.
+  auto Since = Mirror_.behindSince();
+  bool AlsoLacking = !Since || Now - *Since < FarDelay;
+  RankedSources Ranked = Sources_.newerThan(Part_, Mirror_.revision(),
+                                            Plan_.asking(), AlsoLacking);
   auto From =
       Plan_.next(Now, {std::move(Ranked.Near), std::move(Ranked.Far), Sender});
-  if (!From && Plan_.asking().empty())
+  if (!From && Plan_.asking().empty() && AlsoLacking)
     return finish(
         makeError(ErrorKind::NoEndpoint,
                   "No other host hands over its copy now; the next report of "
@@ -71,6 +88,14 @@
   askLater();
 }
 
+void MirrorCatchUp::replaceSlowest() {
+  TimePoint Now = Runtime_.Now();
+  if (!Hooks_.EndSlowest || Now - ReplacedAt_ < ReplaceInterval)
+    return;
+  ReplacedAt_ = Now;
+  Hooks_.EndSlowest();
+}
+
 void MirrorCatchUp::askLater() {
   if (!Pending_ || std::exchange(AskScheduled_, true))
     return;
@@ -100,15 +125,18 @@
   bool Newer = Mirror_.lastChange() > Before;
   bool Failed = !Got || Got->AsOf < Expected;
   if (Failed) {
-    Sources_.recordFailure(Ip);
+    Sources_.recordFailure(Ip, isReached(Got));
     report(CatchUpEvent::Kind::SourceFailed, Ip,
            Got ? "older copy than reported" : Got.error().Message);
   } else {
     Sources_.recordSuccess(Ip);
   }
   Plan_.ended(Ip, Newer);
-  if (Newer)
+  if (Newer) {
+    if (Hooks_.EndAll)
+      Hooks_.EndAll();
     return finish(Got);
+  }
   // A host that has nothing newer yet may have it in a moment.
   if (!Failed)
     return askLater();
--- a/src/fleethost/internal/mirrorcatchup.h
+++ b/src/fleethost/internal/mirrorcatchup.h
@@ -59,6 +59,9 @@
     /// meanwhile, and the store is not read: on a slow link none of them would
     /// come to an end. May be empty.
     std::function<bool()> IsReceiving = {};
+    /// Ends the slowest of the transfers, or all of them. May be empty.
+    std::function<void()> EndSlowest = {};
+    std::function<void()> EndAll = {};
   };
 
   MirrorCatchUp(Runtime R, SourceRanking &Sources, StoreMirror &Mirror,
@@ -87,6 +90,8 @@
   static constexpr Duration StoreReadDelay = std::chrono::milliseconds(1500);
   /// Longest time between two reads; they double from StoreReadDelay on.
   static constexpr Duration LongestStoreReadDelay = std::chrono::seconds(12);
+  /// Shortest time between two hosts that are given up as too slow.
+  static constexpr Duration ReplaceInterval = std::chrono::seconds(1);
   /// Hosts whose failures are reported during one lag.
   static constexpr std::size_t MaxReportedSources = 8;
 
@@ -100,6 +105,8 @@
   bool isReceiving() const {
     return Hooks_.IsReceiving && Hooks_.IsReceiving();
   }
+  /// Makes room for another host when the ones that are asked take too long.
+  void replaceSlowest();
   /// Whether to leave hosts of this region time to report the changes.
   bool awaitsNearReport() const;
   void readStore();
@@ -130,6 +137,7 @@
   TimePoint ReadsStoreAt_{};
   Duration StoreReadInterval_{};
   bool ReadingStore_ = false;
+  TimePoint ReplacedAt_{};
   unsigned Asked_ = 0;
   bool Reported_ = false;
   std::set<std::string> ReportedSources_;
--- a/src/fleethost/internal/peersnapshots.cpp
+++ b/src/fleethost/internal/peersnapshots.cpp
@@ -19,6 +19,7 @@
     {{MirrorPart::OperatorTables, "/mirror/operator/"},
      {MirrorPart::Endpoints, "/mirror/endpoints/"}}};
 constexpr unsigned Ok = 200;
+constexpr unsigned Busy = 503;
 const std::string SummaryPath = "/mirror/summary";
 /// For a summary in all, and for the silence of a host that hands over a copy.
 constexpr Duration Timeout = std::chrono::seconds(1);
@@ -76,23 +77,30 @@
 struct PeerSnapshots::Transfer {
   MirrorPart Part = MirrorPart::OperatorTables;
   TransferProgress Progress;
-  std::shared_ptr<HttpCall> Call;
+  std::weak_ptr<HttpCall> Call;
   std::function<void(Result<std::string>)> Then;
 };
 
 struct PeerSnapshots::OpenTransfers {
   /// Ends the transfers of the same part that have not begun.
   void begun(const Transfer &First) {
+    endIf([&First](const Transfer &Other) {
+      return &Other != &First && Other.Part == First.Part &&
+             !Other.Progress.hasBegun();
+    });
+  }
+
+  void endIf(const std::function<bool(const Transfer &)> &IsUnwanted) {
     std::vector<std::shared_ptr<Transfer>> Ended;
-    for (const auto &Other : All)
-      if (Other.get() != &First && Other->Part == First.Part &&
-          !Other->Progress.hasBegun())
-        Ended.push_back(Other);
-    for (const auto &Other : Ended) {
-      All.erase(Other);
-      Other->Call->cancel();
-      Other->Then(makeError(ErrorKind::Cancelled,
-                            "another host has begun to hand it over"));
+    for (const auto &Open : All)
+      if (IsUnwanted(*Open))
+        Ended.push_back(Open);
+    for (const auto &Open : Ended) {
+      All.erase(Open);
+      if (auto Call = Open->Call.lock())
+        Call->cancel();
+      Open->Then(makeError(ErrorKind::Cancelled,
+                           "another host hands the changes over"));
     }
   }
 
@@ -138,11 +146,16 @@
     std::string Why = failureOf(End, *Status, Body->size());
     if (Why.empty())
       return Then(std::move(*Body));
-    Then(makeError(ErrorKind::ConnectionLost, Why));
+    auto Kind = ErrorKind::ConnectionLost;
+    if (*Status == Busy)
+      Kind = ErrorKind::Overloaded;
+    else if (!Body->empty())
+      Kind = ErrorKind::StreamStalled;
+    Then(makeError(Kind, Why));
   };
   auto Started = Caller_.call(std::move(Call), std::move(Hooks));
   if (Of)
-    Of->Call = std::move(Started);
+    Of->Call = Started;
 }
 
 void PeerSnapshots::fetch(const std::string &Ip, MirrorPart Part,
@@ -154,7 +167,7 @@
       return Then(readSnapshot(*Body));
     if (Body.error().Kind == ErrorKind::Cancelled)
       return Then(tl::unexpected(Body.error()));
-    Then(makeError(ErrorKind::ConnectionLost,
+    Then(makeError(Body.error().Kind,
                    "Another host did not hand over its snapshot (" +
                        Body.error().Message + "); another one is asked."));
   };
@@ -172,6 +185,19 @@
                      });
 }
 
+void PeerSnapshots::endSlowest(MirrorPart Part) {
+  const Transfer *Slowest = nullptr;
+  for (const auto &T : Open_->All)
+    if (T->Part == Part && T->Progress.hasRate(Runtime_.Now()) &&
+        (Slowest == nullptr || T->Progress.bytes() < Slowest->Progress.bytes()))
+      Slowest = T.get();
+  Open_->endIf([Slowest](const Transfer &T) { return &T == Slowest; });
+}
+
+void PeerSnapshots::endAll(MirrorPart Part) {
+  Open_->endIf([Part](const Transfer &T) { return T.Part == Part; });
+}
+
 void PeerSnapshots::askSummary(const std::string &Ip,
                                const SummaryAnswer &Then) {
   call(Ip, SummaryPath, nullptr, [Then](const Result<std::string> &Body) {
--- a/src/fleethost/internal/peersnapshots.h
+++ b/src/fleethost/internal/peersnapshots.h
@@ -30,13 +30,18 @@
   /// Fetches the changes after a revision from a host; it may return all keys
   /// instead. A transfer may take as long as bytes arrive; when one begins,
   /// those of the same part that have not begun are ended. Errors:
-  /// ConnectionLost, Internal, Cancelled when another host has begun to hand
-  /// over the part.
+  /// ConnectionLost; StreamStalled when a part of the copy had arrived;
+  /// Overloaded; Internal; Cancelled when the transfer was ended from here.
   void fetch(const std::string &Ip, MirrorPart Part, StoreRevision Since,
              const Answer &Then);
   /// Whether a host is handing over a part, so that it is not worth asking
   /// another one; see TransferProgress::isOnItsWay.
   bool isReceiving(MirrorPart Part) const;
+  /// Ends the transfer of a part of which least has arrived, if its rate is
+  /// known.
+  void endSlowest(MirrorPart Part);
+  /// Ends all transfers of a part.
+  void endAll(MirrorPart Part);
   /// Asks a host what its mirrors include, without their content. Errors:
   /// ConnectionLost, Internal.
   void askSummary(const std::string &Ip, const SummaryAnswer &Then);
--- a/src/fleethost/internal/sourceranking.cpp
+++ b/src/fleethost/internal/sourceranking.cpp
@@ -37,8 +37,8 @@
   Candidate C;
   auto Failed = Failures_.find(Host.Ip);
   if (Failed != Failures_.end() &&
-      Runtime_.Now() - Failed->second < FailureMemory)
-    C.FailedAt = Failed->second;
+      Runtime_.Now() - Failed->second.At < FailureMemory)
+    C.FailedAt = Failed->second.At;
   C.Leaving = Host.Leaving;
   C.IsNear = Host.Region == Hosts_.self().Region;
   C.Ip = Host.Ip;
@@ -57,16 +57,17 @@
   return Ranked;
 }
 
-RankedSources
-SourceRanking::newerThan(MirrorPart Part, StoreRevision After,
-                         const std::set<std::string> &Except) const {
+RankedSources SourceRanking::newerThan(MirrorPart Part, StoreRevision After,
+                                       const std::set<std::string> &Except,
+                                       bool AlsoLacking) const {
   std::vector<Candidate> All;
   for (const HostState &Host : Hosts_.alive()) {
     Candidate C = candidate(Host);
     C.LacksChanges = revisionOf(Host, Part) <= After;
     bool FailedJustNow =
         C.FailedAt > TimePoint() && Runtime_.Now() - C.FailedAt < RetryInterval;
-    if (!FailedJustNow && !Except.contains(Host.Ip))
+    bool IsWanted = AlsoLacking || !C.LacksChanges;
+    if (IsWanted && !FailedJustNow && !Except.contains(Host.Ip))
       All.push_back(std::move(C));
   }
   return rank(std::move(All));
@@ -101,8 +102,10 @@
 bool SourceRanking::isOffered(MirrorPart Part, StoreRevision After) const {
   auto Alive = Hosts_.alive();
   return std::any_of(Alive.begin(), Alive.end(), [&](const HostState &Host) {
-    return revisionOf(Host, Part) > After &&
-           candidate(Host).FailedAt == TimePoint();
+    auto Failed = Failures_.find(Host.Ip);
+    bool OutOfReach = Failed != Failures_.end() && !Failed->second.Reached &&
+                      Runtime_.Now() - Failed->second.At < FailureMemory;
+    return revisionOf(Host, Part) > After && !OutOfReach;
   });
 }
 
@@ -112,12 +115,12 @@
   return Host ? revisionOf(*Host, Part) : StoreRevision();
 }
 
-void SourceRanking::recordFailure(const std::string &Ip) {
+void SourceRanking::recordFailure(const std::string &Ip, bool Reached) {
   TimePoint Now = Runtime_.Now();
   std::erase_if(Failures_, [&](const auto &Entry) {
-    return Now - Entry.second >= FailureMemory;
+    return Now - Entry.second.At >= FailureMemory;
   });
-  Failures_[Ip] = Now;
+  Failures_[Ip] = {Now, Reached};
 }
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/sourceranking.h
+++ b/src/fleethost/internal/sourceranking.h
@@ -35,9 +35,12 @@
 
   /// Hosts to fetch the changes after a revision from: those that report a
   /// later one first, and of these the ones that are not leaving. \param Except
-  /// are left out, like hosts that failed within RetryInterval.
+  /// are left out, like hosts that failed within RetryInterval. \param
+  /// AlsoLacking  whether to name hosts that report no later one: their reports
+  /// may be late, or the changes may be unknown to all reports.
   RankedSources newerThan(MirrorPart Part, StoreRevision After,
-                          const std::set<std::string> &Except) const;
+                          const std::set<std::string> &Except,
+                          bool AlsoLacking = true) const;
   /// Hosts that can tell whether this host's copy lacks anything: watchers of
   /// the store first. While no host counts as alive, as right after a start or
   /// standstill, Far has hosts of any region. \param Except  are left out.
@@ -47,15 +50,16 @@
   bool hasNear() const { return !Hosts_.aliveInRegion().empty(); }
   /// Whether a host of this region reports a revision after this one.
   bool isReportedNear(MirrorPart Part, StoreRevision After) const;
-  /// Whether a host that reports a revision after this one has not failed
+  /// Whether a host that reports a revision after this one was not out of reach
   /// within FailureMemory.
   bool isOffered(MirrorPart Part, StoreRevision After) const;
   /// The revision that a host reports; zero when it is unknown.
   StoreRevision reportedBy(const std::string &Ip, MirrorPart Part) const;
 
   /// Records that a host did not answer, or answered with an older copy than it
-  /// had reported.
-  void recordFailure(const std::string &Ip);
+  /// had reported. \param Reached  whether it is not cut off from this host: it
+  /// was busy, or a part of its copy arrived.
+  void recordFailure(const std::string &Ip, bool Reached = false);
   void recordSuccess(const std::string &Ip) { Failures_.erase(Ip); }
 
   /// Shortest time between two questions to a host that has failed.
@@ -73,8 +77,12 @@
 
   Runtime Runtime_;
   const HostRegistry &Hosts_;
+  struct Failure {
+    TimePoint At{};
+    bool Reached = false;
+  };
   /// Latest failures, of hosts without a later success.
-  std::map<std::string, TimePoint> Failures_;
+  std::map<std::string, Failure> Failures_;
 };
 
 } // namespace celerybeam::detail
--- a/src/fleethost/internal/tablefetchplan.h
+++ b/src/fleethost/internal/tablefetchplan.h
@@ -43,6 +43,8 @@
   /// Records that a question was ended before it could be answered.
   void withdrawn(const std::string &Ip);
 
+  /// Whether MaxOutstanding hosts are being asked.
+  bool isFull() const { return Asking_.size() >= MaxOutstanding; }
   /// Hosts whose answer is outstanding.
   const std::set<std::string> &asking() const { return Asking_; }
 
--- a/src/fleethost/internal/transferprogress.cpp
+++ b/src/fleethost/internal/transferprogress.cpp
@@ -16,14 +16,13 @@
 bool TransferProgress::isOnItsWay(TimePoint Now) const {
   if (!LatestAt_ || Now - *LatestAt_ > StallTime)
     return false;
-  Duration Spent = Now - BegunAt_;
-  if (Spent < RateTime || !Length_ || Bytes_ >= *Length_)
+  if (!hasRate(Now) || !Length_ || Bytes_ >= *Length_)
     return true;
   if (Bytes_ == 0)
     return false;
   double Rest = static_cast<double>(*Length_ - Bytes_);
-  double PerByte =
-      static_cast<double>(Spent.count()) / static_cast<double>(Bytes_);
+  double PerByte = static_cast<double>((Now - BegunAt_).count()) /
+                   static_cast<double>(Bytes_);
   return Rest * PerByte <= static_cast<double>(MaxRest.count());
 }
 
--- a/src/fleethost/internal/transferprogress.h
+++ b/src/fleethost/internal/transferprogress.h
@@ -21,6 +21,9 @@
 
   bool hasBegun() const { return LatestAt_.has_value(); }
   std::size_t bytes() const { return Bytes_; }
+  bool hasRate(TimePoint Now) const {
+    return LatestAt_ && Now - BegunAt_ >= RateTime;
+  }
   /// Whether the rest is expected soon: bytes arrived within StallTime and, at
   /// the rate so far, the rest does not take longer than MaxRest. The rate is
   /// unknown during the first RateTime.
--- a/src/fleethost/tests/mirrorcatchuptest.cpp
+++ b/src/fleethost/tests/mirrorcatchuptest.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/recencycheck.h"
 #include "fleethost/internal/mirrorcatchup.h"
 #include "support/virtualtime.h"
 
@@ -281,4 +282,67 @@
   BOOST_TEST(!CatchUp->behindSince().has_value());
 }
 
+// Hosts that answer and have nothing newer kept another region from being
+// asked.
+BOOST_AUTO_TEST_CASE(otherRegionHelpsWhenTheWholeRegionLacksTheChanges) {
+  StoreReachable = false;
+  add("10.0.0.1", Home, Old);
+  add("10.0.0.2", Home, Old);
+  Peer &Far = add("10.1.0.1", Abroad, New);
+  runFor(InTime);
+  BOOST_TEST(isUpToDate());
+  BOOST_TEST(Far.Asked == 1U);
+}
+
+// With changes in quick succession the lag began anew with each of them.
+BOOST_AUTO_TEST_CASE(lagCountsFromTheFirstReportOfWhatIsMissing) {
+  add("10.0.0.1", Home, {1, 6}).Hangs = true;
+  Mirror.peerReported({1, 6}, true);
+  Time.runFor(100ms);
+  Mirror.peerReported({1, 7}, true);
+  TimePoint First = Time.runtime().Now();
+  Time.runFor(2s);
+  Mirror.peerReported({1, 8}, true);
+  Time.runFor(100ms);
+  Mirror.applyFromPeer(tablesAt({1, 6}, {1, 6}));
+  BOOST_REQUIRE(Mirror.behindSince().has_value());
+  BOOST_TEST((*Mirror.behindSince() <= First));
+}
+
+// Requests were refused and run in turn.
+BOOST_AUTO_TEST_CASE(refusalDoesNotAlternateWhileHostsHang) {
+  StoreReachable = false;
+  add("10.0.0.1", Home, New).Hangs = true;
+  add("10.0.0.2", Home, New).Hangs = true;
+  unsigned Changes = 0;
+  bool Was = CatchUp->isOffered();
+  for (int I = 0; I < 400; ++I) {
+    runFor(50ms);
+    bool Is = CatchUp->isOffered();
+    Changes += Is != Was ? 1 : 0;
+    Was = Is;
+  }
+  BOOST_TEST(Changes <= 2U);
+}
+
+// A region that the store does not answer would refuse as long as another
+// region reports a change.
+BOOST_AUTO_TEST_CASE(regionWithoutTheStoreDoesNotRefuseForGood) {
+  StoreReachable = false;
+  add("10.0.0.1", Home, Old);
+  add("10.0.0.2", Home, Old);
+  add("10.1.0.1", Abroad, New);
+  RecencyCheck Check{Time.runtime(),
+                     {[](RecencyCheck::Episode, unsigned) {},
+                      {},
+                      [this] { return CatchUp->behindSince(); },
+                      [this] { return CatchUp->isOffered(); }}};
+  unsigned Refusing = 0;
+  for (int I = 0; I < 600; ++I) {
+    runFor(50ms);
+    Refusing += Check.isOutdated() ? 1 : 0;
+  }
+  BOOST_TEST(Refusing == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/fleethost/tests/slowhandovertest.cpp
+++ b/src/fleethost/tests/slowhandovertest.cpp
@@ -54,9 +54,9 @@
             Snapshots->fetch(Ip, MirrorPart::OperatorTables, Since, Then);
           },
           {},
-          [this] {
-            return Snapshots->isReceiving(MirrorPart::OperatorTables);
-          }});
+          [this] { return Snapshots->isReceiving(MirrorPart::OperatorTables); },
+          [this] { Snapshots->endSlowest(MirrorPart::OperatorTables); },
+          [this] { Snapshots->endAll(MirrorPart::OperatorTables); }});
 
   Fixture() {
     StoreSnapshot First = tablesOf(1);
@@ -175,4 +175,54 @@
   BOOST_TEST(isUpToDate());
 }
 
+// Four slow hosts held all questions, and a fast one was not asked.
+BOOST_AUTO_TEST_CASE(slowHostsDoNotKeepAFastOneFromHelping) {
+  std::vector<Manner> All(8, Manner::IsSlow);
+  All.push_back(Manner::Sends);
+  addHosts(800000, All);
+  runFor(3 * InTime);
+  BOOST_TEST(isUpToDate());
+}
+
+// Copies that were no longer needed filled the link on.
+BOOST_AUTO_TEST_CASE(transfersEndWhenTheChangesHaveCome) {
+  addHosts(800000, {Manner::IsSlow, Manner::IsSlow, Manner::Sends});
+  runFor(3 * InTime);
+  BOOST_REQUIRE(isUpToDate());
+  std::size_t Before = Link->passedBytes();
+  runFor(5s);
+  BOOST_TEST(Link->passedBytes() == Before);
+}
+
+// A part of a copy shows that the host is not cut off; requests were refused
+// and run in turn.
+BOOST_AUTO_TEST_CASE(changesAreOfferedWhileHostsSendParts) {
+  addHosts(800000, {Manner::StopsHalfway, Manner::StopsHalfway});
+  runFor(2500ms);
+  for (unsigned I = 0; I < 100; ++I) {
+    runFor(200ms);
+    BOOST_TEST(CatchUp->isOffered());
+  }
+}
+
+// An open fetch and its call held each other.
+BOOST_AUTO_TEST_CASE(openFetchIsReleasedWithItsLoop) {
+  auto Token = std::make_shared<int>(0);
+  {
+    EventLoop Other([this] { return Now; });
+    HttpCaller OtherCaller(Other);
+    SlowLink Sources(Other, testing::responseWith(std::string(100000, 'x')));
+    Sources.add("127.0.0.11", Manner::StopsHalfway);
+    PeerSnapshots Fetches(Other.runtime(), OtherCaller, Sources.port());
+    Fetches.fetch("127.0.0.11", MirrorPart::OperatorTables, Old,
+                  [Token](const Result<StoreSnapshot> &) {});
+    for (unsigned I = 0; I < 20; ++I) {
+      Sources.pass(1000);
+      while (Other.context().poll() > 0) {
+      }
+    }
+  }
+  BOOST_TEST(Token.use_count() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -142,12 +142,12 @@
       return waitForTables();
     if (!mayAct())
       return later(&Relay::routeRequest);
-    if (areTablesOutdated())
-      return refuse(OutdatedTables);
     Tables_ = Context_.Fleet.tables();
     Record_.TablesVersion = Tables_->Version;
     if (Descriptor_.Forwarded && SenderTables_ > Tables_->Version)
       return waitForSendersTables();
+    if (areTablesOutdated())
+      return refuse(OutdatedTables);
     Route_ = Tables_->find(Descriptor_.Host, Descriptor_.Target);
     if (Route_ == nullptr)
       return noRoute();
--- a/src/relay/tests/slowlink.cpp
+++ b/src/relay/tests/slowlink.cpp
@@ -25,7 +25,9 @@
     bool IsHalf = R->Left.size() <= Response_.size() / 2;
     if (R->How == Manner::StopsHalfway && IsHalf)
       continue;
-    send(*R, R->How == Manner::Trickles ? 1 : Share);
+    send(*R, R->How == Manner::Trickles ? 1
+             : R->How == Manner::IsSlow ? std::min<std::size_t>(Share, 400)
+                                        : Share);
   }
 }
 
--- a/src/relay/tests/slowlink.h
+++ b/src/relay/tests/slowlink.h
@@ -17,7 +17,7 @@
 class SlowLink {
 public:
   /// How a server answers.
-  enum class Manner { Sends, StopsHalfway, Trickles };
+  enum class Manner { Sends, StopsHalfway, Trickles, IsSlow };
 
   /// \param Response  what each server sends.
   SlowLink(EventLoop &Loop, std::string Response)
