Treat a response with an invalid status as broken

With a field that states that the request was not run, 600 and 999 were believed, and a request that may run once at most was sent to a second endpoint.

Cause: HttpCaller took each status below 200 for an interim one and each other one for a final one, while three digits allow more than HTTP does.

Change: statusKindOf classifies a status: 200 to 599 is final, 100 to 199 but for 101 interim (the gateway never asks for an upgrade). Anything else ends the call as Broken at the head, before the head's fields are read: the endpoint may have run the request. So only "look" and "ask", which may repeat, are retried, as after any broken response. The call ends before the end of the connection is seen, so such a response does not count as a crash of the endpoint.

Only a crash probe took 600 and 999, too, for a sign of life; to it they now are like any other broken response.

Measured: InvalidStatusTests of brokenresponse, three framings, four routes, direct and forwarded. After: all pass.

--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <limits>
 
+#include "framework/httpstatus.h"
 #include "relay/internal/channelpool.h"
 #include "relay/internal/growingbody.h"
 #include "relay/internal/sockets.h"
@@ -18,7 +19,6 @@
 constexpr std::size_t ReadBytes = 4096;
 /// Limit of a head, of chunk extensions and of trailer fields, in bytes.
 constexpr std::size_t MaxHeadBytes = 65536;
-constexpr unsigned FirstFinalStatus = 200;
 /// Maximum number of interim responses and responses to earlier requests that
 /// one call skips.
 constexpr unsigned MaxSkipped = 4;
@@ -247,7 +247,12 @@
     if (HeadSeen_ || !Parser_->is_header_done())
       return true;
     HeadSeen_ = true;
-    if (Parser_->get().result_int() < FirstFinalStatus) {
+    StatusKind Kind = statusKindOf(Parser_->get().result_int());
+    if (Kind == StatusKind::Invalid) {
+      finish(HttpCallEnd::Broken);
+      return false;
+    }
+    if (Kind == StatusKind::Interim) {
       Skipping_ = true;
       return true;
     }
