Fail calls of the HTTP client whose response has an invalid status

What was seen: 600 and 999 were delivered as heads in all framings, and a response with 101 ended as a success with no head; its body was delivered. By reading, the record of a booking then holds status 600, or 0, as the outcome of a run, which its caller gets for good: 600 is sent as it is, and to 0 the connection is closed, since the server library refuses it.

Cause: libcurl refuses a status below 100 only, and ends the transfer at 101. The client took each status below 200 for an interim one.

Change: at the end of a head the client asks statusKindOf, as the relay does, and ends the call as ConnectionLost, which proves nothing about the run.

Ruled out: 000, 001 and 099, which libcurl refuses itself; the client is not told of the end of such a head. celerybeam-ctl has a client of its own, but takes each status that it does not know for an error and forwards none.

Measured: InvalidStatusTests of httpclient. Before: 29 of 144 checks failed, in 2 of 4 cases (101, 600 and 999). After: all pass.

--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "framework/httpstatus.h"
+
 namespace celerybeam {
 
 namespace {
@@ -242,9 +244,13 @@
   // Lines after the head are trailers.
   if (!EndOfHead || HeadDelivered_)
     return Line.size();
-  constexpr int FirstFinalStatus = 200;
+  // Any other result than the size ends the call with an error.
+  constexpr std::size_t Abort = 0;
   ResponseHead Head = readHead();
-  if (Head.Status < FirstFinalStatus)
+  StatusKind Kind = statusKindOf(static_cast<unsigned>(Head.Status));
+  if (Kind == StatusKind::Invalid)
+    return Abort;
+  if (Kind == StatusKind::Interim)
     return Line.size();
   HeadDelivered_ = true;
   if (Hooks_.Head)
