Treat responses that end before their request was received as broken

Cause: HttpCaller took it that a failed write also shows on the reading side. It doesn't: the write that fails takes the socket's error, and the read after it finds a plain EOF. The close counted as regular, and a body that ends with its connection as whole. The log said peer=closed.

Change: a response that ends with its connection is Broken unless the other end has the whole request: all of it is written, and no byte is unacknowledged at the EOF, whose segment acknowledges what arrived before it. It doesn't matter whether the read or the write notices the end first. A failed write sets how the other end left, so the log says reset. Responses with a length or chunks are passed on as before, and a request is written on while its response arrives.

Ruled out: only checking that the request is written: 256 KB stay in the kernel's buffers, and an endpoint that ends its side without having received them is taken for one that is done (4 of 4 routes with a pause of 50 ms, tried). Not covered: an endpoint whose kernel has received the whole request, which it doesn't read, and which ends its sending side before it resets: at its EOF nothing differs from a regular end.

Other places that read to the end of a connection have no such fault: streams and the store's calls go through HttpCaller and get Broken; text of the store that is cut is no JSON anyway; answers of other hosts and copies of the tables that end unmarked are never whole.

--- a/src/relay/httpcaller.h
+++ b/src/relay/httpcaller.h
@@ -54,8 +54,9 @@
   /// No connection was made, or BeforeSend declined. Nothing was sent.
   NotConnected,
   /// The connection broke, left sent bytes unacknowledged for longer than
-  /// AckTimeout, or delivered an invalid response. The request may have been
-  /// received.
+  /// AckTimeout, delivered an invalid response, or ended before the other end
+  /// had the whole request and without a response that marked its end. The
+  /// request may have been received.
   Broken,
   TimedOut,
 };
--- a/src/relay/internal/httpcaller.cpp
+++ b/src/relay/internal/httpcaller.cpp
@@ -176,12 +176,26 @@
     asio::async_write(Channel_->Socket, Parts,
                       [Self = shared_from_this()](ErrorCode Error, size_t) {
                         Self->Written_ = !Error;
-                        // A write failure also shows on the reading side, which
-                        // may still receive a response.
+                        // A response may still be received. The write has taken
+                        // the socket's error: the read finds a plain EOF.
+                        Self->notePeerClose(Error);
                       });
     read();
   }
 
+  /// The first error tells how the other end left; later ones follow from it.
+  void notePeerClose(ErrorCode Error) {
+    if (Error && Progress_.Peer == PeerClose::None && State_ == State::Sent)
+      Progress_.Peer = closeOf(Error);
+  }
+
+  /// Whether the other end has the whole request, so that it may have ended the
+  /// connection because its response was complete. Its EOF acknowledges all
+  /// that it received before.
+  bool requestReceived() const {
+    return Written_ && unacknowledgedBytes(Channel_->Socket) == 0;
+  }
+
   /// Responses to HEAD requests have a length and no body. Without the method
   /// of its request, the end of a response is unknown; so no response is
   /// skipped for such a request, and its connection serves no other call.
@@ -207,8 +221,7 @@
             return;
           Self->Channel_->Buffer.commit(Bytes);
           Self->watchSilence();
-          if (Error)
-            Self->Progress_.Peer = closeOf(Error);
+          Self->notePeerClose(Error);
           Self->parse(Error);
         });
   }
@@ -232,7 +245,7 @@
     if (!Parser_->is_done() && ReadError == asio::error::eof &&
         Parser_->got_some()) {
       Parser_->put_eof(Error);
-      if (Error)
+      if (Error || !requestReceived())
         return finish(HttpCallEnd::Broken);
     }
     if (Parser_->is_done())
--- a/src/relay/internal/sockets.cpp
+++ b/src/relay/internal/sockets.cpp
@@ -5,6 +5,7 @@
 
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace celerybeam::detail {
@@ -56,6 +57,13 @@
          (State.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::size_t unacknowledgedBytes(Tcp::socket &Socket) {
+  int Bytes = 0;
+  if (::ioctl(Socket.native_handle(), TIOCOUTQ, &Bytes) != 0 || Bytes < 0)
+    return 0;
+  return static_cast<std::size_t>(Bytes);
+}
+
 void setConnectionOptions(Tcp::socket &Socket, Duration AckTimeout) {
   ErrorCode Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
--- a/src/relay/internal/sockets.h
+++ b/src/relay/internal/sockets.h
@@ -16,6 +16,10 @@
 /// also if bytes before that are still unread.
 bool isClosedByPeer(Tcp::socket &Socket);
 
+/// Number of sent bytes that the other side has not acknowledged; 0 when the
+/// system does not tell.
+std::size_t unacknowledgedBytes(Tcp::socket &Socket);
+
 /// Disables the delay of small packets, and closes the connection when the
 /// other side does not acknowledge sent bytes or keep-alive probes within
 /// AckTimeout. Failures are ignored: the connection works without these
--- a/src/relay/tests/brokenresponsetest.cpp
+++ b/src/relay/tests/brokenresponsetest.cpp
@@ -2,10 +2,13 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "relay/tests/receivedresponse.h"
 #include "relay/tests/relayfixture.h"
 
 using namespace celerybeam;
+using testing::parseResponse;
 using testing::RawServer;
+using testing::Received;
 using testing::RelayFixture;
 
 namespace {
@@ -24,36 +27,6 @@
   std::string Before = {};
 };
 
-/// A response as the caller received it.
-struct Received {
-  unsigned Status = 0;
-  bool Complete = false;
-  std::string Body;
-};
-
-Received parseResponse(const std::string &Text) {
-  Received R;
-  auto HeadEnd = Text.find("\r\n\r\n");
-  if (HeadEnd == std::string::npos)
-    return R;
-  R.Status = std::stoul(Text.substr(Text.find(' ')));
-  std::string Body = Text.substr(HeadEnd + 4);
-  std::string Length = RelayFixture::field(Text, "Content-Length");
-  if (!Length.empty()) {
-    R.Body = Body;
-    R.Complete = Body.size() == std::stoul(Length);
-    return R;
-  }
-  for (std::size_t At = 0; At < Body.size();) {
-    std::size_t Size = std::stoul(Body.substr(At), nullptr, 16);
-    At = Body.find("\r\n", At) + 2;
-    R.Complete = Size == 0;
-    R.Body += Body.substr(At, Size);
-    At += Size + 2;
-  }
-  return R;
-}
-
 class Endpoint {
 public:
   Endpoint(Sample S, const std::string &Request) : Sample_(std::move(S)) {
--- a/src/relay/tests/rawpeer.cpp
+++ b/src/relay/tests/rawpeer.cpp
@@ -98,6 +98,12 @@
   asio::write(State_->Socket, asio::buffer(Bytes), Ignored);
 }
 
+void RawCaller::upload(std::string Bytes) {
+  State_->Uploaded = std::move(Bytes);
+  asio::async_write(State_->Socket, asio::buffer(State_->Uploaded),
+                    [Self = State_](ErrorCode, std::size_t) {});
+}
+
 void RawCaller::endSending() {
   ErrorCode Ignored;
   State_->Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
--- a/src/relay/tests/rawpeer.h
+++ b/src/relay/tests/rawpeer.h
@@ -60,6 +60,9 @@
             int ReceiveBytes = 0);
 
   void send(const std::string &Bytes);
+  /// Sends while the loop runs; for more bytes than the kernel's buffers hold,
+  /// which send() would wait for in vain on the loop's own thread.
+  void upload(std::string Bytes);
   /// Stops reading; further data stays in the kernel's buffers.
   void stopReading() { State_->Reads = false; }
   /// Closes the sending side; responses are still received.
@@ -80,6 +83,7 @@
 
     detail::Tcp::socket Socket;
     std::array<char, 4096> Buffer{};
+    std::string Uploaded;
     std::string Received;
     bool Closed = false;
     bool WasReset = false;
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -218,7 +218,8 @@
 }
 
 std::string RelayFixture::ask(const std::string &Request) {
-  RawCaller C(Loop, Front.address().str(), Request);
+  RawCaller C(Loop, Front.address().str(), {});
+  C.upload(Request);
   runUntil(Loop, [&] {
     auto End = C.received().find("\r\n\r\n");
     if (C.closed())
