Offer requests to regions of unknown load

Cause: bestRemote takes a region's reported wait for needed, so that not knowing it was a refusal, also where the request had nowhere else to go.

Change: a request that may not run in its region, or would be refused there, is offered to a host of a region that has reported no load of any pool for 3 s. Two offers of a pool may be open at first, each one that is served allows one more, up to 32. A refusal closes the offers for its Retry-After, another failure for 0.5 s and twice as long each time. The host that forwards reports the result to the placer that decided, by a PlacementEnd inside the region. A region that reported no endpoint of the pool gets no offer, and that is now passed on inside a region, too. Offers that may not be repeated use a new connection: an idle one may be dead after a cut, and what was sent on it would count as possibly run. The request's line says "offered" and has no away_ms.

Ruled out: to count offers by time, since a region's round trips and room differ. To offer while the region reports, but not the pool: its tables do not have it. To hold requests back until the load is known: it may take 13 s.

Result: on the code before, requestsAreOfferedToARegionOfUnknownLoad fails 2 checks and requestRefusedLocallyIsOfferedToARegionOfUnknownLoad 1.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -18,6 +18,7 @@
 #include "dispatch/latencypredictor.h"
 #include "dispatch/longpromptscorer.h"
 #include "dispatch/regionloadtracker.h"
+#include "dispatch/regionofferlimiter.h"
 #include "dispatch/requestqueue.h"
 #include "dispatch/sharedretrybudget.h"
 #include "fleet/fleetview.h"
@@ -127,6 +128,9 @@
 struct ForwardTo {
   HostState Host;
   Duration Expected{};
+  /// Whether the region's load is known. If not, the request is an offer, and
+  /// its result has to be reported to the placer that decided.
+  bool LoadKnown = true;
 };
 
 /// Decision: refuse, as nothing can serve it in time. The request has not been
@@ -227,6 +231,9 @@
   void recordForward(const RequestDescriptor &Request, const ForwardTo &Choice,
                      AttemptLog &Log);
 
+  /// Limit of the requests that are forwarded to regions of unknown load.
+  RegionOfferLimiter &offers();
+
   /// Requests that wait at this host.
   RequestQueue &queue();
   /// Offers free slots to the queued requests. Call after an endpoint's load
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -84,7 +84,7 @@
        RetryBudgetBounds RetryBounds, DispatchSettings Settings)
       : Runtime_(std::move(R)), Fleet_(Fleet), Hosts_(Hosts),
         Settings_(Settings), Loads_(Runtime_), Health_(Runtime_),
-        Crashes_(Runtime_), Regions_(Runtime_),
+        Crashes_(Runtime_), Regions_(Runtime_), Offers_(Runtime_),
         Predictor_(Runtime_, Loads_, Prefixes_), Budget_(Runtime_, RetryBounds),
         ColdStarts_(Runtime_), LongPromptScorer_(Settings.LongPrompts),
         QueueWaits_(Runtime_), Fairness_(Runtime_), Reservations_(Runtime_),
@@ -318,6 +318,36 @@
     return Best;
   }
 
+  /// Chooses a region of unknown load for a request that would be refused.
+  ///
+  /// A region that has reported its load, but not that of the pool, or no
+  /// endpoint in it, cannot serve the request and gets no offer.
+  std::optional<ForwardTo> offerRemote(const RequestDescriptor &Request,
+                                       const FleetRoute &Route,
+                                       const FleetPool &Pool,
+                                       const AttemptLog &Log) {
+    if (Request.Forwarded)
+      return std::nullopt;
+    Duration Expected = Settings_.RegionRoundTrip +
+                        Predictor_.serviceTime(Pool, Request.PromptTokens);
+    if (Runtime_.Now() - Log.Arrived + Expected >
+        latestOutput(Request, Route, Pool, Log))
+      return std::nullopt;
+    std::vector<HostState> Hosts;
+    for (const RegionId &Region : Hosts_.otherRegions()) {
+      if (!Route.Homes.allows(Region) || contains(Log.RegionsTried, Region) ||
+          Regions_.isKnown(Region) || !Offers_.mayOffer(Region, Pool.Name))
+        continue;
+      if (auto Host = Hosts_.drawServing(Region))
+        Hosts.push_back(std::move(*Host));
+    }
+    if (Hosts.empty())
+      return std::nullopt;
+    std::size_t Index =
+        Hosts.size() == 1 ? 0 : Runtime_.Random() % Hosts.size();
+    return ForwardTo{Hosts[Index], Expected, false};
+  }
+
   Refusal refuse(std::string Reason, Duration RetryAfter) {
     // Randomized, so that callers refused together do not come back together.
     auto Spread = static_cast<Duration::rep>(
@@ -365,8 +395,12 @@
               .value_or(Log.Arrived);
     auto Local = bestLocal(Request, Route, *Pool, Log);
     auto Remote = bestRemote(Request, Route, *Pool, Log);
-    if (!Local && !Remote)
+    if (!Local && !Remote) {
+      Log.Inputs.Limit = latestOutput(Request, Route, *Pool, Log);
+      if (auto Offer = offerRemote(Request, Route, *Pool, Log))
+        return *Offer;
       return refuse("no_endpoint", Settings_.DefaultRetryAfter);
+    }
     AdmissionCase Case = admissionCaseOf(Request, Route, *Pool, Log, Local);
     Admission LocalAdmission = Local ? celerybeam::admit(Case) : Admission();
     Log.Inputs.Limit = Case.LatestOutput;
@@ -377,6 +411,11 @@
     if (Remote && isRemoteBetter(Remote->Expected, Case, LocalAdmission,
                                  Local && !Local->LastResort))
       return ForwardTo{Remote->Host, Remote->Expected};
+    if (!LocalAdmission.Admitted)
+      if (auto Offer = offerRemote(Request, Route, *Pool, Log)) {
+        Log.Inputs.Remote.reset();
+        return *Offer;
+      }
     if (!Local)
       return refuseLate(Request, Log,
                         Case.Waited + Remote->Expected - Case.LatestOutput);
@@ -649,6 +688,7 @@
   EndpointHealth Health_;
   CrashTracker Crashes_;
   RegionLoadTracker Regions_;
+  RegionOfferLimiter Offers_;
   LatencyPredictor Predictor_;
   SharedRetryBudget Budget_;
   ColdStartLimiter ColdStarts_;
@@ -779,6 +819,8 @@
                                const ForwardTo &Choice, AttemptLog &Log) {
   Log.RegionsTried.push_back(Choice.Host.Region);
   Log.Sends += 1;
+  if (!Choice.LoadKnown)
+    Impl_->Offers_.recordOffer(Choice.Host.Region, Log.Pool);
   const FleetTablesPtr &Tables = Impl_->Fleet_.tables();
   if (const FleetPool *Pool = Tables ? Tables->pool(Log.Pool) : nullptr)
     Impl_->Regions_.recordForward(
@@ -856,6 +898,7 @@
 EndpointHealth &Dispatcher::health() { return Impl_->Health_; }
 CrashTracker &Dispatcher::crashes() { return Impl_->Crashes_; }
 RegionLoadTracker &Dispatcher::regions() { return Impl_->Regions_; }
+RegionOfferLimiter &Dispatcher::offers() { return Impl_->Offers_; }
 LatencyPredictor &Dispatcher::predictor() { return Impl_->Predictor_; }
 
 } // namespace celerybeam
--- a/src/dispatch/internal/placementclient.cpp
+++ b/src/dispatch/internal/placementclient.cpp
@@ -192,6 +192,9 @@
       return accept(Id, P, *Local, Answer);
     Placement Ended = std::move(P);
     Placements_.erase(Found);
+    const auto *Remote = std::get_if<ForwardTo>(&*Answer.Decision);
+    if (Remote != nullptr && !Remote->LoadKnown)
+      OfferingPlacers_[Id.Value] = Ended.Placer;
     deliver(Id, Ended, Answer);
   }
 
@@ -263,16 +266,22 @@
   }
 
   void end(PlacementId Id, const PlacementEnd &End) {
+    if (auto Offered = OfferingPlacers_.extract(Id.Value))
+      return sendEnd(Offered.mapped(), Id, End);
     auto Found = Placements_.find(Id.Value);
     if (Found == Placements_.end())
       return;
     Placement P = std::move(Found->second);
     Placements_.erase(Found);
     for (const std::string &Ip : trackingPlacers(P))
-      if (Ip == selfIp())
-        LocalPlacer_.end(Id, End);
-      else
-        Send_(Ip, Id, End);
+      sendEnd(Ip, Id, End);
+  }
+
+  void sendEnd(const std::string &Ip, PlacementId Id, const PlacementEnd &End) {
+    if (Ip == selfIp())
+      LocalPlacer_.end(Id, End);
+    else
+      Send_(Ip, Id, End);
   }
 
   void reportFirstOutput(PlacementId Id, const FirstOutputReport &Output) {
@@ -322,6 +331,9 @@
   TimePoint PlacersSince_{};
   std::uint64_t LastId_;
   std::unordered_map<std::uint64_t, Placement> Placements_;
+  /// Placers that want to know the result of a request that they had offered to
+  /// a region of unknown load.
+  std::unordered_map<std::uint64_t, std::string> OfferingPlacers_;
   PlacementMap Map_;
   std::uint64_t MapGeneration_ = 0;
   bool MapBuilt_ = false;
--- a/src/dispatch/internal/placementserver.cpp
+++ b/src/dispatch/internal/placementserver.cpp
@@ -27,6 +27,13 @@
   std::optional<Assignment> Assigned;
 };
 
+/// A request that was forwarded to a region of unknown load.
+struct Offer {
+  RegionId Region;
+  PoolName Pool;
+  TimePoint At{};
+};
+
 struct RequestingHost {
   std::unordered_set<std::uint64_t> Placements;
   TimePoint LastListAt{};
@@ -97,13 +104,37 @@
                     Decisions_.begin(Ask.Request, Ask.Route, *Local, Ask.Log),
                     false, std::nullopt};
     else if (auto *Remote = std::get_if<ForwardTo>(&D))
-      Decisions_.recordForward(Ask.Request, *Remote, Ask.Log);
+      recordForward(Id, Ask, *Remote);
     if (!MustQueue && !P.Assigned)
       erase(Id);
     Reply_(Ip, Id, Answer);
     return !MustQueue;
   }
 
+  void recordForward(PlacementId Id, PlacementAsk &Ask,
+                     const ForwardTo &Choice) {
+    // If the reply is lost, the same placement is asked for and decided again.
+    if (auto Earlier = Offers_.find(Id.Value); Earlier != Offers_.end())
+      endOffer(Earlier, {});
+    Decisions_.recordForward(Ask.Request, Choice, Ask.Log);
+    if (!Choice.LoadKnown)
+      Offers_[Id.Value] = {Choice.Host.Region, Ask.Log.Pool, Runtime_.Now()};
+  }
+
+  using OffersById = std::unordered_map<std::uint64_t, Offer>;
+
+  void endOffer(OffersById::iterator Found, const PlacementEnd &End) {
+    const Offer &O = Found->second;
+    RegionOfferLimiter &Limiter = Decisions_.offers();
+    if (!End.Outcome)
+      Limiter.recordWithdrawn(O.Region, O.Pool, O.At);
+    else if (*End.Outcome == AttemptOutcome::Answered)
+      Limiter.recordServed(O.Region, O.Pool, O.At);
+    else
+      Limiter.recordRefused(O.Region, O.Pool, O.At, End.RetryAfter);
+    Offers_.erase(Found);
+  }
+
   void enqueue(PlacementId Id, Placement &P, const Enqueue &Wait) {
     P.Ask.Log.Queued = true;
     QueuedRequest Queued;
@@ -172,6 +203,8 @@
   }
 
   void end(PlacementId Id, const PlacementEnd &End) {
+    if (auto Offered = Offers_.find(Id.Value); Offered != Offers_.end())
+      return endOffer(Offered, End);
     auto Found = Placements_.find(Id.Value);
     if (Found == Placements_.end())
       return;
@@ -267,6 +300,9 @@
         end({Id}, {});
       Hosts_.erase(Ip);
     }
+    std::erase_if(Offers_, [Now = Runtime_.Now()](const auto &Entry) {
+      return Now - Entry.second.At > RegionOfferLimiter::Memory;
+    });
   }
 
   Runtime Runtime_;
@@ -276,6 +312,7 @@
   ReplyHook Reply_;
   std::unordered_map<std::uint64_t, Placement> Placements_;
   std::unordered_map<std::string, RequestingHost> Hosts_;
+  OffersById Offers_;
   bool OffersScheduled_ = false;
 };
 
--- a/src/dispatch/internal/regionloadtracker.cpp
+++ b/src/dispatch/internal/regionloadtracker.cpp
@@ -46,9 +46,11 @@
     RegionPoolLoad Load{Where.first, {}, {}};
     PoolLoadSummary &Sum = Load.Summary;
     Sum.Pool = Where.second;
+    bool IsRecent = false;
     for (const auto &[Placer, E] : S.Placers) {
       if (Now - E.At > MaxAge)
         continue;
+      IsRecent = true;
       Load.Age = std::max(Load.Age, Now - E.At);
       Sum.Endpoints += E.Summary.Endpoints;
       Sum.Slots += E.Summary.Slots;
@@ -56,10 +58,14 @@
       Sum.Wait += E.Summary.Wait * E.Summary.Slots;
       Sum.LateWait += E.Summary.LateWait * E.Summary.Slots;
     }
-    if (Sum.Slots == 0)
+    if (!IsRecent)
       continue;
-    Sum.Wait /= Sum.Slots;
-    Sum.LateWait /= Sum.Slots;
+    // That a region has no endpoint in a pool is passed on, too: a request is
+    // then refused at once and not offered there.
+    if (Sum.Slots > 0) {
+      Sum.Wait /= Sum.Slots;
+      Sum.LateWait /= Sum.Slots;
+    }
     All.push_back(std::move(Load));
   }
   return All;
@@ -121,6 +127,14 @@
   return Ahead / Slots;
 }
 
+bool RegionLoadTracker::isKnown(const RegionId &Region) const {
+  for (auto It = Pools_.lower_bound({Region, 0});
+       It != Pools_.end() && It->first.first == Region; ++It)
+    if (!recent(It->second).empty())
+      return true;
+  return false;
+}
+
 Duration RegionLoadTracker::lateWait(const RegionId &Region,
                                      const PoolName &Pool) const {
   auto Found = Pools_.find({Region, poolHash(Pool)});
--- a/src/dispatch/placementclient.h
+++ b/src/dispatch/placementclient.h
@@ -47,7 +47,8 @@
 
   /// Reports that the endpoint has sent its first output.
   void reportFirstOutput(PlacementId Id, const FirstOutputReport &Output);
-  /// Ends the placement, also one that has no reply yet.
+  /// Ends the placement, also one that has no reply yet. To be called for each
+  /// request that is forwarded to a region of unknown load.
   void end(PlacementId Id, const PlacementEnd &End);
 
   /// Handles a placer's reply.
--- a/src/dispatch/placementtypes.h
+++ b/src/dispatch/placementtypes.h
@@ -42,10 +42,16 @@
 };
 
 /// Ends a placement: the request was answered there, failed there, or returns
-/// its slot unused.
+/// its slot unused. Reports the result of a request that was offered to a
+/// region of unknown load.
 struct PlacementEnd {
-  /// Unset if nothing was sent.
+  /// Unset if nothing was sent. For a request that was offered to another
+  /// region: Answered if that has begun to answer; unset if nothing was
+  /// learned.
   std::optional<AttemptOutcome> Outcome;
+  /// Time after which a region that refused an offered request would serve it,
+  /// if it said so.
+  std::optional<Duration> RetryAfter{};
 };
 
 /// Message about a placement from one host to another.
--- a/src/dispatch/regionloadtracker.h
+++ b/src/dispatch/regionloadtracker.h
@@ -71,6 +71,9 @@
   std::optional<Duration> wait(const RegionId &Region, const PoolName &Pool,
                                Duration ServiceTime) const;
 
+  /// Whether the region has reported its load recently, of any pool.
+  bool isKnown(const RegionId &Region) const;
+
   /// Additional wait there of a request that cannot be on time; zero when the
   /// region sent no summary recently.
   Duration lateWait(const RegionId &Region, const PoolName &Pool) const;
--- a/src/dispatch/tests/dispatchertest.cpp
+++ b/src/dispatch/tests/dispatchertest.cpp
@@ -193,6 +193,37 @@
   BOOST_TEST(is<Refusal>(send(request(2000), Route)));
 }
 
+// A new placer may not know the load of the other regions yet. Without offers,
+// it refuses all requests that only those may serve.
+BOOST_AUTO_TEST_CASE(requestsAreOfferedToARegionOfUnknownLoad) {
+  reportNeighbourHost();
+  // No endpoint of the region is left.
+  BOOST_TEST(is<ForwardTo>(send(request(2000), Quotes)));
+  addEndpoint("a");
+  FleetRoute Elsewhere = Quotes;
+  Elsewhere.Homes = HomeRegions::only({RegionId("musanze")});
+  BOOST_TEST(is<ForwardTo>(send(request(2000), Elsewhere)));
+}
+
+// Without the offer, a region that is full refuses what another may serve.
+BOOST_AUTO_TEST_CASE(requestRefusedLocallyIsOfferedToARegionOfUnknownLoad) {
+  reportNeighbourHost();
+  addEndpoint("a");
+  FleetRoute Impatient = Quotes;
+  Impatient.FirstOutputPatience = 1500ms;
+  send(request(100000), Quotes);
+  BOOST_TEST(is<ForwardTo>(send(request(9000), Impatient)));
+}
+
+// Requests that this region serves are not offered elsewhere.
+BOOST_AUTO_TEST_CASE(servedRequestIsNotOfferedToARegionOfUnknownLoad) {
+  reportNeighbourHost();
+  addEndpoint("a");
+  BOOST_TEST(is<ServeAt>(send(request(9000), Quotes)));
+  send(request(50000), Quotes);
+  BOOST_TEST(is<Enqueue>(send(request(9000), Quotes)));
+}
+
 BOOST_AUTO_TEST_CASE(sharedPrefixesGoToOneEngine) {
   addEndpoint("a");
   addEndpoint("b");
--- a/src/dispatch/tests/dispatchfixture.h
+++ b/src/dispatch/tests/dispatchfixture.h
@@ -34,13 +34,19 @@
     return H;
   }
 
-  void reportNeighbour(Duration Wait) {
+  /// A message of the neighbour's host without the load of its region.
+  HostState reportNeighbourHost() {
     HostState H;
     H.Id = HostId("m1");
     H.Ip = "10.1.0.1";
     H.Region = RegionId("musanze");
     H.Ready = true;
     Hosts.received(H);
+    return H;
+  }
+
+  void reportNeighbour(Duration Wait) {
+    HostState H = reportNeighbourHost();
     Decisions.regions().received(H.Region, H.Id,
                                  {poolHash(PoolName("engines")), Wait, 6, 6,
                                   Wait > Duration::zero() ? 0U : 6U});
--- a/src/fleethost/internal/updatecodec.cpp
+++ b/src/fleethost/internal/updatecodec.cpp
@@ -170,8 +170,10 @@
   else if (In.has_held())
     Answer.Decision = Enqueue{.Expected = span(In.held().expected_ms())};
   else if (In.has_pass_on())
-    Answer.Decision = ForwardTo{readHost(In.pass_on().host()),
-                                span(In.pass_on().expected_ms())};
+    // A region of which no load is known has no prediction.
+    Answer.Decision =
+        ForwardTo{readHost(In.pass_on().host()),
+                  span(In.pass_on().expected_ms()), In.has_away_ms()};
   else if (In.has_refused())
     Answer.Decision =
         Refusal{span(In.refused().retry_after_ms()), In.refused().reason()};
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -333,6 +333,39 @@
   BOOST_TEST(std::holds_alternative<Enqueue>(Place(false)));
 }
 
+// Guards against an offer whose result does not reach the placer that made it:
+// it would go on to offer requests to a region that refuses them.
+BOOST_AUTO_TEST_CASE(resultOfAnOfferReachesThePlacer) {
+  const RegionId Oslo("oslo");
+  const PoolName Plain("plain");
+  Region R(5);
+  R.addEndpoint("a", 1);
+  R.addRemoteHost(Oslo);
+  FleetRoute Elsewhere = Bookings;
+  Elsewhere.Homes = HomeRegions::only({Oslo});
+  EndpointKey Key = endpointKeyOf(EndpointId("a"), 1);
+  Host &Placer = R.placer(Key);
+  Host &At = R.other(Key);
+  auto Place = [&](const PlacementEnd &Result) {
+    AttemptLog Log;
+    std::optional<ForwardTo> Offer;
+    At.Placement.place(R.Fixture.request(0), Elsewhere, Log,
+                       [&](PlacementId Id, const PlacementAnswer &Answer) {
+                         Offer = std::get<ForwardTo>(*Answer.Decision);
+                         At.Placement.end(Id, Result);
+                       });
+    R.Time.runFor(20ms);
+    BOOST_REQUIRE(Offer);
+    BOOST_TEST(!Offer->LoadKnown);
+  };
+  Place({AttemptOutcome::Answered});
+  BOOST_TEST(
+      (Placer.Decisions.offers().closedFor(Oslo, Plain) == Duration::zero()));
+  Place({AttemptOutcome::Declined});
+  BOOST_TEST(
+      (Placer.Decisions.offers().closedFor(Oslo, Plain) > Duration::zero()));
+}
+
 // All requests whose homes are elsewhere were refused for 2.4 s to 8.5 s: the
 // load of other regions was known to the region's placer alone, and these went
 // on to report it to that host.
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -459,7 +459,7 @@
     if (const auto *Local = std::get_if<ServeAt>(&*Reply.Decision))
       return serveAt(Id, *Local);
     if (const auto *Remote = std::get_if<ForwardTo>(&*Reply.Decision))
-      return forwardToHost(*Remote);
+      return forwardToHost(Id, *Remote);
     Refusal Why = std::get<Refusal>(*Reply.Decision);
     // Another host may serve it at once.
     if (deadline() < TimeoutAt_)
@@ -517,25 +517,55 @@
     return Call;
   }
 
-  void forwardToHost(const ForwardTo &Choice) {
+  void forwardToHost(PlacementId Id, const ForwardTo &Choice) {
+    if (!Choice.LoadKnown)
+      OfferedPlacement_ = Id;
     Target_.reset();
     PeerIp_ = Choice.Host.Ip;
     PeerRegion_ = Choice.Host.Region;
     Record_.ForwardedToHost = true;
     Log_.RegionsTried.push_back(Choice.Host.Region);
     ++Log_.Sends;
-    HttpCallRequest Call =
-        callTo(Address(Choice.Host.Ip + ":" + Context_.HostPort),
-               HttpCaller::MaxIdleTime);
+    HttpCallRequest Call = callTo(
+        Address(Choice.Host.Ip + ":" + Context_.HostPort),
+        // After a loss of contact an idle connection may be dead, and
+        // what was sent on it counts as possibly run.
+        Choice.LoadKnown || mayRepeat(Route_->Kind) ? HttpCaller::MaxIdleTime
+                                                    : Duration::zero());
     if (!Splitter_->lastId().empty())
       setField(Call.Head.Fields, Context_.Names.LastEventId,
                Splitter_->lastId());
     AllottedRuns_ = Dispatcher::runsLeft(Descriptor_, *Route_, Log_);
     Call.ConnectTimeout = RemoteConnectTimeout;
     noteAttempt("via " + Choice.Host.Id.str(), Choice.Expected);
+    if (!Choice.LoadKnown)
+      Record_.Attempts += " offered";
     beginCall(std::move(Call));
   }
 
+  /// Reports the result of a request that was offered to a region of unknown
+  /// load, if this is one.
+  void endOffer(const PlacementEnd &End) {
+    if (OfferedPlacement_)
+      Context_.Placement.end(*std::exchange(OfferedPlacement_, std::nullopt),
+                             End);
+  }
+
+  /// What a host that refused the request named as the time to retry.
+  std::optional<Duration> retryAfterOf(const HttpResponseHead &Head) const {
+    auto Text = findField(Head.Fields, "Retry-After");
+    if (!Text)
+      return std::nullopt;
+    double Seconds = 0;
+    auto Parsed =
+        std::from_chars(Text->data(), Text->data() + Text->size(), Seconds);
+    constexpr double MostSeconds = 3600;
+    if (Parsed.ec != std::errc() || !(Seconds >= 0 && Seconds <= MostSeconds))
+      return std::nullopt;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Seconds));
+  }
+
   void noteAttempt(const std::string &Where, Duration Expected,
                    const Prediction &Predicted = {}) {
     Record_.Attempts += (Record_.Attempts.empty() ? "" : "; ") + Where +
@@ -739,7 +769,7 @@
     HasArrived_ = RetryTaken_ = true;
     if (Local != nullptr)
       return serveAt(Id, *Local);
-    forwardToHost(*Remote);
+    forwardToHost(Id, *Remote);
   }
 
   void watchForHedge() {
@@ -1005,6 +1035,7 @@
     if (std::exchange(GotOutput_, true))
       return;
     OutputAt_ = Context_.Time.Now();
+    endOffer({AttemptOutcome::Answered});
     if (Target_)
       crashes().recordAlive(Target_->Endpoint.Key);
     if (Record_.FirstOutput == Duration::zero())
@@ -1092,6 +1123,10 @@
     Duration Allowed = Target_ ? LocalConnectTimeout : RemoteConnectTimeout;
     bool LocalCause = std::exchange(SendDeclined_, false) ||
                       Attempt_->sinceSent() > Allowed + LocalStallMargin;
+    if (LocalCause)
+      endOffer({});
+    else
+      endOffer({AttemptOutcome::Broken});
     if (!LocalCause && Target_)
       return endPlacement(AttemptOutcome::Broken);
     if (!LocalCause)
@@ -1107,6 +1142,7 @@
     Record_.Attempts += " refused=" + std::to_string(Status);
     Log_.Execution = combine(Log_.Execution, ExecutionState::RefusedByEndpoint);
     bool ByHost = !Target_;
+    endOffer({AttemptOutcome::Declined, retryAfterOf(Attempt_->head())});
     bool Arrived =
         !ByHost || findField(Attempt_->head().Fields, ArrivedField).has_value();
     // What was taken for a send that reached no endpoint is left for the next.
@@ -1125,6 +1161,7 @@
     Log_.Execution = combine(Log_.Execution, ExecutionState::Unknown);
     Log_.Runs += Target_ ? 1 : AllottedRuns_;
     HasArrived_ = true;
+    endOffer({AttemptOutcome::Broken});
     if (Target_)
       recordBreak(*Attempt_, *Target_, GotOutput_);
     endPlacement(AttemptOutcome::Broken);
@@ -1180,6 +1217,8 @@
       // When it began to respond is not known.
       recordSound(Context_.Time.Now() - Attempt_->sinceSent());
     }
+    // Also a failure of an endpoint shows that the region serves.
+    endOffer({AttemptOutcome::Answered});
     endPlacement(Failed ? AttemptOutcome::Failed : AttemptOutcome::Answered);
     Record_.Attempts += " status=" + std::to_string(Head.Status);
     if (Streaming_ && !Failed)
@@ -1204,6 +1243,7 @@
 
   void streamEnded() {
     dropHedge();
+    endOffer({AttemptOutcome::Answered});
     recordSound(GotOutput_ ? OutputAt_
                            : Context_.Time.Now() - Attempt_->sinceSent());
     endPlacement(AttemptOutcome::Answered);
@@ -1226,6 +1266,7 @@
       return;
     if (isAttemptUnderWay())
       Log_.Execution = combine(Log_.Execution, ExecutionState::Unknown);
+    endOffer({AttemptOutcome::Failed});
     cancelAttempts(GotOutput_ ? AttemptOutcome::Answered
                               : AttemptOutcome::Failed);
     giveUp(true, "timeout");
@@ -1270,6 +1311,7 @@
       Attempt_->cancel();
     }
     dropAlternative();
+    endOffer({});
     endPlacement(Outcome);
     // The latest placement may still be requested or queued.
     Context_.Placement.end(LatestPlacement_, {});
@@ -1351,6 +1393,8 @@
   unsigned AllottedRuns_ = 0;
   /// The most recently requested placement, and the one in use.
   PlacementId LatestPlacement_;
+  /// Set while the request is offered to a region of unknown load.
+  std::optional<PlacementId> OfferedPlacement_;
   PlacementId ActivePlacement_;
   /// Alternative placement that is requested while the current attempt stalls.
   std::optional<PlacementId> Alternative_;
--- a/src/relay/tests/relayfixture.cpp
+++ b/src/relay/tests/relayfixture.cpp
@@ -165,7 +165,8 @@
 }
 
 RawServer &RelayFixture::addOtherHost(const std::string &Pool,
-                                      RawServer::Script Script) {
+                                      RawServer::Script Script,
+                                      bool LoadKnown) {
   constexpr const char *Ip = "127.0.0.7";
   Servers_.push_back(std::make_unique<RawServer>(Loop, std::move(Script), Ip));
   const std::string Where = Servers_.back()->address();
@@ -176,6 +177,8 @@
   H.Region = RegionId("musanze");
   H.Ready = true;
   Hosts.received(H);
+  if (!LoadKnown)
+    return *Servers_.back();
   constexpr unsigned Free = 6;
   Decisions.regions().received(
       H.Region, H.Id,
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -26,7 +26,9 @@
                      const std::string &Where);
 
   /// Adds a host in musanze that has room in the pool and responds as scripted.
-  RawServer &addOtherHost(const std::string &Pool, RawServer::Script Script);
+  /// \param LoadKnown  whether its region has reported that.
+  RawServer &addOtherHost(const std::string &Pool, RawServer::Script Script,
+                          bool LoadKnown = true);
 
   /// The response of an endpoint that has run the request.
   static RawServer::Answer ran(const std::string &Request,
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -474,4 +474,36 @@
   BOOST_TEST(Context.Responses.held() == 0U);
 }
 
+// Guards against requests that are offered again and again to a region that
+// refuses them, and against refusals while a region of unknown load serves.
+BOOST_AUTO_TEST_CASE(answersOfARegionOfUnknownLoadTeach) {
+  bool Serves = true;
+  RawServer &Other = addOtherHost(
+      "plain",
+      [&](const std::string &R) {
+        if (Serves)
+          return ran(R, "done");
+        return RawServer::Answer{
+            "HTTP/1.1 503 Busy\r\nCelerybeam-Not-Run: 1\r\n"
+            "Retry-After: 2.5\r\n"
+            "Content-Length: 0\r\n\r\n",
+            false, false};
+      },
+      false);
+  const RegionId Musanze("musanze");
+  const PoolName Plain("plain");
+  for (unsigned I = 0; I < 3 * RegionOfferLimiter::FirstOffers; ++I)
+    BOOST_TEST(ask(request("book")).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(Done.back().Attempts.find(" offered") != std::string::npos);
+  std::size_t Before = Other.Requests.size();
+  Serves = false;
+  BOOST_TEST(ask(request("book")).starts_with("HTTP/1.1 503"));
+  BOOST_TEST(Other.Requests.size() == Before + 1);
+  Duration Closed = Decisions.offers().closedFor(Musanze, Plain);
+  BOOST_TEST((Closed > std::chrono::seconds(1)));
+  BOOST_TEST((Closed <= std::chrono::milliseconds(2500)));
+  BOOST_TEST(ask(request("book")).starts_with("HTTP/1.1 503"));
+  BOOST_TEST(Other.Requests.size() == Before + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
