Tell when the load of another region is no longer known

Change: an aggregator logs "Load of another region no longer known." with the age of the latest report, or for how long it has needed one, and the hosts believed to serve there, and "known again" with the time between. The gauge region_load_unknown is set for each region.

Ruled out: to look at regions with alive hosts alone, since one that is cut off has none. To warn on all hosts: those that are no aggregators are sent no load.

There was no such line or gauge before, so there is no earlier failure.

--- a/src/dispatch/internal/regionloadtracker.cpp
+++ b/src/dispatch/internal/regionloadtracker.cpp
@@ -127,6 +127,30 @@
   return Ahead / Slots;
 }
 
+std::set<RegionId> RegionLoadTracker::regions() const {
+  std::set<RegionId> All;
+  for (const auto &[Where, S] : Pools_)
+    All.insert(Where.first);
+  return All;
+}
+
+std::optional<Duration> RegionLoadTracker::age(const RegionId &Region) const {
+  std::optional<TimePoint> Latest;
+  auto Add = [&](const Entry &E) {
+    Latest = std::max(Latest.value_or(E.At), E.At);
+  };
+  for (auto It = Pools_.lower_bound({Region, 0});
+       It != Pools_.end() && It->first.first == Region; ++It) {
+    for (const auto &[Placer, E] : It->second.Placers)
+      Add(E);
+    if (It->second.Relayed)
+      Add(*It->second.Relayed);
+  }
+  if (!Latest)
+    return std::nullopt;
+  return Runtime_.Now() - *Latest;
+}
+
 bool RegionLoadTracker::isKnown(const RegionId &Region) const {
   for (auto It = Pools_.lower_bound({Region, 0});
        It != Pools_.end() && It->first.first == Region; ++It)
--- a/src/dispatch/regionloadtracker.h
+++ b/src/dispatch/regionloadtracker.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "blackboard/idtypes.h"
@@ -71,6 +72,11 @@
   std::optional<Duration> wait(const RegionId &Region, const PoolName &Pool,
                                Duration ServiceTime) const;
 
+  /// Regions that have ever reported their load.
+  std::set<RegionId> regions() const;
+  /// Time since the latest report of the region's load, however long ago; empty
+  /// without any.
+  std::optional<Duration> age(const RegionId &Region) const;
   /// Whether the region has reported its load recently, of any pool.
   bool isKnown(const RegionId &Region) const;
 
--- a/src/fleethost/internal/fleethost.cpp
+++ b/src/fleethost/internal/fleethost.cpp
@@ -222,6 +222,7 @@
       Caller_.tick();
       applyLimits();
       showLag();
+      showRegionLoads();
     });
     // A host that starts while the store is unreachable loads the state from
     // the others.
@@ -368,7 +369,8 @@
             [this](const HostState &Host) {
               OperatorMirror_.peerReported(Host.OperatorRevision, Host.Watches);
               EndpointMirror_.peerReported(Host.EndpointRevision, Host.Watches);
-            }};
+            },
+            [this](const RegionLoadChange &Change) { logRegionLoad(Change); }};
   }
 
   const std::string &prefixOf(MirrorPart Part) const {
@@ -625,6 +627,31 @@
       logFleetSize();
   }
 
+  void logRegionLoad(const RegionLoadChange &Change) const {
+    auto Age = Change.Age / std::chrono::milliseconds(1);
+    std::size_t Serving = Hosts_.serving(Change.Region).size();
+    if (Change.Known)
+      Log_.info("Load of another region known again.",
+                {{"region", Change.Region.str()},
+                 {"unknown_ms", Age},
+                 {"serving_hosts", Serving}});
+    else
+      Log_.warning("Load of another region no longer known.",
+                   {{"region", Change.Region.str()},
+                    {Change.EverReported ? "age_ms" : "needed_ms", Age},
+                    {"serving_hosts", Serving}});
+  }
+
+  void showRegionLoads() {
+    RegionsShown_.merge(Exchange_.neededRegions());
+    for (const RegionId &Region : RegionsShown_)
+      Metrics_.set("region_load_unknown",
+                   "Whether this host lacks the load of another region that it "
+                   "needs to place requests.",
+                   {{"region", Region.str()}},
+                   Exchange_.isRegionLoadUnknown(Region) ? 1 : 0);
+  }
+
   void logStale(bool Stale) {
     auto At = Confirmations_.confirmedAt();
     Log_.info(Stale ? "Right to resolve keys ends soon."
@@ -923,6 +950,8 @@
   /// When the requests that were still open got their final responses.
   std::optional<TimePoint> EndedOpenAt_;
   TimePoint LastTick_{};
+  /// Regions that have the gauge region_load_unknown.
+  std::set<RegionId> RegionsShown_;
 };
 
 FleetHost::FleetHost(EventLoop &Loop, HttpCaller &Caller,
--- a/src/fleethost/internal/updateexchange.cpp
+++ b/src/fleethost/internal/updateexchange.cpp
@@ -27,7 +27,8 @@
 
 UpdateExchange::UpdateExchange(Runtime R, ExchangeComponents Components,
                                Hooks H)
-    : Runtime_(std::move(R)), Components_(Components), Hooks_(std::move(H)) {}
+    : Runtime_(std::move(R)), Components_(Components), Hooks_(std::move(H)),
+      RegionLoads_(Runtime_, Components_.Decisions.regions()) {}
 
 UpdateExchange::Update UpdateExchange::updateOfSelf() const {
   Update Message;
@@ -328,6 +329,22 @@
   }
 }
 
+std::set<RegionId> UpdateExchange::neededRegions() const {
+  if (!isAggregator())
+    return {};
+  // A region that is cut off has no alive hosts, and its load is needed still.
+  std::set<RegionId> Needed = Components_.Decisions.regions().regions();
+  Needed.merge(Components_.Hosts.otherRegions());
+  Needed.erase(Components_.Hosts.self().Region);
+  return Needed;
+}
+
+void UpdateExchange::watchRegionLoads() {
+  for (const RegionLoadChange &Change : RegionLoads_.update(neededRegions()))
+    if (Hooks_.RegionLoadChanged)
+      Hooks_.RegionLoadChanged(Change);
+}
+
 void UpdateExchange::tick() {
   TimePoint Now = Runtime_.Now();
   sendChangedHosts();
@@ -335,6 +352,7 @@
   if (isDue(NextRegionUpdate_, Now, RegionInterval)) {
     sendToRegion();
     Components_.LocalPlacer.tick();
+    watchRegionLoads();
   }
   // Other regions learn of a new placer at once, and it of their load.
   if (bool Places = isPlacer(); Places != std::exchange(WasPlacer_, Places))
--- a/src/fleethost/internal/updateexchange.h
+++ b/src/fleethost/internal/updateexchange.h
@@ -10,6 +10,7 @@
 
 #include "dispatch/customerlimits.h"
 #include "dispatch/placementclient.h"
+#include "dispatch/regionloadwatch.h"
 #include "fleet/confirmationtracker.h"
 #include "fleet/hostregistry.h"
 #include "framework/runtime.h"
@@ -49,6 +50,9 @@
     /// Called when a host reports up to which revisions it has applied changes
     /// of the store.
     std::function<void(const HostState &Host)> StateReceived;
+    /// Called when the load of another region, which this host needs, is no
+    /// longer known, and when it is again. May be empty.
+    std::function<void(const RegionLoadChange &)> RegionLoadChanged{};
   };
 
   UpdateExchange(Runtime R, ExchangeComponents Components, Hooks H);
@@ -69,6 +73,12 @@
   void sendReport(const EndpointReport &Report);
   /// Whether this host is one of its region's aggregators.
   bool isAggregator() const;
+  /// Regions whose load this host needs as an aggregator, and whether it lacks
+  /// that of one.
+  std::set<RegionId> neededRegions() const;
+  bool isRegionLoadUnknown(const RegionId &Region) const {
+    return RegionLoads_.isUnknown(Region);
+  }
   /// Whether this host is one of the aggregators that watch the store for the
   /// region and send it the state of its hosts.
   bool isWatcher() const;
@@ -148,11 +158,13 @@
   /// Whether this host is one of its region's placers.
   bool isPlacer() const;
   void handleNote(const std::string &From, const messages::PlacementNote &Note);
+  void watchRegionLoads();
   void applyUpdate(const HostState &From, const Update &Message);
 
   Runtime Runtime_;
   ExchangeComponents Components_;
   Hooks Hooks_;
+  RegionLoadWatch RegionLoads_;
   std::map<std::string, Update> Outbox_;
   bool FlushDue_ = false;
   struct ReceivedReport {
--- a/src/fleethost/tests/updateexchangetest.cpp
+++ b/src/fleethost/tests/updateexchangetest.cpp
@@ -333,6 +333,37 @@
   BOOST_TEST(std::holds_alternative<Enqueue>(Place(false)));
 }
 
+// A region that was cut off has no alive hosts, and a host that is sent nothing
+// of other regions does not need them: neither may hide a loss, or report one.
+BOOST_AUTO_TEST_CASE(lossOfAnotherRegionsLoadIsNoticedByAggregators) {
+  const RegionId Oslo("oslo");
+  Region R(10);
+  R.addRemoteHost(Oslo);
+  R.run(2 * UpdateExchange::FullDigestInterval + 1s);
+  const RegionId Own = testing::DispatchFixture::self().Region;
+  auto Lack = [&] {
+    std::set<std::string> Ips;
+    for (const auto &[Ip, H] : R.All)
+      if (H->Exchange.isRegionLoadUnknown(Oslo))
+        Ips.insert(Ip);
+    return Ips;
+  };
+  BOOST_TEST(Lack().empty());
+  R.Silent.insert("10.1.0.0");
+  R.run(2s);
+  BOOST_TEST(Lack().empty());
+  R.run(20s);
+  std::set<std::string> Aggregators;
+  for (const HostState &H :
+       R.All.at("10.0.0.0")->Hosts.delegates(Own).Aggregators)
+    Aggregators.insert(H.Ip);
+  BOOST_TEST((Lack() == Aggregators));
+  BOOST_TEST(Aggregators.size() < 10U);
+  R.Silent.clear();
+  R.run(3s);
+  BOOST_TEST(Lack().empty());
+}
+
 // Guards against an offer whose result does not reach the placer that made it:
 // it would go on to offer requests to a region that refuses them.
 BOOST_AUTO_TEST_CASE(resultOfAnOfferReachesThePlacer) {
