Say in Retry-After when more is known of a region

Change: where a region of unknown load may serve the request, the refusal names the time until the next offer to it may be made and is answered. The default is left where there is no such region.

Ruled out: the time of the next report between regions, as nothing says that one is on its way.

Result: retryAfterSaysWhenMoreIsKnown failed 2 checks on the commit before: more than 0.3 s while an answer is due within 0.2 s, and less than 2.9 s after a refusal for 3 s.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -348,6 +348,25 @@
     return ForwardTo{Hosts[Index], Expected, false};
   }
 
+  /// Time until this host knows more of a region of unknown load that may serve
+  /// the request: until an offer may be made again and is answered. The default
+  /// when there is no such region.
+  Duration timeUntilMoreIsKnown(const RequestDescriptor &Request,
+                                const FleetRoute &Route,
+                                const FleetPool &Pool) const {
+    Duration ToAnswer = Settings_.RegionRoundTrip +
+                        Predictor_.serviceTime(Pool, Request.PromptTokens);
+    std::optional<Duration> Soonest;
+    for (const RegionId &Region : Hosts_.otherRegions()) {
+      if (Request.Forwarded || !Route.Homes.allows(Region) ||
+          Regions_.isKnown(Region) || Hosts_.serving(Region).empty())
+        continue;
+      Duration Until = Offers_.closedFor(Region, Pool.Name) + ToAnswer;
+      Soonest = std::min(Soonest.value_or(Until), Until);
+    }
+    return Soonest.value_or(Settings_.DefaultRetryAfter);
+  }
+
   Refusal refuse(std::string Reason, Duration RetryAfter) {
     // Randomized, so that callers refused together do not come back together.
     auto Spread = static_cast<Duration::rep>(
@@ -399,7 +418,7 @@
       Log.Inputs.Limit = latestOutput(Request, Route, *Pool, Log);
       if (auto Offer = offerRemote(Request, Route, *Pool, Log))
         return *Offer;
-      return refuse("no_endpoint", Settings_.DefaultRetryAfter);
+      return refuse("no_endpoint", timeUntilMoreIsKnown(Request, Route, *Pool));
     }
     AdmissionCase Case = admissionCaseOf(Request, Route, *Pool, Log, Local);
     Admission LocalAdmission = Local ? celerybeam::admit(Case) : Admission();
--- a/src/dispatch/tests/regionoffertest.cpp
+++ b/src/dispatch/tests/regionoffertest.cpp
@@ -99,6 +99,27 @@
   BOOST_TEST(Offered <= 11U);
 }
 
+// Callers were told to return after 0.7 s while nothing could be served for
+// 8 s. They are to return when the answer to the next offer has come.
+BOOST_AUTO_TEST_CASE(retryAfterSaysWhenMoreIsKnown) {
+  FleetRoute Route = route(RepeatKind::AtMostOnce);
+  auto RetryAfter = [&] {
+    AttemptLog Log;
+    return std::get<Refusal>(Decisions.choose(request(0), Route, Log))
+        .RetryAfter;
+  };
+  replay(10ms, 5ms, {AttemptOutcome::Answered});
+  BOOST_TEST((RetryAfter() <= 300ms));
+  Time.runFor(500ms);
+  replay(5ms, 5ms, {AttemptOutcome::Declined, 3s}, 1ms);
+  Time.runFor(5ms);
+  BOOST_TEST((RetryAfter() >= 2900ms));
+  BOOST_TEST((RetryAfter() <= 5s));
+  // Nothing is known of a region that serves.
+  Route.Homes = HomeRegions::only({RegionId("huye")});
+  BOOST_TEST((RetryAfter() <= 900ms));
+}
+
 // A region that is out of reach, or that names no time, gets ever fewer.
 BOOST_AUTO_TEST_CASE(failuresCloseTheOffersForEverLonger) {
   replay(20s, 5ms, {AttemptOutcome::Broken});
