--- a/src/httpclient/tests/rawreplyserver.h
+++ b/src/httpclient/tests/rawreplyserver.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -28,7 +29,8 @@
     Any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto *Generic = reinterpret_cast<struct sockaddr *>(&Any);
     socklen_t Size = sizeof(Any);
-    bind(Listener_, Generic, Size);
+    if (bind(Listener_, Generic, Size) != 0)
+      throw std::runtime_error("the server of the test has no port");
     listen(Listener_, 8);
     getsockname(Listener_, Generic, &Size);
     Port_ = ntohs(Any.sin_port);
