Fuzz responses for statuses that are invalid

The target "answer" now expects that only statuses from 200 to 599 reach the owner of a call, and that no response is taken after one whose status is neither final nor interim.

--- a/tests/fuzz/answerfuzz.cpp
+++ b/tests/fuzz/answerfuzz.cpp
@@ -18,12 +18,23 @@
 constexpr std::size_t MostPieces = 24;
 constexpr int Turns = 4;
 
+/// Whether the first status is neither a final nor an interim one.
+bool beginsWithInvalidStatus(std::string_view Bytes) {
+  constexpr std::string_view Version = "HTTP/1.1 ";
+  if (!Bytes.starts_with(Version))
+    return false;
+  std::string_view Status = Bytes.substr(Version.size(), 3);
+  return Status.starts_with('0') || Status == "101" ||
+         (!Status.empty() && Status.front() > '5');
+}
+
 /// \param Source  its lowest bits: from an entry host, on a connection in use.
 /// \return what the call tells of an answer that comes in pieces, after which
 /// the endpoint closes.
 std::string played(std::string_view Bytes, std::size_t Piece, bool Head,
                    unsigned Source) {
   const WireNames Names = platform::wireNames();
+  const bool Invalid = beginsWithInvalidStatus(Bytes);
   fuzzing::ScriptClock Clock;
   EventLoop Loop(Clock.reader());
   HttpCaller Caller(Loop);
@@ -33,6 +44,9 @@
   HttpCallHooks Hooks;
   Hooks.Head = [&](const HttpResponseHead &Said) {
     expect(Ends == 0, "nothing comes after the end");
+    expect(Said.Status >= 200 && Said.Status <= 599,
+           "a final status is from 200 to 599");
+    expect(!Invalid, "no response is taken after an invalid status");
     if (auto Load = findField(Said.Fields, Names.Load))
       platform::decodeLoad(*Load);
     auto Wants = platform::decodeWillingness(Said);
