HttpClient: treat unmarked responses that end during the upload as errors

What callers saw: a part of a response without a length was passed on as the whole one, when the server ended its sending side while a long request was still being written.

Cause: libcurl stops sending when the connection of such a response ends, and reports success. What the connection's end was then is never asked.

Change: a call whose response has neither a length nor chunks, and whose connection ended before the body was sent, ends with ConnectionLost. This also holds for responses that aren't successful, after which libcurl stops sending by itself.

Ruled out: a reset or a close with unread bytes; libcurl reports the failed read or write (4 of 4 plays in each of 3 runs before the change). Not covered: a body that is in the kernel's buffers and unacknowledged, as libcurl gives no access to the socket once the connection has ended.

Measured: with a body of 4 MB, the two plays that end the sending side, at once and after 50 ms, passed the part on as whole in 3 of 3 runs before. The new cases pass now, 20 of 20 runs, and 20 of 20 beside 8 busy loops; also the one that holds what stays: whole responses that begin during the upload, with each framing. httpclient, endpoints and platform pass.

--- a/src/httpclient/internal/transfer.cpp
+++ b/src/httpclient/internal/transfer.cpp
@@ -176,6 +176,8 @@
 void Transfer::finish(CURLcode Code) {
   if (Code != CURLE_OK)
     return finish(errorOf(Code));
+  if (endedDuringUpload())
+    return finish(errorOf(CURLE_PARTIAL_FILE));
   if (Hooks_.End)
     Hooks_.End({});
 }
@@ -191,6 +193,13 @@
   return Requests_ > 0 || Sent > 0;
 }
 
+bool Transfer::endedDuringUpload() const {
+  curl_off_t Uploaded = 0;
+  curl_easy_getinfo(Easy_, CURLINFO_SIZE_UPLOAD_T, &Uploaded);
+  const std::size_t Size = Call_.Body ? Call_.Body->size() : 0;
+  return EndsWithConnection_ && static_cast<std::size_t>(Uploaded) < Size;
+}
+
 bool Transfer::wentSilent(std::chrono::milliseconds Limit) const {
   const bool Worked = connectionsOpened() == 0 || HeadDelivered_;
   return Worked && requestSent() && Clock::now() - LastProgress_ >= Limit;
@@ -238,6 +247,21 @@
   return Head;
 }
 
+bool Transfer::marksItsEnd(int Status) const {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  constexpr int LastRequest = -1;
+  if (Call_.Method == "HEAD" || Status == NoContent || Status == NotModified)
+    return true;
+  for (const char *Name : {"Content-Length", "Transfer-Encoding"}) {
+    curl_header *Field = nullptr;
+    if (curl_easy_header(Easy_, Name, 0, CURLH_HEADER, LastRequest, &Field) ==
+        CURLHE_OK)
+      return true;
+  }
+  return false;
+}
+
 std::size_t Transfer::onHeaderLine(std::string_view Line) {
   LastProgress_ = Clock::now();
   const bool EndOfHead = Line == "\r\n" || Line == "\n";
@@ -253,6 +277,7 @@
   if (Kind == StatusKind::Interim)
     return Line.size();
   HeadDelivered_ = true;
+  EndsWithConnection_ = !marksItsEnd(Head.Status);
   if (Hooks_.Head)
     Hooks_.Head(std::move(Head));
   return Line.size();
--- a/src/httpclient/internal/transfer.h
+++ b/src/httpclient/internal/transfer.h
@@ -59,8 +59,14 @@
   void setLimits(const HttpClientSettings &Settings, bool Fresh);
   void setHooks();
   bool requestSent() const;
+  /// Whether the connection has ended a response that marks no end of its own
+  /// before the request was sent. The response may have been cut: the library
+  /// does not tell a reset from a close when it stops sending.
+  bool endedDuringUpload() const;
   Error errorOf(CURLcode Code) const;
   ResponseHead readHead() const;
+  /// Whether the response's head says where its body ends.
+  bool marksItsEnd(int Status) const;
 
   std::size_t onHeaderLine(std::string_view Line);
   std::size_t onData(std::string_view Data);
@@ -89,6 +95,7 @@
   std::chrono::milliseconds ResendWindow_{};
   Clock::time_point RequestedAt_;
   bool HeadDelivered_ = false;
+  bool EndsWithConnection_ = false;
   bool Paused_ = false;
   Clock::time_point LastProgress_ = Clock::now();
 };
