Believe refusals by their head when the body is cut

With a length or chunks that are cut it was Broken in any case.

Cause: an attempt whose call ended as Broken was Broken also if the head had stated that the request has not run.

Change: such an attempt ends as NotRun. The statement is in the head, and nothing of the body is used. A head that is cut is still not believed.

--- a/src/relay/internal/attempt.cpp
+++ b/src/relay/internal/attempt.cpp
@@ -147,12 +147,13 @@
   Hooks_ = {};
   if (!Notify)
     return;
+  // The head alone states it; what is missing of the body changes nothing.
+  if (NotRun_)
+    return Notify(AttemptEnd::NotRun);
   bool Ended = End == HttpCallEnd::Complete || End == HttpCallEnd::Unmarked;
   if (!Ended)
     return Notify(End == HttpCallEnd::NotConnected ? AttemptEnd::NotConnected
                                                    : AttemptEnd::Broken);
-  if (NotRun_)
-    return Notify(AttemptEnd::NotRun);
   if (!isWhole(End))
     return Notify(AttemptEnd::Broken);
   Notify(Events_ ? AttemptEnd::StreamEnded : AttemptEnd::Answered);
--- a/src/relay/tests/earlyanswertest.cpp
+++ b/src/relay/tests/earlyanswertest.cpp
@@ -179,4 +179,24 @@
     }
 }
 
+// An endpoint that refuses a long upload may leave before it has read that. Its
+// refusal is in the head; without it a request that has not run is lost.
+BOOST_AUTO_TEST_CASE(refusalDuringTheUploadIsBelievedWithoutItsBody) {
+  for (const char *Route : Routes)
+    for (const char *Mark :
+         {"", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"})
+      for (Then Next : {Then::Reset, Then::Close, Then::EndSending}) {
+        const std::string Refusal =
+            std::string("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n") + Mark +
+            "\r\n";
+        Play P(Route, LargeBody, [&](const std::string &) {
+          return EarlyEndpoint::Answer{Refusal, Next};
+        });
+        BOOST_REQUIRE(!P.Host.Done.empty());
+        const std::string &Attempts = P.Host.Done.back().Attempts;
+        BOOST_TEST(Attempts.find("refused=503") != std::string::npos,
+                   Route << ": " << Attempts);
+      }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
