Show that bookings run twice in a zone that is cut off from the platform

Case 11, rule TWICE; the cases of part one move up by one. A zone is cut off from the platform for 5.5 s, and a version adds an unsafe route below a safe one half a second later.

Ruled out: bookings sent before the acknowledgement (none is sent), and the failing runners alone (the same share fails with TROUBLE=0).

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -13,11 +13,11 @@
   g++ "${flags[@]}" -c "review/standins-3/$part.cpp" -o "$out/$part.o" &
   objects+=("$out/$part.o")
 done
-for program in crashingrequest burstagain; do
+for program in cutoffbookings crashingrequest burstagain; do
   g++ "${flags[@]}" -c "review/standins-3/$program.cpp" -o "$out/$program.o" &
 done
 wait
-for program in crashingrequest burstagain; do
+for program in cutoffbookings crashingrequest burstagain; do
   g++ "${flags[@]}" "$out/$program.o" "${objects[@]}" \
     -Wl,--start-group "${archives[@]}" -Wl,--end-group -lprotobuf -lxxhash \
     -o "$out/$program"
--- a/review/standins-3/burstagain.cpp
+++ b/review/standins-3/burstagain.cpp
@@ -1,4 +1,4 @@
-// Case 13: all processes are killed at the same moment while a tenant sends
+// Case 14: all processes are killed at the same moment while a tenant sends
 // more than its quota.
 
 #include <algorithm>
--- a/review/standins-3/crashingrequest.cpp
+++ b/review/standins-3/crashingrequest.cpp
@@ -1,4 +1,4 @@
-// Case 12: one request crashes each runner that begins to run it, and comes
+// Case 13: one request crashes each runner that begins to run it, and comes
 // again, while few other requests have its host name.
 
 #include <cstdio>
--- a/review/standins-3/runner.cpp
+++ b/review/standins-3/runner.cpp
@@ -23,6 +23,11 @@
 constexpr std::size_t BodyBytes = 800;
 /// Requests with this in their path crash the runner that begins to run them.
 constexpr const char *CrashMark = "/crash/";
+/// Of the requests with this in their path, one in so many fails: the runner
+/// has run it and answers 500.
+constexpr const char *BookMark = "/book/";
+constexpr unsigned FailsOneIn = 8;
+constexpr unsigned ServerFailure = 500;
 
 /// A runner of a plain service, as PROTOCOL.md describes it.
 class RunnerProcess {
@@ -80,9 +85,11 @@
     if (World::hasTrouble() && Target.find(CrashMark) != std::string::npos)
       // Like any process that ends: the kernel closes its connections.
       Time_.After(UntilCrash, [] { ::_exit(1); });
-    Time_.After(Work, [this, Call, Answer] {
+    bool Fails = FailsBookings_ && Target.find(BookMark) != std::string::npos &&
+                 ++Bookings_ % FailsOneIn == 0;
+    Time_.After(Work, [this, Call, Answer, Fails] {
       --Running_;
-      Answer->respond({Ok,
+      Answer->respond({Fails ? ServerFailure : Ok,
                        {{"X-Attempt-Id", Call},
                         {"X-Response-Stamp", Id_ + "." + Call},
                         {"X-Server-Load", load()}}},
@@ -94,6 +101,9 @@
   std::string Id_;
   unsigned Slots_;
   unsigned Running_ = 0;
+  unsigned Bookings_ = 0;
+  /// Not in the cases whose bookings are always sound.
+  bool FailsBookings_ = std::getenv("FAILS_BOOKINGS") != nullptr;
   HttpServer Server_;
 };
 
--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cpp
@@ -184,8 +184,20 @@
   return Events;
 }
 
+void Store::setCut(bool Cut) {
+  Cut_ = Cut;
+  for (Watcher &W : Watchers_)
+    Lost_.push_back(std::move(W.Answer));
+  Watchers_.clear();
+  if (Cut)
+    return;
+  for (const Exchange &Answer : std::exchange(Lost_, {}))
+    Answer->abort();
+}
+
 void Store::serve(const HttpServerRequest &Request, const Exchange &Answer) {
-  ++Calls_;
+  if (Cut_)
+    return Lost_.push_back(Answer);
   const std::string &Target = Request.Head.Target;
   if (Target.starts_with("/-/kv-key?"))
     return key(Target, *Answer);
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -24,7 +24,10 @@
   void put(const std::string &Key, const std::string &Value,
            std::uint64_t Lease = 0);
   void remove(const std::string &Key);
-  std::uint64_t calls() const { return Calls_; }
+  std::uint64_t revision() const { return Revision_; }
+  /// Cuts the link between the hosts and the store: what they send gets no
+  /// answer. At its end their channels are reset.
+  void setCut(bool Cut);
 
 private:
   using Exchange = std::shared_ptr<celerybeam::HttpExchange>;
@@ -72,7 +75,9 @@
   std::map<std::uint64_t, Lease> Leases_;
   std::uint64_t Revision_ = 1;
   std::uint64_t LastLease_ = 0;
-  std::uint64_t Calls_ = 0;
+  bool Cut_ = false;
+  /// Calls that came, or were waiting, while the link was cut.
+  std::list<Exchange> Lost_;
 };
 
 } // namespace review
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-World::World(EventLoop &Loop, char **Arguments)
+World::World(EventLoop &Loop, char **Arguments, bool OneZone)
     : Time(Loop.runtime()), Record(recordPath()), Caller_(Loop),
       Program_(Arguments[0]), Network_(loopbackNetwork()),
       StartedAt_(Time.Now()) {
@@ -57,6 +57,9 @@
   Places_ = {{"north", "north-a", Network_ + "1"},
              {"south", "south-a", Network_ + "2"},
              {"west", "west-a", Network_ + "3"}};
+  if (OneZone)
+    Places_ = {{"north", "north-a", Network_ + "1"},
+               {"north", "north-a", Network_ + "2"}};
   Store_ = std::make_unique<Store>(Loop, Network_ + "200:28142");
   beat();
   reap();
@@ -86,13 +89,16 @@
   auto At = [&P](int Port) {
     return "\"" + P.HostIp + ":" + std::to_string(Port) + "\"\n";
   };
-  std::string Text = "nodeName: \"front-" + P.Zone + "-1\"\nrole: \"entry\"\n" +
+  std::string Text = "nodeName: \"front-" + P.Zone + "-" +
+                     std::to_string(Index + 1) + "\"\nrole: \"entry\"\n" +
                      "machineClass: \"front\"\nserves: [front, control, "
                      "directory]\nip: \"" +
                      P.HostIp + "\"\nzone: \"" + P.Zone + "\"\nregion: \"" +
                      P.Region + "\"\nzones:\n";
+  std::set<std::string> Zones;
   for (const Place &Each : Places_)
-    Text += "  " + Each.Zone + ": \"" + Each.Region + "\"\n";
+    if (Zones.insert(Each.Zone).second)
+      Text += "  " + Each.Zone + ": \"" + Each.Region + "\"\n";
   Text += "listen:\n  front: " + At(FrontPort) + "  ready: " + At(ReadyPort) +
           "  control: " + At(28246) + "  directory: " + At(DirectoryPort) +
           "internalPorts: [28260, 28275]\nseeds:\n";
@@ -143,10 +149,11 @@
 }
 
 void World::startHost(std::size_t Index) {
-  std::filesystem::path File = Folder_ / (Places_[Index].Zone + ".yaml");
+  std::filesystem::path File =
+      Folder_ / ("host-" + std::to_string(Index) + ".yaml");
   std::ofstream(File) << settingsOf(Index);
   Hosts_[Index] = spawn({Gateway}, {"CELERYBEAM_CONFIG=" + File.string()},
-                        Places_[Index].Zone + ".log");
+                        "host-" + std::to_string(Index) + ".log");
 }
 
 void World::killHost(std::size_t Index) {
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -41,7 +41,9 @@
 class World {
 public:
   /// \param Arguments  those of main: a runner is this program again.
-  World(celerybeam::EventLoop &Loop, char **Arguments);
+  /// \param OneZone  whether there are two hosts in one zone, in place of one
+  /// in each of three regions.
+  World(celerybeam::EventLoop &Loop, char **Arguments, bool OneZone = false);
   ~World();
   World(const World &) = delete;
   World &operator=(const World &) = delete;
