Keep hosts without the store among the sources of tables

Cause: ConfirmingRead recorded a host that could not read the store as a failed source in SourceRanking, with the note that it can be reached. Hosts of a cut-off zone would then have left each other out when they fetch newer tables, and have counted changes as offered that nobody hands over, which refuses requests as tables_outdated.

Change: ConfirmingRead has a memory of its own.

Ruled out: only SourceRanking's order without the mark "reached": a host that failed just now is left out of fetches altogether.

Measured: hostThatCannotReadTheStoreIsStillAskedForItsCopy fails with the earlier ConfirmingRead and passes with this one.

--- a/src/fleet/internal/storemirror.cpp
+++ b/src/fleet/internal/storemirror.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t MaxReported = 64;
 /// Longest wait of a read for changes that are known to exist.
 constexpr Duration ReadWait = std::chrono::milliseconds(100);
-/// Wait of a read that is to return at once; the least that the store takes.
+/// Wait of a read that is to return at once: one of the store's units.
 constexpr Duration NoWait = std::chrono::milliseconds(1);
 
 } // namespace
--- a/src/fleethost/internal/confirmingread.cpp
+++ b/src/fleethost/internal/confirmingread.cpp
@@ -1,6 +1,7 @@
 #include "fleethost/internal/confirmingread.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace celerybeam::detail {
@@ -27,7 +28,7 @@
 public:
   using RoundPtr = std::shared_ptr<Round>;
 
-  Impl(Runtime R, SourceRanking &Sources, StoreMirror &Operator, Hooks H)
+  Impl(Runtime R, const SourceRanking &Sources, StoreMirror &Operator, Hooks H)
       : Runtime_(std::move(R)), Sources_(Sources), Operator_(Operator),
         Hooks_(std::move(H)) {}
 
@@ -44,13 +45,14 @@
     RankedSources Hosts = Sources_.confirmers({});
     Hosts.Near.resize(std::min(Hosts.Near.size(), HostsOfRegion));
     Hosts.Far.resize(std::min<std::size_t>(Hosts.Far.size(), 1));
-    bool StoreFailed =
-        StoreFailedAt_ && Runtime_.Now() - *StoreFailedAt_ < FailureMemory;
+    std::stable_partition(
+        Hosts.Near.begin(), Hosts.Near.end(),
+        [this](const std::string &Ip) { return !hasFailed(Ip); });
     bool ReadsItself = !Operator_.isFollowing() || Hosts.Near.empty();
     std::vector<std::string> Order = std::move(Hosts.Near);
     Order.insert(Order.end(), Hosts.Far.begin(), Hosts.Far.end());
     if (ReadsItself)
-      Order.insert(StoreFailed ? Order.end() : Order.begin(), TheStore);
+      Order.insert(hasFailed(TheStore) ? Order.end() : Order.begin(), TheStore);
     return Order;
   }
 
@@ -105,24 +107,33 @@
       askNext(Of);
   }
 
+  bool hasFailed(const std::string &Source) const {
+    auto Found = FailedAt_.find(Source);
+    return Found != FailedAt_.end() &&
+           Runtime_.Now() - Found->second < FailureMemory;
+  }
+
   void remember(const std::string &Source, const Result<void> &Got) {
-    if (Source == TheStore)
-      StoreFailedAt_ = Got ? std::nullopt : std::optional(Runtime_.Now());
-    else if (Got)
-      Sources_.recordSuccess(Source);
+    TimePoint Now = Runtime_.Now();
+    std::erase_if(FailedAt_, [Now](const auto &Entry) {
+      return Now - Entry.second >= FailureMemory;
+    });
+    if (Got)
+      FailedAt_.erase(Source);
     else
-      Sources_.recordFailure(Source, true);
+      FailedAt_[Source] = Now;
   }
 
   Runtime Runtime_;
-  SourceRanking &Sources_;
+  const SourceRanking &Sources_;
   StoreMirror &Operator_;
   Hooks Hooks_;
-  /// The latest failure of the store here, without a later success.
-  std::optional<TimePoint> StoreFailedAt_;
+  /// Latest failures of sources without a later success. They are not those of
+  /// the ranking: a host that cannot read the store still hands over its copy.
+  std::map<std::string, TimePoint> FailedAt_;
 };
 
-ConfirmingRead::ConfirmingRead(Runtime R, SourceRanking &Sources,
+ConfirmingRead::ConfirmingRead(Runtime R, const SourceRanking &Sources,
                                StoreMirror &Operator, Hooks H)
     : Impl_(std::make_shared<Impl>(std::move(R), Sources, Operator,
                                    std::move(H))) {}
--- a/src/fleethost/internal/confirmingread.h
+++ b/src/fleethost/internal/confirmingread.h
@@ -43,7 +43,7 @@
         {};
   };
 
-  ConfirmingRead(Runtime R, SourceRanking &Sources, StoreMirror &Operator,
+  ConfirmingRead(Runtime R, const SourceRanking &Sources, StoreMirror &Operator,
                  Hooks H);
   ~ConfirmingRead();
 
@@ -54,7 +54,7 @@
   /// that of a watcher in another region than the store, which may have to wait
   /// for its next read.
   static constexpr Duration SourceWait = std::chrono::milliseconds(250);
-  /// How long the store comes after other hosts when it has failed here.
+  /// How long a source that has failed here comes after the others.
   static constexpr Duration FailureMemory = SourceRanking::FailureMemory;
   /// Hosts of this region that are asked for one read.
   static constexpr std::size_t HostsOfRegion = 2;
--- a/src/fleethost/tests/confirmingreadtest.cpp
+++ b/src/fleethost/tests/confirmingreadtest.cpp
@@ -165,6 +165,28 @@
   BOOST_TEST(Asked == std::vector<std::string>{Store});
 }
 
+// CONFIG: hosts that are cut off from the store still get newer tables from
+// each other.
+BOOST_AUTO_TEST_CASE(hostThatCannotReadTheStoreIsStillAskedForItsCopy) {
+  add("10.0.0.2", Home, true);
+  Sources["10.0.0.2"] = Source::Refuses;
+  BOOST_TEST(!read().value_or(true));
+  auto Ranked =
+      Ranking.newerThan(MirrorPart::OperatorTables, Operator.revision(), {});
+  BOOST_TEST(Ranked.Near == std::vector<std::string>{"10.0.0.2"});
+}
+
+BOOST_AUTO_TEST_CASE(hostThatFailedComesAfterTheOthers) {
+  add("10.0.0.2", Home, true);
+  Sources["10.0.0.2"] = Source::Refuses;
+  read();
+  add("10.0.0.3", Home, true);
+  for (int Read = 0; Read < 10; ++Read) {
+    BOOST_TEST(read().value_or(false));
+    BOOST_TEST(Asked == std::vector<std::string>{"10.0.0.3"});
+  }
+}
+
 // TWICE: hosts of a zone that is cut off must not confirm each other.
 BOOST_AUTO_TEST_CASE(readFailsWhenNobodyReachesTheStore) {
   add("10.0.0.2", Home, true);
--- a/src/relay/internal/requestrelay.cpp
+++ b/src/relay/internal/requestrelay.cpp
@@ -752,6 +752,8 @@
   void seekAlternative() {
     if (areTablesConfirmed())
       return findAlternative();
+    if (!Target_ || !newestAllowsRepeat())
+      return;
     confirmTables([Self = shared_from_this(), Number = Log_.Sends] {
       if (!Self->Ended_ && Self->Log_.Sends == Number && !Self->GotOutput_)
         Self->findAlternative();
@@ -1064,7 +1066,6 @@
   }
 
   /// Whether the tables include all changes from before the request arrived.
-  /// Once they do, they always will.
   bool areTablesConfirmed() const {
     return !Context_.Hooks.TablesInclude ||
            Context_.Hooks.TablesInclude(Request_.Arrived);
