--- a/src/fleet/internal/readbarrier.cpp
+++ b/src/fleet/internal/readbarrier.cpp
@@ -73,7 +73,7 @@
       Self.ended(Number,
                  makeError(ErrorKind::StoreUnreachable, "no answer in time"));
     });
-    Hooks_.Read([Weak = weak_from_this(), Number](Result<void> Got) {
+    Hooks_.Read([Weak = weak_from_this(), Number](const Result<void> &Got) {
       if (auto Self = Weak.lock())
         Self->ended(Number, Got);
     });
