--- a/src/fleethost/tests/confirmingreadtest.cpp
+++ b/src/fleethost/tests/confirmingreadtest.cpp
@@ -64,7 +64,7 @@
   }
 
   ConfirmingRead::Hooks hooks() {
-    return {[this](ReadBarrier::Done Done) {
+    return {[this](const ReadBarrier::Done &Done) {
               Asked.push_back(Store);
               if (Sources[Store] == Source::Silent)
                 return;
