--- a/src/fleet/recencycheck.h
+++ b/src/fleet/recencycheck.h
@@ -77,8 +77,8 @@
   /// Whether requests may be handled by the copy now.
   bool mayAct();
   /// Whether the copy is known to be recent, or has been in use unconfirmed for
-  /// MaxDoubt without a sign that it lacks changes. Needed before other hosts are
-  /// told that it is current. It says nothing of the time since then; see
+  /// MaxDoubt without a sign that it lacks changes. Needed before other hosts
+  /// are told that it is current. It says nothing of the time since then; see
   /// ReadBarrier.
   bool isConfirmed();
   /// Whether the copy is known to be outdated and requests must not be handled
